--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench matrix soak slopes generate
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m benchmarks.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+matrix: $(STAMP)
+	$(BIN)/python -m benchmarks.matrix
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.bench
+
+slopes: $(STAMP)
+	$(BIN)/python -m benchmarks.slopes
+
+soak: $(STAMP)
+	$(BIN)/python -m benchmarks.soak
+
+generate: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --grpc_python_out=src --pyi_out=src src/sablemount/peer/peer.proto
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, the fault matrix, the soak and the demo."""
--- /dev/null
+++ b/src/sablemount/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/src/sablemount/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure scheduling core: no I/O, no clock and no global random numbers."""
--- /dev/null
+++ b/src/sablemount/core/config.py
@@ -0,0 +1,67 @@
+"""Limits and periods of the core; all times are in seconds."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+__all__ = ["CoreSettings", "Weights"]
+
+Seconds = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(gt=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a placement weighs: 1 is packing alone, 0 is waiting alone."""
+
+    packing: Share = 0.5
+    candidates: Annotated[int, Meta(ge=1, le=256)] = 12
+
+
+class CoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits and periods of one scheduler."""
+
+    shards: Count = 12
+    tick: Seconds = 0.1
+
+    read_interval: Seconds = 0.25
+    read_timeout: Seconds = 1.0
+    append_interval: Seconds = 0.05
+    append_timeout: Seconds = 2.0
+    append_records: Count = 500
+    append_bytes: Count = 900_000
+    journal_limit: Count = 20_000
+    snapshot_entries: Count = 2_000
+
+    claim_delay: Seconds = 2.0
+    settle: Seconds = 0.5
+    drift: Share = 0.001
+    promise: Seconds = 120.0
+    hold_limit: Seconds = 900.0
+
+    gossip_interval: Seconds = 0.5
+    gossip_fanout: Count = 3
+    suspect_after: Seconds = 2.0
+    evict_after: Seconds = 10.0
+
+    run_lease: Seconds = 10.0
+    renew_grace: Seconds = 20.0
+    renew_interval: Seconds = 1.0
+    worker_timeout: Seconds = 1.0
+    lost_after: Count = 3
+
+    request_queue: Count = 1_000
+    request_attempts: Count = 3
+    retry_budget: Share = 0.1
+    eject_after: Count = 5
+    eject_seconds: Seconds = 5.0
+    eject_share: Share = 0.3
+    connections: Count = 64
+
+    task_queue: Count = 200_000
+    placements_per_tick: Count = 500
+    aging: Seconds = 120.0
+    preempt_limit: Count = 3
+    preempt_timeout: Seconds = 3.0
+    weights: Weights = Weights()
--- /dev/null
+++ b/src/sablemount/core/ledger.py
@@ -0,0 +1,539 @@
+"""The ledger: what the log says, folded in offset order.
+
+Every scheduler folds the same entries by the same rules and so holds the same ledger at the same
+offset. Nothing here reads a clock: ages are judged by the time that the log stamps on an entry.
+"""
+
+import zlib
+from collections import deque
+from functools import singledispatchmethod
+
+import msgspec
+
+from sablemount.core import documents, records
+from sablemount.core.documents import Kind, OrganisationDocument, TemplateDocument
+from sablemount.core.facts import VmFacts
+from sablemount.core.image import (
+    DocumentImage,
+    KeyImage,
+    LedgerImage,
+    MemberImage,
+    ShareImage,
+    TaskImage,
+)
+from sablemount.core.image import ShardImage as ShardRow
+from sablemount.core.records import Batch, Record, Writer
+from sablemount.core.shares import QuotaShares
+
+__all__ = ["Applied", "DocumentRow", "Ledger", "LogEntry", "ShardRow", "TaskRow", "task_name"]
+
+KEY_HORIZON = 86_400.0
+"""How long a key is remembered and how old it may be when it is spent, in seconds."""
+KEY_SKEW = 300.0
+"""How far a caller's clock may be from the log's, in seconds."""
+FINISHED_HORIZON = 86_400.0
+"""How long the outcome of a task can be read, in seconds."""
+
+OK = ""
+
+
+class LogEntry(msgspec.Struct, frozen=True):
+    """One entry as the log service returns it; ``time`` is the log's own clock in seconds."""
+
+    offset: int
+    time: float
+    payload: bytes
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """What the fold made of one record; ``error`` is empty for an accepted one."""
+
+    offset: int
+    writer: Writer
+    record: Record
+    error: str
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether the record took effect."""
+        return not self.error
+
+
+class DocumentRow(msgspec.Struct, frozen=True):
+    """A document in force."""
+
+    document: documents.Document
+    revision: int
+    author: str
+    offset: int
+
+
+class TaskRow:
+    """One accepted task, or one replica of a service."""
+
+    __slots__ = (
+        "accepted_at",
+        "cancelled",
+        "intent",
+        "job",
+        "parameters",
+        "position",
+        "reason",
+        "revision",
+        "shard",
+        "task",
+        "template",
+        "verdict",
+    )
+
+    def __init__(self, task: str, job: str, template: TemplateDocument, revision: int) -> None:
+        self.task = task
+        self.job = job
+        self.template = template
+        self.revision = revision
+        self.shard = 0
+        self.position = 0
+        self.parameters: dict[str, documents.Scalar] = {}
+        self.accepted_at = 0.0
+        self.intent = 0
+        self.cancelled = False
+        self.verdict: str = ""
+        self.reason = ""
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the outcome is recorded."""
+        return bool(self.verdict)
+
+    @property
+    def service(self) -> bool:
+        """Tell whether this is a replica of a long-running service."""
+        return self.template.kind is Kind.SERVICE
+
+
+class Ledger:
+    """Tables folded from the log."""
+
+    def __init__(self, shard_count: int) -> None:
+        self.shard_count = shard_count
+        self.offset = 0
+        self.log_time = 0.0
+        self.snapshot_upto = 0
+        self.members: dict[str, Writer] = {}
+        self.halls: dict[str, str] = {}
+        self.joined_at: dict[str, int] = {}
+        self.sequences: dict[str, int] = {}
+        self.incarnations: dict[str, int] = {}
+        self.seen: dict[str, int] = {}
+        self.shards = [ShardRow(shard=index) for index in range(shard_count)]
+        self.documents: dict[str, DocumentRow] = {}
+        self.tasks: dict[str, TaskRow] = {}
+        self.open_tasks: list[set[str]] = [set() for _ in range(shard_count)]
+        self.drained: dict[str, bool] = {}
+        self.vms: list[dict[str, VmFacts]] = [{} for _ in range(shard_count)]
+        self.keys: dict[str, float] = {}
+        self.shares = QuotaShares(shard_count)
+        self._finished: deque[tuple[float, str]] = deque()
+        self._writer = Writer("", 0)
+
+    # -- Reading the log ---------------------------------------------------------------------
+
+    def apply(self, entry: LogEntry) -> list[Applied]:
+        """Fold one entry and return what became of its records."""
+        if entry.offset <= self.offset:
+            return []
+        self.offset = entry.offset
+        self.log_time = max(self.log_time, entry.time)
+        batch = records.decode_batch(entry.payload)
+        applied = [] if batch is None else self._apply_batch(entry.offset, batch)
+        self._forget()
+        return applied
+
+    def _apply_batch(self, offset: int, batch: Batch) -> list[Applied]:
+        if self._stale(batch):
+            return []
+        self._writer = batch.writer
+        applied = []
+        for record in batch.records:
+            error = self._apply_record(record.body)
+            applied.append(Applied(offset, batch.writer, record, error))
+        if batch.writer.name in self.members:
+            self.sequences[batch.writer.name] = batch.sequence
+            self.seen[str(batch.writer)] = batch.seen
+        return applied
+
+    def _stale(self, batch: Batch) -> bool:
+        if self.members.get(batch.writer.name) != batch.writer:
+            return False
+        return batch.sequence <= self.sequences.get(batch.writer.name, 0)
+
+    def _apply_record(self, body: records.Body) -> str:
+        if isinstance(body, records.Join):
+            return self._join(body)
+        if self.members.get(self._writer.name) != self._writer:
+            return "the writer is not a member"
+        return self._fold(body)
+
+    def _forget(self) -> None:
+        oldest_key = self.log_time - KEY_HORIZON - 2 * KEY_SKEW
+        while self.keys:
+            key = next(iter(self.keys))
+            if self.keys[key] >= oldest_key:
+                break
+            del self.keys[key]
+        oldest_task = self.log_time - FINISHED_HORIZON
+        while self._finished and self._finished[0][0] < oldest_task:
+            _, task = self._finished.popleft()
+            self.tasks.pop(task, None)
+
+    # -- Members -----------------------------------------------------------------------------
+
+    def _join(self, body: records.Join) -> str:
+        # An incarnation joins once: a Join that takes effect late must not bring back a member
+        # that has left or was put out.
+        name = self._writer.name
+        if self.incarnations.get(name, 0) >= self._writer.incarnation:
+            return "this or a later incarnation has joined before"
+        self.incarnations[name] = self._writer.incarnation
+        self.members[name] = self._writer
+        self.halls[name] = body.hall
+        self.joined_at[name] = self.offset
+        self.sequences[name] = 0
+        self._forget_writers()
+        return OK
+
+    def _forget_writers(self) -> None:
+        known = {str(member) for member in self.members.values()}
+        known.update(str(shard.owner) for shard in self.shards)
+        self.seen = {writer: seen for writer, seen in self.seen.items() if writer in known}
+
+    def knows(self, owner: Writer, member: Writer) -> bool:
+        """Tell whether the log shows that an owner has read a member's Join."""
+        if self.members.get(member.name) != member:
+            return False
+        return self.seen.get(str(owner), 0) >= self.joined_at[member.name]
+
+    def _remove(self, member: Writer) -> str:
+        if self.members.get(member.name) != member:
+            return "not a member"
+        del self.members[member.name]
+        del self.halls[member.name]
+        return OK
+
+    @singledispatchmethod
+    def _fold(self, body: object) -> str:
+        return f"unknown record {type(body).__name__}"
+
+    @_fold.register
+    def _(self, body: records.Leave) -> str:
+        return self._remove(self._writer)
+
+    @_fold.register
+    def _(self, body: records.Seen) -> str:
+        return OK
+
+    @_fold.register
+    def _(self, body: records.Evict) -> str:
+        return self._remove(body.member)
+
+    # -- Shards ------------------------------------------------------------------------------
+
+    def _owned(self, shard: int, epoch: int) -> str:
+        if not 0 <= shard < self.shard_count:
+            return "no such shard"
+        row = self.shards[shard]
+        if row.owner != self._writer or row.epoch != epoch:
+            return f"shard {shard} is at epoch {row.epoch}, owned by {row.owner}"
+        return OK
+
+    @_fold.register
+    def _(self, body: records.Claim) -> str:
+        if not 0 <= body.shard < self.shard_count:
+            return "no such shard"
+        row = self.shards[body.shard]
+        if row.epoch != body.epoch:
+            return f"shard {body.shard} is at epoch {row.epoch}"
+        planned = row.owner is None
+        self.shards[body.shard] = ShardRow(body.shard, self._writer, row.epoch + 1, planned)
+        return OK
+
+    @_fold.register
+    def _(self, body: records.Release) -> str:
+        error = self._owned(body.shard, body.epoch)
+        if error:
+            return error
+        if body.to is not None and self.members.get(body.to.name) != body.to:
+            return f"{body.to} is not a member"
+        self.shards[body.shard] = ShardRow(body.shard, body.to, body.epoch + 1, True)
+        return OK
+
+    # -- Documents ---------------------------------------------------------------------------
+
+    @_fold.register
+    def _(self, body: records.Publish) -> str:
+        current = self.documents.get(body.key)
+        revision = current.revision if current else 0
+        if revision != body.expected:
+            return f"expected revision {body.expected}, current revision {revision}"
+        row = DocumentRow(body.document, revision + 1, body.author, self.offset)
+        self.documents[body.key] = row
+        if isinstance(body.document, OrganisationDocument):
+            self.shares.revise(body.key, body.document.quota)
+        elif body.document.kind is Kind.SERVICE:
+            self._scale(body.key, row)
+        return OK
+
+    def _scale(self, key: str, row: DocumentRow) -> None:
+        assert isinstance(row.document, TemplateDocument)
+        first_shard = zlib.crc32(key.encode()) % self.shard_count
+        for position in range(row.document.replicas):
+            task = f"{key}.{position}"
+            if task not in self.tasks:
+                shard = (first_shard + position) % self.shard_count
+                self._add(TaskRow(task, key, row.document, row.revision), shard, position)
+        for task_row in self.replicas_of(key):
+            task_row.template = row.document
+            task_row.revision = row.revision
+            task_row.cancelled = task_row.position >= row.document.replicas
+
+    # -- Tasks -------------------------------------------------------------------------------
+
+    def _add(self, row: TaskRow, shard: int, position: int) -> None:
+        row.shard = shard
+        row.position = position
+        row.accepted_at = self.log_time
+        self.tasks[row.task] = row
+        self.open_tasks[shard].add(row.task)
+
+    @_fold.register
+    def _(self, body: records.Accept) -> str:
+        current = self.documents.get(body.template)
+        if current is None or not isinstance(current.document, TemplateDocument):
+            return "unknown template"
+        if not 0 <= body.shard < self.shard_count:
+            return "no such shard"
+        names = self.names_of(body)
+        if any(name in self.tasks for name in names):
+            return "the job exists"
+        for position, name in enumerate(names, body.first):
+            row = TaskRow(name, body.job, current.document, current.revision)
+            row.parameters = body.parameters
+            self._add(row, body.shard, position)
+        return OK
+
+    @staticmethod
+    def names_of(body: records.Accept) -> list[str]:
+        """Return the names of the tasks that a record accepts."""
+        positions = range(body.first, body.first + body.count)
+        return [task_name(body.job, position, body.total) for position in positions]
+
+    def replicas_of(self, key: str) -> list[TaskRow]:
+        """Return the replicas of a service template."""
+        row = self.documents.get(key)
+        if row is None or not isinstance(row.document, TemplateDocument):
+            return []
+        if row.document.kind is not Kind.SERVICE:
+            return []
+        found: list[TaskRow] = []
+        while (task := self.tasks.get(f"{key}.{len(found)}")) is not None:
+            found.append(task)
+        return found
+
+    def _open(self, task: str) -> TaskRow | None:
+        row = self.tasks.get(task)
+        return None if row is None or row.finished else row
+
+    @_fold.register
+    def _(self, body: records.Intent) -> str:
+        row = self._open(body.task)
+        if row is None:
+            return "no such open task"
+        if row.intent or row.cancelled:
+            return "the task was announced or cancelled before"
+        error = self._owned(row.shard, body.epoch)
+        if not error:
+            row.intent = body.epoch
+        return error
+
+    @_fold.register
+    def _(self, body: records.Finish) -> str:
+        row = self._open(body.task)
+        if row is None:
+            return "no such open task"
+        error = self._owned(row.shard, body.epoch)
+        if error:
+            return error
+        row.verdict = body.verdict.value
+        row.reason = body.reason
+        self.open_tasks[row.shard].discard(row.task)
+        self._finished.append((self.log_time, row.task))
+        return OK
+
+    @_fold.register
+    def _(self, body: records.Cancel) -> str:
+        row = self._open(body.task)
+        if row is None:
+            return "no such open task"
+        row.cancelled = True
+        return OK
+
+    @_fold.register
+    def _(self, body: records.Drain) -> str:
+        if body.drain:
+            self.drained[body.vm] = True
+        else:
+            self.drained.pop(body.vm, None)
+        return OK
+
+    @_fold.register
+    def _(self, body: records.Move) -> str:
+        row = self._open(body.task)
+        if row is None or not 0 <= body.to < self.shard_count:
+            return "no such open task or shard"
+        error = self._owned(row.shard, body.epoch)
+        if error:
+            return error
+        self.open_tasks[row.shard].discard(row.task)
+        row.shard = body.to
+        self.open_tasks[row.shard].add(row.task)
+        return OK
+
+    # -- VMs ---------------------------------------------------------------------------------
+
+    @_fold.register
+    def _(self, body: records.Enroll) -> str:
+        error = self._owned(body.shard, body.epoch)
+        if not error:
+            self.vms[body.shard][body.facts.vm] = body.facts
+        return error
+
+    @_fold.register
+    def _(self, body: records.Dismiss) -> str:
+        error = self._owned(body.shard, body.epoch)
+        if not error:
+            self.vms[body.shard].pop(body.vm, None)
+        return error
+
+    # -- Quotas and keys ---------------------------------------------------------------------
+
+    @_fold.register
+    def _(self, body: records.QuotaMove) -> str:
+        error = self._owned(body.shard, body.epoch)
+        if error:
+            return error
+        if not 0 <= body.to < self.shard_count:
+            return "no such shard"
+        return self.shares.move(
+            body.organisation, body.shard, body.to, body.cores, body.accelerators
+        )
+
+    @_fold.register
+    def _(self, body: records.SpendKey) -> str:
+        if body.key in self.keys:
+            return "the key is spent"
+        if body.issued < self.log_time - KEY_HORIZON:
+            return "the key is older than the horizon"
+        if body.issued > self.log_time + KEY_SKEW:
+            return "the key is from the future"
+        self.keys[body.key] = self.log_time
+        return OK
+
+    @_fold.register
+    def _(self, body: records.SnapshotPart) -> str:
+        if body.index == body.total - 1:
+            self.snapshot_upto = max(self.snapshot_upto, body.upto)
+        return OK
+
+    # -- Snapshots ---------------------------------------------------------------------------
+
+    def image(self) -> LedgerImage:
+        """Return an immutable image of the whole state."""
+        return LedgerImage(
+            offset=self.offset,
+            log_time=self.log_time,
+            members=[
+                MemberImage(writer, self.halls[name], self.joined_at[name], self.sequences[name])
+                for name, writer in self.members.items()
+            ],
+            incarnations=dict(self.incarnations),
+            seen=dict(self.seen),
+            shards=list(self.shards),
+            documents=[
+                DocumentImage(key, row.document, row.revision, row.author, row.offset)
+                for key, row in self.documents.items()
+            ],
+            tasks=[_task_image(row) for row in self.tasks.values()],
+            vms=[list(shard.values()) for shard in self.vms],
+            drained=list(self.drained),
+            finished=list(self._finished),
+            keys=[KeyImage(key, spent) for key, spent in self.keys.items()],
+            shares=[
+                ShareImage(name, cores, accelerators)
+                for name, cores, accelerators in self.shares.rows()
+            ],
+        )
+
+    @classmethod
+    def from_image(cls, image: LedgerImage) -> "Ledger":
+        """Return the ledger that an image was taken of."""
+        ledger = cls(len(image.shards))
+        ledger.offset = image.offset
+        ledger.log_time = image.log_time
+        ledger.snapshot_upto = image.offset
+        for member in image.members:
+            name = member.writer.name
+            ledger.members[name] = member.writer
+            ledger.halls[name] = member.hall
+            ledger.joined_at[name] = member.joined_at
+            ledger.sequences[name] = member.sequence
+        ledger.incarnations = dict(image.incarnations)
+        ledger.seen = dict(image.seen)
+        ledger.shards = list(image.shards)
+        for item in image.documents:
+            row = DocumentRow(item.document, item.revision, item.author, item.offset)
+            ledger.documents[item.key] = row
+        for share in image.shares:
+            ledger.shares.restore(share.organisation, share.cores, share.accelerators)
+        for task in image.tasks:
+            ledger._restore_task(task)
+        ledger.vms = [{facts.vm: facts for facts in shard} for shard in image.vms]
+        ledger.drained = dict.fromkeys(image.drained, True)
+        ledger._finished = deque(image.finished)
+        ledger.keys = {item.key: item.spent for item in image.keys}
+        return ledger
+
+    def _restore_task(self, image: TaskImage) -> None:
+        row = TaskRow(image.task, image.job, image.template, image.revision)
+        row.shard = image.shard
+        row.position = image.position
+        row.parameters = image.parameters
+        row.accepted_at = image.accepted_at
+        row.intent = image.intent
+        row.cancelled = image.cancelled
+        row.verdict = image.verdict
+        row.reason = image.reason
+        self.tasks[row.task] = row
+        if not row.finished:
+            self.open_tasks[row.shard].add(row.task)
+
+
+def task_name(job: str, position: int, total: int) -> str:
+    """Return the name of one task of a job."""
+    return job if total == 1 else f"{job}.{position}"
+
+
+def _task_image(row: TaskRow) -> TaskImage:
+    return TaskImage(
+        row.task,
+        row.job,
+        row.template,
+        row.revision,
+        row.shard,
+        row.position,
+        row.parameters,
+        row.accepted_at,
+        row.intent,
+        row.cancelled,
+        row.verdict,
+        row.reason,
+    )
--- /dev/null
+++ b/src/sablemount/core/scheduler.py
@@ -0,0 +1,185 @@
+"""The scheduler core: events in, actions out.
+
+The core has no I/O, no clock and no global random numbers. The runtime, a test or a benchmark
+hands it events with their times and carries out the actions that it returns.
+"""
+
+import random
+from functools import singledispatchmethod
+
+from sablemount.core import events
+from sablemount.core.actions import Action
+from sablemount.core.config import CoreSettings
+from sablemount.core.events import Event
+from sablemount.core.messages import (
+    CatchUp,
+    CatchUpReply,
+    DrainNotice,
+    Gossip,
+    HoldPromise,
+    HoldRequest,
+    PeerMessage,
+    QuotaAsk,
+)
+from sablemount.core.meter import Meter
+from sablemount.core.records import Writer
+from sablemount.core.state import State
+from sablemount.core.systems.commands import Commands
+from sablemount.core.systems.inventory import Inventory
+from sablemount.core.systems.journal import Journal
+from sablemount.core.systems.membership import Membership
+from sablemount.core.systems.ownership import Ownership
+from sablemount.core.systems.placement import Placement
+from sablemount.core.systems.preemption import Preemption
+from sablemount.core.systems.quotas import Quotas
+from sablemount.core.systems.reconcile import Reconcile
+from sablemount.core.systems.recovery import Recovery
+from sablemount.core.systems.renewal import Renewal
+from sablemount.core.systems.requests import Requests
+from sablemount.core.systems.snapshots import Snapshots
+from sablemount.core.systems.stopping import Stopping
+
+__all__ = ["Scheduler"]
+
+
+class Scheduler:
+    """One scheduler: its state and the systems that run over it."""
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        writer: Writer,
+        hall: str,
+        peers: tuple[str, ...],
+        rng: random.Random,
+        now: float,
+        meter: Meter | None = None,
+    ) -> None:
+        self.state = State(settings, writer, hall, peers, rng, meter or Meter(), now)
+        state = self.state
+        self.journal = Journal(state)
+        self.membership = Membership(state, self.journal)
+        self.ownership = Ownership(state, self.journal, self.membership)
+        self.inventory = Inventory(state, self.journal)
+        self.renewal = Renewal(state)
+        self.placement = Placement(state, self.journal)
+        self.reconcile = Reconcile(state, self.journal, self.renewal, self.placement.enqueue)
+        self.recovery = Recovery(state, self.journal, self.placement)
+        self.preemption = Preemption(state, self.placement)
+        self.quotas = Quotas(state, self.journal, self.placement)
+        self.requests = Requests(state, self.journal)
+        self.commands = Commands(state, self.journal, self.placement, self.inventory)
+        self.snapshots = Snapshots(state, self.journal, self.membership)
+        self.stopping = Stopping(state, self.journal, self.membership, self.requests)
+
+    # -- Events ------------------------------------------------------------------------------
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event at a time (local monotonic seconds) and return the actions it gives."""
+        state = self.state
+        state.now = max(state.now, now)
+        self.ownership.renew()
+        self._take(event)
+        actions = state.actions
+        state.actions = []
+        return actions
+
+    @singledispatchmethod
+    def _take(self, event: object) -> None:
+        raise TypeError(f"unknown event {type(event).__name__}")
+
+    @_take.register
+    def _(self, event: events.Tick) -> None:
+        self._run_all()
+
+    @_take.register
+    def _(self, event: events.LogRead) -> None:
+        self.journal.read_ended(event)
+        self._run_all()
+
+    @_take.register
+    def _(self, event: events.LogReadFailed) -> None:
+        self.journal.read_failed()
+
+    @_take.register
+    def _(self, event: events.AppendEnded) -> None:
+        self.journal.append_ended(event)
+        self.journal.run()
+
+    @_take.register
+    def _(self, event: events.VmListRead) -> None:
+        self.inventory.listed(event)
+
+    @_take.register
+    def _(self, event: events.StartEnded) -> None:
+        self.reconcile.start_ended(event)
+
+    @_take.register
+    def _(self, event: events.PollEnded) -> None:
+        self.reconcile.polled(event)
+        self.requests.pump()
+
+    @_take.register
+    def _(self, event: events.RequestArrived) -> None:
+        self.requests.arrived(event)
+
+    @_take.register
+    def _(self, event: events.RequestEnded) -> None:
+        self.requests.ended(event)
+
+    @_take.register
+    def _(self, event: events.RequestWithdrawn) -> None:
+        self.requests.withdrawn(event.request)
+
+    @_take.register
+    def _(self, event: events.JobSubmitted) -> None:
+        self.commands.submitted(event)
+
+    @_take.register
+    def _(self, event: events.CancelRequested) -> None:
+        self.commands.cancelled(event)
+
+    @_take.register
+    def _(self, event: events.PublishRequested) -> None:
+        self.commands.published(event)
+
+    @_take.register
+    def _(self, event: events.DrainRequested) -> None:
+        self.commands.drained(event)
+
+    @_take.register
+    def _(self, event: events.StopRequested) -> None:
+        self.stopping.requested()
+
+    @_take.register
+    def _(self, event: events.PeerReceived) -> None:
+        self._peer(event.message)
+
+    def _peer(self, message: PeerMessage) -> None:
+        if isinstance(message, Gossip | CatchUp | CatchUpReply):
+            self.membership.received(message)
+        elif isinstance(message, HoldRequest | HoldPromise):
+            self.ownership.received(message)
+        elif isinstance(message, QuotaAsk):
+            self.quotas.received(message)
+        elif isinstance(message, DrainNotice):
+            self.inventory.received(message)
+
+    # -- Systems -----------------------------------------------------------------------------
+
+    def _run_all(self) -> None:
+        """Run every system once, in the order in which they depend on each other."""
+        self.membership.run()
+        self.ownership.run()
+        self.inventory.run()
+        self.recovery.run()
+        self.reconcile.run()
+        self.requests.run()
+        self.placement.run()
+        self.preemption.run()
+        self.quotas.run()
+        self.renewal.poll_urgently()
+        self.renewal.run()
+        self.snapshots.run()
+        self.stopping.run()
+        self.journal.run()
--- /dev/null
+++ b/src/sablemount/core/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Systems that run over the tables at each tick, one module each."""
--- /dev/null
+++ b/src/sablemount/core/systems/journal.py
@@ -0,0 +1,366 @@
+"""Reading and writing the platform's log.
+
+Writing is a group commit: one batch is in flight at a time and carries all the records that wait,
+the most important first. A batch whose outcome is unknown is appended again, unchanged and under
+the same sequence number, until a copy of it is read back; the fold ignores every further copy.
+"""
+
+import enum
+import heapq
+from collections.abc import Callable
+from typing import TypeAlias, TypeVar
+
+from sablemount.core import records
+from sablemount.core.actions import AppendLog, ReadLog
+from sablemount.core.events import AppendEnded, AppendStatus, LogRead
+from sablemount.core.image import LedgerImage, SnapshotAssembler
+from sablemount.core.ledger import Applied, Ledger, LogEntry
+from sablemount.core.records import Batch, Body, Record, SnapshotPart
+from sablemount.core.state import State
+
+__all__ = ["Journal", "Settlement", "SettledCallback"]
+
+
+class Settlement(enum.Enum):
+    """What became of a record that this scheduler wrote."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    NOT_WRITTEN = "not_written"
+    UNKNOWN = "unknown"
+
+
+SettledCallback: TypeAlias = Callable[[Settlement, str], None]
+
+BodyT = TypeVar("BodyT")
+
+OWNERSHIP = (
+    records.Join,
+    records.Seen,
+    records.Leave,
+    records.Evict,
+    records.Claim,
+    records.Release,
+)
+CONFIGURATION = (records.Publish, records.Drain, records.Enroll, records.Dismiss)
+INTENTS = (records.SpendKey, records.Intent, records.Finish, records.Cancel, records.Move)
+SMALL_RECORD = 600
+"""Assumed size of a record that is not a snapshot part, in bytes."""
+FOREVER = float("inf")
+
+
+def _priority(body: Body) -> int:
+    if isinstance(body, OWNERSHIP):
+        return 0
+    if isinstance(body, CONFIGURATION):
+        return 1
+    if isinstance(body, INTENTS):
+        return 2
+    return 4 if isinstance(body, SnapshotPart) else 3
+
+
+class _Pending:
+    """A record that waits to be written or read back."""
+
+    __slots__ = ("body", "deadline", "nonce", "sequence", "settled")
+
+    def __init__(
+        self, nonce: int, body: Body, deadline: float, settled: SettledCallback | None
+    ) -> None:
+        self.nonce = nonce
+        self.body = body
+        self.deadline = deadline
+        self.settled = settled
+        self.sequence = 0
+
+    @property
+    def sent(self) -> bool:
+        """Tell whether the record may be in the log."""
+        return self.sequence > 0
+
+
+class _InFlight:
+    """The one batch that is being appended."""
+
+    __slots__ = ("nonces", "payload", "retry_at", "sending", "sequence", "uncertain")
+
+    def __init__(self, sequence: int, payload: bytes, nonces: list[int]) -> None:
+        self.sequence = sequence
+        self.payload = payload
+        self.nonces = nonces
+        self.sending = True
+        self.uncertain = False
+        self.retry_at = 0.0
+
+
+class Journal:
+    """Group commit of this scheduler's records, and the fold of everybody's."""
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self.listeners: list[Callable[[Applied], None]] = []
+        self.reset_listeners: list[Callable[[], None]] = []
+        self._pending: dict[int, _Pending] = {}
+        self._queue: list[tuple[int, int]] = []
+        self._next_nonce = 1
+        self._sequence = 0
+        self._in_flight: _InFlight | None = None
+        self._next_append = 0.0
+        self._reading = False
+        self._read_again = False
+        self._next_read = 0.0
+        self._bootstrapping = True
+        self._assembler = SnapshotAssembler()
+        self._snapshot: LedgerImage | None = None
+        self._buffer: list[LogEntry] = []
+
+    # -- Writing -----------------------------------------------------------------------------
+
+    def write(
+        self, body: Body, settled: SettledCallback | None = None, deadline: float = FOREVER
+    ) -> bool:
+        """Queue a record; ``False`` tells that the queue is full and nothing was queued."""
+        if len(self._pending) >= self._state.settings.journal_limit:
+            return False
+        nonce = self._next_nonce
+        self._next_nonce += 1
+        self._pending[nonce] = _Pending(nonce, body, deadline, settled)
+        heapq.heappush(self._queue, (_priority(body), nonce))
+        return True
+
+    def waiting(self, kind: type[BodyT]) -> list[BodyT]:
+        """Return the records of a kind that may still take effect or be written."""
+        return [item.body for item in self._pending.values() if isinstance(item.body, kind)]
+
+    def forget_all(self) -> None:
+        """Give up every record, as a new incarnation must."""
+        pending = list(self._pending.values())
+        self._pending.clear()
+        self._queue.clear()
+        self._in_flight = None
+        self._sequence = 0
+        for item in pending:
+            self._settle(item, Settlement.UNKNOWN if item.sent else Settlement.NOT_WRITTEN)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing waits to be written or read back."""
+        return not self._pending and self._in_flight is None
+
+    @property
+    def healthy(self) -> bool:
+        """Tell whether the log has answered lately."""
+        age = self._state.now - self._state.last_clean_read
+        return age < 2 * self._state.settings.read_interval + self._state.settings.read_timeout
+
+    def append_ended(self, event: AppendEnded) -> None:
+        """Take the outcome of an append."""
+        batch = self._in_flight
+        if batch is None or batch.sequence != event.sequence:
+            return
+        batch.sending = False
+        batch.retry_at = self._state.now + 4 * self._state.settings.append_interval
+        self._state.meter.count("log_appends", event.status.value)
+        if event.status is AppendStatus.WRITTEN:
+            self._in_flight = None
+            self._next_read = 0.0
+            self._read_again = self._reading
+        elif event.status is AppendStatus.UNKNOWN:
+            batch.uncertain = True
+        elif not batch.uncertain:
+            self._requeue(batch)
+
+    def _requeue(self, batch: _InFlight) -> None:
+        """Take a batch apart that is certainly not in the log; its sequence is free again."""
+        self._in_flight = None
+        self._sequence -= 1
+        self._next_append = batch.retry_at
+        for nonce in batch.nonces:
+            item = self._pending.get(nonce)
+            if item is not None:
+                item.sequence = 0
+                heapq.heappush(self._queue, (_priority(item.body), nonce))
+
+    def _expire(self) -> None:
+        now = self._state.now
+        expired = [item for item in self._pending.values() if item.deadline <= now]
+        for item in expired:
+            if item.sent:
+                # It may still take effect, so it stays until it is read back.
+                item.deadline = FOREVER
+                self._settle(item, Settlement.UNKNOWN)
+                item.settled = None
+            else:
+                del self._pending[item.nonce]
+                self._settle(item, Settlement.NOT_WRITTEN)
+
+    def _settle(self, item: _Pending, settlement: Settlement, error: str = "") -> None:
+        if item.settled is not None:
+            item.settled(settlement, error)
+
+    def _append(self) -> None:
+        now = self._state.now
+        batch = self._in_flight
+        if batch is not None:
+            if not batch.sending and now >= batch.retry_at:
+                batch.sending = True
+                self._state.emit(AppendLog(batch.sequence, batch.payload))
+            return
+        if now < self._next_append or self._bootstrapping:
+            return
+        taken = self._take()
+        if not taken:
+            return
+        self._sequence += 1
+        body = Batch(self._state.writer, self._sequence, self._state.ledger.offset, tuple(taken))
+        payload = records.encode_batch(body)
+        self._in_flight = _InFlight(self._sequence, payload, [item.nonce for item in taken])
+        self._next_append = now + self._state.settings.append_interval
+        self._state.meter.count("log_bytes", "", len(payload))
+        self._state.emit(AppendLog(self._sequence, payload))
+
+    def _take(self) -> list[Record]:
+        settings = self._state.settings
+        taken: list[Record] = []
+        size = 0
+        while self._queue and len(taken) < settings.append_records:
+            _, nonce = self._queue[0]
+            item = self._pending.get(nonce)
+            if item is not None:
+                body = item.body
+                size += len(body.payload) if isinstance(body, SnapshotPart) else SMALL_RECORD
+                if taken and size > settings.append_bytes:
+                    break
+                item.sequence = self._sequence + 1
+                taken.append(Record(nonce, body))
+            heapq.heappop(self._queue)
+        return taken
+
+    # -- Reading -----------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Expire, append and read as the time has come."""
+        self._expire()
+        self._append()
+        if not self._reading and self._state.now >= self._next_read:
+            self._reading = True
+            self._read_again = False
+            self._next_read = self._state.now + self._state.settings.read_interval
+            self._state.emit(ReadLog(self._read_offset()))
+
+    def _read_offset(self) -> int:
+        if self._bootstrapping and self._buffer:
+            return self._buffer[-1].offset
+        return self._state.ledger.offset
+
+    def read_failed(self) -> None:
+        """Take a read that brought no answer."""
+        self._reading = False
+        self._state.meter.count("log_reads", "failed")
+
+    def read_ended(self, event: LogRead) -> None:
+        """Fold what a read brought."""
+        self._reading = False
+        if self._read_again:
+            self._next_read = 0.0
+        if event.first > self._state.ledger.offset + 1 and not self._bootstrapping:
+            self._restart()
+            return
+        if self._bootstrapping:
+            self._bootstrap(event)
+        else:
+            for entry in event.entries:
+                self._fold(entry)
+        self._note_head(event)
+
+    def _note_head(self, event: LogRead) -> None:
+        if self._bootstrapping or self._state.ledger.offset < event.head:
+            self._next_read = 0.0
+            return
+        self._state.last_clean_read = max(self._state.last_clean_read, event.sent_at)
+        self._state.ready = True
+
+    def _fold(self, entry: LogEntry) -> None:
+        for applied in self._state.ledger.apply(entry):
+            if applied.writer == self._state.writer:
+                self._settle_own(applied)
+            for listener in self.listeners:
+                listener(applied)
+
+    def _settle_own(self, applied: Applied) -> None:
+        batch = self._in_flight
+        nonce = applied.record.nonce
+        if batch is not None and nonce in batch.nonces:
+            self._in_flight = None
+        item = self._pending.pop(nonce, None)
+        if item is not None:
+            settlement = Settlement.ACCEPTED if applied.accepted else Settlement.REJECTED
+            self._settle(item, settlement, applied.error)
+
+    # -- Bootstrap ---------------------------------------------------------------------------
+
+    def _restart(self) -> None:
+        """Begin again from a snapshot: the log no longer holds what comes next."""
+        self._bootstrapping = True
+        self._state.meter.count("log_restarts")
+
+    def _bootstrap(self, event: LogRead) -> None:
+        for entry in event.entries:
+            self._buffer.append(entry)
+            self._look_for_snapshot(entry)
+        read_upto = self._buffer[-1].offset if self._buffer else 0
+        if read_upto < event.head:
+            return
+        current = self._state.ledger
+        if self._snapshot is not None and self._snapshot.offset > current.offset:
+            self._install(Ledger.from_image(self._snapshot))
+        if event.first <= self._state.ledger.offset + 1:
+            self._finish_bootstrap()
+        else:
+            self._buffer = []
+
+    def _look_for_snapshot(self, entry: LogEntry) -> None:
+        batch = records.decode_batch(entry.payload)
+        for record in batch.records if batch else ():
+            if isinstance(record.body, SnapshotPart):
+                assert batch is not None
+                image = self._assembler.add(batch.writer, record.body)
+                if image is not None:
+                    self._snapshot = image
+
+    def _finish_bootstrap(self) -> None:
+        buffered = self._buffer
+        self._buffer = []
+        self._snapshot = None
+        self._assembler = SnapshotAssembler()
+        self._bootstrapping = False
+        for entry in buffered:
+            self._fold(entry)
+
+    def adopt(self, image: LedgerImage) -> bool:
+        """Take a peer's ledger if it is further than this one; never an older one."""
+        if image.offset <= self._state.ledger.offset:
+            return False
+        self._install(Ledger.from_image(image))
+        self._state.ready = True
+        return True
+
+    def _install(self, ledger: Ledger) -> None:
+        self._state.ledger = ledger
+        self._state.meter.count("ledger_installs")
+        self._settle_passed()
+        for listener in self.reset_listeners:
+            listener()
+
+    def _settle_passed(self) -> None:
+        """Give up the records whose outcome the installed ledger has passed over."""
+        name = self._state.writer.name
+        if self._state.ledger.members.get(name) != self._state.writer:
+            return
+        passed = self._state.ledger.sequences.get(name, 0)
+        if self._in_flight is not None and self._in_flight.sequence <= passed:
+            self._in_flight = None
+        for item in list(self._pending.values()):
+            if 0 < item.sequence <= passed:
+                del self._pending[item.nonce]
+                self._settle(item, Settlement.UNKNOWN)
--- /dev/null
+++ b/src/sablemount/core/systems/placement.py
@@ -0,0 +1,327 @@
+"""Placement: which waiting task starts on which VM.
+
+The cost of a decision does not grow with the number of VMs: a few candidates come from an index
+over free capacity, and only those are scored.
+"""
+
+from sablemount.core import records
+from sablemount.core.actions import StartRun
+from sablemount.core.documents import OrganisationDocument, Preferences, Shape
+from sablemount.core.ledger import TaskRow
+from sablemount.core.state import State
+from sablemount.core.systems.journal import Journal, Settlement
+from sablemount.core.tables import HeldShard, HoldState, RunRow, VmRow
+from sablemount.core.waiting import LEVELS, WaitingTask, WaitQueue
+
+__all__ = ["Placement"]
+
+LOOK_AHEAD = 4
+"""How many tasks of one organisation are tried at its turn when the first does not fit."""
+MOVE_INTERVAL = 1.0
+"""Least time between two moves of one task to another shard, in seconds."""
+SPREAD_PENALTY = 1.0
+"""What one replica of the same job in the same rack costs in a score."""
+HALL_PENALTY = 4.0
+"""What being outside the preferred halls costs in a score."""
+
+
+class Placement:
+    """Places waiting tasks on VMs of the own shards."""
+
+    def __init__(self, state: State, journal: Journal) -> None:
+        self._state = state
+        self._journal = journal
+        self.queue = WaitQueue()
+        self.unplaced: list[WaitingTask] = []
+        self.short_of_quota: dict[tuple[str, int], Shape] = {}
+        self._blocked: dict[tuple[int, str], tuple[int, str]] = {}
+        self._counter = 0
+
+    def enqueue(self, row: TaskRow) -> None:
+        """Let a task wait for a VM."""
+        self.queue.add(row, self._state.now)
+
+    # -- Turns -------------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Place what can be placed, the best-paid level first."""
+        self.unplaced.clear()
+        self.short_of_quota.clear()
+        if not self._state.leased():
+            return
+        self.queue.promote(self._state.now, self._state.settings.aging)
+        budget = self._state.settings.placements_per_tick
+        for level in range(LEVELS):
+            budget = self._run_level(level, budget)
+
+    def _run_level(self, level: int, budget: int) -> int:
+        turns = self.queue.turns(level)
+        again: bool | None = None
+        while budget > 0:
+            try:
+                name = turns.send(again)  # type: ignore[attr-defined]
+            except StopIteration:
+                break
+            again = self._take_turn(level, name)
+            budget -= again
+        return budget
+
+    def _take_turn(self, level: int, organisation: str) -> bool:
+        """Place one task of an organisation; tell whether one was placed or taken out."""
+        items = self.queue.head(level, organisation, LOOK_AHEAD)
+        mark = (self._state.freed, items[0].row.task)
+        if self._blocked.get((level, organisation)) == mark:
+            self.unplaced.append(items[0])
+            return False
+        tried: set[Shape] = set()
+        for item in items:
+            shape = item.row.template.shape
+            if not self._eligible(item):
+                if item.row.task not in self.queue:
+                    return True
+                continue
+            if shape in tried:
+                continue
+            tried.add(shape)
+            if self._place(item):
+                return True
+            self.unplaced.append(item)
+        self._blocked[level, organisation] = (self._state.freed, items[0].row.task)
+        return False
+
+    def _eligible(self, item: WaitingTask) -> bool:
+        """Tell whether a task may be placed now; one that is not ours any more is taken out."""
+        state = self._state
+        row = item.row
+        held = state.held.get(row.shard)
+        if held is None or row.finished or row.task in state.run_of:
+            self.queue.remove(row.task)
+            return False
+        if row.cancelled:
+            self.queue.remove(row.task)
+            self._finish_cancelled(row, held)
+            return False
+        return held.opened and held.state is HoldState.ACTIVE and not item.moving
+
+    def _finish_cancelled(self, row: TaskRow, held: HeldShard) -> None:
+        if not row.service:
+            verdict = records.Verdict.MAY_HAVE_RUN if row.intent else records.Verdict.NOT_RUN
+            self._journal.write(records.Finish(row.task, held.epoch, verdict, "cancelled"))
+
+    # -- One task ----------------------------------------------------------------------------
+
+    def _place(self, item: WaitingTask) -> bool:
+        row = item.row
+        if not self.within_quota(row):
+            key = (row.template.organisation, row.shard)
+            self.short_of_quota[key] = row.template.shape
+            return False
+        if row.template.preferences.spread and self._spread_elsewhere(item):
+            return False
+        vm = self.choose(row, row.shard)
+        if vm is None:
+            self._consider_move(item)
+            return False
+        self.start(item, vm)
+        return True
+
+    def _spread_elsewhere(self, item: WaitingTask) -> bool:
+        """Move a spread task once to a shard that has VMs in the hall that is its turn."""
+        state = self._state
+        if item.spread_done or not self._journal.healthy:
+            return item.moving
+        item.spread_done = True
+        hall = self._turn_of_hall(item.row.position)
+        shards = state.hall_shards.get(hall)
+        if not shards or item.row.shard in shards:
+            return False
+        self._move(item, state.rng.choice(sorted(shards)))
+        return item.moving
+
+    def _turn_of_hall(self, position: int) -> str:
+        halls = sorted(self._state.hall_shards)
+        return halls[position % len(halls)] if halls else ""
+
+    def within_quota(self, row: TaskRow) -> bool:
+        """Tell whether the organisation's share in the task's shard has room for it."""
+        state = self._state
+        shape = row.template.shape
+        key = (row.template.organisation, row.shard)
+        shares = state.ledger.shares
+        cores = shares.cores(*key)
+        if cores is not None and state.used_cores.get(key, 0) + shape.cores > cores:
+            return False
+        accelerators = shares.accelerators(*key)
+        used = state.used_accelerators.get(key, 0)
+        return accelerators is None or used + shape.accelerators <= accelerators
+
+    def choose(self, row: TaskRow, shard: int) -> VmRow | None:
+        """Return the best of a few VMs of a shard with room, or ``None``."""
+        state = self._state
+        index = state.free.get(shard)
+        if index is None:
+            return None
+        shape = row.template.shape
+        preferences = row.template.preferences
+        halls = self._halls(preferences, index.halls(), row.position)
+        limit = state.settings.weights.candidates
+        candidates = index.candidates(shape, halls, limit, state.rng)
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return candidates[0]
+        return min(candidates, key=lambda vm: self._score(vm, row))
+
+    def _halls(self, preferences: Preferences, halls: list[str], position: int) -> list[str]:
+        if preferences.halls:
+            wanted = [hall for hall in preferences.halls if hall in halls]
+            if preferences.required:
+                return wanted
+            return wanted + [hall for hall in halls if hall not in wanted]
+        if len(halls) < 2:  # noqa: PLR2004
+            return halls
+        if preferences.spread:
+            first = self._turn_of_hall(position)
+            return sorted(halls, key=lambda hall: (hall != first, hall))
+        turn = int(self._state.rng.random() * len(halls))
+        return halls[turn:] + halls[:turn]
+
+    def _score(self, vm: VmRow, row: TaskRow) -> float:
+        """Return the cost of a VM for a task: what it strands, and what it is preferred for.
+
+        The packing part is the share of the VM that stays free; the part for waiting is how
+        uneven the free cores and memory become, since a lopsided rest fits nobody.
+        """
+        capacity = vm.facts.capacity
+        shape = row.template.shape
+        cores = (vm.free_cores - shape.cores) / (capacity.cores or 1)
+        memory = (vm.free_memory - shape.memory_mb) / (capacity.memory_mb or 1)
+        weight = self._state.settings.weights.packing
+        cost = weight * (cores + memory) + (1 - weight) * abs(cores - memory)
+        preferences = row.template.preferences
+        if preferences.halls and vm.hall not in preferences.halls:
+            cost += HALL_PENALTY
+        if preferences.spread:
+            racks = self._state.job_racks.get(row.job)
+            cost += SPREAD_PENALTY * (racks[vm.rack] if racks else 0)
+        return cost
+
+    # -- Starting ----------------------------------------------------------------------------
+
+    def start(self, item: WaitingTask, vm: VmRow) -> None:
+        """Charge a VM for a task and start it, after its intent if it is not repeatable."""
+        state = self._state
+        row = item.row
+        held = state.held[row.shard]
+        self.queue.remove(row.task)
+        self.queue.charge(item, _cost(row.template.shape), self._weight(item.organisation))
+        self._counter += 1
+        run = RunRow(f"{row.task}@{held.epoch:x}.{self._counter:x}", row, vm.vm, state.now)
+        run.asked_at = item.since
+        state.add_run(run)
+        state.meter.count("placements")
+        if row.template.repeatable or row.intent:
+            self._send(run, row)
+            return
+        intent = records.Intent(row.task, held.epoch)
+        if not self._journal.write(intent, lambda settled, _: self._announced(run, row, settled)):
+            state.drop_run(run)
+            self.enqueue(row)
+
+    def _announced(self, run: RunRow, row: TaskRow, settled: Settlement) -> None:
+        """Go on with a start whose intent is settled; nothing has been sent so far."""
+        state = self._state
+        if state.runs.get(run.run) is not run:
+            return
+        if settled is Settlement.ACCEPTED and state.leased():
+            self._send(run, row)
+            return
+        state.drop_run(run)
+        if settled is not Settlement.REJECTED:
+            self.enqueue(row)
+
+    def _send(self, run: RunRow, row: TaskRow) -> None:
+        state = self._state
+        state.emit(
+            StartRun(
+                vm=run.vm,
+                run=run.run,
+                organisation=run.organisation,
+                template=run.template.name,
+                shape=run.shape,
+                lease=state.settings.run_lease,
+                parameters=row.parameters,
+                seconds=0.0 if row.service else run.template.expected_seconds,
+                not_after=state.lease_until,
+            )
+        )
+
+    def _weight(self, organisation: str) -> float:
+        row = self._state.ledger.documents.get(organisation)
+        if row is None or not isinstance(row.document, OrganisationDocument):
+            return 1.0
+        return row.document.weight
+
+    # -- Other shards ------------------------------------------------------------------------
+
+    def _consider_move(self, item: WaitingTask) -> None:
+        """Move a task to a shard that has room, through the log."""
+        state = self._state
+        if item.moving or state.now < item.next_move or not self._journal.healthy:
+            return
+        item.next_move = state.now + MOVE_INTERVAL * (0.5 + state.rng.random())
+        to = self._own_shard_with_room(item.row)
+        if to is None:
+            to = self._peer_shard_with_room(item.row.template.shape)
+        if to is None or to == item.row.shard:
+            return
+        self._move(item, to)
+
+    def _move(self, item: WaitingTask, to: int) -> None:
+        move = records.Move(item.row.task, self._state.held[item.row.shard].epoch, to)
+        item.moving = self._journal.write(move, lambda *_: self._moved(item))
+        self._state.meter.count("moves")
+
+    def _moved(self, item: WaitingTask) -> None:
+        item.moving = False
+        self._state.freed += 1
+
+    def _own_shard_with_room(self, row: TaskRow) -> int | None:
+        state = self._state
+        shards = [shard for shard in state.held if state.active(shard) and shard != row.shard]
+        state.rng.shuffle(shards)
+        for shard in shards:
+            if state.held[shard].opened and self.choose(row, shard) is not None:
+                return shard
+        return None
+
+    def _peer_shard_with_room(self, shape: Shape) -> int | None:
+        state = self._state
+        roomy = {
+            peer.name
+            for peer in state.peers.values()
+            if peer.free_cores >= shape.cores
+            and peer.free_accelerators >= shape.accelerators
+            and state.now - peer.heard_at < state.settings.suspect_after
+        }
+        shards = [row.shard for row in state.ledger.shards if row.owner and row.owner.name in roomy]
+        return state.rng.choice(shards) if shards else None
+
+    def shard_for(self, shape: Shape) -> int:
+        """Return the shard that a new task is best accepted into."""
+        state = self._state
+        own = [shard for shard in state.held if state.active(shard)]
+        state.rng.shuffle(own)
+        for shard in own:
+            index = state.free[shard]
+            if index.candidates(shape, index.halls(), 1, state.rng):
+                return shard
+        elsewhere = self._peer_shard_with_room(shape)
+        if elsewhere is not None:
+            return elsewhere
+        return own[0] if own else state.rng.randrange(state.settings.shards)
+
+
+def _cost(shape: Shape) -> float:
+    """Return what a shape counts in fair sharing, in cores."""
+    return max(1.0, shape.cores, shape.memory_mb / 4096, 8.0 * shape.accelerators)
--- /dev/null
+++ b/src/sablemount/core/systems/recovery.py
@@ -0,0 +1,86 @@
+"""Recovery: the tasks of a shard that was taken, and those that come to it later."""
+
+from sablemount.core import records
+from sablemount.core.actions import CommandKind
+from sablemount.core.ledger import Applied, TaskRow
+from sablemount.core.state import State
+from sablemount.core.systems.journal import Journal
+from sablemount.core.systems.placement import Placement
+from sablemount.core.tables import HeldShard, HoldState
+from sablemount.core.verdict import Reason, Verdict
+
+__all__ = ["Recovery"]
+
+
+class Recovery:
+    """Opens shards for placement once it is known what runs in them."""
+
+    def __init__(self, state: State, journal: Journal, placement: Placement) -> None:
+        self._state = state
+        self._journal = journal
+        self._placement = placement
+        journal.listeners.append(self._applied)
+
+    def run(self) -> None:
+        """Open the shards whose VMs have all answered, or whose former leases have lapsed."""
+        state = self._state
+        for held in state.held.values():
+            if held.opened or held.state is not HoldState.ACTIVE:
+                continue
+            if state.recovered(held.shard):
+                self._open(held)
+
+    def _open(self, held: HeldShard) -> None:
+        state = self._state
+        held.opened = True
+        state.freed += 1
+        state.meter.count("shards_opened")
+        for name in list(state.ledger.open_tasks[held.shard]):
+            row = state.ledger.tasks[name]
+            if name in state.run_of:
+                continue
+            if row.intent:
+                # It was about to start under a former owner, and no VM tells what became of it.
+                verdict = Verdict.MAY_HAVE_RUN
+                reason = Reason.VM_LOST.value
+                self._journal.write(records.Finish(name, held.epoch, verdict, reason))
+            else:
+                self._placement.enqueue(row)
+
+    # -- Tasks that come later ---------------------------------------------------------------
+
+    def _applied(self, applied: Applied) -> None:
+        if not applied.accepted:
+            return
+        body = applied.record.body
+        ledger = self._state.ledger
+        if isinstance(body, records.Accept):
+            for name in ledger.names_of(body):
+                self._consider(ledger.tasks[name])
+        elif isinstance(body, records.Move | records.Cancel):
+            row = ledger.tasks[body.task]
+            self._consider(row)
+            self._stop_cancelled(row)
+        elif isinstance(body, records.Publish):
+            self._state.freed += 1
+            for row in ledger.replicas_of(body.key):
+                self._consider(row)
+                self._stop_cancelled(row)
+        elif isinstance(body, records.QuotaMove):
+            self._state.freed += 1
+
+    def _consider(self, row: TaskRow) -> None:
+        held = self._state.held.get(row.shard)
+        if held is None or not held.opened or row.finished:
+            return
+        if row.task not in self._state.run_of:
+            self._placement.enqueue(row)
+
+    def _stop_cancelled(self, row: TaskRow) -> None:
+        state = self._state
+        name = state.run_of.get(row.task)
+        if not row.cancelled or name is None:
+            return
+        vm = state.vms[state.runs[name].vm]
+        vm.commands[name] = CommandKind.STOP
+        vm.urgent_poll = True
--- /dev/null
+++ b/src/sablemount/core/systems/renewal.py
@@ -0,0 +1,104 @@
+"""Renewal: one poll a VM and interval renews leases, gives commands and reads what runs."""
+
+import heapq
+
+from sablemount.core.actions import CommandKind, Poll, RunCommand
+from sablemount.core.state import State
+from sablemount.core.tables import HoldState, RunRow, RunStage, VmRow, VmStage
+
+__all__ = ["Renewal"]
+
+IDLE_FACTOR = 2.0
+"""How much more seldom a VM without work is polled."""
+RENEWED = frozenset({RunStage.STARTING, RunStage.RUNNING, RunStage.UNCERTAIN, RunStage.STOPPING})
+
+
+class Renewal:
+    """Polls the VMs of the held shards."""
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self._due: list[tuple[float, str]] = []
+        self._scheduled: set[str] = set()
+
+    def run(self) -> None:
+        """Poll whatever is due."""
+        self._schedule_new()
+        state = self._state
+        while self._due and self._due[0][0] <= state.now:
+            _, vm = heapq.heappop(self._due)
+            self._scheduled.discard(vm)
+            row = state.vms.get(vm)
+            if row is not None and row.shard in state.held:
+                self._poll_due(row)
+
+    def poll_urgently(self) -> None:
+        """Poll the VMs that commands wait for."""
+        for shard in self._state.held:
+            for row in self._state.shard_vms[shard].values():
+                if row.urgent_poll and not row.polling:
+                    self._poll(row)
+
+    def _schedule_new(self) -> None:
+        state = self._state
+        for shard, held in state.held.items():
+            if held.state is HoldState.WAITING:
+                continue
+            rows = state.shard_vms[shard]
+            if rows.keys() <= self._scheduled:
+                continue
+            for vm in rows:
+                if vm not in self._scheduled:
+                    self._push(vm, state.now)
+
+    def _push(self, vm: str, when: float) -> None:
+        self._scheduled.add(vm)
+        heapq.heappush(self._due, (when, vm))
+
+    def _poll_due(self, row: VmRow) -> None:
+        interval = self._state.settings.renew_interval
+        busy = bool(row.runs or row.orphans or row.requests or row.foreign)
+        spread = 0.9 + 0.2 * self._state.rng.random()
+        self._push(row.vm, self._state.now + interval * spread * (1.0 if busy else IDLE_FACTOR))
+        if not row.polling:
+            self._poll(row)
+
+    def _poll(self, row: VmRow) -> None:
+        state = self._state
+        limit = state.lease_until + state.settings.renew_grace
+        if state.now >= limit:
+            return
+        row.polling = True
+        row.urgent_poll = False
+        state.meter.count("polls")
+        state.emit(
+            Poll(
+                vm=row.vm,
+                renew=self._renewed(row),
+                acknowledge=tuple(row.acknowledge),
+                commands=self._commands(row),
+                lease=state.settings.run_lease,
+                not_after=limit,
+            )
+        )
+
+    def _renewed(self, row: VmRow) -> tuple[str, ...]:
+        """Return the runs to renew; a lost VM's leases are left to lapse."""
+        if row.stage is VmStage.LOST:
+            return ()
+        runs = self._state.runs
+        return tuple(run for run in row.runs if runs[run].stage in RENEWED)
+
+    def _commands(self, row: VmRow) -> tuple[RunCommand, ...]:
+        """Return the commands, given again at each poll until the worker's word shows the end."""
+        if not self._state.leased():
+            return ()
+        given = [RunCommand(run, kind) for run, kind in row.commands.items()]
+        given.extend(RunCommand(run, CommandKind.STOP) for run in row.orphans)
+        return tuple(given)
+
+    def note_renewal(self, run: RunRow) -> None:
+        """Move the time up to which a run's lease may last at the worker."""
+        settings = self._state.settings
+        lease = settings.run_lease * (1 + settings.drift) + settings.settle
+        run.lease_bound = self._state.now + lease
--- /dev/null
+++ b/src/sablemount/core/systems/requests.py
@@ -0,0 +1,429 @@
+"""Requests: admission, routing, retries and answers.
+
+A request takes one slot of a VM for as long as it is served. It goes to a VM of an own shard, or
+once to a peer that says it has room, or waits in a bounded queue. Whatever is given up is answered
+at once, with its verdict and, where it helps, the time after which to come back.
+"""
+
+from collections import deque
+
+from result import Err, Ok
+
+from sablemount.core import records
+from sablemount.core.actions import AnswerRequest, Forward, Serve
+from sablemount.core.documents import (
+    CLASS_ORDER,
+    Kind,
+    OrganisationDocument,
+    Shape,
+    TemplateDocument,
+)
+from sablemount.core.events import RequestArrived, RequestEnded
+from sablemount.core.state import State
+from sablemount.core.systems.journal import Journal, Settlement
+from sablemount.core.systems.limits import Ejection, OrganisationLimits, RetryBudget
+from sablemount.core.tables import VmRow
+from sablemount.core.verdict import Failure, Reason, Served, Verdict
+
+__all__ = ["Requests", "parse_key"]
+
+ONE_SLOT = Shape(slots=1)
+CHOICES = 3
+"""How many random VMs with a free slot are compared."""
+BACKOFF = 0.01
+"""First pause before a retry, in seconds; it doubles, with full jitter."""
+COUNT_INTERVAL = 0.5
+"""Time between two counts of the slots of the own shards, in seconds."""
+KEY_PARTS = 2
+
+
+class _Request:
+    """A request between its arrival and its answer."""
+
+    __slots__ = (
+        "arrival",
+        "arrived",
+        "attempt",
+        "may_have_run",
+        "not_before",
+        "order",
+        "sent",
+        "template",
+        "vm",
+    )
+
+    def __init__(self, arrival: RequestArrived, template: TemplateDocument, now: float) -> None:
+        self.arrival = arrival
+        self.template = template
+        self.order = CLASS_ORDER[template.priority]
+        self.arrived = now
+        self.attempt = 0
+        self.vm = ""
+        self.sent = False
+        self.may_have_run = False
+        self.not_before = 0.0
+
+
+class Requests:
+    """Takes requests from callers and peers to an answer."""
+
+    def __init__(self, state: State, journal: Journal) -> None:
+        self._state = state
+        self._journal = journal
+        self._requests: dict[str, _Request] = {}
+        self._queues: list[deque[str]] = [deque() for _ in CLASS_ORDER]
+        self._delayed: deque[str] = deque()
+        self._budget = RetryBudget(state.settings.retry_budget)
+        self._limits = OrganisationLimits()
+        self._ejection = Ejection(state)
+        self._service_time = 0.01
+        self._slots_total = 0
+        self._next_count = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests without an answer."""
+        return len(self._requests)
+
+    # -- Admission ---------------------------------------------------------------------------
+
+    def arrived(self, arrival: RequestArrived) -> None:
+        """Admit a request, or refuse it at once."""
+        state = self._state
+        row = state.ledger.documents.get(arrival.template)
+        template = row.document if row is not None else None
+        if not isinstance(template, TemplateDocument) or template.kind is not Kind.REQUEST:
+            self._refuse(arrival, Reason.UNKNOWN_TEMPLATE, f"$.template: {arrival.template}")
+            return
+        failure = self._admission_failure(arrival, template)
+        if failure is not None:
+            state.meter.failed(arrival.template, failure.reason.value)
+            state.emit(AnswerRequest(arrival.request, Err(failure)))
+            return
+        request = _Request(arrival, template, state.now)
+        self._requests[arrival.request] = request
+        self._limits.entered(template.organisation)
+        self._budget.earned()
+        if template.repeatable or arrival.forwarded:
+            self._route(request)
+        else:
+            self._spend_key(request)
+
+    def _admission_failure(
+        self, arrival: RequestArrived, template: TemplateDocument
+    ) -> Failure | None:
+        state = self._state
+        if not state.ready:
+            return Failure(Verdict.NOT_RUN, Reason.NOT_READY, "no configuration yet", 1.0)
+        if state.stopping and not arrival.forwarded:
+            return Failure(Verdict.NOT_RUN, Reason.STOPPING, "", 0.0)
+        if arrival.deadline <= state.now:
+            return Failure(Verdict.NOT_RUN, Reason.DEADLINE, "the deadline has passed")
+        if not template.repeatable and not arrival.forwarded and not arrival.key:
+            return Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, "Idempotency-Key: required")
+        if arrival.forwarded:
+            return None
+        limits = state.ledger.documents.get(template.organisation)
+        if limits is not None and isinstance(limits.document, OrganisationDocument):
+            return self._limits.check(limits.document, state.now)
+        return None
+
+    def _refuse(self, arrival: RequestArrived, reason: Reason, detail: str) -> None:
+        self._state.meter.failed(arrival.template, reason.value)
+        failure = Failure(Verdict.NOT_RUN, reason, detail)
+        self._state.emit(AnswerRequest(arrival.request, Err(failure)))
+
+    # -- Keys --------------------------------------------------------------------------------
+
+    def _spend_key(self, request: _Request) -> None:
+        """Spend the key in the log before the first byte goes out."""
+        arrival = request.arrival
+        issued = parse_key(arrival.key)
+        if issued is None:
+            detail = "Idempotency-Key: expected <unix seconds>.<unique>"
+            self._fail(request, Verdict.NOT_RUN, Reason.BAD_REQUEST, detail)
+            return
+        spend = records.SpendKey(f"{arrival.template}:{arrival.key}", issued)
+        queued = self._journal.write(
+            spend, lambda settled, error: self._spent(request, settled, error), arrival.deadline
+        )
+        if not queued:
+            self._fail(request, Verdict.NOT_RUN, Reason.OVERLOADED, "the journal is full", 1.0)
+
+    def _spent(self, request: _Request, settled: Settlement, error: str) -> None:
+        if self._requests.get(request.arrival.request) is not request:
+            return
+        if settled is Settlement.ACCEPTED:
+            self._route(request)
+        elif settled is Settlement.REJECTED and error == "the key is spent":
+            # This request did not run, but another one with its key may have.
+            self._fail(request, Verdict.MAY_HAVE_RUN, Reason.KEY_SPENT, error)
+        elif settled is Settlement.REJECTED:
+            self._fail(request, Verdict.NOT_RUN, Reason.KEY_EXPIRED, error)
+        else:
+            detail = "the key could not be spent; use a new key"
+            self._fail(request, Verdict.NOT_RUN, Reason.LOG_UNAVAILABLE, detail, 5.0)
+
+    # -- Routing -----------------------------------------------------------------------------
+
+    def _route(self, request: _Request) -> None:
+        if any(self._queues[: request.order + 1]) or not self._dispatch(request):
+            self._enqueue(request)
+
+    def _dispatch(self, request: _Request) -> bool:
+        """Send a request to a VM or a peer; tell whether it went."""
+        state = self._state
+        if state.now < request.not_before:
+            return False
+        if state.leased():
+            row = state.slots.choose(ONE_SLOT, state.rng, CHOICES)
+            if row is not None:
+                self._serve(request, row)
+                return True
+        if not request.arrival.forwarded and not request.sent:
+            peer = self._roomy_peer()
+            if peer is not None:
+                self._forward(request, peer)
+                return True
+        return False
+
+    def _serve(self, request: _Request, row: VmRow) -> None:
+        state = self._state
+        arrival = request.arrival
+        if not request.attempt:
+            self._count_wait(request)
+        request.attempt += 1
+        request.vm = row.vm
+        request.sent = True
+        row.requests[arrival.request] = float("inf")
+        row.free_slots -= 1
+        state.reindex(row)
+        state.emit(
+            Serve(
+                arrival.request,
+                request.attempt,
+                row.vm,
+                arrival.body,
+                arrival.deadline,
+                state.lease_until,
+                request.template.repeatable,
+            )
+        )
+
+    def _count_wait(self, request: _Request) -> None:
+        waited = self._state.now - request.arrived
+        template = request.template
+        within = waited <= template.objective.within
+        self._state.meter.waited(request.arrival.template, template.priority.value, waited, within)
+
+    def _roomy_peer(self) -> str | None:
+        """Return the roomier of two random peers that lately said they had a free slot."""
+        state = self._state
+        fresh = state.now - state.settings.suspect_after
+        roomy = [
+            peer
+            for peer in state.peers.values()
+            if peer.free_slots > 0 and peer.heard_at > fresh and not peer.stopping
+        ]
+        if not roomy:
+            return None
+        pair = state.rng.sample(roomy, min(2, len(roomy)))
+        chosen = max(pair, key=lambda peer: peer.free_slots)
+        chosen.free_slots -= 1
+        return chosen.name
+
+    def _forward(self, request: _Request, peer: str) -> None:
+        request.sent = True
+        request.vm = ""
+        self._state.meter.count("forwards")
+        self._state.emit(Forward(peer, request.arrival))
+
+    # -- The queue ---------------------------------------------------------------------------
+
+    def _enqueue(self, request: _Request) -> None:
+        if self._queued() >= self._state.settings.request_queue:
+            victim = self._least_paid()
+            if victim is None or victim.order <= request.order:
+                self._shed(request)
+                return
+            self._queues[victim.order].remove(victim.arrival.request)
+            self._shed(victim)
+        if self._hopeless(request):
+            self._shed(request)
+            return
+        self._queues[request.order].append(request.arrival.request)
+
+    def _queued(self) -> int:
+        return sum(len(queue) for queue in self._queues)
+
+    def _least_paid(self) -> _Request | None:
+        for queue in reversed(self._queues):
+            if queue:
+                return self._requests[queue[-1]]
+        return None
+
+    def _wait_ahead(self, order: int) -> float:
+        """Return how long what is queued ahead will take, in seconds."""
+        ahead = sum(len(queue) for queue in self._queues[: order + 1])
+        return ahead * self._service_time / max(1, self._slots_total)
+
+    def _hopeless(self, request: _Request) -> bool:
+        """Tell whether a deadline will pass before the request's turn comes."""
+        if not self._queues[request.order]:
+            return False
+        wait = self._wait_ahead(request.order)
+        return self._state.now + wait > request.arrival.deadline
+
+    def _shed(self, request: _Request) -> None:
+        retry_after = min(5.0, 0.2 + self._wait_ahead(request.order))
+        verdict = Verdict.MAY_HAVE_RUN if request.may_have_run else Verdict.NOT_RUN
+        self._fail(request, verdict, Reason.OVERLOADED, "", retry_after)
+
+    def pump(self) -> None:
+        """Send what waits for as long as there is room."""
+        state = self._state
+        for queue in self._queues:
+            while queue:
+                request = self._requests.get(queue[0])
+                if request is None:
+                    queue.popleft()
+                    continue
+                if request.arrival.deadline <= state.now:
+                    queue.popleft()
+                    self._give_up(request)
+                    continue
+                if not self._dispatch(request):
+                    return
+                queue.popleft()
+
+    def run(self) -> None:
+        """Expire, put back what was delayed, and send."""
+        state = self._state
+        self._ejection.run()
+        self._count_slots()
+        for _ in range(len(self._delayed)):
+            name = self._delayed.popleft()
+            request = self._requests.get(name)
+            if request is None:
+                continue
+            if request.not_before <= state.now:
+                self._queues[request.order].appendleft(name)
+            else:
+                self._delayed.append(name)
+        self._expire()
+        self.pump()
+
+    def _count_slots(self) -> None:
+        state = self._state
+        if state.now < self._next_count:
+            return
+        self._next_count = state.now + COUNT_INTERVAL
+        rows = (row for shard in state.held for row in state.shard_vms[shard].values())
+        self._slots_total = sum(row.facts.capacity.slots for row in rows if row.was_usable)
+
+    def _expire(self) -> None:
+        now = self._state.now
+        for queue in self._queues:
+            late = [name for name in queue if self._past(name, now)]
+            for name in late:
+                queue.remove(name)
+                self._give_up(self._requests[name])
+
+    def _past(self, name: str, now: float) -> bool:
+        request = self._requests.get(name)
+        return request is not None and request.arrival.deadline <= now
+
+    def _give_up(self, request: _Request) -> None:
+        verdict = Verdict.MAY_HAVE_RUN if request.may_have_run else Verdict.NOT_RUN
+        self._fail(request, verdict, Reason.DEADLINE, "the deadline passed before its turn", 0.5)
+
+    # -- Answers -----------------------------------------------------------------------------
+
+    def ended(self, event: RequestEnded) -> None:
+        """Take the end of an attempt."""
+        state = self._state
+        row = state.vms.get(event.vm) if event.vm else None
+        if row is not None:
+            self._free_slot(row, event)
+        request = self._requests.get(event.request)
+        if request is not None:
+            self._conclude(request, event)
+        self.pump()
+
+    def _free_slot(self, row: VmRow, event: RequestEnded) -> None:
+        if event.free and row.requests.pop(event.request, None) is not None:
+            row.free_slots += 1
+        elif event.request in row.requests:
+            row.requests[event.request] = self._state.now
+            row.urgent_poll = True
+        self._ejection.note(row, event.failure)
+        self._state.reindex(row)
+
+    def _conclude(self, request: _Request, event: RequestEnded) -> None:
+        failure = event.failure
+        if failure is None:
+            self._service_time += 0.05 * (event.elapsed - self._service_time)
+            self._finish(request)
+            assert isinstance(event.served, Served)
+            self._state.meter.count("answers", Verdict.DONE.value)
+            self._state.emit(AnswerRequest(request.arrival.request, Ok(event.served)))
+            return
+        if failure.verdict is Verdict.MAY_HAVE_RUN:
+            request.may_have_run = True
+        if self._may_retry(request, failure):
+            self._retry(request)
+        else:
+            verdict = Verdict.MAY_HAVE_RUN if request.may_have_run else failure.verdict
+            self._fail(request, verdict, failure.reason, failure.detail, failure.retry_after)
+
+    def _may_retry(self, request: _Request, failure: Failure) -> bool:
+        if failure.verdict is Verdict.MAY_HAVE_RUN and not request.template.repeatable:
+            return False
+        if request.attempt >= self._state.settings.request_attempts:
+            return False
+        if request.arrival.deadline <= self._state.now:
+            return False
+        return self._budget.take()
+
+    def _retry(self, request: _Request) -> None:
+        state = self._state
+        state.meter.count("retries")
+        pause = BACKOFF * (1 << request.attempt) * state.rng.random()
+        request.not_before = state.now + pause
+        request.attempt = max(1, request.attempt)
+        # A peer that certainly did not run it leaves the way to another one open.
+        request.sent = request.may_have_run
+        self._delayed.append(request.arrival.request)
+
+    def _fail(
+        self,
+        request: _Request,
+        verdict: Verdict,
+        reason: Reason,
+        detail: str = "",
+        retry_after: float | None = None,
+    ) -> None:
+        self._finish(request)
+        meter = self._state.meter
+        meter.count("answers", verdict.value)
+        meter.failed(request.arrival.template, reason.value)
+        failure = Failure(verdict, reason, detail, retry_after)
+        self._state.emit(AnswerRequest(request.arrival.request, Err(failure)))
+
+    def _finish(self, request: _Request) -> None:
+        self._requests.pop(request.arrival.request, None)
+        self._limits.left(request.template.organisation)
+
+    def withdrawn(self, name: str) -> None:
+        """Forget a caller that has gone; what was sent for it stays charged until it ends."""
+        request = self._requests.get(name)
+        if request is not None and not request.sent:
+            self._finish(request)
+
+
+def parse_key(key: str) -> int | None:
+    """Return when a key was issued (unix seconds), or ``None`` for a malformed key."""
+    parts = key.split(".", 1)
+    if len(parts) != KEY_PARTS or not parts[0].isdigit() or not parts[1]:
+        return None
+    return int(parts[0])
--- /dev/null
+++ b/src/sablemount/core/systems/snapshots.py
@@ -0,0 +1,37 @@
+"""Snapshots: the folded state goes into the log before the log forgets what it was folded from."""
+
+from sablemount.core import records
+from sablemount.core.image import split_image
+from sablemount.core.state import State
+from sablemount.core.systems.journal import Journal
+from sablemount.core.systems.membership import Membership
+
+__all__ = ["Snapshots"]
+
+RANK_DELAY = 0.25
+"""How much later each next member steps in, as a share of the snapshot interval."""
+
+
+class Snapshots:
+    """Writes a snapshot when it is due; the first live member by name goes first."""
+
+    def __init__(self, state: State, journal: Journal, membership: Membership) -> None:
+        self._state = state
+        self._journal = journal
+        self._membership = membership
+
+    def run(self) -> None:
+        """Write a snapshot if it is this member's turn."""
+        state = self._state
+        age = state.ledger.offset - state.ledger.snapshot_upto
+        if age < state.settings.snapshot_entries or not self._membership.joined:
+            return
+        if not self._journal.healthy or self._journal.waiting(records.SnapshotPart):
+            return
+        members = self._membership.live_members()
+        rank = members.index(state.writer) if state.writer in members else len(members)
+        if age < state.settings.snapshot_entries * (1 + RANK_DELAY * rank):
+            return
+        for part in split_image(state.ledger.image()):
+            self._journal.write(part)
+        state.meter.count("snapshots")
--- /dev/null
+++ b/src/sablemount/core/waiting.py
@@ -0,0 +1,133 @@
+"""Queues of waiting tasks: by class, and within a class by weighted fair sharing."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from sablemount.core.documents import CLASS_ORDER
+from sablemount.core.ledger import TaskRow
+
+__all__ = ["WaitingTask", "WaitQueue"]
+
+LEVELS = len(CLASS_ORDER)
+
+
+class WaitingTask:
+    """A task that waits for a VM; ``level`` rises with age, ``order`` is its paid class."""
+
+    __slots__ = (
+        "level",
+        "level_since",
+        "moving",
+        "next_move",
+        "order",
+        "preempt_at",
+        "row",
+        "since",
+        "spread_done",
+    )
+
+    def __init__(self, row: TaskRow, now: float) -> None:
+        self.row = row
+        self.since = now
+        self.order = CLASS_ORDER[row.template.priority]
+        self.level = self.order
+        self.level_since = now
+        self.next_move = now
+        self.preempt_at = now
+        self.moving = False
+        self.spread_done = False
+
+    @property
+    def organisation(self) -> str:
+        """Return the organisation that pays for the task."""
+        return self.row.template.organisation
+
+
+class WaitQueue:
+    """Waiting tasks; each level serves the organisation that had the least for its weight."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, WaitingTask] = {}
+        self._levels: list[dict[str, OrderedDict[str, WaitingTask]]] = [{} for _ in range(LEVELS)]
+        self._served: list[dict[str, float]] = [{} for _ in range(LEVELS)]
+        self._floor = [0.0] * LEVELS
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, task: str) -> bool:
+        return task in self._items
+
+    def get(self, task: str) -> WaitingTask | None:
+        """Return the waiting entry of a task."""
+        return self._items.get(task)
+
+    def add(self, row: TaskRow, now: float) -> None:
+        """Enter a task, if it is not in."""
+        if row.task not in self._items:
+            self._insert(WaitingTask(row, now))
+
+    def _insert(self, item: WaitingTask) -> None:
+        self._items[item.row.task] = item
+        queues = self._levels[item.level]
+        if item.organisation not in queues:
+            queues[item.organisation] = OrderedDict()
+            # One that was idle starts level with the others: idleness earns no credit.
+            served = self._served[item.level]
+            floor = self._floor[item.level]
+            served[item.organisation] = max(served.get(item.organisation, 0.0), floor)
+        queues[item.organisation][item.row.task] = item
+
+    def remove(self, task: str) -> WaitingTask | None:
+        """Take a task out, if it is in."""
+        item = self._items.pop(task, None)
+        if item is not None:
+            queues = self._levels[item.level]
+            del queues[item.organisation][task]
+            if not queues[item.organisation]:
+                del queues[item.organisation]
+        return item
+
+    def charge(self, item: WaitingTask, cost: float, weight: float) -> None:
+        """Book what an organisation was served at a level."""
+        served = self._served[item.level]
+        start = served.get(item.organisation, 0.0)
+        self._floor[item.level] = max(self._floor[item.level], start)
+        served[item.organisation] = start + cost / weight
+
+    def turns(self, level: int) -> Iterator[str]:
+        """Yield the organisations of a level, the least served first, while they have tasks.
+
+        The caller sends ``True`` to give the organisation another turn, ``False`` to pass on.
+        """
+        served = self._served[level]
+        heap = [(served.get(name, 0.0), name) for name in self._levels[level]]
+        heapq.heapify(heap)
+        while heap:
+            _, name = heapq.heappop(heap)
+            again = yield name
+            if again and name in self._levels[level]:
+                heapq.heappush(heap, (served.get(name, 0.0), name))
+
+    def head(self, level: int, organisation: str, depth: int) -> list[WaitingTask]:
+        """Return the first ``depth`` tasks of an organisation at a level."""
+        queue = self._levels[level].get(organisation)
+        if queue is None:
+            return []
+        return [item for item, _ in zip(queue.values(), range(depth), strict=False)]
+
+    def promote(self, now: float, aging: float) -> None:
+        """Raise by one level the tasks at the head that have waited long at theirs."""
+        for level in range(1, LEVELS):
+            for name in list(self._levels[level]):
+                for item in self.head(level, name, 1):
+                    if now - item.level_since >= aging:
+                        self.remove(item.row.task)
+                        item.level -= 1
+                        item.level_since = now
+                        self._insert(item)
+
+    def lengths(self) -> list[int]:
+        """Return the number of tasks at each level."""
+        return [sum(len(queue) for queue in level.values()) for level in self._levels]
--- /dev/null
+++ b/src/sablemount/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers and operators."""
--- /dev/null
+++ b/src/sablemount/entry/application.py
@@ -0,0 +1,362 @@
+"""The HTTP interface beside the request path: jobs, documents, views, health and metrics."""
+
+import logging
+import time
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok
+from tornado import httpserver, web
+
+from sablemount.core import events
+from sablemount.core.documents import Document, Name, Scalar, document_key
+from sablemount.core.verdict import Failure, Reason, Verdict
+from sablemount.entry import views
+from sablemount.entry.answers import (
+    REQUEST_HEADER,
+    RETRY_HEADER,
+    VERDICT_HEADER,
+    FailureBody,
+    status_of,
+)
+from sablemount.entry.requests import EntryDelegate
+from sablemount.logs import request_id
+from sablemount.report import burn_of
+from sablemount.runtime import Runtime
+
+__all__ = ["make_server"]
+
+_logger = logging.getLogger("sablemount.entry")
+_T = TypeVar("_T")
+MAX_ID = 128
+NOT_FOUND = 404
+CREATED = 201
+UNAVAILABLE = 503
+
+
+class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a submission."""
+
+    template: str
+    job: Name | None = None
+    count: int = 1
+    parameters: dict[str, Scalar] = {}
+    deadline_seconds: float | None = None
+
+
+class JobView(msgspec.Struct, frozen=True):
+    """Answer to a submission."""
+
+    job: str
+    count: int
+
+
+class PublishBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a publication; ``expected`` is the revision that it replaces, 0 for none."""
+
+    document: Document
+    expected: int = 0
+    author: str = "unknown"
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a drain."""
+
+    drain: bool = True
+
+
+class ConflictBody(msgspec.Struct, frozen=True):
+    """Answer to the operator who came second: the other's change."""
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    request: str
+    current: views.DocumentView | None
+
+
+class _Refused(Exception):
+    """A request that is answered with a failure."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+class _Handler(web.RequestHandler):
+    """Base of the handlers: typed bodies in, typed bodies out."""
+
+    def initialize(self, runtime: Runtime) -> None:
+        self.runtime = runtime
+        given = self.request.headers.get(REQUEST_HEADER)
+        self.shown_id = given[:MAX_ID] if given else runtime.new_id()
+
+    def decode(self, kind: type[_T]) -> _T:
+        """Return the body as a typed value, or refuse it."""
+        try:
+            return msgspec.json.decode(self.request.body, type=kind)
+        except msgspec.DecodeError as error:
+            raise _Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, str(error))) from error
+
+    def reply(self, body: Any, status: int = 200) -> None:
+        """Answer with a typed body."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.set_header(REQUEST_HEADER, self.shown_id)
+        self.finish(msgspec.json.encode(body))
+
+    def fail(self, failure: Failure) -> None:
+        """Answer with a failure."""
+        self.set_header(VERDICT_HEADER, failure.verdict.value)
+        if failure.retry_after is not None:
+            self.set_header(RETRY_HEADER, f"{failure.retry_after:.3f}")
+        body = FailureBody(failure.verdict, failure.reason, failure.detail, self.shown_id)
+        self.reply(body, status_of(failure))
+
+    def deadline(self, seconds: float | None) -> float:
+        """Return the monotonic deadline, or refuse one in the past."""
+        limits = self.runtime.settings.limits
+        wanted = limits.default_deadline if seconds is None else seconds
+        if not 0 < wanted <= limits.max_deadline:
+            detail = f"$.deadline_seconds: got {wanted}; expected 0 to {limits.max_deadline:g}"
+            raise _Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+        return time.monotonic() + wanted
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer an exception; the framework's own refusals have run nothing."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, _Refused):
+            self.fail(error.failure)
+            return
+        inside = not isinstance(error, web.HTTPError)
+        verdict = Verdict.MAY_HAVE_RUN if inside else Verdict.NOT_RUN
+        self.set_header(VERDICT_HEADER, verdict.value)
+        body = FailureBody(verdict, Reason.BAD_REQUEST, self._reason, self.shown_id)
+        self.reply(body, status_code)
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only what is a fault of ours."""
+        if not isinstance(value, _Refused | web.HTTPError):
+            with request_id(self.shown_id):
+                _logger.error("internal error", exc_info=value)
+
+
+class JobsHandler(_Handler):
+    """Submits jobs."""
+
+    async def post(self) -> None:
+        """Accept a job; it is accepted only when it is in the log."""
+        body = self.decode(JobBody)
+        job = body.job or self.runtime.new_id()
+        token = self.runtime.new_id()
+        event = events.JobSubmitted(
+            token,
+            job,
+            body.template,
+            body.count,
+            body.parameters,
+            self.deadline(body.deadline_seconds),
+        )
+        result = await self.runtime.command(event, token)
+        if isinstance(result, Err):
+            self.fail(result.err_value)
+        else:
+            self.reply(JobView(job, body.count), CREATED)
+
+
+class TasksHandler(_Handler):
+    """Lists the tasks of a job."""
+
+    def get(self) -> None:
+        """Return the tasks of a job, or the open ones."""
+        job = self.get_query_argument("job", "")
+        scheduler = self.runtime.scheduler
+        rows = scheduler.state.ledger.tasks.values()
+        chosen = [row for row in rows if (row.job == job if job else not row.finished)]
+        self.reply([views.task_view(scheduler, row) for row in chosen])
+
+
+class TaskHandler(_Handler):
+    """Shows and cancels a task."""
+
+    def get(self, task: str) -> None:
+        """Return one task."""
+        scheduler = self.runtime.scheduler
+        row = scheduler.state.ledger.tasks.get(task)
+        if row is None:
+            raise web.HTTPError(NOT_FOUND, reason="no such task")
+        self.reply(views.task_view(scheduler, row))
+
+    async def delete(self, task: str) -> None:
+        """Cancel one task."""
+        token = self.runtime.new_id()
+        event = events.CancelRequested(token, task, self.deadline(None))
+        result = await self.runtime.command(event, token)
+        if isinstance(result, Err):
+            self.fail(result.err_value)
+        else:
+            self.get(task)
+
+
+class DocumentsHandler(_Handler):
+    """Lists documents."""
+
+    def get(self) -> None:
+        """Return all documents in force."""
+        self.reply(views.documents_of(self.runtime.scheduler))
+
+
+class DocumentHandler(_Handler):
+    """Shows and publishes one document."""
+
+    def get(self, key: str) -> None:
+        """Return one document."""
+        view = self._current(key)
+        if view is None:
+            raise web.HTTPError(NOT_FOUND, reason="no such document")
+        self.reply(view)
+
+    def _current(self, key: str) -> views.DocumentView | None:
+        row = self.runtime.scheduler.state.ledger.documents.get(key)
+        return views.document_view(key, row) if row else None
+
+    async def put(self, key: str) -> None:
+        """Publish a document against the revision that it replaces."""
+        body = self.decode(PublishBody)
+        if document_key(body.document) != key:
+            detail = f"$.document: is {document_key(body.document)!r}, the path says {key!r}"
+            raise _Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+        token = self.runtime.new_id()
+        event = events.PublishRequested(
+            token, body.document, body.expected, body.author, self.deadline(None)
+        )
+        result = await self.runtime.command(event, token)
+        if isinstance(result, Ok):
+            self.reply(self._current(key))
+        elif result.err_value.reason is Reason.CONFLICT:
+            self._conflict(key, result.err_value)
+        else:
+            self.fail(result.err_value)
+
+    def _conflict(self, key: str, failure: Failure) -> None:
+        self.set_header(VERDICT_HEADER, failure.verdict.value)
+        body = ConflictBody(
+            failure.verdict, failure.reason, failure.detail, self.shown_id, self._current(key)
+        )
+        self.reply(body, status_of(failure))
+
+
+class VmsHandler(_Handler):
+    """Lists VMs."""
+
+    def get(self) -> None:
+        """Return all VMs."""
+        self.reply(views.vms_of(self.runtime.scheduler))
+
+
+class DrainHandler(_Handler):
+    """Drains a VM."""
+
+    async def post(self, vm: str) -> None:
+        """Give a VM no new work, or take it back."""
+        body = self.decode(DrainBody)
+        token = self.runtime.new_id()
+        event = events.DrainRequested(token, vm, body.drain, self.deadline(None))
+        result = await self.runtime.command(event, token)
+        if isinstance(result, Err):
+            self.fail(result.err_value)
+        else:
+            self.reply(body)
+
+
+class ShardsHandler(_Handler):
+    """Lists shards."""
+
+    def get(self) -> None:
+        """Return all shards."""
+        self.reply(views.shards_of(self.runtime.scheduler))
+
+
+class MembersHandler(_Handler):
+    """Lists members."""
+
+    def get(self) -> None:
+        """Return all members."""
+        self.reply(views.members_of(self.runtime.scheduler))
+
+
+class BurnHandler(_Handler):
+    """Reports this scheduler's part of the service levels."""
+
+    def get(self) -> None:
+        """Return the counts behind the burn report."""
+        self.reply(burn_of(self.runtime))
+
+
+class HealthHandler(_Handler):
+    """Tells that the process runs."""
+
+    def get(self) -> None:
+        """Answer."""
+        self.reply({"status": "ok"})
+
+
+class ReadyHandler(_Handler):
+    """Tells whether the balancer may send callers here."""
+
+    def get(self) -> None:
+        """Answer 200 when ready and 503 when not."""
+        state = self.runtime.scheduler.state
+        ready = state.ready and not state.stopping
+        self.reply({"ready": ready, "offset": state.ledger.offset}, 200 if ready else UNAVAILABLE)
+
+
+class MetricsHandler(_Handler):
+    """Publishes the metrics."""
+
+    def get(self) -> None:
+        """Return the metrics."""
+        accepts = self.request.headers.get_list("Accept")
+        body, headers = self.runtime.meter.publish(self.runtime.scheduler, accepts)
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.finish(body)
+
+
+class UnknownHandler(_Handler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        raise web.HTTPError(NOT_FOUND, reason="no such path")
+
+
+def make_server(runtime: Runtime) -> httpserver.HTTPServer:
+    """Return the HTTP server of a scheduler, not yet listening."""
+    shared = {"runtime": runtime}
+    routes = [
+        (r"/v1/jobs", JobsHandler),
+        (r"/v1/tasks", TasksHandler),
+        (r"/v1/tasks/(.+)", TaskHandler),
+        (r"/v1/documents", DocumentsHandler),
+        (r"/v1/documents/(.+)", DocumentHandler),
+        (r"/v1/vms", VmsHandler),
+        (r"/v1/vms/([^/]+)/drain", DrainHandler),
+        (r"/v1/shards", ShardsHandler),
+        (r"/v1/members", MembersHandler),
+        (r"/v1/burn", BurnHandler),
+        (r"/healthz", HealthHandler),
+        (r"/readyz", ReadyHandler),
+        (r"/metrics", MetricsHandler),
+    ]
+    application = web.Application(
+        [(pattern, handler, shared) for pattern, handler in routes],
+        default_handler_class=UnknownHandler,
+        default_handler_args=shared,
+        log_function=lambda handler: None,
+    )
+    delegate = EntryDelegate(runtime, application)
+    return httpserver.HTTPServer(
+        delegate,  # type: ignore[arg-type]
+        max_body_size=runtime.settings.limits.max_body_bytes,
+    )
--- /dev/null
+++ b/src/sablemount/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between schedulers, over gRPC."""
--- /dev/null
+++ b/src/sablemount/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the platform and their HTTP adapters."""
--- /dev/null
+++ b/src/sablemount/platform/upstream.py
@@ -0,0 +1,182 @@
+"""Kept HTTP connections to upstreams that never repeat a request by themselves.
+
+tornado's simple client opens a connection for every request, and its curl client keeps
+connections but lets libcurl reissue a request when a kept one dies, whatever the method. This
+client keeps connections over tornado's own ``HTTP1Connection`` and tells apart what the verdicts
+need: whether a byte of the request may have left.
+"""
+
+import asyncio
+import time
+from collections.abc import Mapping
+
+import msgspec
+from tornado import http1connection, httputil, iostream, tcpclient
+
+__all__ = ["Answer", "CutShort", "NotSent", "UpstreamPool"]
+
+IDLE_SECONDS = 4.0
+"""How long a connection may idle and still be used; upstreams commonly close idle ones later."""
+PARAMETERS = http1connection.HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024)
+NO_STATUS = 0
+
+
+class NotSent(Exception):
+    """No byte of the request has left."""
+
+
+class CutShort(Exception):
+    """The request may have arrived, and no whole answer came."""
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    headers: httputil.HTTPHeaders
+    body: bytes
+
+
+class _Collector(httputil.HTTPMessageDelegate):
+    """Collects one answer; ``complete`` is set only when all of it is there."""
+
+    __slots__ = ("chunks", "complete", "headers", "status")
+
+    def __init__(self) -> None:
+        self.status = NO_STATUS
+        self.headers = httputil.HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.complete = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Take the status and the headers."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Take the end of the answer."""
+        self.complete = True
+
+    def on_connection_close(self) -> None:
+        """Leave the answer incomplete."""
+
+
+class UpstreamPool:
+    """Connections to upstreams by address, a limited number to each."""
+
+    def __init__(self, per_address: int) -> None:
+        self._per_address = per_address
+        self._client = tcpclient.TCPClient()
+        self._idle: dict[str, list[tuple[float, iostream.IOStream]]] = {}
+        self._open: dict[str, int] = {}
+
+    async def fetch(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout: float,
+        not_after: float = float("inf"),
+    ) -> Answer:
+        """Post a request once and return the whole answer.
+
+        ``timeout`` is in seconds; ``not_after`` is the last monotonic time at which the bytes
+        may be handed to the network. Raises ``NotSent`` or ``CutShort``.
+        """
+        deadline = time.monotonic() + timeout
+        stream = await self._take(address, deadline)
+        # Checked at the last moment: the process may have been paused while it connected.
+        if time.monotonic() > not_after:
+            self._put_back(address, stream)
+            raise NotSent("the lease is over")
+        try:
+            answer = await self._exchange(stream, address, path, body, headers, deadline)
+        except BaseException:
+            self._discard(address, stream)
+            raise
+        self._put_back(address, stream)
+        return answer
+
+    async def _exchange(
+        self,
+        stream: iostream.IOStream,
+        address: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        deadline: float,
+    ) -> Answer:
+        connection = http1connection.HTTP1Connection(stream, True, PARAMETERS)
+        fields = httputil.HTTPHeaders(headers)
+        fields["Host"] = address
+        fields["Content-Length"] = str(len(body))
+        collector = _Collector()
+        try:
+            start = httputil.RequestStartLine("POST", path, "")
+            # Nothing waits for the write: a failed one shows as an answer that does not come.
+            connection.write_headers(start, fields, body)
+            connection.finish()
+            timeout = max(0.0, deadline - time.monotonic())
+            await asyncio.wait_for(connection.read_response(collector), timeout)
+        except (
+            TimeoutError,
+            OSError,
+            iostream.StreamClosedError,
+            httputil.HTTPInputError,
+        ) as error:
+            raise CutShort(type(error).__name__) from error
+        if not collector.complete:
+            raise CutShort("the connection closed before the end of the answer")
+        return Answer(collector.status, collector.headers, b"".join(collector.chunks))
+
+    async def _take(self, address: str, deadline: float) -> iostream.IOStream:
+        now = time.monotonic()
+        idle = self._idle.get(address, [])
+        while idle:
+            since, stream = idle.pop()
+            if not stream.closed() and now - since < IDLE_SECONDS:
+                return stream
+            self._discard(address, stream)
+        if self._open.get(address, 0) >= self._per_address:
+            raise NotSent("all connections to the upstream are in use")
+        return await self._connect(address, deadline)
+
+    async def _connect(self, address: str, deadline: float) -> iostream.IOStream:
+        host, _, port = address.rpartition(":")
+        self._open[address] = self._open.get(address, 0) + 1
+        try:
+            connecting = self._client.connect(host, int(port))
+            stream = await asyncio.wait_for(connecting, max(0.0, deadline - time.monotonic()))
+        except (TimeoutError, OSError, iostream.StreamClosedError) as error:
+            self._open[address] -= 1
+            raise NotSent(type(error).__name__) from error
+        stream.set_nodelay(True)
+        return stream
+
+    def _put_back(self, address: str, stream: iostream.IOStream) -> None:
+        if stream.closed():
+            self._open[address] -= 1
+        else:
+            self._idle.setdefault(address, []).append((time.monotonic(), stream))
+
+    def _discard(self, address: str, stream: iostream.IOStream) -> None:
+        self._open[address] -= 1
+        stream.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for streams in self._idle.values():
+            for _, stream in streams:
+                stream.close()
+        self._idle.clear()
+        self._client.close()
--- /dev/null
+++ b/src/sablemount/settings.py
@@ -0,0 +1,157 @@
+"""Settings of the daemon: a JSON file, checked against a published schema."""
+
+import ipaddress
+import json
+from pathlib import Path
+from typing import Annotated, Any, Literal, TypeAlias
+
+import msgspec
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from sablemount.core.config import CoreSettings
+
+__all__ = [
+    "Address",
+    "Limits",
+    "LogSettings",
+    "PeerAddress",
+    "Settings",
+    "SettingsError",
+    "load_settings",
+    "parse_settings",
+    "settings_schema",
+]
+
+Address = Annotated[
+    str, Meta(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$", description="IP number and port")
+]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Seconds = Annotated[float, Meta(gt=0)]
+MAX_PORT = 65_535
+
+
+class PeerAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Another scheduler of the cell."""
+
+    name: Name
+    address: Address
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of the HTTP interface and of the connections to workers."""
+
+    max_body_bytes: Annotated[int, Meta(gt=0, le=64 * 1024 * 1024)] = 1024 * 1024
+    default_deadline: Seconds = 10.0
+    max_deadline: Seconds = 300.0
+    worker_connections: Annotated[int, Meta(gt=0, le=64)] = 16
+    stop_seconds: Seconds = 30.0
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the daemon logs."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["text", "json"] = "text"
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one scheduler process."""
+
+    name: Name
+    hall: str
+    listen: Address
+    peer_listen: Address
+    log_service: Address
+    vm_list: Address
+    peers: tuple[PeerAddress, ...] = ()
+    limits: Limits = Limits()
+    logging: LogSettings = LogSettings()
+    core: CoreSettings = CoreSettings()
+
+
+class SettingsError(msgspec.Struct, frozen=True):
+    """What is wrong with a settings file."""
+
+    file: str
+    path: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path}: got {self.value}; {self.allowed}"
+
+
+SettingsResult: TypeAlias = Result[Settings, SettingsError]
+
+
+def settings_schema() -> dict[str, Any]:
+    """Return the JSON schema of the settings file."""
+    return msgspec.json.schema(Settings)
+
+
+def load_settings(path: Path) -> SettingsResult:
+    """Read and check a settings file."""
+    try:
+        payload = path.read_bytes()
+    except OSError as error:
+        return Err(SettingsError(str(path), "$", "no file", error.strerror or "unreadable"))
+    return parse_settings(payload, str(path))
+
+
+def parse_settings(payload: bytes, file: str) -> SettingsResult:
+    """Check the text of a settings file."""
+    try:
+        settings = msgspec.json.decode(payload, type=Settings)
+    except msgspec.ValidationError as error:
+        return Err(_describe(error, payload, file))
+    except msgspec.DecodeError as error:
+        return Err(SettingsError(file, "$", "malformed JSON", str(error)))
+    return _check_addresses(settings, file)
+
+
+def _describe(error: msgspec.ValidationError, payload: bytes, file: str) -> SettingsError:
+    reason, _, path = str(error).partition(" - at ")
+    path = path.strip("`") or "$"
+    value = _value_at(json.loads(payload), path)
+    return SettingsError(file, path, json.dumps(value), reason[0].lower() + reason[1:])
+
+
+def _value_at(document: Any, path: str) -> Any:
+    """Return the value that a path such as ``$.peers[0].name`` names, as far as it exists."""
+    value = document
+    for part in path.replace("[", ".[").split(".")[1:]:
+        try:
+            value = value[int(part[1:-1])] if part.startswith("[") else value[part]
+        except (KeyError, IndexError, TypeError, ValueError):
+            break
+    return value
+
+
+def _check_addresses(settings: Settings, file: str) -> SettingsResult:
+    named = [
+        ("$.listen", settings.listen),
+        ("$.peer_listen", settings.peer_listen),
+        ("$.log_service", settings.log_service),
+        ("$.vm_list", settings.vm_list),
+    ]
+    named += [
+        (f"$.peers[{index}].address", peer.address) for index, peer in enumerate(settings.peers)
+    ]
+    for path, address in named:
+        if not _is_address(address):
+            allowed = "expected an IP number and a port, such as 127.0.0.1:8080"
+            return Err(SettingsError(file, path, json.dumps(address), allowed))
+    if len({peer.name for peer in settings.peers}) != len(settings.peers):
+        names = json.dumps([peer.name for peer in settings.peers])
+        return Err(SettingsError(file, "$.peers", names, "expected distinct names"))
+    return Ok(settings)
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return int(port) <= MAX_PORT
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sablemount."""
--- /dev/null
+++ b/tests/fakes/log.py
@@ -0,0 +1,64 @@
+"""Stand-in for the platform's log: offsets, retention, outages, lost answers and late writes."""
+
+import enum
+
+from sablemount.core.ledger import LogEntry
+
+
+class LogMode(enum.Enum):
+    UP = "up"
+    DOWN = "down"
+    LOSES_ANSWERS = "loses answers"
+    WRITES_LATE = "writes late"
+
+
+class LogUnavailable(Exception):
+    pass
+
+
+class AnswerLost(Exception):
+    """The append may take effect, now or later."""
+
+
+class FakeLog:
+    def __init__(self, retention: int = 1_000_000) -> None:
+        self.entries: list[LogEntry] = []
+        self.head = 0
+        self.retention = retention
+        self.mode = LogMode.UP
+        self.late: list[bytes] = []
+        self.appends = 0
+
+    @property
+    def first(self) -> int:
+        return self.entries[0].offset if self.entries else self.head + 1
+
+    def append(self, payload: bytes, now: float) -> int:
+        if self.mode is LogMode.DOWN:
+            raise LogUnavailable
+        self.appends += 1
+        if self.mode is LogMode.WRITES_LATE:
+            self.late.append(payload)
+            raise AnswerLost
+        offset = self._write(payload, now)
+        if self.mode is LogMode.LOSES_ANSWERS:
+            raise AnswerLost
+        return offset
+
+    def _write(self, payload: bytes, now: float) -> int:
+        self.head += 1
+        self.entries.append(LogEntry(self.head, now, payload))
+        if len(self.entries) > self.retention:
+            del self.entries[: len(self.entries) - self.retention]
+        return self.head
+
+    def land_late_writes(self, now: float) -> None:
+        for payload in self.late:
+            self._write(payload, now)
+        self.late.clear()
+
+    def read(self, after: int, limit: int = 500) -> tuple[LogEntry, ...]:
+        if self.mode is LogMode.DOWN:
+            raise LogUnavailable
+        start = max(0, after + 1 - self.first)
+        return tuple(self.entries[start : start + limit])
