--- /dev/null
+++ b/benchmarks/matrix.py
@@ -0,0 +1,65 @@
+"""Runs the whole fault matrix over the machine's cores and prints its table."""
+
+import concurrent.futures
+import os
+import sys
+import time
+from collections import Counter
+
+from tests.matrix import FAULTS, STEPS, Cell, CellResult, pairs, run_cell, singles
+
+__all__ = ["main"]
+
+SHOWN = 20
+
+
+def _run_all(cells: list[Cell]) -> list[CellResult]:
+    with concurrent.futures.ProcessPoolExecutor(os.cpu_count()) as pool:
+        return list(pool.map(run_cell, cells, chunksize=8))
+
+
+def _print_table(results: list[CellResult]) -> None:
+    flows = list(dict.fromkeys(step.flow for step in STEPS))
+    print("| fault | " + " | ".join(flows) + " |")
+    print("|---" * (len(flows) + 1) + "|")
+    counts: Counter[tuple[str, str, bool]] = Counter()
+    for result in results:
+        if result.struck:
+            flow = STEPS[result.cell.step].flow
+            counts[result.cell.fault, flow, not result.violations] += 1
+    for fault in FAULTS:
+        row = []
+        for flow in flows:
+            good, bad = counts[fault, flow, True], counts[fault, flow, False]
+            row.append(f"{good}/{good + bad}")
+        print(f"| {fault} | " + " | ".join(row) + " |")
+
+
+def _report(name: str, results: list[CellResult], seconds: float) -> int:
+    failed = [result for result in results if result.violations]
+    struck = sum(result.struck for result in results)
+    print(
+        f"{name}: {len(results)} cells, {struck} struck, {struck - len(failed)} passed, "
+        f"{len(failed)} failed, {len(results) - struck} whose step did not come about; "
+        f"{seconds:.0f} s",
+        flush=True,
+    )
+    for result in failed[:SHOWN]:
+        print(f"  {result.cell.describe()}: {result.violations[:2]}")
+    return len(failed)
+
+
+def main() -> None:
+    """Run the matrix; ``--singles`` leaves the pairs out."""
+    begun = time.monotonic()
+    results = _run_all(singles())
+    failed = _report("single faults", results, time.monotonic() - begun)
+    _print_table(results)
+    if "--singles" not in sys.argv:
+        begun = time.monotonic()
+        failed += _report("pairs of faults", _run_all(pairs()), time.monotonic() - begun)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sablemount/core/state.py
+++ b/src/sablemount/core/state.py
@@ -105,7 +105,8 @@
         )
         index = self.free.get(row.shard)
         if index is not None:
-            if usable and not row.reserved_for:
+            # More than all may be charged while runs of unknown origin are being told apart.
+            if usable and not row.reserved_for and row.free_cores >= 0:
                 index.put(row)
             else:
                 index.remove(row)
