--- a/src/sablemount/core/index.py
+++ b/src/sablemount/core/index.py
@@ -36,7 +36,7 @@
 
     def halls(self) -> list[str]:
         """Return the halls that have had usable VMs."""
-        return list(self._plain.keys() | self._accelerated.keys())
+        return list({**self._plain, **self._accelerated})
 
     def put(self, row: VmRow) -> None:
         """Enter a VM, or bring its place up to date."""
--- a/src/sablemount/core/ledger.py
+++ b/src/sablemount/core/ledger.py
@@ -128,7 +128,8 @@
         self.shards = [ShardRow(shard=index) for index in range(shard_count)]
         self.documents: dict[str, DocumentRow] = {}
         self.tasks: dict[str, TaskRow] = {}
-        self.open_tasks: list[set[str]] = [set() for _ in range(shard_count)]
+        # Dictionaries serve as ordered sets: every run of a test takes the same order.
+        self.open_tasks: list[dict[str, None]] = [{} for _ in range(shard_count)]
         self.drained: dict[str, bool] = {}
         self.vms: list[dict[str, VmFacts]] = [{} for _ in range(shard_count)]
         self.keys: dict[str, float] = {}
@@ -303,7 +304,7 @@
         row.position = position
         row.accepted_at = self.log_time
         self.tasks[row.task] = row
-        self.open_tasks[shard].add(row.task)
+        self.open_tasks[shard][row.task] = None
 
     @_fold.register
     def _(self, body: records.Accept) -> str:
@@ -365,7 +366,7 @@
             return error
         row.verdict = body.verdict.value
         row.reason = body.reason
-        self.open_tasks[row.shard].discard(row.task)
+        self.open_tasks[row.shard].pop(row.task, None)
         self._finished.append((self.log_time, row.task))
         return OK
 
@@ -393,9 +394,9 @@
         error = self._owned(row.shard, body.epoch)
         if error:
             return error
-        self.open_tasks[row.shard].discard(row.task)
+        self.open_tasks[row.shard].pop(row.task, None)
         row.shard = body.to
-        self.open_tasks[row.shard].add(row.task)
+        self.open_tasks[row.shard][row.task] = None
         return OK
 
     # -- VMs ---------------------------------------------------------------------------------
@@ -514,7 +515,7 @@
         row.reason = image.reason
         self.tasks[row.task] = row
         if not row.finished:
-            self.open_tasks[row.shard].add(row.task)
+            self.open_tasks[row.shard][row.task] = None
 
 
 def task_name(job: str, position: int, total: int) -> str:
--- a/src/sablemount/core/state.py
+++ b/src/sablemount/core/state.py
@@ -98,10 +98,21 @@
 
     # -- VMs ---------------------------------------------------------------------------------
 
+    def leaving(self, row: VmRow) -> bool:
+        """Tell whether a VM is to get no new work: by the list, its own word or an operator's."""
+        notice = self.drain_notices.get(row.vm)
+        drained = row.vm in self.ledger.drained if notice is None else notice
+        return row.leaving or row.said_leaving or drained or not row.listed
+
     def reindex(self, row: VmRow) -> None:
         """Enter a VM into the indexes, or take it out, as its row now says."""
+        # One unanswered poll may hide that the VM is leaving, so it gets nothing new meanwhile.
         usable = (
-            row.stage is VmStage.USABLE and self.active(row.shard) and row.ejected_until <= self.now
+            row.stage is VmStage.USABLE
+            and not row.missed
+            and not self.leaving(row)
+            and self.active(row.shard)
+            and row.ejected_until <= self.now
         )
         index = self.free.get(row.shard)
         if index is not None:
@@ -125,7 +136,7 @@
         self.runs[run.run] = run
         self.run_of[run.task] = run.run
         row = self.vms[run.vm]
-        row.runs.add(run.run)
+        row.runs[run.run] = None
         row.charge(run.shape)
         self._spend(run, 1)
         if run.template.preferences.spread:
@@ -151,7 +162,7 @@
         if self.run_of.get(run.task) == run.run:
             del self.run_of[run.task]
         row = self.vms[run.vm]
-        row.runs.discard(run.run)
+        row.runs.pop(run.run, None)
         row.release(run.shape)
         self._spend(run, -1)
         if run.template.preferences.spread:
--- a/src/sablemount/core/systems/inventory.py
+++ b/src/sablemount/core/systems/inventory.py
@@ -46,9 +46,12 @@
             row = self._row(facts)
             row.listed = True
             row.leaving = facts.leaving
+            if row.leaving:
+                state.reindex(row)
         for row in state.vms.values():
-            if row.vm not in seen:
+            if row.listed and row.vm not in seen:
                 row.listed = False
+                state.reindex(row)
 
     def _row(self, facts: VmFacts) -> VmRow:
         state = self._state
@@ -99,22 +102,16 @@
 
     def _enrol(self, row: VmRow) -> None:
         state = self._state
-        if self.leaving(row) or not row.listed:
+        if self._state.leaving(row) or not row.listed:
             return
         held = state.held[row.shard]
         enrol = records.Enroll(row.facts, row.shard, held.epoch)
         self._journal.write(enrol, None, state.now + ENROL_DEADLINE)
 
-    def leaving(self, row: VmRow) -> bool:
-        """Tell whether a VM is to get no new work."""
-        notice = self._state.drain_notices.get(row.vm)
-        drained = row.vm in self._state.ledger.drained if notice is None else notice
-        return row.leaving or row.said_leaving or drained or not row.listed
-
     def _settle_stage(self, row: VmRow, enrolled: bool) -> None:
         if row.stage is VmStage.LOST or not row.reconciled or not enrolled:
             return
-        stage = VmStage.DRAINING if self.leaving(row) else VmStage.USABLE
+        stage = VmStage.DRAINING if self._state.leaving(row) else VmStage.USABLE
         if stage is not row.stage:
             row.stage = stage
             self._state.meter.count("vm_stage", stage.value)
@@ -161,14 +158,20 @@
     def drain(self, vm: str, drain: bool) -> None:
         """Act on an operator's word at once, and tell the peers, while the log settles it."""
         state = self._state
-        state.drain_notices[vm] = drain
+        self._note(vm, drain)
         for name in state.peer_names:
             if name != state.writer.name:
                 state.emit(SendPeer(name, DrainNotice(state.writer, vm, drain)))
 
     def received(self, notice: DrainNotice) -> None:
         """Take a peer's notice of an operator's word."""
-        self._state.drain_notices[notice.vm] = notice.drain
+        self._note(notice.vm, notice.drain)
+
+    def _note(self, vm: str, drain: bool) -> None:
+        self._state.drain_notices[vm] = drain
+        row = self._state.vms.get(vm)
+        if row is not None:
+            self._state.reindex(row)
 
 
 def _way_out(run: RunRow) -> CommandKind | None:
--- a/src/sablemount/core/systems/membership.py
+++ b/src/sablemount/core/systems/membership.py
@@ -146,7 +146,7 @@
         self._beat += 1
         active = [shard for shard in state.held if state.active(shard)] if state.leased() else []
         rows = [row for shard in active for row in state.shard_vms[shard].values()]
-        usable = [row for row in rows if row.reconciled and not row.leaving]
+        usable = [row for row in rows if row.was_usable]
         return MemberBeat(
             member=state.writer,
             beat=self._beat,
--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -10,7 +10,8 @@
 from sablemount.core.ledger import TaskRow
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal, Settlement
-from sablemount.core.tables import HeldShard, HoldState, RunRow, VmRow
+from sablemount.core.tables import HeldShard, HoldState, RunRow, VmRow, VmStage
+from sablemount.core.verdict import Verdict
 from sablemount.core.waiting import LEVELS, WaitingTask, WaitQueue
 
 __all__ = ["Placement"]
@@ -19,6 +20,8 @@
 """How many tasks of one organisation are tried at its turn when the first does not fit."""
 MOVE_INTERVAL = 1.0
 """Least time between two moves of one task to another shard, in seconds."""
+SAMPLE = 64
+"""How many VMs of other shards are looked at for one that could hold a task."""
 SPREAD_PENALTY = 1.0
 """What one replica of the same job in the same rack costs in a score."""
 HALL_PENALTY = 4.0
@@ -37,9 +40,14 @@
         self._blocked: dict[tuple[int, str], tuple[int, str]] = {}
         self._counter = 0
 
-    def enqueue(self, row: TaskRow) -> None:
-        """Let a task wait for a VM."""
-        self.queue.add(row, self._state.now)
+    def enqueue(self, row: TaskRow, new: bool = False) -> None:
+        """Let a task wait for a VM; ``new`` tells that it certainly never started."""
+        self.queue.add(row, self._state.now, new)
+
+    def rebind(self) -> None:
+        """Go on with the rows of another ledger."""
+        self.queue.rebind(self._state.ledger.tasks)
+        self._blocked.clear()
 
     # -- Turns -------------------------------------------------------------------------------
 
@@ -99,13 +107,15 @@
             return False
         if row.cancelled:
             self.queue.remove(row.task)
-            self._finish_cancelled(row, held)
+            self._finish_cancelled(item, held)
             return False
         return held.opened and held.state is HoldState.ACTIVE and not item.moving
 
-    def _finish_cancelled(self, row: TaskRow, held: HeldShard) -> None:
+    def _finish_cancelled(self, item: WaitingTask, held: HeldShard) -> None:
+        row = item.row
         if not row.service:
-            verdict = records.Verdict.MAY_HAVE_RUN if row.intent else records.Verdict.NOT_RUN
+            # Only one that has waited here ever since it was accepted certainly never started.
+            verdict = Verdict.NOT_RUN if item.new else Verdict.MAY_HAVE_RUN
             self._journal.write(records.Finish(row.task, held.epoch, verdict, "cancelled"))
 
     # -- One task ----------------------------------------------------------------------------
@@ -273,6 +283,8 @@
         to = self._own_shard_with_room(item.row)
         if to is None:
             to = self._peer_shard_with_room(item.row.template.shape)
+        if to is None and not self._can_hold(item.row):
+            to = self._shard_that_can_hold(item.row)
         if to is None or to == item.row.shard:
             return
         self._move(item, to)
@@ -307,6 +319,34 @@
         shards = [row.shard for row in state.ledger.shards if row.owner and row.owner.name in roomy]
         return state.rng.choice(shards) if shards else None
 
+    def _can_hold(self, row: TaskRow) -> bool:
+        """Tell whether some VM of the task's shard could hold it, if only it were empty."""
+        return any(
+            self._fits_empty(vm, row)
+            for vm in self._state.shard_vms[row.shard].values()
+            if vm.stage is VmStage.USABLE
+        )
+
+    def _fits_empty(self, vm: VmRow, row: TaskRow) -> bool:
+        preferences = row.template.preferences
+        if preferences.required and vm.hall not in preferences.halls:
+            return False
+        return row.template.shape.fits(vm.facts.capacity)
+
+    def _shard_that_can_hold(self, row: TaskRow) -> int | None:
+        """Return a shard with a VM that could hold a task, room or not.
+
+        Of other schedulers' VMs only the list is known, so a later move may be needed.
+        """
+        state = self._state
+        vms = [vm for vm in state.vms.values() if vm.listed and not vm.leaving]
+        state.rng.shuffle(vms)
+        for vm in vms[:SAMPLE]:
+            unusable = vm.shard in state.held and vm.stage is not VmStage.USABLE
+            if vm.shard != row.shard and not unusable and self._fits_empty(vm, row):
+                return vm.shard
+        return None
+
     def shard_for(self, shape: Shape) -> int:
         """Return the shard that a new task is best accepted into."""
         state = self._state
--- a/src/sablemount/core/systems/preemption.py
+++ b/src/sablemount/core/systems/preemption.py
@@ -4,6 +4,8 @@
 stop. The VM is kept for the task meanwhile, and counts as free only on the worker's word.
 """
 
+from collections import deque
+
 import msgspec
 
 from sablemount.core.actions import CommandKind
@@ -33,6 +35,8 @@
 """What a checkpoint loses, as a share of what a stop loses."""
 THROTTLE_COST = 0.1
 """What a throttle loses, as a share of what a stop loses."""
+VICTIM_WINDOW = 60.0
+"""Time over which a task's yielding is held to ``preempt_limit``, in seconds."""
 LOST_SHARE = {
     CommandKind.CHECKPOINT: CHECKPOINT_COST,
     CommandKind.THROTTLE: 0.0,
@@ -67,7 +71,7 @@
         self._state = state
         self._placement = placement
         self._reservations: dict[str, _Reservation] = {}
-        self._times_preempted: dict[str, int] = {}
+        self._preempted_at: dict[str, deque[float]] = {}
         self._throttled: set[str] = set()
         self._next_restore = 0.0
 
@@ -177,14 +181,25 @@
             run.stage is RunStage.RUNNING
             and run.run not in row.commands
             and run.template.repeatable
-            and self._times_preempted.get(run.task, 0) < self._state.settings.preempt_limit
+            and self._recently(run.task) < self._state.settings.preempt_limit
         )
 
+    def _recently(self, task: str) -> int:
+        """Return how often a task has yielded within the window."""
+        times = self._preempted_at.get(task)
+        if times is None:
+            return 0
+        while times and self._state.now - times[0] > VICTIM_WINDOW:
+            times.popleft()
+        if not times:
+            del self._preempted_at[task]
+        return len(times)
+
     def _option(self, run: RunRow, gentle: bool) -> _Victim:
         """Return how a run yields, and what that frees and costs."""
         elapsed = self._state.now - run.started_at
         lost = max(1, run.shape.cores) * elapsed
-        again = 1.0 + self._times_preempted.get(run.task, 0)
+        again = 1.0 + self._recently(run.task)
         fixed = CLASS_COST * (len(CLASS_ORDER) - run.order)
         if run.template.checkpointable:
             cost = again * (fixed + CHECKPOINT_COST * lost)
@@ -227,7 +242,7 @@
         if victim.kind is CommandKind.THROTTLE:
             self._throttled.add(run.run)
         row.commands[run.run] = victim.kind
-        self._times_preempted[run.task] = self._times_preempted.get(run.task, 0) + 1
+        self._preempted_at.setdefault(run.task, deque()).append(self._state.now)
         self._state.meter.count("preemptions", victim.kind.value)
         lost = (self._state.now - run.started_at) * run.shape.cores
         share = LOST_SHARE[victim.kind]
--- a/src/sablemount/core/systems/reconcile.py
+++ b/src/sablemount/core/systems/reconcile.py
@@ -69,10 +69,11 @@
         state = self._state
         row.missed += 1
         state.meter.count("polls_missed")
+        row.urgent_poll = row.missed < state.settings.lost_after
         if row.missed >= state.settings.lost_after and row.stage is not VmStage.LOST:
             row.stage = VmStage.LOST
             state.meter.count("vms_lost")
-            state.reindex(row)
+        state.reindex(row)
 
     def _take(self, row: VmRow, event: PollEnded) -> None:
         row.missed = 0
@@ -80,7 +81,7 @@
         row.said_leaving = event.leaving
         row.boot = event.boot
         reported = {report.run for report in event.runs}
-        row.acknowledge &= reported
+        row.acknowledge = {run: None for run in row.acknowledge if run in reported}
         for report in event.runs:
             self._report(row, report)
         for name in [run for run in row.runs if run not in reported]:
@@ -156,7 +157,7 @@
 
     def _disown(self, row: VmRow, report: RunReport, ended: bool) -> None:
         if ended:
-            row.acknowledge.add(report.run)
+            row.acknowledge[report.run] = None
             if report.run in row.orphans:
                 row.release(row.orphans.pop(report.run))
             return
@@ -220,7 +221,7 @@
             self._lost(run.task)
 
     def _let_go(self, run: RunRow) -> None:
-        self._state.vms[run.vm].acknowledge.add(run.run)
+        self._state.vms[run.vm].acknowledge[run.run] = None
         self._state.drop_run(run)
 
     def _record(self, run: RunRow, reason: str) -> None:
--- a/src/sablemount/core/systems/recovery.py
+++ b/src/sablemount/core/systems/recovery.py
@@ -20,6 +20,7 @@
         self._journal = journal
         self._placement = placement
         journal.listeners.append(self._applied)
+        journal.reset_listeners.append(self._reset)
 
     def run(self) -> None:
         """Open the shards whose VMs have all answered, or whose former leases have lapsed."""
@@ -35,9 +36,14 @@
         held.opened = True
         state.freed += 1
         state.meter.count("shards_opened")
+        self._enqueue_all(held)
+
+    def _enqueue_all(self, held: HeldShard) -> None:
+        """Let every open task of a shard wait that neither runs nor waits."""
+        state = self._state
         for name in list(state.ledger.open_tasks[held.shard]):
             row = state.ledger.tasks[name]
-            if name in state.run_of:
+            if name in state.run_of or name in self._placement.queue:
                 continue
             if row.intent:
                 # It was about to start under a former owner, and no VM tells what became of it.
@@ -47,6 +53,13 @@
             else:
                 self._placement.enqueue(row)
 
+    def _reset(self) -> None:
+        """Go on with another ledger: its rows replace those that the queue holds."""
+        self._placement.rebind()
+        for held in self._state.held.values():
+            if held.opened:
+                self._enqueue_all(held)
+
     # -- Tasks that come later ---------------------------------------------------------------
 
     def _applied(self, applied: Applied) -> None:
@@ -56,7 +69,7 @@
         ledger = self._state.ledger
         if isinstance(body, records.Accept):
             for name in ledger.names_of(body):
-                self._consider(ledger.tasks[name])
+                self._consider(ledger.tasks[name], new=True)
         elif isinstance(body, records.Move | records.Cancel):
             row = ledger.tasks[body.task]
             self._consider(row)
@@ -69,12 +82,12 @@
         elif isinstance(body, records.QuotaMove):
             self._state.freed += 1
 
-    def _consider(self, row: TaskRow) -> None:
+    def _consider(self, row: TaskRow, new: bool = False) -> None:
         held = self._state.held.get(row.shard)
         if held is None or not held.opened or row.finished:
             return
         if row.task not in self._state.run_of:
-            self._placement.enqueue(row)
+            self._placement.enqueue(row, new)
 
     def _stop_cancelled(self, row: TaskRow) -> None:
         state = self._state
--- a/src/sablemount/core/systems/renewal.py
+++ b/src/sablemount/core/systems/renewal.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Renewal"]
 
-IDLE_FACTOR = 2.0
+IDLE_FACTOR = 1.5
 """How much more seldom a VM without work is polled."""
 RENEWED = frozenset({RunStage.STARTING, RunStage.RUNNING, RunStage.UNCERTAIN, RunStage.STOPPING})
 
--- a/src/sablemount/core/tables.py
+++ b/src/sablemount/core/tables.py
@@ -101,10 +101,10 @@
         self.listed = True
         self.reconciled = False
         self.boot = ""
-        self.runs: set[str] = set()
+        self.runs: dict[str, None] = {}
         self.orphans: dict[str, Shape] = {}
         self.commands: dict[str, CommandKind] = {}
-        self.acknowledge: set[str] = set()
+        self.acknowledge: dict[str, None] = {}
         self.requests: dict[str, float] = {}
         self.foreign = 0
         self.last_heard = 0.0
--- a/src/sablemount/core/waiting.py
+++ b/src/sablemount/core/waiting.py
@@ -19,6 +19,7 @@
         "level",
         "level_since",
         "moving",
+        "new",
         "next_move",
         "order",
         "preempt_at",
@@ -27,8 +28,9 @@
         "spread_done",
     )
 
-    def __init__(self, row: TaskRow, now: float) -> None:
+    def __init__(self, row: TaskRow, now: float, new: bool) -> None:
         self.row = row
+        self.new = new
         self.since = now
         self.order = CLASS_ORDER[row.template.priority]
         self.level = self.order
@@ -63,10 +65,19 @@
         """Return the waiting entry of a task."""
         return self._items.get(task)
 
-    def add(self, row: TaskRow, now: float) -> None:
-        """Enter a task, if it is not in."""
+    def add(self, row: TaskRow, now: float, new: bool) -> None:
+        """Enter a task, if it is not in; ``new`` tells that it certainly never started."""
         if row.task not in self._items:
-            self._insert(WaitingTask(row, now))
+            self._insert(WaitingTask(row, now, new))
+
+    def rebind(self, tasks: dict[str, TaskRow]) -> None:
+        """Take the rows of another ledger; tasks that it does not have are taken out."""
+        for name in list(self._items):
+            row = tasks.get(name)
+            if row is None:
+                self.remove(name)
+            else:
+                self._items[name].row = row
 
     def _insert(self, item: WaitingTask) -> None:
         self._items[item.row.task] = item
--- a/src/sablemount/entry/views.py
+++ b/src/sablemount/entry/views.py
@@ -142,7 +142,7 @@
         row.shard,
         owner.name if owner else "",
         row.stage.value,
-        scheduler.inventory.leaving(row),
+        scheduler.state.leaving(row),
         row.facts.capacity,
         free,
     )
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -67,7 +67,7 @@
         self.leaving = False
         self.left_since = float("inf")
         self.runs: dict[str, Run] = {}
-        self.requests: set[str] = set()
+        self.requests: dict[str, None] = {}
         self.polls = 0
 
     # -- Runs --------------------------------------------------------------------------------
@@ -145,12 +145,12 @@
 
     def begin(self, request: str, now: float) -> None:
         self._check_leaving(f"request {request}", now)
-        self.requests.add(request)
+        self.requests[request] = None
         self.truth.served(request)
         self._check_capacity()
 
     def end(self, request: str) -> None:
-        self.requests.discard(request)
+        self.requests.pop(request, None)
 
     # -- Truth -------------------------------------------------------------------------------
 
