--- a/benchmarks/matrix.py
+++ b/benchmarks/matrix.py
@@ -14,7 +14,8 @@
 
 
 def _run_all(cells: list[Cell]) -> list[CellResult]:
-    with concurrent.futures.ProcessPoolExecutor(os.cpu_count()) as pool:
+    processes = int(os.environ.get("MATRIX_PROCESSES", os.cpu_count() or 1))
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
         return list(pool.map(run_cell, cells, chunksize=8))
 
 
--- a/src/sablemount/core/config.py
+++ b/src/sablemount/core/config.py
@@ -37,7 +37,7 @@
     claim_delay: Seconds = 2.0
     settle: Seconds = 0.5
     drift: Share = 0.001
-    promise: Seconds = 120.0
+    promise: Seconds = 60.0
     hold_limit: Seconds = 900.0
 
     gossip_interval: Seconds = 0.5
--- a/src/sablemount/core/systems/journal.py
+++ b/src/sablemount/core/systems/journal.py
@@ -308,8 +308,7 @@
         for entry in event.entries:
             self._buffer.append(entry)
             self._look_for_snapshot(entry)
-        read_upto = self._buffer[-1].offset if self._buffer else 0
-        if read_upto < event.head:
+        if self._read_offset() < event.head:
             return
         current = self._state.ledger
         if self._snapshot is not None and self._snapshot.offset > current.offset:
--- a/src/sablemount/core/systems/membership.py
+++ b/src/sablemount/core/systems/membership.py
@@ -1,8 +1,9 @@
 """Membership: who is a member by the ledger, and who is heard of.
 
 Members join and leave through the log. Between themselves they gossip heartbeats to a fixed number
-of peers a round, so traffic per node does not grow with the number of nodes. Silence makes a
-member suspect; only the log puts it out, and then its records count no more.
+of peers a round, so traffic per node does not grow with the number of nodes. A record in the log
+is a sign of life too, and whoever misses a peer gives one. Silence in both makes a member suspect;
+only the log puts it out, and then its records count no more.
 """
 
 from sablemount.core import records
@@ -34,6 +35,7 @@
         self._beat = 0
         self._next_gossip = 0.0
         self._next_catch_up = 0.0
+        self._next_sign = 0.0
         self._last_run = state.now
         self._joining = False
         journal.listeners.append(self._applied)
@@ -47,6 +49,7 @@
 
     def _applied(self, applied: Applied) -> None:
         body = applied.record.body
+        self._heard_in_log(applied.writer)
         if not applied.accepted:
             return
         if isinstance(body, records.Join) and applied.writer == self._state.writer:
@@ -55,6 +58,23 @@
         elif isinstance(body, records.Evict) and body.member == self._state.writer:
             self._put_out()
 
+    def _heard_in_log(self, writer: Writer) -> None:
+        """Count a record as a sign of life: a member may be cut off from its peers alone."""
+        peer = self._state.peers.get(writer.name)
+        if peer is not None and peer.incarnation == writer.incarnation:
+            peer.heard_at = self._state.now
+
+    def _show_life(self) -> None:
+        """Write to the log while a member is not heard of, since it may not hear this one."""
+        state = self._state
+        if not self.joined or state.now < self._next_sign or not self._journal.healthy:
+            return
+        interval = state.settings.suspect_after / 2
+        peers = (state.peers.get(name) for name in state.ledger.members)
+        if any(peer is not None and state.now - peer.gossiped_at > interval for peer in peers):
+            self._next_sign = state.now + interval
+            self._journal.write(records.Seen(), None, state.now + interval)
+
     def _put_out(self) -> None:
         """Become a new incarnation: the old one's records count no more."""
         state = self._state
@@ -106,6 +126,7 @@
             self._next_gossip = self._state.now + self._state.settings.gossip_interval
             self._gossip()
         self._evict()
+        self._show_life()
 
     def _forgive_after_pause(self) -> None:
         """Start everybody's silence anew if this process itself did not run for a while."""
@@ -116,6 +137,7 @@
             state.meter.count("pauses")
             for peer in state.peers.values():
                 peer.heard_at = state.now
+                peer.gossiped_at = state.now
 
     def _note_members(self) -> None:
         """Begin to count the silence of members that were never heard of."""
@@ -194,6 +216,7 @@
             return
         peer.beat = beat.beat
         peer.heard_at = state.now
+        peer.gossiped_at = state.now
         peer.offset = beat.offset
         peer.free_slots = beat.free_slots
         peer.free_cores = beat.free_cores
--- a/src/sablemount/core/systems/ownership.py
+++ b/src/sablemount/core/systems/ownership.py
@@ -16,7 +16,6 @@
 from sablemount.core import records
 from sablemount.core.actions import SendPeer
 from sablemount.core.index import FreeIndex
-from sablemount.core.ledger import Applied
 from sablemount.core.messages import HoldPromise, HoldRequest, PeerMessage, ShardEpoch
 from sablemount.core.records import Writer
 from sablemount.core.state import State
@@ -68,13 +67,6 @@
         self._targets_for: tuple[Writer, ...] = ()
         self._targets: dict[int, Writer] = {}
         journal.reset_listeners.append(self.sync)
-        journal.listeners.append(self._applied)
-
-    def _applied(self, applied: Applied) -> None:
-        """Let a new member see that this owner knows of it, so that it may take over from it."""
-        joined = isinstance(applied.record.body, records.Join) and applied.accepted
-        if joined and self._state.held and applied.writer != self._state.writer:
-            self._journal.write(records.Seen(), None, self._state.now + CLAIM_DEADLINE)
 
     # -- What the ledger says ----------------------------------------------------------------
 
@@ -212,8 +204,18 @@
         self.renew()
         self._activate()
         if self._membership.joined and self._journal.healthy:
+            self._acknowledge_members()
             self._move_shards()
 
+    def _acknowledge_members(self) -> None:
+        """Let the log show that this owner knows every member, so that each may take over."""
+        state = self._state
+        if not state.held or self._journal.waiting(records.Seen):
+            return
+        members = state.ledger.members.values()
+        if not all(state.ledger.knows(state.writer, member) for member in members):
+            self._journal.write(records.Seen(), None, state.now + CLAIM_DEADLINE)
+
     def _activate(self) -> None:
         state = self._state
         for held in state.held.values():
--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -37,7 +37,7 @@
         self.queue = WaitQueue()
         self.unplaced: list[WaitingTask] = []
         self.short_of_quota: dict[tuple[str, int], Shape] = {}
-        self._blocked: dict[tuple[int, str], tuple[int, str]] = {}
+        self._blocked: dict[tuple[int, str], tuple[int, int, str]] = {}
         self._counter = 0
 
     def enqueue(self, row: TaskRow, new: bool = False) -> None:
@@ -77,7 +77,8 @@
     def _take_turn(self, level: int, organisation: str) -> bool:
         """Place one task of an organisation; tell whether one was placed or taken out."""
         items = self.queue.head(level, organisation, LOOK_AHEAD)
-        mark = (self._state.freed, items[0].row.task)
+        # What did not fit is tried again when capacity is freed, and once a second for a move.
+        mark = (self._state.freed, int(self._state.now), items[0].row.task)
         if self._blocked.get((level, organisation)) == mark:
             self.unplaced.append(items[0])
             return False
@@ -94,7 +95,7 @@
             if self._place(item):
                 return True
             self.unplaced.append(item)
-        self._blocked[level, organisation] = (self._state.freed, items[0].row.task)
+        self._blocked[level, organisation] = mark
         return False
 
     def _eligible(self, item: WaitingTask) -> bool:
@@ -243,7 +244,9 @@
         state = self._state
         if state.runs.get(run.run) is not run:
             return
-        if settled is Settlement.ACCEPTED and state.leased():
+        vm = state.vms[run.vm]
+        usable = vm.stage is VmStage.USABLE and not vm.missed and not state.leaving(vm)
+        if settled is Settlement.ACCEPTED and usable and state.leased():
             self._send(run, row)
             return
         state.drop_run(run)
--- a/src/sablemount/core/tables.py
+++ b/src/sablemount/core/tables.py
@@ -250,6 +250,7 @@
         "free_accelerators",
         "free_cores",
         "free_slots",
+        "gossiped_at",
         "heard_at",
         "incarnation",
         "name",
@@ -263,6 +264,7 @@
         self.incarnation = incarnation
         self.beat = -1
         self.heard_at = now
+        self.gossiped_at = now
         self.offset = 0
         self.free_slots = 0
         self.free_cores = 0
--- a/tests/fakes/cell.py
+++ b/tests/fakes/cell.py
@@ -65,7 +65,7 @@
         return self.cell.now < self.paused_until
 
     def take(self, event: events.Event) -> None:
-        if self.dead:
+        if self.dead or self.stopped:
             return
         if self.paused:
             self.waiting.append(event)
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -27,8 +27,11 @@
         self.starts: Counter[str] = Counter()
         self.single: set[str] = set()
         self.executed: Counter[str] = Counter()
+        self.workers: dict[str, FakeWorker] = {}
 
-    def began(self, task: str, vm: str) -> None:
+    def began(self, task: str, vm: str, now: float) -> None:
+        for other in list(self.places[task]):
+            self.workers[other].advance(now)
         self.starts[task] += 1
         self.places[task].add(vm)
         if len(self.places[task]) > 1:
@@ -62,6 +65,7 @@
     def __init__(self, facts: VmFacts, truth: Truth, boot: str = "boot-1") -> None:
         self.facts = facts
         self.truth = truth
+        truth.workers[facts.vm] = self
         self.boot = boot
         self.up = True
         self.leaving = False
@@ -79,7 +83,7 @@
         self._check_leaving(f"start of {run}", now)
         until = now + seconds if seconds else float("inf")
         self.runs[run] = Run(run, shape, until, now + lease)
-        self.truth.began(task_of(run), self.facts.vm)
+        self.truth.began(task_of(run), self.facts.vm, now)
         self._check_capacity()
         return True
 
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -290,6 +290,7 @@
             cell.run(1.0)
         for name in self._open():
             cell.truth.violations.append(f"lost: {name} came to no outcome")
+        cell.run(3.0)
         cell.check_tasks()
         self._check_revisions_agree()
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -33,6 +33,7 @@
 def cell() -> VirtualCell:
     cell = VirtualCell(members=3, vms=12)
     cell.run_until(cell.settled, 30)
+    cell.run(2)
     cell.publish_all([QUOTE, PLAN, TRANSFER, DISPATCH])
     return cell
 
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,157 @@
+"""One case of each flow over real sockets, with daemons that are killed, frozen and stopped."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from tornado import httpclient
+
+from benchmarks.procs import DaemonCell, wait_until
+from sablemount.core.config import CoreSettings
+from tests.documents import ALL
+from tests.fakes.log import LogMode
+
+CORE = CoreSettings(shards=3, evict_after=4.0, promise=5.0)
+Scenario = Callable[[DaemonCell], Awaitable[None]]
+
+
+def play(tmp_path: Path, scenario: Scenario, **options: Any) -> DaemonCell:
+    """Run a scenario against three daemons and check the invariants."""
+
+    async def run() -> DaemonCell:
+        cell = DaemonCell(tmp_path, core=CORE, **options)
+        try:
+            await cell.start_all()
+            await cell.publish(ALL)
+            await scenario(cell)
+        finally:
+            cell.close()
+        return cell
+
+    cell = asyncio.run(run())
+    assert cell.truth.violations == []
+    return cell
+
+
+async def quote(
+    cell: DaemonCell, name: str, body: bytes, path: str = "rueda/quote", **headers: str
+) -> httpclient.HTTPResponse:
+    return await cell.client.fetch(
+        f"http://{cell.address(name)}/v1/requests/{path}",
+        method="POST",
+        body=body,
+        headers=headers,
+        raise_error=False,
+    )
+
+
+async def ended(cell: DaemonCell, name: str, job: str, count: int) -> bool:
+    rows = await cell.call(name, "GET", f"/v1/tasks?job={job}")
+    return rows is not None and sum(bool(row["verdict"]) for row in rows) == count
+
+
+def test_a_killed_scheduler_loses_no_accepted_task(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        body = {"template": "rueda/plan", "job": "plans", "count": 9}
+        assert (await cell.call("s0", "POST", "/v1/jobs", body))["count"] == 9
+        cell.signal("s0", signal.SIGKILL)
+        await wait_until(lambda: ended(cell, "s1", "plans", 9), 60.0)
+        await wait_until(lambda: ended(cell, "s2", "plans", 9))
+        rows = await cell.call("s2", "GET", "/v1/tasks?job=plans")
+        assert {row["verdict"] for row in rows} == {"DONE"}
+
+    play(tmp_path, scenario)
+
+
+def test_a_frozen_scheduler_wakes_without_harm(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        body = {"template": "yard/wide", "job": "wides", "count": 9}
+        await cell.call("s0", "POST", "/v1/jobs", body)
+        await asyncio.sleep(1.0)
+        cell.signal("s0", signal.SIGSTOP)
+        await asyncio.sleep(6.0)
+        cell.signal("s0", signal.SIGCONT)
+        await wait_until(lambda: ended(cell, "s1", "wides", 9), 60.0)
+        await wait_until(cell.settled)
+
+    play(tmp_path, scenario)
+
+
+def test_a_planned_stop_cuts_nothing_off(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        calls = [quote(cell, "s0", b"%d" % index) for index in range(20)]
+        pending = [asyncio.ensure_future(call) for call in calls]
+        await asyncio.sleep(0.1)
+        cell.signal("s0", signal.SIGTERM)
+        answers = await asyncio.gather(*pending)
+        assert [answer.body for answer in answers] == [
+            b"quote for %d" % index for index in range(20)
+        ]
+        assert await cell.wait_stopped("s0") == 0
+        await wait_until(cell.settled)
+
+        async def gone() -> bool:
+            members = await cell.call("s1", "GET", "/v1/members")
+            return [row["name"] for row in members] == ["s1", "s2"]
+
+        await wait_until(gone)
+
+    play(tmp_path, scenario, service_time=0.5)
+
+
+def test_a_second_signal_ends_at_once_and_says_so(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        pending = asyncio.ensure_future(quote(cell, "s0", b"slow"))
+        await asyncio.sleep(0.2)
+        cell.signal("s0", signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        cell.signal("s0", signal.SIGTERM)
+        answer = await pending
+        assert answer.headers["Sablemount-Verdict"] == "MAY_HAVE_RUN"
+        assert await cell.wait_stopped("s0") == 75
+
+    play(tmp_path, scenario, service_time=3.0)
+
+
+def test_an_answer_cut_short_reaches_no_caller(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        for server in cell.workers:
+            server.cut_short = True
+        answer = await quote(cell, "s0", b"x", **{"Deadline-Ms": "2000"})
+        assert answer.code == 502
+        assert answer.headers["Sablemount-Verdict"] == "MAY_HAVE_RUN"
+        assert b"part" not in answer.body
+        key = {"Idempotency-Key": "1.x"}
+        late = await quote(cell, "s0", b"x", "yard/stock", **key)
+        assert late.headers["Sablemount-Verdict"] == "NOT_RUN"
+        for server in cell.workers:
+            server.cut_short = False
+        assert (await quote(cell, "s0", b"y")).body == b"quote for y"
+
+    play(tmp_path, scenario)
+
+
+def test_quotes_go_on_and_a_new_scheduler_starts_in_a_log_outage(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        cell.platform.log.mode = LogMode.DOWN
+        await asyncio.sleep(4.0)
+        answers = [await quote(cell, f"s{index % 3}", b"q") for index in range(12)]
+        assert {answer.code for answer in answers} == {200}
+        body = {"template": "rueda/plan", "job": "late", "deadline_seconds": 1.0}
+        refused = await cell.call("s0", "POST", "/v1/jobs", body)
+        assert refused["reason"] == "log_unavailable"
+        cell.signal("s2", signal.SIGKILL)
+        await cell.wait_stopped("s2")
+        cell.start("s2")
+
+        async def configured() -> bool:
+            documents = await cell.call("s2", "GET", "/v1/documents", timeout=1.0)
+            return documents is not None and len(documents) == len(ALL)
+
+        await wait_until(configured)
+        cell.platform.log.mode = LogMode.UP
+        await wait_until(cell.settled, 60.0)
+
+    play(tmp_path, scenario)
