Weigh a replica's turn of hall above its rack

Cause: the score knew the rack of a replica's siblings but not the hall whose turn it was, so a replica left its hall to avoid a shared rack.

--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -24,6 +24,8 @@
 """How many VMs of other shards are looked at for one that could hold a task."""
 SPREAD_PENALTY = 1.0
 """What one replica of the same job in the same rack costs in a score."""
+TURN_PENALTY = 2.0
+"""What being outside the hall whose turn it is costs a spread replica in a score."""
 HALL_PENALTY = 4.0
 """What being outside the preferred halls costs in a score."""
 
@@ -215,6 +217,7 @@
         if preferences.spread:
             racks = self._state.job_racks.get(row.job)
             cost += SPREAD_PENALTY * (racks[vm.rack] if racks else 0)
+            cost += TURN_PENALTY * (vm.hall != self._turn_of_hall(row.position))
         return cost
 
     # -- Starting ----------------------------------------------------------------------------
