Refuse bad input with the field and the reason

Cause: no test covered the refusals. hypothesis found one fault at once: bytes that follow a valid JSON value made the settings check itself raise.

--- a/src/sablemount/settings.py
+++ b/src/sablemount/settings.py
@@ -23,9 +23,7 @@
     "settings_schema",
 ]
 
-Address = Annotated[
-    str, Meta(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$", description="IP number and port")
-]
+Address = Annotated[str, Meta(description="IP number and port, such as 127.0.0.1:8080")]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Seconds = Annotated[float, Meta(gt=0)]
 MAX_PORT = 65_535
@@ -113,8 +111,23 @@
 def _describe(error: msgspec.ValidationError, payload: bytes, file: str) -> SettingsError:
     reason, _, path = str(error).partition(" - at ")
     path = path.strip("`") or "$"
-    value = _value_at(json.loads(payload), path)
-    return SettingsError(file, path, json.dumps(value), reason[0].lower() + reason[1:])
+    try:
+        document = json.loads(payload)
+    except ValueError as malformed:
+        return SettingsError(file, "$", "malformed JSON", str(malformed))
+    value = _value_at(document, path)
+    allowed = _choices_at(path) or reason[0].lower() + reason[1:]
+    return SettingsError(file, path, json.dumps(value), allowed)
+
+
+def _choices_at(path: str) -> str:
+    """Return which values the schema allows at a path, if it lists them."""
+    schema = settings_schema()
+    node: Any = schema
+    for part in path.replace("[", ".[").split(".")[1:]:
+        node = schema["$defs"].get(node.get("$ref", "").rpartition("/")[2], node)
+        node = node.get("items", {}) if part.startswith("[") else node["properties"].get(part, {})
+    return f"expected one of {', '.join(node['enum'])}" if "enum" in node else ""
 
 
 def _value_at(document: Any, path: str) -> Any:
@@ -154,4 +167,4 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return int(port) <= MAX_PORT
+    return port.isdigit() and int(port) <= MAX_PORT
