--- /dev/null
+++ b/benchmarks/standin.py
@@ -0,0 +1,53 @@
+"""Processes of stand-ins: ``workers`` serves some workers, ``platform`` the log and the VM list.
+
+Each prints what others need as one JSON line and serves until its standard input closes; the
+platform first reads the VM list from there.
+"""
+
+import asyncio
+import sys
+
+import msgspec
+
+from sablemount.core.facts import VmFacts
+from tests.fakes.servers import PlatformServer, StaticVm, make_workers
+from tests.fakes.worker import Truth
+
+__all__ = ["main"]
+
+HALLS = ("sala-norte", "sala-sur")
+
+
+async def _until_closed() -> None:
+    loop = asyncio.get_running_loop()
+    await loop.run_in_executor(None, sys.stdin.read)
+
+
+async def _workers(count: int, service_time: float, prefix: str) -> None:
+    truth = Truth()
+    servers = make_workers(count, truth, HALLS, 6, service_time, prefix)
+    print(msgspec.json.encode([server.facts for server in servers]).decode(), flush=True)
+    await _until_closed()
+    if truth.violations:
+        print(truth.violations[:3], file=sys.stderr)
+
+
+async def _platform() -> None:
+    loop = asyncio.get_running_loop()
+    line = await loop.run_in_executor(None, sys.stdin.readline)
+    listed = [StaticVm(facts) for facts in msgspec.json.decode(line, type=list[VmFacts])]
+    platform = PlatformServer(listed)
+    print(msgspec.json.encode(platform.address).decode(), flush=True)
+    await _until_closed()
+
+
+def main() -> None:
+    """Run ``workers COUNT SERVICE_SECONDS PREFIX`` or ``platform``."""
+    if sys.argv[1] == "workers":
+        asyncio.run(_workers(int(sys.argv[2]), float(sys.argv[3]), sys.argv[4]))
+    else:
+        asyncio.run(_platform())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sablemount/core/config.py
+++ b/src/sablemount/core/config.py
@@ -40,7 +40,7 @@
     promise: Seconds = 60.0
     hold_limit: Seconds = 900.0
 
-    gossip_interval: Seconds = 0.5
+    gossip_interval: Seconds = 0.3
     gossip_fanout: Count = 3
     suspect_after: Seconds = 2.0
     evict_after: Seconds = 10.0
--- a/src/sablemount/core/systems/membership.py
+++ b/src/sablemount/core/systems/membership.py
@@ -20,6 +20,8 @@
 
 MAX_BEATS = 32
 """Heartbeats in one message at most."""
+SIGN_SHARE = 0.75
+"""Share of ``suspect_after`` for which a peer may be silent before a sign of life is written."""
 CATCH_UP_LAG = 1
 """How many entries behind a peer a scheduler may be before it asks for the ledger."""
 CATCH_UP_INTERVAL = 2.0
@@ -69,7 +71,7 @@
         state = self._state
         if not self.joined or state.now < self._next_sign or not self._journal.healthy:
             return
-        interval = state.settings.suspect_after / 2
+        interval = SIGN_SHARE * state.settings.suspect_after
         peers = (state.peers.get(name) for name in state.ledger.members)
         if any(peer is not None and state.now - peer.gossiped_at > interval for peer in peers):
             self._next_sign = state.now + interval
--- a/tests/fakes/servers.py
+++ b/tests/fakes/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 
 import msgspec
 from tornado import httpserver, netutil, web
@@ -26,13 +27,23 @@
     return server, sockets[0].getsockname()[1]
 
 
+class StaticVm:
+    """A VM that is always up, for lists of workers in other processes."""
+
+    up = True
+
+    def __init__(self, facts: VmFacts) -> None:
+        self.facts = facts
+
+
 class PlatformServer:
     """The log service and the VM list on one port."""
 
-    def __init__(self, workers: list["WorkerServer"], retention: int = 1_000_000) -> None:
+    def __init__(
+        self, workers: Sequence["WorkerServer | StaticVm"], retention: int = 1_000_000
+    ) -> None:
         self.log = FakeLog(retention)
         self.workers = workers
-        self.started = time.monotonic()
         routes = [
             (r"/append", _Append, {"platform": self}),
             (r"/read", _Read, {"platform": self}),
@@ -75,7 +86,7 @@
 
 class _List(_PlatformHandler):
     def get(self) -> None:
-        listed = [server.facts for server in self.platform.workers if server.worker.up]
+        listed = [vm.facts for vm in self.platform.workers if vm.up]
         self.finish(msgspec.json.encode(listed))
 
 
@@ -95,6 +106,10 @@
         self.facts = msgspec.structs.replace(facts, address=f"{LOOPBACK}:{self.port}")
         self.worker = FakeWorker(self.facts, truth, f"boot-{self.port}")
 
+    @property
+    def up(self) -> bool:
+        return self.worker.up
+
 
 class _WorkerHandler(web.RequestHandler):
     def initialize(self, owner: WorkerServer) -> None:
@@ -143,7 +158,12 @@
 
 
 def make_workers(
-    count: int, truth: Truth, halls: tuple[str, ...], rack: int, service_time: float = 0.0
+    count: int,
+    truth: Truth,
+    halls: tuple[str, ...],
+    rack: int,
+    service_time: float = 0.0,
+    prefix: str = "vm",
 ) -> list[WorkerServer]:
     """Return workers of 16 cores, 64 GB and 8 slots, spread over the halls."""
     capacity = Shape(cores=16, memory_mb=65_536, slots=8)
@@ -151,6 +171,6 @@
     for index in range(count):
         hall = halls[index % len(halls)]
         rack_name = f"{hall}-rack-{index // (rack * len(halls))}"
-        facts = VmFacts(f"vm-{index:02d}", "", hall, rack_name, capacity)
+        facts = VmFacts(f"{prefix}-{index:02d}", "", hall, rack_name, capacity)
         servers.append(WorkerServer(facts, truth, service_time))
     return servers
