Make room for all urgent tasks of a tick, and stop moving them about

Cause, from traces of the longest waits: (1) preemption looked at one waiting task of each shape a tick, so a rush of 60 took seconds; (2) a task was moved to another shard while its victims were yielding, up to ten times a second, which cancelled its reservation; (3) a job of 60 went into one or two shards, whose 8 VMs each could be reserved once at a time. Ruled out: poll latency (a command is carried out and confirmed within 0.1 s).

--- a/src/sablemount/core/systems/commands.py
+++ b/src/sablemount/core/systems/commands.py
@@ -26,8 +26,9 @@
 
 __all__ = ["Commands"]
 
-CHUNK = 50
-"""Tasks of one job that go into one shard together."""
+MIN_CHUNK = 4
+MAX_CHUNK = 50
+"""Fewest and most tasks of one job that go into one shard together."""
 MAX_COUNT = 10_000
 RETRY_AFTER = 5.0
 
@@ -54,20 +55,27 @@
         template = self._state.ledger.documents[event.template].document
         assert isinstance(template, TemplateDocument)
         bound, _ = bind_parameters(template, event.parameters)
-        chunks = range(0, event.count, CHUNK)
+        size = self._chunk_size(event.count)
+        chunks = range(0, event.count, size)
+        shards = self._placement.shards_for(template.shape, len(chunks))
         outcome = _JobOutcome(self, event.token, len(chunks))
-        for first in chunks:
+        for first, shard in zip(chunks, shards, strict=True):
             accept = records.Accept(
                 event.job,
                 event.template,
                 first,
-                min(CHUNK, event.count - first),
+                min(size, event.count - first),
                 event.count,
-                self._placement.shard_for(template.shape),
+                shard,
                 bound,
             )
             self._write(accept, outcome.settled, event.deadline)
 
+    def _chunk_size(self, count: int) -> int:
+        """Return how many tasks go into one shard together, so that a rush meets every owner."""
+        even = -(-count // self._state.settings.shards)
+        return min(MAX_CHUNK, max(MIN_CHUNK, even))
+
     def _job_failure(self, event: JobSubmitted) -> Failure | None:
         state = self._state
         if state.stopping:
--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -37,7 +37,6 @@
         self._state = state
         self._journal = journal
         self.queue = WaitQueue()
-        self.unplaced: list[WaitingTask] = []
         self.short_of_quota: dict[tuple[str, int], Shape] = {}
         self._blocked: dict[tuple[int, str], tuple[int, int, str]] = {}
         self._counter = 0
@@ -55,7 +54,6 @@
 
     def run(self) -> None:
         """Place what can be placed, the best-paid level first."""
-        self.unplaced.clear()
         self.short_of_quota.clear()
         if not self._state.leased():
             return
@@ -82,7 +80,6 @@
         # What did not fit is tried again when capacity is freed, and once a second for a move.
         mark = (self._state.freed, int(self._state.now), items[0].row.task)
         if self._blocked.get((level, organisation)) == mark:
-            self.unplaced.append(items[0])
             return False
         tried: set[Shape] = set()
         for item in items:
@@ -96,7 +93,6 @@
             tried.add(shape)
             if self._place(item):
                 return True
-            self.unplaced.append(item)
         self._blocked[level, organisation] = mark
         return False
 
@@ -283,7 +279,9 @@
     def _consider_move(self, item: WaitingTask) -> None:
         """Move a task to a shard that has room, through the log."""
         state = self._state
-        if item.moving or state.now < item.next_move or not self._journal.healthy:
+        if item.moving or item.reserved or state.now < item.next_move:
+            return
+        if not self._journal.healthy:
             return
         item.next_move = state.now + MOVE_INTERVAL * (0.5 + state.rng.random())
         to = self._own_shard_with_room(item.row)
@@ -353,8 +351,20 @@
                 return vm.shard
         return None
 
-    def shard_for(self, shape: Shape) -> int:
-        """Return the shard that a new task is best accepted into."""
+    def shards_for(self, shape: Shape, chunks: int) -> list[int]:
+        """Return the shards that the chunks of a new job are best accepted into."""
+        if chunks == 1:
+            return [self._shard_for(shape)]
+        state = self._state
+        owned = [
+            row.shard for row in state.ledger.shards if row.owner and state.ledger.vms[row.shard]
+        ]
+        if not owned:
+            return [self._shard_for(shape)] * chunks
+        state.rng.shuffle(owned)
+        return [owned[index % len(owned)] for index in range(chunks)]
+
+    def _shard_for(self, shape: Shape) -> int:
         state = self._state
         own = [shard for shard in state.held if state.active(shard)]
         state.rng.shuffle(own)
--- a/src/sablemount/core/systems/preemption.py
+++ b/src/sablemount/core/systems/preemption.py
@@ -13,7 +13,7 @@
 from sablemount.core.state import State
 from sablemount.core.systems.placement import Placement
 from sablemount.core.tables import RunRow, RunStage, VmRow, VmStage
-from sablemount.core.waiting import WaitingTask
+from sablemount.core.waiting import LEVELS, WaitingTask
 
 __all__ = ["Preemption"]
 
@@ -82,14 +82,19 @@
         self._restore()
         for task in list(self._reservations):
             self._settle(task, self._reservations[task])
-        tried = 0
-        for item in self._placement.unplaced:
-            if tried >= PER_TICK:
-                break
-            if self._due(item):
-                tried += 1
-                item.preempt_at = self._state.now + RETRY
-                self._make_room(item)
+        for item in self._due_items():
+            item.preempt_at = self._state.now + RETRY
+            self._make_room(item)
+
+    def _due_items(self) -> list[WaitingTask]:
+        """Return what the placement of this tick has left waiting, the best paid first."""
+        due: list[WaitingTask] = []
+        queue = self._placement.queue
+        for level in range(LEVELS):
+            for organisation in queue.organisations(level):
+                heads = queue.head(level, organisation, PER_TICK)
+                due.extend(item for item in heads if self._due(item))
+        return due[:PER_TICK]
 
     # -- Reservations ------------------------------------------------------------------------
 
@@ -110,6 +115,7 @@
 
     def _cancel(self, task: str, reservation: _Reservation) -> None:
         del self._reservations[task]
+        reservation.item.reserved = False
         row = self._state.vms.get(reservation.vm)
         if row is not None:
             row.reserved_for.pop(task, None)
@@ -147,6 +153,7 @@
         best_row.reserved_for[item.row.task] = item.row.template.shape
         until = state.now + state.settings.preempt_timeout
         self._reservations[item.row.task] = _Reservation(item, best_row.vm, until)
+        item.reserved = True
         best_row.urgent_poll = True
         state.reindex(best_row)
 
--- a/src/sablemount/core/waiting.py
+++ b/src/sablemount/core/waiting.py
@@ -10,6 +10,8 @@
 __all__ = ["WaitingTask", "WaitQueue"]
 
 LEVELS = len(CLASS_ORDER)
+FIRST_MOVE = 0.5
+"""How long a task waits in a shard before it may be moved to another, in seconds."""
 
 
 class WaitingTask:
@@ -23,6 +25,7 @@
         "next_move",
         "order",
         "preempt_at",
+        "reserved",
         "row",
         "since",
         "spread_done",
@@ -35,9 +38,10 @@
         self.order = CLASS_ORDER[row.template.priority]
         self.level = self.order
         self.level_since = now
-        self.next_move = now
+        self.next_move = now + FIRST_MOVE
         self.preempt_at = now
         self.moving = False
+        self.reserved = False
         self.spread_done = False
 
     @property
@@ -121,6 +125,10 @@
             if again and name in self._levels[level]:
                 heapq.heappush(heap, (served.get(name, 0.0), name))
 
+    def organisations(self, level: int) -> list[str]:
+        """Return the organisations that have tasks at a level."""
+        return list(self._levels[level])
+
     def head(self, level: int, organisation: str, depth: int) -> list[WaitingTask]:
         """Return the first ``depth`` tasks of an organisation at a level."""
         queue = self._levels[level].get(organisation)
--- a/tests/fakes/cell.py
+++ b/tests/fakes/cell.py
@@ -92,13 +92,16 @@
         settings: CoreSettings | None = None,
         retention: int = 1_000_000,
         halls: int = 3,
+        truth: Truth | None = None,
+        service_time: float = SERVICE_TIME,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.settings = settings or CoreSettings(shards=6)
         self.log = FakeLog(retention)
         self.log_delay = DELAY
-        self.truth = Truth()
+        self.truth = truth or Truth()
+        self.service_time = service_time
         self.workers = {
             facts.vm: FakeWorker(facts, self.truth)
             for facts in (vm_facts(index, halls) for index in range(vms))
@@ -314,7 +317,9 @@
         timeout = max(0.0, action.deadline - member.clock())
 
         def end(failure: Failure | None, free: bool, delay: float, served: object = None) -> None:
-            event = events.RequestEnded(request, action.vm, failure, free, SERVICE_TIME, served)
+            event = events.RequestEnded(
+                request, action.vm, failure, free, self.service_time, served
+            )
             self._reply(member, delay, event)
 
         def arrive() -> None:
@@ -323,12 +328,12 @@
                 end(lost, False, timeout)
                 return
             worker.begin(request, self.now)
-            self.after(SERVICE_TIME, lambda: worker.end(request))
+            self.after(self.service_time, lambda: worker.end(request))
             if self.drop(member, action, "answer"):
                 end(lost, False, timeout)
             else:
                 served = Served(action.body, action.vm)
-                end(None, True, SERVICE_TIME + DELAY, served)
+                end(None, True, self.service_time + DELAY, served)
 
         if member.clock() > action.not_after:
             end(Failure(Verdict.NOT_RUN, Reason.UPSTREAM_UNREACHABLE), True, 0.0)
