Let no full shard hold up the others, and place new work in a shard not open yet

The queue looked at the first four tasks of an organisation; when those stood in a full shard and the log could not move them, the organisation's tasks in other shards waited behind them. Ruled out: the promises (all six members leased throughout) and an empty queue (75-380 tasks waiting each). Change: tasks wait in groups by organisation and shard.

--- a/src/sablemount/core/shares.py
+++ b/src/sablemount/core/shares.py
@@ -55,6 +55,11 @@
         shares = self._accelerators.get(organisation)
         return None if shares is None else shares[shard]
 
+    def limited(self, organisation: str) -> bool:
+        """Tell whether an organisation has a quota of any kind."""
+        limits = (self._cores.get(organisation), self._accelerators.get(organisation))
+        return any(shares is not None for shares in limits)
+
     def move(self, organisation: str, source: int, to: int, cores: int, accelerators: int) -> str:
         """Move a part of a share and return an error or ``""``."""
         if min(cores, accelerators) < 0:
--- a/src/sablemount/core/state.py
+++ b/src/sablemount/core/state.py
@@ -68,7 +68,8 @@
         self.used_cores: dict[tuple[str, int], int] = {}
         self.used_accelerators: dict[tuple[str, int], int] = {}
         self.job_racks: dict[str, Counter[str]] = {}
-        self.freed = 0
+        # Counts what may let a waiting task of a shard fit.
+        self.freed = [0] * settings.shards
         self.drain_notices: dict[str, bool] = {}
 
     # -- Output ------------------------------------------------------------------------------
@@ -77,6 +78,10 @@
         """Add an action to what the current event gives."""
         self.actions.append(action)
 
+    def note_change(self) -> None:
+        """Let every waiting task be looked at again: a document or a share has changed."""
+        self.freed = [count + 1 for count in self.freed]
+
     # -- Ownership ---------------------------------------------------------------------------
 
     def leased(self) -> bool:
@@ -122,7 +127,7 @@
             else:
                 index.remove(row)
         if usable and not row.was_usable:
-            self.freed += 1
+            self.freed[row.shard] += 1
         row.was_usable = usable
         if usable and row.free_slots > 0 and len(row.requests) < self.settings.connections:
             self.slots.put(row)
@@ -153,7 +158,7 @@
         run.shape = shape
         row.charge(shape)
         self._spend(run, 1)
-        self.freed += 1
+        self.freed[row.shard] += 1
         self.reindex(row)
 
     def drop_run(self, run: RunRow) -> None:
@@ -167,7 +172,7 @@
         self._spend(run, -1)
         if run.template.preferences.spread:
             self.job_racks[run.job][row.rack] -= 1
-        self.freed += 1
+        self.freed[row.shard] += 1
         self.reindex(row)
 
     def _spend(self, run: RunRow, sign: int) -> None:
--- a/src/sablemount/core/systems/journal.py
+++ b/src/sablemount/core/systems/journal.py
@@ -62,14 +62,11 @@
 class _Pending:
     """A record that waits to be written or read back."""
 
-    __slots__ = ("body", "deadline", "nonce", "sequence", "settled")
+    __slots__ = ("body", "nonce", "sequence", "settled")
 
-    def __init__(
-        self, nonce: int, body: Body, deadline: float, settled: SettledCallback | None
-    ) -> None:
+    def __init__(self, nonce: int, body: Body, settled: SettledCallback | None) -> None:
         self.nonce = nonce
         self.body = body
-        self.deadline = deadline
         self.settled = settled
         self.sequence = 0
 
@@ -101,6 +98,9 @@
         self.listeners: list[Callable[[Applied], None]] = []
         self.reset_listeners: list[Callable[[], None]] = []
         self._pending: dict[int, _Pending] = {}
+        # By kind and by deadline, so that a long queue in an outage costs nothing at each tick.
+        self._by_kind: dict[type, dict[int, _Pending]] = {}
+        self._deadlines: list[tuple[float, int]] = []
         self._queue: list[tuple[int, int]] = []
         self._next_nonce = 1
         self._sequence = 0
@@ -124,18 +124,30 @@
             return False
         nonce = self._next_nonce
         self._next_nonce += 1
-        self._pending[nonce] = _Pending(nonce, body, deadline, settled)
+        item = _Pending(nonce, body, settled)
+        self._pending[nonce] = item
+        self._by_kind.setdefault(type(body), {})[nonce] = item
+        if deadline != FOREVER:
+            heapq.heappush(self._deadlines, (deadline, nonce))
         heapq.heappush(self._queue, (_priority(body), nonce))
         return True
 
     def waiting(self, kind: type[BodyT]) -> list[BodyT]:
         """Return the records of a kind that may still take effect or be written."""
-        return [item.body for item in self._pending.values() if isinstance(item.body, kind)]
+        return [item.body for item in self._by_kind.get(kind, {}).values()]  # type: ignore[misc]
+
+    def _remove(self, nonce: int) -> _Pending | None:
+        item = self._pending.pop(nonce, None)
+        if item is not None:
+            del self._by_kind[type(item.body)][nonce]
+        return item
 
     def forget_all(self) -> None:
         """Give up every record, as a new incarnation must."""
         pending = list(self._pending.values())
         self._pending.clear()
+        self._by_kind.clear()
+        self._deadlines.clear()
         self._queue.clear()
         self._in_flight = None
         self._sequence = 0
@@ -182,16 +194,17 @@
                 heapq.heappush(self._queue, (_priority(item.body), nonce))
 
     def _expire(self) -> None:
-        now = self._state.now
-        expired = [item for item in self._pending.values() if item.deadline <= now]
-        for item in expired:
+        while self._deadlines and self._deadlines[0][0] <= self._state.now:
+            _, nonce = heapq.heappop(self._deadlines)
+            item = self._pending.get(nonce)
+            if item is None:
+                continue
             if item.sent:
                 # It may still take effect, so it stays until it is read back.
-                item.deadline = FOREVER
                 self._settle(item, Settlement.UNKNOWN)
                 item.settled = None
             else:
-                del self._pending[item.nonce]
+                self._remove(nonce)
                 self._settle(item, Settlement.NOT_WRITTEN)
 
     def _settle(self, item: _Pending, settlement: Settlement, error: str = "") -> None:
@@ -292,7 +305,7 @@
         nonce = applied.record.nonce
         if batch is not None and nonce in batch.nonces:
             self._in_flight = None
-        item = self._pending.pop(nonce, None)
+        item = self._remove(nonce)
         if item is not None:
             settlement = Settlement.ACCEPTED if applied.accepted else Settlement.REJECTED
             self._settle(item, settlement, applied.error)
@@ -361,5 +374,5 @@
             self._in_flight = None
         for item in list(self._pending.values()):
             if 0 < item.sequence <= passed:
-                del self._pending[item.nonce]
+                self._remove(item.nonce)
                 self._settle(item, Settlement.UNKNOWN)
--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -12,12 +12,12 @@
 from sablemount.core.systems.journal import Journal, Settlement
 from sablemount.core.tables import HeldShard, HoldState, RunRow, VmRow, VmStage
 from sablemount.core.verdict import Verdict
-from sablemount.core.waiting import LEVELS, WaitingTask, WaitQueue
+from sablemount.core.waiting import LEVELS, Group, WaitingTask, WaitQueue
 
 __all__ = ["Placement"]
 
 LOOK_AHEAD = 4
-"""How many tasks of one organisation are tried at its turn when the first does not fit."""
+"""How many tasks of one group are tried at its turn when the first does not fit."""
 MOVE_INTERVAL = 1.0
 """Least time between two moves of one task to another shard, in seconds."""
 SAMPLE = 64
@@ -38,7 +38,7 @@
         self._journal = journal
         self.queue = WaitQueue()
         self.short_of_quota: dict[tuple[str, int], Shape] = {}
-        self._blocked: dict[tuple[int, str], tuple[int, int, str]] = {}
+        self._blocked: dict[tuple[int, Group], tuple[int, int, str]] = {}
         self._counter = 0
 
     def enqueue(self, row: TaskRow, new: bool = False) -> None:
@@ -64,22 +64,22 @@
 
     def _run_level(self, level: int, budget: int) -> int:
         turns = self.queue.turns(level)
-        again: bool | None = None
-        while budget > 0:
+        group = next(turns, None)
+        while group is not None and budget > 0:
+            again = self._take_turn(level, group)
+            budget -= again
             try:
-                name = turns.send(again)  # type: ignore[attr-defined]
+                group = turns.send(again)
             except StopIteration:
                 break
-            again = self._take_turn(level, name)
-            budget -= again
         return budget
 
-    def _take_turn(self, level: int, organisation: str) -> bool:
-        """Place one task of an organisation; tell whether one was placed or taken out."""
-        items = self.queue.head(level, organisation, LOOK_AHEAD)
+    def _take_turn(self, level: int, group: Group) -> bool:
+        """Place one task of a group; tell whether one was placed or taken out."""
+        items = self.queue.head(level, group, LOOK_AHEAD)
         # What did not fit is tried again when capacity is freed, and once a second for a move.
-        mark = (self._state.freed, int(self._state.now), items[0].row.task)
-        if self._blocked.get((level, organisation)) == mark:
+        mark = (self._state.freed[group.shard], int(self._state.now), items[0].row.task)
+        if self._blocked.get((level, group)) == mark:
             return False
         tried: set[Shape] = set()
         for item in items:
@@ -93,7 +93,7 @@
             tried.add(shape)
             if self._place(item):
                 return True
-        self._blocked[level, organisation] = mark
+        self._blocked[level, group] = mark
         return False
 
     def _eligible(self, item: WaitingTask) -> bool:
@@ -108,7 +108,9 @@
             self.queue.remove(row.task)
             self._finish_cancelled(item, held)
             return False
-        return held.opened and held.state is HoldState.ACTIVE and not item.moving
+        # In a shard that was taken and is not open yet, only what never started may be placed.
+        known = held.opened or item.new
+        return known and held.state is HoldState.ACTIVE and not item.moving
 
     def _finish_cancelled(self, item: WaitingTask, held: HeldShard) -> None:
         row = item.row
@@ -158,6 +160,9 @@
         key = (row.template.organisation, row.shard)
         shares = state.ledger.shares
         cores = shares.cores(*key)
+        if not state.held[row.shard].opened and shares.limited(row.template.organisation):
+            # What a former owner's runs use of the share is not known yet.
+            return False
         if cores is not None and state.used_cores.get(key, 0) + shape.cores > cores:
             return False
         accelerators = shares.accelerators(*key)
@@ -300,7 +305,7 @@
 
     def _moved(self, item: WaitingTask) -> None:
         item.moving = False
-        self._state.freed += 1
+        self._state.freed[item.row.shard] += 1
 
     def _own_shard_with_room(self, row: TaskRow) -> int | None:
         state = self._state
--- a/src/sablemount/core/systems/preemption.py
+++ b/src/sablemount/core/systems/preemption.py
@@ -91,8 +91,8 @@
         due: list[WaitingTask] = []
         queue = self._placement.queue
         for level in range(LEVELS):
-            for organisation in queue.organisations(level):
-                heads = queue.head(level, organisation, PER_TICK)
+            for group in queue.groups(level):
+                heads = queue.head(level, group, PER_TICK)
                 due.extend(item for item in heads if self._due(item))
         return due[:PER_TICK]
 
@@ -119,7 +119,7 @@
         row = self._state.vms.get(reservation.vm)
         if row is not None:
             row.reserved_for.pop(task, None)
-            self._state.freed += 1
+            self._state.freed[row.shard] += 1
             self._state.reindex(row)
 
     # -- Choosing victims --------------------------------------------------------------------
--- a/src/sablemount/core/systems/recovery.py
+++ b/src/sablemount/core/systems/recovery.py
@@ -34,7 +34,7 @@
     def _open(self, held: HeldShard) -> None:
         state = self._state
         held.opened = True
-        state.freed += 1
+        state.freed[held.shard] += 1
         state.meter.count("shards_opened")
         self._enqueue_all(held)
 
@@ -75,16 +75,16 @@
             self._consider(row)
             self._stop_cancelled(row)
         elif isinstance(body, records.Publish):
-            self._state.freed += 1
+            self._state.note_change()
             for row in ledger.replicas_of(body.key):
                 self._consider(row)
                 self._stop_cancelled(row)
         elif isinstance(body, records.QuotaMove):
-            self._state.freed += 1
+            self._state.note_change()
 
     def _consider(self, row: TaskRow, new: bool = False) -> None:
         held = self._state.held.get(row.shard)
-        if held is None or not held.opened or row.finished:
+        if held is None or row.finished or not (held.opened or new):
             return
         if row.task not in self._state.run_of:
             self._placement.enqueue(row, new)
--- a/src/sablemount/core/waiting.py
+++ b/src/sablemount/core/waiting.py
@@ -2,22 +2,31 @@
 
 import heapq
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Generator
+from typing import NamedTuple
 
 from sablemount.core.documents import CLASS_ORDER
 from sablemount.core.ledger import TaskRow
 
-__all__ = ["WaitingTask", "WaitQueue"]
+__all__ = ["Group", "WaitQueue", "WaitingTask"]
 
 LEVELS = len(CLASS_ORDER)
 FIRST_MOVE = 0.5
 """How long a task waits in a shard before it may be moved to another, in seconds."""
 
 
+class Group(NamedTuple):
+    """The tasks of one organisation in one shard."""
+
+    organisation: str
+    shard: int
+
+
 class WaitingTask:
     """A task that waits for a VM; ``level`` rises with age, ``order`` is its paid class."""
 
     __slots__ = (
+        "group",
         "level",
         "level_since",
         "moving",
@@ -34,6 +43,7 @@
     def __init__(self, row: TaskRow, now: float, new: bool) -> None:
         self.row = row
         self.new = new
+        self.group = Group(row.template.organisation, row.shard)
         self.since = now
         self.order = CLASS_ORDER[row.template.priority]
         self.level = self.order
@@ -51,11 +61,15 @@
 
 
 class WaitQueue:
-    """Waiting tasks; each level serves the organisation that had the least for its weight."""
+    """Waiting tasks; each level serves the organisation that had the least for its weight.
+
+    Within a level the tasks of one organisation in one shard form a group, so that a full shard
+    holds up nobody's tasks in the others.
+    """
 
     def __init__(self) -> None:
         self._items: dict[str, WaitingTask] = {}
-        self._levels: list[dict[str, OrderedDict[str, WaitingTask]]] = [{} for _ in range(LEVELS)]
+        self._levels: list[dict[Group, OrderedDict[str, WaitingTask]]] = [{} for _ in range(LEVELS)]
         self._served: list[dict[str, float]] = [{} for _ in range(LEVELS)]
         self._floor = [0.0] * LEVELS
 
@@ -78,30 +92,31 @@
         """Take the rows of another ledger; tasks that it does not have are taken out."""
         for name in list(self._items):
             row = tasks.get(name)
-            if row is None:
-                self.remove(name)
-            else:
-                self._items[name].row = row
+            item = self.remove(name)
+            if row is not None and item is not None:
+                item.row = row
+                self._insert(item)
 
     def _insert(self, item: WaitingTask) -> None:
+        item.group = Group(item.organisation, item.row.shard)
         self._items[item.row.task] = item
-        queues = self._levels[item.level]
-        if item.organisation not in queues:
-            queues[item.organisation] = OrderedDict()
+        groups = self._levels[item.level]
+        if item.group not in groups:
+            groups[item.group] = OrderedDict()
             # One that was idle starts level with the others: idleness earns no credit.
             served = self._served[item.level]
             floor = self._floor[item.level]
             served[item.organisation] = max(served.get(item.organisation, 0.0), floor)
-        queues[item.organisation][item.row.task] = item
+        groups[item.group][item.row.task] = item
 
     def remove(self, task: str) -> WaitingTask | None:
         """Take a task out, if it is in."""
         item = self._items.pop(task, None)
         if item is not None:
-            queues = self._levels[item.level]
-            del queues[item.organisation][task]
-            if not queues[item.organisation]:
-                del queues[item.organisation]
+            groups = self._levels[item.level]
+            del groups[item.group][task]
+            if not groups[item.group]:
+                del groups[item.group]
         return item
 
     def charge(self, item: WaitingTask, cost: float, weight: float) -> None:
@@ -111,27 +126,27 @@
         self._floor[item.level] = max(self._floor[item.level], start)
         served[item.organisation] = start + cost / weight
 
-    def turns(self, level: int) -> Iterator[str]:
-        """Yield the organisations of a level, the least served first, while they have tasks.
+    def turns(self, level: int) -> Generator[Group, bool, None]:
+        """Yield the groups of a level, the least served first, while they have tasks.
 
-        The caller sends ``True`` to give the organisation another turn, ``False`` to pass on.
+        The caller sends ``True`` to give the group another turn, ``False`` to pass on.
         """
         served = self._served[level]
-        heap = [(served.get(name, 0.0), name) for name in self._levels[level]]
+        heap = [(served.get(group.organisation, 0.0), group) for group in self._levels[level]]
         heapq.heapify(heap)
         while heap:
-            _, name = heapq.heappop(heap)
-            again = yield name
-            if again and name in self._levels[level]:
-                heapq.heappush(heap, (served.get(name, 0.0), name))
+            _, group = heapq.heappop(heap)
+            again = yield group
+            if again and group in self._levels[level]:
+                heapq.heappush(heap, (served.get(group.organisation, 0.0), group))
 
-    def organisations(self, level: int) -> list[str]:
-        """Return the organisations that have tasks at a level."""
+    def groups(self, level: int) -> list[Group]:
+        """Return the groups that have tasks at a level."""
         return list(self._levels[level])
 
-    def head(self, level: int, organisation: str, depth: int) -> list[WaitingTask]:
-        """Return the first ``depth`` tasks of an organisation at a level."""
-        queue = self._levels[level].get(organisation)
+    def head(self, level: int, group: Group, depth: int) -> list[WaitingTask]:
+        """Return the first ``depth`` tasks of a group at a level."""
+        queue = self._levels[level].get(group)
         if queue is None:
             return []
         return [item for item, _ in zip(queue.values(), range(depth), strict=False)]
@@ -139,8 +154,8 @@
     def promote(self, now: float, aging: float) -> None:
         """Raise by one level the tasks at the head that have waited long at theirs."""
         for level in range(1, LEVELS):
-            for name in list(self._levels[level]):
-                for item in self.head(level, name, 1):
+            for group in list(self._levels[level]):
+                for item in self.head(level, group, 1):
                     if now - item.level_since >= aging:
                         self.remove(item.row.task)
                         item.level -= 1
