--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from sablemount.core.ledger import TaskRow
+from sablemount.core.rows import TaskRow
 from sablemount.core.systems.placement import Placement
 from sablemount.core.systems.preemption import Preemption
 from sablemount.core.tables import VmRow
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -24,9 +24,11 @@
 from sablemount.core.config import CoreSettings
 from sablemount.core.documents import Kind, PriorityClass, Shape, TemplateDocument
 from sablemount.core.image import pack_image
-from sablemount.core.ledger import Ledger, LogEntry
+from sablemount.core.ledger import Ledger
+from sablemount.core.ledger_image import image_of
 from sablemount.core.messages import encode_message
 from sablemount.core.records import Batch, Record, Writer, encode_batch
+from sablemount.core.rows import LogEntry
 from tests.fakes.cell import VirtualCell
 
 __all__ = ["main"]
@@ -139,7 +141,7 @@
     del bodies, payload
     gc.collect()
     memory = resident_bytes() - before
-    image = ledger.image()
+    image = image_of(ledger)
     snapshot = pack_image(image)
     raw = len(zlib.decompress(snapshot))
     figures = {
--- a/src/sablemount/core/events.py
+++ b/src/sablemount/core/events.py
@@ -7,8 +7,8 @@
 
 from sablemount.core.documents import Document, Scalar, Shape
 from sablemount.core.facts import VmFacts
-from sablemount.core.ledger import LogEntry
 from sablemount.core.messages import PeerMessage
+from sablemount.core.rows import LogEntry
 from sablemount.core.verdict import Failure
 
 __all__ = [
--- a/src/sablemount/core/ledger.py
+++ b/src/sablemount/core/ledger.py
@@ -8,24 +8,15 @@
 from collections import deque
 from functools import singledispatchmethod
 
-import msgspec
-
-from sablemount.core import documents, records
+from sablemount.core import records
 from sablemount.core.documents import Kind, OrganisationDocument, TemplateDocument
 from sablemount.core.facts import VmFacts
-from sablemount.core.image import (
-    DocumentImage,
-    KeyImage,
-    LedgerImage,
-    MemberImage,
-    ShareImage,
-    TaskImage,
-)
 from sablemount.core.image import ShardImage as ShardRow
-from sablemount.core.records import Batch, Record, Writer
+from sablemount.core.records import Batch, Writer
+from sablemount.core.rows import Applied, DocumentRow, LogEntry, TaskRow, task_name
 from sablemount.core.shares import QuotaShares
 
-__all__ = ["Applied", "DocumentRow", "Ledger", "LogEntry", "ShardRow", "TaskRow", "task_name"]
+__all__ = ["Ledger"]
 
 KEY_HORIZON = 86_400.0
 """How long a key is remembered and how old it may be when it is spent, in seconds."""
@@ -37,80 +28,6 @@
 OK = ""
 
 
-class LogEntry(msgspec.Struct, frozen=True):
-    """One entry as the log service returns it; ``time`` is the log's own clock in seconds."""
-
-    offset: int
-    time: float
-    payload: bytes
-
-
-class Applied(msgspec.Struct, frozen=True):
-    """What the fold made of one record; ``error`` is empty for an accepted one."""
-
-    offset: int
-    writer: Writer
-    record: Record
-    error: str
-
-    @property
-    def accepted(self) -> bool:
-        """Tell whether the record took effect."""
-        return not self.error
-
-
-class DocumentRow(msgspec.Struct, frozen=True):
-    """A document in force."""
-
-    document: documents.Document
-    revision: int
-    author: str
-    offset: int
-
-
-class TaskRow:
-    """One accepted task, or one replica of a service."""
-
-    __slots__ = (
-        "accepted_at",
-        "cancelled",
-        "intent",
-        "job",
-        "parameters",
-        "position",
-        "reason",
-        "revision",
-        "shard",
-        "task",
-        "template",
-        "verdict",
-    )
-
-    def __init__(self, task: str, job: str, template: TemplateDocument, revision: int) -> None:
-        self.task = task
-        self.job = job
-        self.template = template
-        self.revision = revision
-        self.shard = 0
-        self.position = 0
-        self.parameters: dict[str, documents.Scalar] = {}
-        self.accepted_at = 0.0
-        self.intent = 0
-        self.cancelled = False
-        self.verdict: str = ""
-        self.reason = ""
-
-    @property
-    def finished(self) -> bool:
-        """Tell whether the outcome is recorded."""
-        return bool(self.verdict)
-
-    @property
-    def service(self) -> bool:
-        """Tell whether this is a replica of a long-running service."""
-        return self.template.kind is Kind.SERVICE
-
-
 class Ledger:
     """Tables folded from the log."""
 
@@ -134,7 +51,7 @@
         self.vms: list[dict[str, VmFacts]] = [{} for _ in range(shard_count)]
         self.keys: dict[str, float] = {}
         self.shares = QuotaShares(shard_count)
-        self._finished: deque[tuple[float, str]] = deque()
+        self.finished: deque[tuple[float, str]] = deque()
         self._writer = Writer("", 0)
 
     # -- Reading the log ---------------------------------------------------------------------
@@ -183,8 +100,8 @@
                 break
             del self.keys[key]
         oldest_task = self.log_time - FINISHED_HORIZON
-        while self._finished and self._finished[0][0] < oldest_task:
-            _, task = self._finished.popleft()
+        while self.finished and self.finished[0][0] < oldest_task:
+            _, task = self.finished.popleft()
             self.tasks.pop(task, None)
 
     # -- Members -----------------------------------------------------------------------------
@@ -367,7 +284,7 @@
         row.verdict = body.verdict.value
         row.reason = body.reason
         self.open_tasks[row.shard].pop(row.task, None)
-        self._finished.append((self.log_time, row.task))
+        self.finished.append((self.log_time, row.task))
         return OK
 
     @_fold.register
@@ -444,97 +361,3 @@
         if body.index == body.total - 1:
             self.snapshot_upto = max(self.snapshot_upto, body.upto)
         return OK
-
-    # -- Snapshots ---------------------------------------------------------------------------
-
-    def image(self) -> LedgerImage:
-        """Return an immutable image of the whole state."""
-        return LedgerImage(
-            offset=self.offset,
-            log_time=self.log_time,
-            members=[
-                MemberImage(writer, self.halls[name], self.joined_at[name], self.sequences[name])
-                for name, writer in self.members.items()
-            ],
-            incarnations=dict(self.incarnations),
-            seen=dict(self.seen),
-            shards=list(self.shards),
-            documents=[
-                DocumentImage(key, row.document, row.revision, row.author, row.offset)
-                for key, row in self.documents.items()
-            ],
-            tasks=[_task_image(row) for row in self.tasks.values()],
-            vms=[list(shard.values()) for shard in self.vms],
-            drained=list(self.drained),
-            finished=list(self._finished),
-            keys=[KeyImage(key, spent) for key, spent in self.keys.items()],
-            shares=[
-                ShareImage(name, cores, accelerators)
-                for name, cores, accelerators in self.shares.rows()
-            ],
-        )
-
-    @classmethod
-    def from_image(cls, image: LedgerImage) -> "Ledger":
-        """Return the ledger that an image was taken of."""
-        ledger = cls(len(image.shards))
-        ledger.offset = image.offset
-        ledger.log_time = image.log_time
-        ledger.snapshot_upto = image.offset
-        for member in image.members:
-            name = member.writer.name
-            ledger.members[name] = member.writer
-            ledger.halls[name] = member.hall
-            ledger.joined_at[name] = member.joined_at
-            ledger.sequences[name] = member.sequence
-        ledger.incarnations = dict(image.incarnations)
-        ledger.seen = dict(image.seen)
-        ledger.shards = list(image.shards)
-        for item in image.documents:
-            row = DocumentRow(item.document, item.revision, item.author, item.offset)
-            ledger.documents[item.key] = row
-        for share in image.shares:
-            ledger.shares.restore(share.organisation, share.cores, share.accelerators)
-        for task in image.tasks:
-            ledger._restore_task(task)
-        ledger.vms = [{facts.vm: facts for facts in shard} for shard in image.vms]
-        ledger.drained = dict.fromkeys(image.drained, True)
-        ledger._finished = deque(image.finished)
-        ledger.keys = {item.key: item.spent for item in image.keys}
-        return ledger
-
-    def _restore_task(self, image: TaskImage) -> None:
-        row = TaskRow(image.task, image.job, image.template, image.revision)
-        row.shard = image.shard
-        row.position = image.position
-        row.parameters = image.parameters
-        row.accepted_at = image.accepted_at
-        row.intent = image.intent
-        row.cancelled = image.cancelled
-        row.verdict = image.verdict
-        row.reason = image.reason
-        self.tasks[row.task] = row
-        if not row.finished:
-            self.open_tasks[row.shard][row.task] = None
-
-
-def task_name(job: str, position: int, total: int) -> str:
-    """Return the name of one task of a job."""
-    return job if total == 1 else f"{job}.{position}"
-
-
-def _task_image(row: TaskRow) -> TaskImage:
-    return TaskImage(
-        row.task,
-        row.job,
-        row.template,
-        row.revision,
-        row.shard,
-        row.position,
-        row.parameters,
-        row.accepted_at,
-        row.intent,
-        row.cancelled,
-        row.verdict,
-        row.reason,
-    )
--- a/src/sablemount/core/state.py
+++ b/src/sablemount/core/state.py
@@ -8,9 +8,10 @@
 from sablemount.core.config import CoreSettings
 from sablemount.core.documents import Shape
 from sablemount.core.index import FreeIndex, SlotIndex
-from sablemount.core.ledger import Ledger, TaskRow
+from sablemount.core.ledger import Ledger
 from sablemount.core.meter import Meter
 from sablemount.core.records import Writer
+from sablemount.core.rows import TaskRow
 from sablemount.core.tables import (
     HeldShard,
     HoldState,
--- a/src/sablemount/core/systems/inventory.py
+++ b/src/sablemount/core/systems/inventory.py
@@ -10,8 +10,8 @@
 from sablemount.core.documents import Kind
 from sablemount.core.events import VmListRead
 from sablemount.core.facts import VmFacts
-from sablemount.core.ledger import Applied
 from sablemount.core.messages import DrainNotice
+from sablemount.core.rows import Applied
 from sablemount.core.state import State, shard_of
 from sablemount.core.systems.journal import Journal
 from sablemount.core.tables import RunRow, RunStage, VmRow, VmStage
--- a/src/sablemount/core/systems/journal.py
+++ b/src/sablemount/core/systems/journal.py
@@ -14,8 +14,10 @@
 from sablemount.core.actions import AppendLog, ReadLog
 from sablemount.core.events import AppendEnded, AppendStatus, LogRead
 from sablemount.core.image import LedgerImage, SnapshotAssembler
-from sablemount.core.ledger import Applied, Ledger, LogEntry
+from sablemount.core.ledger import Ledger
+from sablemount.core.ledger_image import ledger_of
 from sablemount.core.records import Batch, Body, Record, SnapshotPart
+from sablemount.core.rows import Applied, LogEntry
 from sablemount.core.state import State
 
 __all__ = ["Journal", "Settlement", "SettledCallback"]
@@ -325,7 +327,7 @@
             return
         current = self._state.ledger
         if self._snapshot is not None and self._snapshot.offset > current.offset:
-            self._install(Ledger.from_image(self._snapshot))
+            self._install(ledger_of(self._snapshot))
         if event.first <= self._state.ledger.offset + 1:
             self._finish_bootstrap()
         else:
@@ -353,7 +355,7 @@
         """Take a peer's ledger if it is further than this one; never an older one."""
         if image.offset <= self._state.ledger.offset:
             return False
-        self._install(Ledger.from_image(image))
+        self._install(ledger_of(image))
         self._state.ready = True
         return True
 
--- a/src/sablemount/core/systems/membership.py
+++ b/src/sablemount/core/systems/membership.py
@@ -9,9 +9,10 @@
 from sablemount.core import records
 from sablemount.core.actions import SendPeer
 from sablemount.core.image import pack_image, unpack_image
-from sablemount.core.ledger import Applied
+from sablemount.core.ledger_image import image_of
 from sablemount.core.messages import CatchUp, CatchUpReply, Gossip, MemberBeat, PeerMessage
 from sablemount.core.records import Writer
+from sablemount.core.rows import Applied
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal
 from sablemount.core.tables import PeerRow
@@ -241,7 +242,7 @@
         state = self._state
         if state.ledger.offset <= message.offset:
             return
-        image = pack_image(state.ledger.image())
+        image = pack_image(image_of(state.ledger))
         reply = CatchUpReply(state.writer, state.ledger.offset, image)
         state.emit(SendPeer(message.sender.name, reply))
 
--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -7,7 +7,7 @@
 from sablemount.core import records
 from sablemount.core.actions import StartRun
 from sablemount.core.documents import OrganisationDocument, Preferences, Shape
-from sablemount.core.ledger import TaskRow
+from sablemount.core.rows import TaskRow
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal, Settlement
 from sablemount.core.tables import HeldShard, HoldState, RunRow, VmRow, VmStage
--- a/src/sablemount/core/systems/reconcile.py
+++ b/src/sablemount/core/systems/reconcile.py
@@ -9,7 +9,7 @@
 from sablemount.core.actions import CommandKind
 from sablemount.core.documents import Kind, Shape
 from sablemount.core.events import PollEnded, RunReport, RunState, StartEnded, StartStatus
-from sablemount.core.ledger import TaskRow
+from sablemount.core.rows import TaskRow
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal, Settlement
 from sablemount.core.systems.renewal import Renewal
--- a/src/sablemount/core/systems/recovery.py
+++ b/src/sablemount/core/systems/recovery.py
@@ -2,7 +2,7 @@
 
 from sablemount.core import records
 from sablemount.core.actions import CommandKind
-from sablemount.core.ledger import Applied, TaskRow
+from sablemount.core.rows import Applied, TaskRow
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal
 from sablemount.core.systems.placement import Placement
--- a/src/sablemount/core/systems/requests.py
+++ b/src/sablemount/core/systems/requests.py
@@ -12,13 +12,13 @@
 from sablemount.core import records
 from sablemount.core.actions import AnswerRequest, Forward, Serve
 from sablemount.core.documents import (
-    CLASS_ORDER,
     Kind,
     OrganisationDocument,
     Shape,
     TemplateDocument,
 )
 from sablemount.core.events import RequestArrived, RequestEnded
+from sablemount.core.request_queue import RequestQueue, RequestRow
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal, Settlement
 from sablemount.core.systems.limits import Ejection, OrganisationLimits, RetryBudget
@@ -37,42 +37,15 @@
 KEY_PARTS = 2
 
 
-class _Request:
-    """A request between its arrival and its answer."""
-
-    __slots__ = (
-        "arrival",
-        "arrived",
-        "attempt",
-        "may_have_run",
-        "not_before",
-        "order",
-        "sent",
-        "template",
-        "vm",
-    )
-
-    def __init__(self, arrival: RequestArrived, template: TemplateDocument, now: float) -> None:
-        self.arrival = arrival
-        self.template = template
-        self.order = CLASS_ORDER[template.priority]
-        self.arrived = now
-        self.attempt = 0
-        self.vm = ""
-        self.sent = False
-        self.may_have_run = False
-        self.not_before = 0.0
-
-
 class Requests:
     """Takes requests from callers and peers to an answer."""
 
     def __init__(self, state: State, journal: Journal) -> None:
         self._state = state
         self._journal = journal
-        self._requests: dict[str, _Request] = {}
-        self._queues: list[deque[str]] = [deque() for _ in CLASS_ORDER]
-        self._delayed: deque[str] = deque()
+        self._requests: dict[str, RequestRow] = {}
+        self._queue = RequestQueue(state.settings.request_queue)
+        self._delayed: deque[RequestRow] = deque()
         self._budget = RetryBudget(state.settings.retry_budget)
         self._limits = OrganisationLimits()
         self._ejection = Ejection(state)
@@ -100,7 +73,7 @@
             state.meter.failed(arrival.template, failure.reason.value)
             state.emit(AnswerRequest(arrival.request, Err(failure)))
             return
-        request = _Request(arrival, template, state.now)
+        request = RequestRow(arrival, template, state.now)
         self._requests[arrival.request] = request
         self._limits.entered(template.organisation)
         self._budget.earned()
@@ -135,7 +108,7 @@
 
     # -- Keys --------------------------------------------------------------------------------
 
-    def _spend_key(self, request: _Request) -> None:
+    def _spend_key(self, request: RequestRow) -> None:
         """Spend the key in the log before the first byte goes out."""
         arrival = request.arrival
         issued = parse_key(arrival.key)
@@ -150,8 +123,8 @@
         if not queued:
             self._fail(request, Verdict.NOT_RUN, Reason.OVERLOADED, "the journal is full", 1.0)
 
-    def _spent(self, request: _Request, settled: Settlement, error: str) -> None:
-        if self._requests.get(request.arrival.request) is not request:
+    def _spent(self, request: RequestRow, settled: Settlement, error: str) -> None:
+        if self._requests.get(request.name) is not request:
             return
         if settled is Settlement.ACCEPTED:
             self._route(request)
@@ -166,11 +139,11 @@
 
     # -- Routing -----------------------------------------------------------------------------
 
-    def _route(self, request: _Request) -> None:
-        if any(self._queues[: request.order + 1]) or not self._dispatch(request):
+    def _route(self, request: RequestRow) -> None:
+        if self._queue.ahead_of(request.order) or not self._dispatch(request):
             self._enqueue(request)
 
-    def _dispatch(self, request: _Request) -> bool:
+    def _dispatch(self, request: RequestRow) -> bool:
         """Send a request to a VM or a peer; tell whether it went."""
         state = self._state
         if state.now < request.not_before:
@@ -187,13 +160,12 @@
                 return True
         return False
 
-    def _serve(self, request: _Request, row: VmRow) -> None:
+    def _serve(self, request: RequestRow, row: VmRow) -> None:
         state = self._state
         arrival = request.arrival
         if not request.attempt:
             self._count_wait(request)
         request.attempt += 1
-        request.vm = row.vm
         request.sent = True
         row.requests[arrival.request] = float("inf")
         row.free_slots -= 1
@@ -210,7 +182,7 @@
             )
         )
 
-    def _count_wait(self, request: _Request) -> None:
+    def _count_wait(self, request: RequestRow) -> None:
         waited = self._state.now - request.arrived
         template = request.template
         within = waited <= template.objective.within
@@ -232,85 +204,63 @@
         chosen.free_slots -= 1
         return chosen.name
 
-    def _forward(self, request: _Request, peer: str) -> None:
+    def _forward(self, request: RequestRow, peer: str) -> None:
         request.sent = True
-        request.vm = ""
         self._state.meter.count("forwards")
         self._state.emit(Forward(peer, request.arrival))
 
     # -- The queue ---------------------------------------------------------------------------
 
-    def _enqueue(self, request: _Request) -> None:
-        if self._queued() >= self._state.settings.request_queue:
-            victim = self._least_paid()
-            if victim is None or victim.order <= request.order:
+    def _enqueue(self, request: RequestRow) -> None:
+        if self._queue.full:
+            victim = self._queue.pop_least_paid(request.order)
+            if victim is None:
                 self._shed(request)
                 return
-            self._queues[victim.order].remove(victim.arrival.request)
             self._shed(victim)
         if self._hopeless(request):
             self._shed(request)
-            return
-        self._queues[request.order].append(request.arrival.request)
-
-    def _queued(self) -> int:
-        return sum(len(queue) for queue in self._queues)
-
-    def _least_paid(self) -> _Request | None:
-        for queue in reversed(self._queues):
-            if queue:
-                return self._requests[queue[-1]]
-        return None
+        else:
+            self._queue.push(request)
 
     def _wait_ahead(self, order: int) -> float:
         """Return how long what is queued ahead will take, in seconds."""
-        ahead = sum(len(queue) for queue in self._queues[: order + 1])
-        return ahead * self._service_time / max(1, self._slots_total)
+        return self._queue.ahead_of(order) * self._service_time / max(1, self._slots_total)
 
-    def _hopeless(self, request: _Request) -> bool:
+    def _hopeless(self, request: RequestRow) -> bool:
         """Tell whether a deadline will pass before the request's turn comes."""
-        if not self._queues[request.order]:
-            return False
         wait = self._wait_ahead(request.order)
         return self._state.now + wait > request.arrival.deadline
 
-    def _shed(self, request: _Request) -> None:
+    def _shed(self, request: RequestRow) -> None:
         retry_after = min(5.0, 0.2 + self._wait_ahead(request.order))
         verdict = Verdict.MAY_HAVE_RUN if request.may_have_run else Verdict.NOT_RUN
         self._fail(request, verdict, Reason.OVERLOADED, "", retry_after)
 
     def pump(self) -> None:
         """Send what waits for as long as there is room."""
-        state = self._state
-        for queue in self._queues:
-            while queue:
-                request = self._requests.get(queue[0])
-                if request is None:
-                    queue.popleft()
-                    continue
-                if request.arrival.deadline <= state.now:
-                    queue.popleft()
-                    self._give_up(request)
-                    continue
-                if not self._dispatch(request):
-                    return
-                queue.popleft()
+        while (request := self._queue.first()) is not None:
+            gone = request.name not in self._requests
+            late = not gone and request.arrival.deadline <= self._state.now
+            if not gone and not late and not self._dispatch(request):
+                return
+            self._queue.pop()
+            if late:
+                self._give_up(request)
 
     def run(self) -> None:
         """Expire, put back what was delayed, and send."""
-        state = self._state
         self._ejection.run()
         self._count_slots()
         for _ in range(len(self._delayed)):
-            name = self._delayed.popleft()
-            request = self._requests.get(name)
-            if request is None:
-                continue
-            if request.not_before <= state.now:
-                self._queues[request.order].appendleft(name)
+            request = self._delayed.popleft()
+            if request.not_before <= self._state.now:
+                self._queue.push_front(request)
             else:
-                self._delayed.append(name)
-        self._expire()
+                self._delayed.append(request)
+        for request in self._queue.pop_late(self._state.now):
+            if request.name in self._requests:
+                self._give_up(request)
         self.pump()
 
     def _count_slots(self) -> None:
@@ -321,19 +271,7 @@
         rows = (row for shard in state.held for row in state.shard_vms[shard].values())
         self._slots_total = sum(row.facts.capacity.slots for row in rows if row.was_usable)
 
-    def _expire(self) -> None:
-        now = self._state.now
-        for queue in self._queues:
-            late = [name for name in queue if self._past(name, now)]
-            for name in late:
-                queue.remove(name)
-                self._give_up(self._requests[name])
-
-    def _past(self, name: str, now: float) -> bool:
-        request = self._requests.get(name)
-        return request is not None and request.arrival.deadline <= now
-
-    def _give_up(self, request: _Request) -> None:
+    def _give_up(self, request: RequestRow) -> None:
         verdict = Verdict.MAY_HAVE_RUN if request.may_have_run else Verdict.NOT_RUN
         self._fail(request, verdict, Reason.DEADLINE, "the deadline passed before its turn", 0.5)
 
@@ -359,14 +297,14 @@
         self._ejection.note(row, event.failure)
         self._state.reindex(row)
 
-    def _conclude(self, request: _Request, event: RequestEnded) -> None:
+    def _conclude(self, request: RequestRow, event: RequestEnded) -> None:
         failure = event.failure
         if failure is None:
             self._service_time += 0.05 * (event.elapsed - self._service_time)
             self._finish(request)
             assert isinstance(event.served, Served)
             self._state.meter.count("answers", Verdict.DONE.value)
-            self._state.emit(AnswerRequest(request.arrival.request, Ok(event.served)))
+            self._state.emit(AnswerRequest(request.name, Ok(event.served)))
             return
         if failure.verdict is Verdict.MAY_HAVE_RUN:
             request.may_have_run = True
@@ -376,7 +314,7 @@
             verdict = Verdict.MAY_HAVE_RUN if request.may_have_run else failure.verdict
             self._fail(request, verdict, failure.reason, failure.detail, failure.retry_after)
 
-    def _may_retry(self, request: _Request, failure: Failure) -> bool:
+    def _may_retry(self, request: RequestRow, failure: Failure) -> bool:
         if failure.verdict is Verdict.MAY_HAVE_RUN and not request.template.repeatable:
             return False
         if request.attempt >= self._state.settings.request_attempts:
@@ -385,7 +323,7 @@
             return False
         return self._budget.take()
 
-    def _retry(self, request: _Request) -> None:
+    def _retry(self, request: RequestRow) -> None:
         state = self._state
         state.meter.count("retries")
         pause = BACKOFF * (1 << request.attempt) * state.rng.random()
@@ -393,11 +331,11 @@
         request.attempt = max(1, request.attempt)
         # A peer that certainly did not run it leaves the way to another one open.
         request.sent = request.may_have_run
-        self._delayed.append(request.arrival.request)
+        self._delayed.append(request)
 
     def _fail(
         self,
-        request: _Request,
+        request: RequestRow,
         verdict: Verdict,
         reason: Reason,
         detail: str = "",
@@ -408,10 +346,10 @@
         meter.count("answers", verdict.value)
         meter.failed(request.arrival.template, reason.value)
         failure = Failure(verdict, reason, detail, retry_after)
-        self._state.emit(AnswerRequest(request.arrival.request, Err(failure)))
+        self._state.emit(AnswerRequest(request.name, Err(failure)))
 
-    def _finish(self, request: _Request) -> None:
-        self._requests.pop(request.arrival.request, None)
+    def _finish(self, request: RequestRow) -> None:
+        self._requests.pop(request.name, None)
         self._limits.left(request.template.organisation)
 
     def withdrawn(self, name: str) -> None:
--- a/src/sablemount/core/systems/snapshots.py
+++ b/src/sablemount/core/systems/snapshots.py
@@ -2,6 +2,7 @@
 
 from sablemount.core import records
 from sablemount.core.image import split_image
+from sablemount.core.ledger_image import image_of
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal
 from sablemount.core.systems.membership import Membership
@@ -32,6 +33,6 @@
         rank = members.index(state.writer) if state.writer in members else len(members)
         if age < state.settings.snapshot_entries * (1 + RANK_DELAY * rank):
             return
-        for part in split_image(state.ledger.image()):
+        for part in split_image(image_of(state.ledger)):
             self._journal.write(part)
         state.meter.count("snapshots")
--- a/src/sablemount/core/tables.py
+++ b/src/sablemount/core/tables.py
@@ -5,7 +5,7 @@
 from sablemount.core.actions import CommandKind
 from sablemount.core.documents import CLASS_ORDER, Shape, TemplateDocument
 from sablemount.core.facts import VmFacts
-from sablemount.core.ledger import TaskRow
+from sablemount.core.rows import TaskRow
 
 __all__ = [
     "HeldShard",
--- a/src/sablemount/core/waiting.py
+++ b/src/sablemount/core/waiting.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from sablemount.core.documents import CLASS_ORDER
-from sablemount.core.ledger import TaskRow
+from sablemount.core.rows import TaskRow
 
 __all__ = ["Group", "WaitQueue", "WaitingTask"]
 
--- a/src/sablemount/entry/views.py
+++ b/src/sablemount/entry/views.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sablemount.core.documents import Document, Scalar, Shape
-from sablemount.core.ledger import DocumentRow, TaskRow
+from sablemount.core.rows import DocumentRow, TaskRow
 from sablemount.core.scheduler import Scheduler
 from sablemount.core.tables import VmRow
 
--- a/src/sablemount/platform/cell_services.py
+++ b/src/sablemount/platform/cell_services.py
@@ -14,8 +14,8 @@
 from sablemount.core.actions import AppendLog, ReadLog
 from sablemount.core.events import AppendEnded, AppendStatus, LogRead, LogReadFailed, VmListRead
 from sablemount.core.facts import VmFacts
-from sablemount.core.ledger import LogEntry
 from sablemount.core.meter import Meter
+from sablemount.core.rows import LogEntry
 
 __all__ = ["HttpLog", "HttpVmList", "ReadReply"]
 
--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from sablemount.core.ledger import LogEntry
+from sablemount.core.rows import LogEntry
 
 
 class LogMode(enum.Enum):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,8 +9,10 @@
 from sablemount.core import records
 from sablemount.core.documents import OrganisationDocument, Quota
 from sablemount.core.image import SnapshotAssembler, pack_image, split_image, unpack_image
-from sablemount.core.ledger import KEY_HORIZON, KEY_SKEW, Ledger, LogEntry
+from sablemount.core.ledger import KEY_HORIZON, KEY_SKEW, Ledger
+from sablemount.core.ledger_image import image_of, ledger_of
 from sablemount.core.records import Batch, Body, Record, Writer, decode_batch, encode_batch
+from sablemount.core.rows import LogEntry
 from sablemount.core.shares import QuotaShares
 from sablemount.core.verdict import Verdict
 from tests.documents import PLAN
@@ -130,7 +132,7 @@
     copy: Ledger | None = None
     for index, (first, body) in enumerate(script):
         if index == cut:
-            copy = Ledger.from_image(unpack_image(pack_image(ledger.image())))
+            copy = ledger_of(unpack_image(pack_image(image_of(ledger))))
         author = a if first else b
         payload = author.payload(body)
         entry = LogEntry(ledger.offset + 1, float(index), payload)
@@ -138,19 +140,19 @@
         if copy is not None:
             assert [applied.error for applied in copy.apply(entry)] == errors
     if copy is not None:
-        assert copy.image() == ledger.image()
+        assert image_of(copy) == image_of(ledger)
 
 
 def test_a_snapshot_counts_only_when_all_parts_are_there() -> None:
     ledger, a, _ = joined()
     for key in range(30_000):
         ledger.keys[random.Random(key).randbytes(16).hex()] = 1.0
-    parts = split_image(ledger.image())
+    parts = split_image(image_of(ledger))
     assert len(parts) > 1
     assembler = SnapshotAssembler()
     random.Random(1).shuffle(parts)
     assert [assembler.add(A, part) for part in parts[:-1]] == [None] * (len(parts) - 1)
-    assert assembler.add(A, parts[-1]) == ledger.image()
+    assert assembler.add(A, parts[-1]) == image_of(ledger)
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -11,7 +11,7 @@
 
 from sablemount.core import actions
 from sablemount.core.config import CoreSettings
-from sablemount.core.ledger import Ledger
+from sablemount.core.ledger_image import image_of, ledger_of
 from sablemount.core.state import State
 from sablemount.core.systems.journal import Journal
 from sablemount.core.systems.ownership import Ownership
@@ -206,7 +206,7 @@
 def older_ledger_from_a_peer() -> VirtualCell:
     """A peer offers the ledger that it had before a revision."""
     cell = make_cell()
-    old = cell.members["s1"].core.state.ledger.image()
+    old = image_of(cell.members["s1"].core.state.ledger)
     cell.publish(msgspec.structs.replace(PLAN, expected_seconds=9.0), 1)
     cell.run(1.0)
     member = cell.members["s0"]
@@ -220,9 +220,7 @@
 
 
 def test_without_the_offset_check_configuration_reverts(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(
-        Journal, "adopt", lambda self, image: self._install(Ledger.from_image(image))
-    )
+    monkeypatch.setattr(Journal, "adopt", lambda self, image: self._install(ledger_of(image)))
     assert kinds(older_ledger_from_a_peer()) == {"configuration"}
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -14,7 +14,7 @@
     Shape,
     TemplateDocument,
 )
-from sablemount.core.ledger import TaskRow
+from sablemount.core.rows import TaskRow
 from sablemount.core.verdict import Reason, Verdict
 from sablemount.core.waiting import WaitQueue
 from tests.documents import ALL, LONG, QUOTE, RUSH, WIDE
