Let several urgent tasks reserve one VM, and give up a reservation on a VM that is silent

Cause: the rush was bound by one reservation a VM at a time; and a VM that failed kept its reservation for the whole timeout of 3 s. Change: what will be free counts pending victims and earlier takers; a reservation ends when its VM misses a poll.

--- a/src/sablemount/core/systems/preemption.py
+++ b/src/sablemount/core/systems/preemption.py
@@ -12,7 +12,7 @@
 from sablemount.core.documents import CLASS_ORDER, PriorityClass, Shape
 from sablemount.core.state import State
 from sablemount.core.systems.placement import Placement
-from sablemount.core.tables import RunRow, RunStage, VmRow, VmStage
+from sablemount.core.tables import RunRow, RunStage, VmRow
 from sablemount.core.waiting import LEVELS, WaitingTask
 
 __all__ = ["Preemption"]
@@ -56,6 +56,37 @@
     cost: float
 
 
+class _Room(msgspec.Struct, frozen=True):
+    """What is or will be free of a VM; unlike a shape it may be negative."""
+
+    cores: int
+    memory_mb: int
+    accelerators: int
+    slots: int
+
+    def plus(self, shape: Shape, sign: int = 1) -> "_Room":
+        """Return the room with a shape more."""
+        return _Room(
+            self.cores + sign * shape.cores,
+            self.memory_mb + sign * shape.memory_mb,
+            self.accelerators + sign * shape.accelerators,
+            self.slots + sign * shape.slots,
+        )
+
+    def minus(self, shape: Shape) -> "_Room":
+        """Return the room with a shape less."""
+        return self.plus(shape, -1)
+
+    def holds(self, shape: Shape) -> bool:
+        """Tell whether a shape fits."""
+        return (
+            shape.cores <= self.cores
+            and shape.memory_mb <= self.memory_mb
+            and shape.accelerators <= self.accelerators
+            and shape.slots <= self.slots
+        )
+
+
 class _Reservation(msgspec.Struct):
     """A VM kept for a task until its victims have yielded or the time is over."""
 
@@ -102,7 +133,7 @@
         state = self._state
         row = state.vms.get(reservation.vm)
         waiting = self._placement.queue.get(task) is reservation.item
-        usable = row is not None and row.stage is VmStage.USABLE and state.active(row.shard)
+        usable = row is not None and row.was_usable
         if not waiting or not usable or state.now >= reservation.until:
             self._cancel(task, reservation)
             return
@@ -167,8 +198,7 @@
         return [
             row
             for row in rows
-            if row.stage is VmStage.USABLE
-            and not row.reserved_for
+            if row.was_usable
             and shape.fits(row.facts.capacity)
             and not (preferences.required and row.hall not in preferences.halls)
         ]
@@ -178,11 +208,23 @@
         runs = [self._state.runs[name] for name in row.runs]
         lower = [run for run in runs if run.order > item.order and self._may_yield(run, row)]
         shape = item.row.template.shape
+        room = self._room_to_be(row)
         gentle = [self._option(run, gentle=True) for run in lower if _can_be_gentle(run)]
-        return _enough(row, shape, gentle) or _enough(
-            row, shape, [self._option(run, gentle=False) for run in lower]
+        return _enough(room, shape, gentle) or _enough(
+            room, shape, [self._option(run, gentle=False) for run in lower]
         )
 
+    def _room_to_be(self, row: VmRow) -> _Room:
+        """Return what will be free of a VM once its victims have yielded and its takers started."""
+        room = _Room(row.free_cores, row.free_memory, row.free_accelerators, row.free_slots)
+        for name, kind in row.commands.items():
+            run = self._state.runs.get(name)
+            if run is not None and kind is not CommandKind.RESTORE:
+                room = room.plus(_freed_by(run, kind))
+        for shape in row.reserved_for.values():
+            room = room.minus(shape)
+        return room
+
     def _may_yield(self, run: RunRow, row: VmRow) -> bool:
         return (
             run.stage is RunStage.RUNNING
@@ -212,7 +254,7 @@
             cost = again * (fixed + CHECKPOINT_COST * lost)
             return _Victim(run, CommandKind.CHECKPOINT, run.shape, cost)
         if gentle:
-            freed = Shape(cores=run.shape.cores - run.shape.throttled().cores)
+            freed = _freed_by(run, CommandKind.THROTTLE)
             return _Victim(run, CommandKind.THROTTLE, freed, again * THROTTLE_COST * (fixed + lost))
         return _Victim(run, CommandKind.STOP, run.shape, again * (fixed + lost))
 
@@ -260,29 +302,29 @@
     return run.template.checkpointable or (run.shape.cores > 1 and not run.throttled)
 
 
-def _enough(row: VmRow, shape: Shape, options: list[_Victim]) -> list[_Victim]:
+def _freed_by(run: RunRow, kind: CommandKind) -> Shape:
+    if kind is CommandKind.THROTTLE:
+        return Shape(cores=run.shape.cores - run.shape.throttled().cores)
+    return run.shape
+
+
+def _enough(room: _Room, shape: Shape, options: list[_Victim]) -> list[_Victim]:
     """Return the first options that together make room, without those that prove needless."""
     taken: list[_Victim] = []
     for victim in sorted(options, key=lambda item: item.cost / max(1, item.freed.cores)):
         taken.append(victim)
-        if _frees(row, shape, taken):
+        if _frees(room, shape, taken):
             break
     else:
         return []
     for victim in list(taken):
         rest = [other for other in taken if other is not victim]
-        if _frees(row, shape, rest):
+        if _frees(room, shape, rest):
             taken = rest
     return taken
 
 
-def _frees(row: VmRow, shape: Shape, victims: list[_Victim]) -> bool:
-    freed = Shape()
+def _frees(room: _Room, shape: Shape, victims: list[_Victim]) -> bool:
     for victim in victims:
-        freed = freed.plus(victim.freed)
-    return (
-        shape.cores <= row.free_cores + freed.cores
-        and shape.memory_mb <= row.free_memory + freed.memory_mb
-        and shape.accelerators <= row.free_accelerators + freed.accelerators
-        and shape.slots <= row.free_slots + freed.slots
-    )
+        room = room.plus(victim.freed)
+    return room.holds(shape)
