--- a/src/sablemount/core/systems/journal.py
+++ b/src/sablemount/core/systems/journal.py
@@ -230,10 +230,16 @@
         body = Batch(self._state.writer, self._sequence, self._state.ledger.offset, tuple(taken))
         payload = records.encode_batch(body)
         self._in_flight = _InFlight(self._sequence, payload, [item.nonce for item in taken])
-        self._next_append = now + self._state.settings.append_interval
+        self._next_append = now + self._append_interval()
         self._state.meter.count("log_bytes", "", len(payload))
         self._state.emit(AppendLog(self._sequence, payload))
 
+    def _append_interval(self) -> float:
+        """Return the time between two appends that keeps all members within the log's budget."""
+        settings = self._state.settings
+        fair = len(self._state.ledger.members) / settings.append_budget
+        return max(settings.append_interval, fair)
+
     def _take(self) -> list[Record]:
         settings = self._state.settings
         taken: list[Record] = []
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -242,6 +242,22 @@
     assert not any(member.core.state.leased() for member in cell.live())
 
 
+def test_nine_members_keep_within_the_logs_budget() -> None:
+    # The tick alone would hold each member to ten appends a second.
+    cell = VirtualCell(9, 12, 5, CoreSettings(shards=9, tick=0.02))
+    cell.run_until(cell.settled, 30.0)
+    cell.publish_all(ALL)
+    highest = 0
+    for index in range(1_600):
+        job, member = f"job-{index}", f"s{index % 9}"
+        cell.after(index / 200, lambda j=job, m=member: cell.submit("rueda/plan", j, member=m))
+    for _ in range(8):
+        before = cell.log.appends
+        cell.run(1.0)
+        highest = max(highest, cell.log.appends - before)
+    assert 50 < highest <= 100
+
+
 # -- Overload --------------------------------------------------------------------------------
 
 
