--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,119 @@
+"""The workers' connections: nothing is repeated, and what may have left is told apart."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from sablemount.platform.upstream import Answer, CutShort, NotSent, UpstreamPool
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+Reply = Callable[[int], tuple[bytes, bool]]
+
+
+class RawServer:
+    """Reads whole requests and answers each with given bytes, then closes if told to."""
+
+    def __init__(self, reply: Reply) -> None:
+        self.reply = reply
+        self.seen = 0
+        self.address = ""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(2)
+                self.seen += 1
+                answer, close = self.reply(self.seen)
+                writer.write(answer)
+                await writer.drain()
+                if close:
+                    break
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+
+def play(reply: Reply, script: Callable[[UpstreamPool, RawServer], Awaitable[None]]) -> None:
+    async def run() -> None:
+        server = RawServer(reply)
+        listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        host, port = listening.sockets[0].getsockname()[:2]
+        server.address = f"{host}:{port}"
+        pool = UpstreamPool(2)
+        try:
+            await script(pool, server)
+        finally:
+            pool.close()
+            listening.close()
+
+    asyncio.run(run())
+
+
+async def post(pool: UpstreamPool, server: RawServer, not_after: float = float("inf")) -> Answer:
+    return await pool.fetch(server.address, "/serve", b"hi", {}, 1.0, not_after)
+
+
+def test_a_connection_is_kept() -> None:
+    async def script(pool: UpstreamPool, server: RawServer) -> None:
+        for _ in range(3):
+            assert (await post(pool, server)).body == b"good"
+        assert pool._open == {server.address: 1}
+
+    play(lambda number: (OK, False), script)
+
+
+def test_a_request_is_not_repeated_when_a_kept_connection_dies() -> None:
+    async def script(pool: UpstreamPool, server: RawServer) -> None:
+        await post(pool, server)
+        with pytest.raises(CutShort):
+            await post(pool, server)
+        assert server.seen == 2
+        assert (await post(pool, server)).body == b"good"
+
+    play(lambda number: (b"", True) if number == 2 else (OK, False), script)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [OK[:-1], OK[:20], b"", b"nonsense\r\n\r\n"],
+    ids=["short body", "short head", "nothing", "no HTTP"],
+)
+def test_an_answer_that_is_not_whole_is_no_answer(answer: bytes) -> None:
+    async def script(pool: UpstreamPool, server: RawServer) -> None:
+        with pytest.raises(CutShort):
+            await post(pool, server)
+        assert server.seen == 1
+        assert pool._open == {server.address: 0}
+
+    play(lambda number: (answer, True), script)
+
+
+def test_nothing_is_sent_after_the_lease() -> None:
+    async def script(pool: UpstreamPool, server: RawServer) -> None:
+        with pytest.raises(NotSent):
+            await post(pool, server, not_after=time.monotonic() - 1.0)
+        assert server.seen == 0
+
+    play(lambda number: (OK, False), script)
+
+
+def test_connections_to_one_upstream_are_limited() -> None:
+    async def script(pool: UpstreamPool, server: RawServer) -> None:
+        calls = [post(pool, server) for _ in range(5)]
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        assert sum(isinstance(result, NotSent) for result in results) == 3
+        assert server.seen == 2
+
+    play(lambda number: (OK, False), script)
+
+
+def test_a_refused_connection_sent_nothing() -> None:
+    async def run() -> None:
+        pool = UpstreamPool(2)
+        with pytest.raises(NotSent):
+            await pool.fetch("127.0.0.1:9", "/serve", b"hi", {}, 1.0)
+        pool.close()
+
+    asyncio.run(run())
