--- a/src/sablemount/core/systems/requests.py
+++ b/src/sablemount/core/systems/requests.py
@@ -70,7 +70,7 @@
             return
         failure = self._admission_failure(arrival, template)
         if failure is not None:
-            state.meter.failed(arrival.template, failure.reason.value)
+            self._count_failure(arrival, failure.reason)
             state.emit(AnswerRequest(arrival.request, Err(failure)))
             return
         request = RequestRow(arrival, template, state.now)
@@ -102,10 +102,15 @@
         return None
 
     def _refuse(self, arrival: RequestArrived, reason: Reason, detail: str) -> None:
-        self._state.meter.failed(arrival.template, reason.value)
+        self._count_failure(arrival, reason)
         failure = Failure(Verdict.NOT_RUN, reason, detail)
         self._state.emit(AnswerRequest(arrival.request, Err(failure)))
 
+    def _count_failure(self, arrival: RequestArrived, reason: Reason) -> None:
+        """Count a failure where the caller is: a peer's own count would make it two."""
+        if not arrival.forwarded:
+            self._state.meter.failed(arrival.template, reason.value)
+
     # -- Keys --------------------------------------------------------------------------------
 
     def _spend_key(self, request: RequestRow) -> None:
@@ -342,9 +347,8 @@
         retry_after: float | None = None,
     ) -> None:
         self._finish(request)
-        meter = self._state.meter
-        meter.count("answers", verdict.value)
-        meter.failed(request.arrival.template, reason.value)
+        self._state.meter.count("answers", verdict.value)
+        self._count_failure(request.arrival, reason)
         failure = Failure(verdict, reason, detail, retry_after)
         self._state.emit(AnswerRequest(request.name, Err(failure)))
 
--- a/src/sablemount/entry/views.py
+++ b/src/sablemount/entry/views.py
@@ -48,7 +48,7 @@
 
 
 class VmView(msgspec.Struct, frozen=True):
-    """A VM; ``free`` is known to the owner of its shard alone."""
+    """A VM; ``stage`` and ``free`` are known to the owner of its shard alone."""
 
     vm: str
     hall: str
@@ -141,7 +141,7 @@
         row.rack,
         row.shard,
         owner.name if owner else "",
-        row.stage.value,
+        row.stage.value if row.shard in state.held else "",
         scheduler.state.leaving(row),
         row.facts.capacity,
         free,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -317,6 +317,22 @@
     assert retries <= 3 * 10 + 0.1 * 200 + 3
 
 
+def test_a_forwarded_failure_is_counted_once() -> None:
+    cell = make_cell()
+    for worker in cell.workers.values():
+        for name in cell.names:
+            cell.part(name, worker.facts.vm)
+    lone = next((name for name in cell.names if name not in cell.owners().values()), "")
+    member = cell.members[lone or "s0"]
+    for row in member.core.state.vms.values():
+        member.core.state.slots.remove(row)
+    cell.request("rueda/quote", member.name, wait=0.3)
+    cell.run(1.0)
+    forwards = member.core.state.meter.total("forwards")
+    failures = sum(m.core.state.meter.total("failures") for m in cell.members.values())
+    assert (forwards, failures) == (1, 1)
+
+
 def test_an_operators_drain_reaches_everyone_in_an_outage() -> None:
     cell = make_cell()
     cell.log.mode = LogMode.DOWN
