--- a/src/sablemount/core/documents.py
+++ b/src/sablemount/core/documents.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from msgspec import Meta
+from result import Err, Ok, Result
 
 __all__ = [
     "CLASS_ORDER",
@@ -170,14 +171,14 @@
 
 def bind_parameters(
     template: TemplateDocument, given: dict[str, Scalar]
-) -> tuple[dict[str, Scalar], str]:
-    """Return the template's parameters with the given ones over them, and an error or ``""``."""
+) -> Result[dict[str, Scalar], str]:
+    """Return the template's parameters with the given ones over them, or what is wrong."""
     bound = dict(template.parameters)
     for name, value in given.items():
         if name not in bound:
-            return {}, f"$.parameters.{name}: unknown parameter; allowed: {sorted(bound)}"
+            return Err(f"$.parameters.{name}: unknown parameter; allowed: {sorted(bound)}")
         if type(value) is not type(bound[name]):
             expected = type(bound[name]).__name__
-            return {}, f"$.parameters.{name}: expected {expected}, got {value!r}"
+            return Err(f"$.parameters.{name}: expected {expected}, got {value!r}")
         bound[name] = value
-    return bound, ""
+    return Ok(bound)
--- a/src/sablemount/core/systems/commands.py
+++ b/src/sablemount/core/systems/commands.py
@@ -1,6 +1,7 @@
 """Commands of callers and operators that take effect through the log."""
 
 import msgspec
+from result import Err
 
 from sablemount.core import records
 from sablemount.core.actions import AnswerCommand
@@ -20,7 +21,7 @@
 )
 from sablemount.core.state import State
 from sablemount.core.systems.inventory import Inventory
-from sablemount.core.systems.journal import Journal, Settlement
+from sablemount.core.systems.journal import Journal, SettledCallback, Settlement
 from sablemount.core.systems.placement import Placement
 from sablemount.core.verdict import Failure, Reason, Verdict
 
@@ -54,7 +55,7 @@
             return
         template = self._state.ledger.documents[event.template].document
         assert isinstance(template, TemplateDocument)
-        bound, _ = bind_parameters(template, event.parameters)
+        bound = bind_parameters(template, event.parameters).unwrap()
         size = self._chunk_size(event.count)
         chunks = range(0, event.count, size)
         shards = self._placement.shards_for(template.shape, len(chunks))
@@ -92,9 +93,9 @@
         if not 0 < event.count <= MAX_COUNT:
             detail = f"$.count: expected 1 to {MAX_COUNT}, got {event.count}"
             return Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail)
-        _, error = bind_parameters(row.document, event.parameters)
-        if error:
-            return Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, error)
+        bound = bind_parameters(row.document, event.parameters)
+        if isinstance(bound, Err):
+            return Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, bound.err_value)
         return self._shape_failure(row.document.shape)
 
     def _shape_failure(self, shape: Shape) -> Failure | None:
@@ -148,7 +149,7 @@
 
     # -- Answers -----------------------------------------------------------------------------
 
-    def _write(self, body: records.Body, settled, deadline: float) -> None:  # type: ignore[no-untyped-def]
+    def _write(self, body: records.Body, settled: SettledCallback, deadline: float) -> None:
         if not self._journal.write(body, settled, deadline):
             settled(Settlement.NOT_WRITTEN, "the journal is full")
 
--- a/src/sablemount/platform/upstream.py
+++ b/src/sablemount/platform/upstream.py
@@ -126,8 +126,9 @@
             # Nothing waits for the write: a failed one shows as an answer that does not come.
             connection.write_headers(start, fields, body)
             connection.finish()
-            timeout = max(0.0, deadline - time.monotonic())
-            await asyncio.wait_for(connection.read_response(collector), timeout)
+            # A timeout in place costs no task of its own, as waiting for one would.
+            async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
+                await connection.read_response(collector)
         except (
             TimeoutError,
             OSError,
