Run keyed requests, publications, drains and yielding over real sockets too

Four cases more with daemons that are killed or frozen: a key spent by a scheduler that died (409, MAY_HAVE_RUN, ran once), two racing publications whose scheduler dies, a drain that outlives its owner, urgent work while another owner is frozen. The first failed once for a fault of the test (a closed connection is an HTTPError, not an OSError); all four pass.

--- a/benchmarks/procs.py
+++ b/benchmarks/procs.py
@@ -117,7 +117,7 @@
                 connect_timeout=timeout,
                 raise_error=False,
             )
-        except OSError:
+        except (OSError, httpclient.HTTPError):
             return None
         if response.code == httpclient.HTTPError(599).code:
             return None
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -13,6 +13,8 @@
 from collections import Counter
 from pathlib import Path
 
+from tornado import httpclient
+
 from benchmarks.procs import DaemonCell, wait_until
 from sablemount.core.config import CoreSettings
 from sablemount.core.documents import Kind, PriorityClass, Shape, TemplateDocument
@@ -89,7 +91,7 @@
                 request_timeout=12.0,
                 raise_error=False,
             )
-        except OSError:
+        except (OSError, httpclient.HTTPError):
             self.seen["no scheduler"] += 1
             return
         verdict = response.headers.get("Sablemount-Verdict", "no answer")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,16 +1,19 @@
 """One case of each flow over real sockets, with daemons that are killed, frozen and stopped."""
 
 import asyncio
+import contextlib
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
+import msgspec
 from tornado import httpclient
 
 from benchmarks.procs import DaemonCell, wait_until
 from sablemount.core.config import CoreSettings
-from tests.documents import ALL
+from tests.documents import ALL, LONG
 from tests.fakes.log import LogMode
 
 CORE = CoreSettings(shards=3, evict_after=4.0, promise=5.0)
@@ -155,3 +158,81 @@
         await wait_until(cell.settled, 60.0)
 
     play(tmp_path, scenario)
+
+
+def test_a_key_is_spent_although_its_first_scheduler_was_killed(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        key = {"Idempotency-Key": f"{int(time.time())}.transfer-7"}
+        first = asyncio.ensure_future(quote(cell, "s0", b"t", "yard/stock", **key))
+        await asyncio.sleep(1.0)
+        cell.signal("s0", signal.SIGKILL)
+        with contextlib.suppress(OSError, httpclient.HTTPError):
+            await first
+        again = await quote(cell, "s1", b"t", "yard/stock", **key)
+        assert again.headers["Sablemount-Verdict"] == "MAY_HAVE_RUN"
+        assert again.code == 409
+        assert cell.truth.executed.total() == 1
+
+    play(tmp_path, scenario, service_time=2.0)
+
+
+def test_a_publication_outlives_its_scheduler_and_beats_its_rival(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        documents = [msgspec.structs.replace(LONG, expected_seconds=float(s)) for s in (7, 8)]
+        bodies = [{"document": document, "expected": 1} for document in documents]
+        calls = [
+            cell.call(name, "PUT", "/v1/documents/rueda/long", body)
+            for name, body in zip(("s0", "s1"), bodies, strict=True)
+        ]
+        answers = await asyncio.gather(*calls)
+        (won,) = [answer for answer in answers if "revision" in answer]
+        (lost,) = [answer for answer in answers if "revision" not in answer]
+        assert lost["reason"] == "conflict"
+        assert lost["current"]["document"] == won["document"]
+        cell.signal("s0", signal.SIGKILL)
+        await cell.wait_stopped("s0")
+        cell.start("s0")
+
+        async def in_force() -> bool:
+            shown = [
+                await cell.call(name, "GET", "/v1/documents/rueda/long", timeout=1.0)
+                for name in cell.names
+            ]
+            return all(row is not None and row.get("revision") == 2 for row in shown)
+
+        await wait_until(in_force)
+
+    play(tmp_path, scenario)
+
+
+def test_a_drain_outlives_the_owner(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        vms = await cell.call("s0", "GET", "/v1/vms")
+        target = next(row for row in vms if row["owner"])
+        other = next(name for name in cell.names if name != target["owner"])
+        path = f"/v1/vms/{target['vm']}/drain"
+        assert (await cell.call(other, "POST", path, {"drain": True}))["drain"] is True
+        server = next(s for s in cell.workers if s.facts.vm == target["vm"])
+        server.worker.left_since = time.monotonic()
+        await asyncio.sleep(3.1)
+        cell.signal(target["owner"], signal.SIGKILL)
+        body = {"template": "rueda/plan", "job": "plans", "count": 12}
+        assert (await cell.call(other, "POST", "/v1/jobs", body))["count"] == 12
+        await wait_until(lambda: ended(cell, other, "plans", 12), 60.0)
+
+    play(tmp_path, scenario)
+
+
+def test_urgent_work_starts_while_another_owner_is_frozen(tmp_path: Path) -> None:
+    async def scenario(cell: DaemonCell) -> None:
+        body = {"template": "yard/wide", "job": "wides", "count": 6}
+        await cell.call("s0", "POST", "/v1/jobs", body)
+        await asyncio.sleep(1.5)
+        cell.signal("s2", signal.SIGSTOP)
+        urgent = {"template": "rueda/rush", "job": "rush"}
+        assert (await cell.call("s0", "POST", "/v1/jobs", urgent))["job"] == "rush"
+        await wait_until(lambda: ended(cell, "s0", "rush", 1), 30.0)
+        cell.signal("s2", signal.SIGCONT)
+        await wait_until(lambda: ended(cell, "s0", "wides", 6), 60.0)
+
+    play(tmp_path, scenario)
