Forget members that have left

Cause: what had once been heard of stayed in the peer table and in everybody's gossip for ever, so traffic would grow with each replaced scheduler. The new test fails before (the peer is still there 100 s after its planned stop) and passes after. Hearsay of one that is no member is passed over, else it would go round without end.

--- a/src/sablemount/core/systems/membership.py
+++ b/src/sablemount/core/systems/membership.py
@@ -23,6 +23,8 @@
 """Heartbeats in one message at most."""
 SIGN_SHARE = 0.75
 """Share of ``suspect_after`` for which a peer may be silent before a sign of life is written."""
+FORGET_AFTER = 60.0
+"""How long one that is no member any more is remembered, in seconds."""
 CATCH_UP_LAG = 1
 """How many entries behind a peer a scheduler may be before it asks for the ledger."""
 CATCH_UP_INTERVAL = 2.0
@@ -125,6 +127,7 @@
         self._forgive_after_pause()
         self._join()
         self._note_members()
+        self._forget_departed()
         if self._state.now >= self._next_gossip:
             self._next_gossip = self._state.now + self._state.settings.gossip_interval
             self._gossip()
@@ -153,6 +156,13 @@
                 row = PeerRow(member.name, member.incarnation, state.now)
                 state.peers[member.name] = row
 
+    def _forget_departed(self) -> None:
+        state = self._state
+        oldest = state.now - FORGET_AFTER
+        for name in [name for name, peer in state.peers.items() if peer.heard_at < oldest]:
+            if name not in state.ledger.members:
+                del state.peers[name]
+
     def _evict(self) -> None:
         state = self._state
         if not self.joined or not self._journal.healthy or self._journal.waiting(records.Evict):
@@ -201,16 +211,19 @@
         """Take a gossip or catch-up message."""
         if isinstance(message, Gossip):
             for beat in message.beats:
-                self._merge(beat)
+                self._merge(beat, message.sender)
         elif isinstance(message, CatchUp):
             self._catch_up(message)
         elif isinstance(message, CatchUpReply):
             self._journal.adopt(unpack_image(message.image))
 
-    def _merge(self, beat: MemberBeat) -> None:
+    def _merge(self, beat: MemberBeat, sender: Writer) -> None:
         state = self._state
         if beat.member.name == state.writer.name:
             return
+        if beat.member.name not in state.ledger.members and beat.member != sender:
+            # Hearsay of one that is no member would go round for ever.
+            return
         peer = state.peers.get(beat.member.name)
         if peer is None or peer.incarnation < beat.member.incarnation:
             peer = PeerRow(beat.member.name, beat.member.incarnation, state.now)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -317,6 +317,15 @@
     assert retries <= 3 * 10 + 0.1 * 200 + 3
 
 
+def test_a_member_that_has_left_is_forgotten() -> None:
+    cell = make_cell()
+    cell.members["s1"].take(events.StopRequested())
+    cell.run(30.0)
+    assert cell.members["s1"].stopped
+    cell.run(70.0)
+    assert all("s1" not in member.core.state.peers for member in cell.live())
+
+
 def test_a_forwarded_failure_is_counted_once() -> None:
     cell = make_cell()
     for worker in cell.workers.values():
