Test ejection: its threshold, its probe, its bound

Nothing had shown that ejection ends and is bounded. Four cases: three failures eject, five seconds later the next request probes, one failed probe ejects again, ten failing VMs of ten leave seven in use at a share of 0.3, and refusals by protocol eject nobody.

--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,84 @@
+"""Failing upstreams are ejected for a bounded share of the VMs, and probed back."""
+
+from sablemount.core import actions, events
+from sablemount.core.config import CoreSettings
+from sablemount.core.tables import VmRow
+from sablemount.core.verdict import Failure, Reason, Served, Verdict
+from tests.documents import ALL
+from tests.fakes.cell import VirtualCell
+
+FAILED = Failure(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_CUT_SHORT)
+SETTINGS = CoreSettings(shards=1, eject_after=3, eject_seconds=5.0, eject_share=0.3)
+
+
+def make_cell() -> VirtualCell:
+    cell = VirtualCell(1, 10, 2, SETTINGS)
+    cell.run_until(cell.settled, 30.0)
+    cell.run(2.0)
+    cell.publish_all(ALL)
+    return cell
+
+
+def fail(cell: VirtualCell, vm: str, times: int, failure: Failure | None = FAILED) -> None:
+    """Let attempts at a VM end, as the runtime would report them."""
+    member = cell.members["s0"]
+    for _ in range(times):
+        served = Served(b"", vm) if failure is None else None
+        member.take(events.RequestEnded("none", vm, failure, True, 0.01, served))
+
+
+def usable(cell: VirtualCell) -> set[str]:
+    rows: dict[str, VmRow] = cell.members["s0"].core.state.vms
+    return {row.vm for row in rows.values() if row.was_usable}
+
+
+def served_by(cell: VirtualCell, count: int) -> set[str]:
+    seen: set[str] = set()
+
+    def observe(member: object, action: actions.Action) -> None:
+        if isinstance(action, actions.Serve):
+            seen.add(action.vm)
+
+    cell.observers.append(observe)
+    for _ in range(count):
+        cell.request("rueda/quote", "s0")
+        cell.run(0.05)
+    cell.observers.remove(observe)
+    return seen
+
+
+def test_a_failing_upstream_is_ejected_and_probed_back() -> None:
+    cell = make_cell()
+    fail(cell, "vm-3", 2)
+    assert "vm-3" in usable(cell)
+    fail(cell, "vm-3", 1)
+    assert "vm-3" not in served_by(cell, 40)
+    cell.run(5.0)
+    assert "vm-3" in served_by(cell, 80)
+
+
+def test_one_failed_probe_ejects_again_and_one_success_clears() -> None:
+    cell = make_cell()
+    fail(cell, "vm-3", 3)
+    cell.run(6.0)
+    assert "vm-3" in usable(cell)
+    fail(cell, "vm-3", 1)
+    assert "vm-3" not in usable(cell)
+    cell.run(6.0)
+    fail(cell, "vm-3", 1, failure=None)
+    fail(cell, "vm-3", 2)
+    assert "vm-3" in usable(cell)
+
+
+def test_the_ejected_share_is_bounded() -> None:
+    cell = make_cell()
+    for index in range(10):
+        fail(cell, f"vm-{index}", 10)
+    assert len(usable(cell)) == 7
+
+
+def test_refusals_by_protocol_eject_nobody() -> None:
+    cell = make_cell()
+    refused = Failure(Verdict.NOT_RUN, Reason.UPSTREAM_REFUSED)
+    fail(cell, "vm-3", 20, refused)
+    assert len(usable(cell)) == 10
