Take out state and a setting that nothing reads

victim_of, last_heard and the late flag of a start were written and never read, and core.task_queue was a setting without effect. Behaviour is as before.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -52,7 +52,7 @@
     """Fill a cell of one scheduler and time further placements in it."""
     gc.collect()
     empty = resident_bytes()
-    settings = CoreSettings(shards=shards, task_queue=1_000_000, placements_per_tick=5_000)
+    settings = CoreSettings(shards=shards, placements_per_tick=5_000)
     solo = Solo(make_facts(vms), settings)
     solo.run(3.0 + vms / 5_000)
     for index, shape in enumerate(SHAPES):
--- a/src/sablemount/core/config.py
+++ b/src/sablemount/core/config.py
@@ -63,7 +63,6 @@
     eject_share: Share = 0.3
     connections: Count = 64
 
-    task_queue: Count = 200_000
     placements_per_tick: Count = 500
     aging: Seconds = 120.0
     preempt_limit: Count = 3
--- a/src/sablemount/core/events.py
+++ b/src/sablemount/core/events.py
@@ -91,11 +91,10 @@
 
 
 class StartEnded(_Event, frozen=True):
-    """A start command has ended; ``late`` tells that it went out after its limit."""
+    """A start command has ended."""
 
     run: str
     status: StartStatus
-    late: bool = False
 
 
 class RunState(enum.StrEnum):
--- a/src/sablemount/core/systems/preemption.py
+++ b/src/sablemount/core/systems/preemption.py
@@ -180,7 +180,7 @@
         if best_row is None:
             return
         for victim in best:
-            self._yield(best_row, victim, item)
+            self._yield(best_row, victim)
         best_row.reserved_for[item.row.task] = item.row.template.shape
         until = state.now + state.settings.preempt_timeout
         self._reservations[item.row.task] = _Reservation(item, best_row.vm, until)
@@ -285,9 +285,8 @@
         row.commands[run.run] = CommandKind.RESTORE
         self._throttled.discard(run.run)
 
-    def _yield(self, row: VmRow, victim: _Victim, item: WaitingTask) -> None:
+    def _yield(self, row: VmRow, victim: _Victim) -> None:
         run = victim.run
-        run.victim_of = item.row.task
         if victim.kind is CommandKind.THROTTLE:
             self._throttled.add(run.run)
         row.commands[run.run] = victim.kind
--- a/src/sablemount/core/systems/reconcile.py
+++ b/src/sablemount/core/systems/reconcile.py
@@ -77,7 +77,6 @@
 
     def _take(self, row: VmRow, event: PollEnded) -> None:
         row.missed = 0
-        row.last_heard = self._state.now
         row.said_leaving = event.leaving
         row.boot = event.boot
         reported = {report.run for report in event.runs}
--- a/src/sablemount/core/tables.py
+++ b/src/sablemount/core/tables.py
@@ -60,7 +60,6 @@
         "free_memory",
         "free_slots",
         "hall",
-        "last_heard",
         "leaving",
         "listed",
         "missed",
@@ -107,7 +106,6 @@
         self.acknowledge: dict[str, None] = {}
         self.requests: dict[str, float] = {}
         self.foreign = 0
-        self.last_heard = 0.0
         self.missed = 0
         self.next_poll = 0.0
         self.polling = False
@@ -193,7 +191,6 @@
         "template",
         "throttled",
         "uncertain_until",
-        "victim_of",
         "vm",
     )
 
@@ -214,7 +211,6 @@
         self.uncertain_until = 0.0
         self.ended = ""
         self.throttled = False
-        self.victim_of = ""
 
 
 class HoldState(enum.Enum):
