Replace a leader without the store sooner; hand over to members that had their turn

Cause: a leader that the store refused was replaced only after 1.8 to 3.8 s, since a member's own reading of the store counts as fresh only for a second while its standing read lasts eight; and a leader that was still loading from a slow store was replaced for not leading. Change: the store is tried before such a claim; loading leaders are left alone; a stopping leader waits for its append and asks the member that started last; requests wait 0.15 s for a hand-over.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -55,6 +55,10 @@
 CONFIG_WAIT = 1.0
 WORKERS_WAIT = 2.0
 ADVICE_SLACK = 0.25
+CLOSE_TIME = 0.5
+CLOSE_POLL = 0.005
+HEIR_AGE = 0.5
+"""Seconds since its start after which a member may be asked to take over."""
 
 _logger = logging.getLogger("sablemount.control.leader")
 
@@ -96,6 +100,8 @@
         self.why = ""
         self.members: dict[str, Connection] = {}
         self.member_heard: dict[str, float] = {}
+        self.member_uptime: dict[str, float] = {}
+        self.closing = False
         self._kicked = asyncio.Event()
         self._commit_wanted = asyncio.Event()
         self._durable: list[asyncio.Future[None]] = []
@@ -130,6 +136,23 @@
             self.leading = False
             self.over.set()
 
+    async def close(self) -> None:
+        """Take no more calls, wait a little for what is being appended, and end."""
+        self.closing = True
+        last = time.monotonic() + CLOSE_TIME
+        while self.committer.waiting_since > 0 and time.monotonic() < last:
+            await asyncio.sleep(CLOSE_POLL)
+        self.end("planned stop")
+
+    def heir(self) -> list[str]:
+        """Return the members in the order in which they are asked to take over.
+
+        The one that started last goes first: when all are stopped in turn, it has had its turn.
+        """
+        ages = self.member_uptime
+        grown = [name for name in self.members if ages.get(name, 0.0) > HEIR_AGE]
+        return sorted(grown, key=lambda name: ages[name])
+
     def _close(self) -> None:
         self.calls.close()
         for task in self._tasks:
@@ -345,7 +368,7 @@
 
     async def serve(self, call: CallerCall) -> CallerReply:
         """Answer a caller's request."""
-        if not self.leading or not self.authority():
+        if self.closing or not self.leading or not self.authority():
             return _not_taken("the leader is not sure that it leads")
         configuration = self.scheduler.state.configuration
         if configuration.version < 0:
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -37,8 +37,8 @@
 __all__ = ["Member", "MemberSettings"]
 
 LEADER_KEY = "leader"
-PING_INTERVAL = 0.25
-PING_TIMEOUT = 0.8
+PING_INTERVAL = 0.2
+PING_TIMEOUT = 0.6
 CONNECT_TIMEOUT = 0.5
 RECONNECT_PAUSE = 0.1
 WATCH_WAIT = 8.0
@@ -48,6 +48,8 @@
 PATIENCE = 0.25
 """Members wait for a random time up to this many seconds, so that few claim at once."""
 CLAIM_PAUSE = 0.3
+STORE_TRIAL = 0.4
+STORE_SECOND_LOOK = 0.3
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 READY_GRACE = 1.0
@@ -56,6 +58,11 @@
 VIEW_FRESH = 0.7
 """A member that has heard the leader within these seconds speaks against a claim."""
 YIELD_TIMEOUT = 0.5
+HAND_OVER_WAIT = 0.15
+"""Seconds that a request waits for a new leader."""
+HAND_OVER_TIME = 0.5
+"""Seconds after which a change of leader counts as an outage, and requests are refused at once."""
+HAND_OVER_POLL = 0.01
 
 _logger = logging.getLogger("sablemount.control.member")
 _ENCODER = msgspec.msgpack.Encoder()
@@ -82,6 +89,7 @@
         self._rng = rng
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._end = 0
+        self._started_at = time.monotonic()
         self._suspicion = Suspicion(time.monotonic())
         self._patience = rng.uniform(0.0, PATIENCE)
         self._known = False
@@ -114,8 +122,9 @@
         if self.leader is None:
             return
         leader = self.leader
-        leader.end("planned stop")
-        for name, connection in list(leader.members.items()):
+        heirs = [(name, leader.members[name]) for name in leader.heir()]
+        await leader.close()
+        for name, connection in heirs:
             try:
                 await connection.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
             except CallFailed:
@@ -222,7 +231,8 @@
 
     async def _ping(self, link: Connection) -> None:
         epoch = 0 if self.record is None else self.record.epoch
-        ping = Ping(self.settings.name, self.settings.rpc_address, epoch)
+        uptime = time.monotonic() - self._started_at
+        ping = Ping(self.settings.name, self.settings.rpc_address, epoch, uptime)
         pong = await link.call(ping, PING_TIMEOUT)
         if not isinstance(pong, Pong):
             return
@@ -257,7 +267,6 @@
         if self.record.name == self.settings.name:
             rested = now > self._rest_until
             return Verdict.OWN_FORMER_LIFE if rested else None
-        self._suspicion.own_store_at = self._watch.good_at
         reason = self._suspicion.reason(now, self._patience)
         if (
             reason is not None
@@ -272,9 +281,22 @@
         if reason in (Verdict.SILENT, Verdict.REFUSED) and not await self._others_agree():
             self._claim_pause_until = time.monotonic() + CLAIM_PAUSE
             return
+        if reason == Verdict.STORE_LOST and not await self._store_reached():
+            self._claim_pause_until = time.monotonic() + CLAIM_PAUSE
+            return
         self._asked_to_lead = False
         await self._claim(reason)
 
+    async def _store_reached(self) -> bool:
+        """Tell whether the store answers here while the leader is still without it."""
+        page = await self.ports.store.newest(Topic.LEADER, "", STORE_TRIAL)
+        if isinstance(page, Unavailable):
+            return False
+        self._leader_listed(page.items, page.end)
+        # A store that has come back answers the leader too: its next answer tells.
+        await asyncio.sleep(STORE_SECOND_LOOK)
+        return self._suspicion.store_lost_since > 0
+
     async def _others_agree(self) -> bool:
         """Ask the other members whether they hear the leader."""
         record = self.record
@@ -377,16 +399,17 @@
         leader = self.leader
         if leader is None or not leader.leading:
             epoch = 0 if self.record is None else self.record.epoch
-            return Pong(epoch, False, 0.0)
+            return Pong(epoch, False, 0.0, leader is not None and not leader.over.is_set())
         if ping.epoch > leader.epoch:
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
         leader.members[ping.name] = connection
         leader.member_heard[ping.name] = time.monotonic()
+        leader.member_uptime[ping.name] = ping.uptime
         connection.peer = ping.name
         addresses = {ping.name: ping.address}
         self._members.update(addresses)
-        return Pong(leader.epoch, True, leader.store_age(), self._members)
+        return Pong(leader.epoch, True, leader.store_age(), members=self._members)
 
     def _connection_closed(self, connection: Connection) -> None:
         leader = self.leader
@@ -408,8 +431,22 @@
 
     # -- Callers -----------------------------------------------------------------------------
 
+    def _leader_reached(self) -> bool:
+        if self.leader is not None and self.leader.leading:
+            return True
+        return self._link is not None and self._link_leads
+
+    async def _await_leader(self) -> None:
+        """Wait a moment while the lead changes hands: a hand-over takes some 50 ms."""
+        last = time.monotonic() + HAND_OVER_WAIT
+        while not self._leader_reached() and time.monotonic() < last:
+            if time.monotonic() - self._served_at > HAND_OVER_TIME:
+                return
+            await asyncio.sleep(HAND_OVER_POLL)
+
     async def serve(self, call: CallerCall, timeout: float) -> CallerReply:
         """Answer a caller's request, here or through the leader; ``timeout`` is in seconds."""
+        await self._await_leader()
         leader = self.leader
         if leader is not None and leader.leading:
             return await leader.serve(call)
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -61,6 +61,8 @@
     name: str
     address: str
     epoch: int
+    uptime: float = 0.0
+    """Seconds since the member's process started."""
 
 
 class Hello(msgspec.Struct, frozen=True, tag=True):
@@ -106,6 +108,8 @@
     epoch: int
     leading: bool
     store_age: float
+    loading: bool = False
+    """Whether it is about to lead and reads what lasts."""
     members: dict[str, str] = {}
     """Addresses of the members that the leader hears, by name."""
 
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -11,15 +11,15 @@
 __all__ = ["Suspicion", "Verdict"]
 
 NEVER = -1e9
-SILENT_AFTER = 1.2
+SILENT_AFTER = 0.8
 """Seconds without an answer of the leader after which it is suspected."""
 REFUSED_AFTER = 0.25
 """Seconds for which nothing listens at the leader's address until it is suspected."""
 IDLE_AFTER = 0.6
 """Seconds for which the named leader may say that it does not lead."""
-STORE_LOST_AFTER = 1.5
-"""Seconds for which the leader may be without the store, while this member reaches it."""
-OWN_STORE_FRESH = 1.0
+STORE_LOST_AFTER = 1.1
+"""Seconds for which the leader may be without the store; a claim is due only if this member
+reaches it, which is tried first."""
 ALONE_AFTER = 4.0
 """Seconds of suspicion after which a member that hears nobody else claims all the same."""
 
@@ -46,13 +46,13 @@
     refused_since: float = NEVER
     idle_since: float = NEVER
     store_lost_since: float = NEVER
-    own_store_at: float = NEVER
 
     def heard(self, pong: Pong, now: float) -> None:
         """Take an answer of the leader."""
         self.heard_at = now
         self.refused_since = NEVER
-        self.idle_since = NEVER if pong.leading else self._first(self.idle_since, now)
+        busy = pong.leading or pong.loading
+        self.idle_since = NEVER if busy else self._first(self.idle_since, now)
         lost = pong.leading and pong.store_age > STORE_LOST_AFTER
         self.store_lost_since = self._first(self.store_lost_since, now) if lost else NEVER
 
@@ -77,8 +77,7 @@
             return Verdict.SILENT
         if self.idle_since != NEVER and now - self.idle_since > IDLE_AFTER + patience:
             return Verdict.IDLE
-        reaches_store = now - self.own_store_at < OWN_STORE_FRESH
-        if self.store_lost_since != NEVER and reaches_store:
+        if self.store_lost_since != NEVER and now - self.store_lost_since > patience:
             return Verdict.STORE_LOST
         return None
 
