Judge workers by their tasks; group commits; notice a lost leader within 0.6 s

Cause: tasks were tried again on a worker that failed all, and a silent leader was waited for too long. Change: workers whose tasks fail, stand still or all slow down at once get no new work for a while, and what stands still is started elsewhere; commits 15 ms apart; shorter times before a claim. Ruled out: expected times as the yardstick of a slow worker.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -54,6 +54,7 @@
 CONFIG_WAIT = 1.0
 WORKERS_WAIT = 2.0
 ADVICE_SLACK = 0.25
+COMMIT_PAUSE = 0.015
 CLOSE_TIME = 0.5
 CLOSE_POLL = 0.005
 HEIR_AGE = 0.5
@@ -279,6 +280,8 @@
                     await self._commit_wanted.wait()
             self._commit_wanted.clear()
             await self._commit()
+            # What comes meanwhile goes together: each call of the store costs.
+            await asyncio.sleep(COMMIT_PAUSE)
 
     async def _commit(self) -> None:
         waiting = self._durable
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -37,25 +37,25 @@
 __all__ = ["Member", "MemberSettings"]
 
 LEADER_KEY = "leader"
-PING_INTERVAL = 0.2
-PING_TIMEOUT = 0.6
-CONNECT_TIMEOUT = 0.5
-RECONNECT_PAUSE = 0.1
+PING_INTERVAL = 0.15
+PING_TIMEOUT = 0.5
+CONNECT_TIMEOUT = 0.3
+RECONNECT_PAUSE = 0.05
 WATCH_WAIT = 8.0
 WATCH_INTERVAL = 0.05
-VIEW_TIMEOUT = 0.3
+VIEW_TIMEOUT = 0.2
 CLAIM_TIMEOUT = 1.0
-PATIENCE = 0.25
+PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
 CLAIM_PAUSE = 0.3
 STORE_TRIAL = 0.4
-STORE_SECOND_LOOK = 0.3
+STORE_SECOND_LOOK = 0.16
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 READY_GRACE = 1.0
 RETRY_AFTER = 1.0
 CALL_TIMEOUT = 2.0
-VIEW_FRESH = 0.7
+VIEW_FRESH = 0.5
 """A member that has heard the leader within these seconds speaks against a claim."""
 YIELD_TIMEOUT = 0.5
 HAND_OVER_WAIT = 0.15
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -11,13 +11,13 @@
 __all__ = ["Suspicion", "Verdict"]
 
 NEVER = -1e9
-SILENT_AFTER = 0.8
+SILENT_AFTER = 0.6
 """Seconds without an answer of the leader after which it is suspected."""
-REFUSED_AFTER = 0.25
+REFUSED_AFTER = 0.1
 """Seconds for which nothing listens at the leader's address until it is suspected."""
-IDLE_AFTER = 0.6
+IDLE_AFTER = 0.4
 """Seconds for which the named leader may say that it does not lead."""
-STORE_LOST_AFTER = 1.1
+STORE_LOST_AFTER = 0.7
 """Seconds for which the leader may be without the store; a claim is due only if this member
 reaches it, which is tried first."""
 ALONE_AFTER = 4.0
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -25,6 +25,7 @@
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.health import Health
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
@@ -84,6 +85,8 @@
         self.reconcile = Reconcile(self.state, self.lifecycle)
         self.advice = Advice(self.state)
         self.placement = Placement(self.state, self.workers, self.advice)
+        self.health = Health(self.state, self.reconcile)
+        self.reconcile.on_end = self.health.ended
         self.journal = Journal(self.state, self.lifecycle)
         self._slow_at = now
 
@@ -104,6 +107,7 @@
             state.former_settled = True
             state.freed += 1
             state.logger.info("former runs settled", extra={"workers": len(state.workers)})
+        self.health.run()
         self.placement.run()
         self.advice.run()
         return state.take_actions()
--- /dev/null
+++ b/src/sablemount/jobs/systems/health.py
@@ -0,0 +1,179 @@
+"""Which workers are not well, judged by their tasks: they fail, stand still or are slow.
+
+A worker's own word that it is well is not asked for. A worker that is not well gets no new work for
+a while that doubles each time, and tasks that stand still there are started elsewhere.
+"""
+
+from statistics import median
+
+from sablemount.jobs.state import State
+from sablemount.jobs.systems.reconcile import Reconcile
+from sablemount.jobs.tables import RunRow, RunState, StepRow, WorkerRow
+
+__all__ = ["Health"]
+
+INTERVAL = 0.25
+FIRST_PAUSE = 1.5
+MAX_PAUSE = 6.0
+FAILURES_IN_A_ROW = 2
+"""Failures of different jobs, with nothing done in between, that put a worker out."""
+STILL_AFTER = 1.2
+"""Seconds without progress after which a run stands still."""
+STILL_SHARE = 0.5
+MIN_STILL = 2
+"""A worker is put out if so many of its runs, and this share of them, stand still."""
+WINDOW = 0.8
+"""Seconds over which the pace of a run is measured."""
+SLOW_RATIO = 0.4
+"""A worker has turned slow if its tasks' pace is below this share of their own best pace.
+
+Expected times are off by a factor of two and more, so that they can't tell a slow worker from a
+long task; that all tasks of a worker slow down at once can."""
+MIN_PACES = 2
+MOVE_MARGIN = 0.6
+"""A task is moved if elsewhere it needs less than this share of the time that is left here."""
+WHOLE = 100.0
+MIN_MOVE = 1.0
+"""Seconds that are left of a task at least, for it to be moved."""
+
+
+class Health:
+    """Puts workers out and moves what stands still or crawls."""
+
+    def __init__(self, state: State, reconcile: Reconcile) -> None:
+        self._state = state
+        self._reconcile = reconcile
+        self._ran_at = -INTERVAL
+
+    def run(self) -> None:
+        """Judge every worker that is heard."""
+        now = self._state.now
+        if now - self._ran_at < INTERVAL:
+            return
+        self._ran_at = now
+        rows = [row for row in self._state.workers.values() if row.runs and not row.gone]
+        self._measure(rows)
+        for row in rows:
+            still = self._still(row)
+            if self._stands(row, still):
+                self._put_out(row, "its tasks stand still")
+                self._move(row, still)
+            elif self._slow(row):
+                self._put_out(row, "its tasks are slow")
+                self._move(row, [run for run in self._countable(row) if self._worth(run)])
+
+    # -- Failures ----------------------------------------------------------------------------
+
+    def ended(self, worker: str, job: str, failed: bool, elsewhere: bool) -> None:
+        """Take how a task ended.
+
+        ``elsewhere`` tells that tasks of its job have failed on other workers too, so that the job
+        may be to blame.
+        """
+        row = self._state.workers.get(worker)
+        if row is None:
+            return
+        if not failed:
+            row.failed_jobs.clear()
+            row.strikes = 0
+            return
+        if elsewhere:
+            return
+        row.failed_jobs.add(job)
+        if len(row.failed_jobs) >= FAILURES_IN_A_ROW and row.avoid_until < self._state.now:
+            row.failed_jobs.clear()
+            self._put_out(row, "its tasks fail")
+
+    def _put_out(self, row: WorkerRow, why: str) -> None:
+        now = self._state.now
+        if row.avoid_until > now:
+            return
+        pause = min(MAX_PAUSE, FIRST_PAUSE * 2**row.strikes)
+        row.strikes += 1
+        row.avoid_until = now + pause
+        self._state.logger.info(
+            "worker put out",
+            extra={"worker": row.name, "why": why, "seconds": pause, "runs": len(row.runs)},
+        )
+
+    # -- Standing still ----------------------------------------------------------------------
+
+    def _countable(self, row: WorkerRow) -> list[RunRow]:
+        """Return the runs whose progress tells of their worker alone."""
+        return [
+            run
+            for run in row.runs.values()
+            if run.state is RunState.RUNNING and self._own_step(run) is not None
+        ]
+
+    def _own_step(self, run: RunRow) -> StepRow | None:
+        task = self._state.task(run.task)
+        if task is None or task.step.spec.gang or task.step.spec.lasting:
+            return None
+        return task.step
+
+    def _still(self, row: WorkerRow) -> list[RunRow]:
+        """Return the runs that made no progress, as far as the worker's last word tells."""
+        return [
+            run
+            for run in self._countable(row)
+            if row.heard_at - run.percent_at > STILL_AFTER and run.percent < WHOLE
+        ]
+
+    def _stands(self, row: WorkerRow, still: list[RunRow]) -> bool:
+        counted = len(self._countable(row))
+        if not still:
+            return False
+        return len(still) >= min(MIN_STILL, counted) and len(still) >= STILL_SHARE * counted
+
+    # -- Slowness ----------------------------------------------------------------------------
+
+    def _measure(self, rows: list[WorkerRow]) -> None:
+        now = self._state.now
+        for row in rows:
+            for run in self._countable(row):
+                if now - run.mark_at > WINDOW:
+                    self._mark(run, row)
+
+    @staticmethod
+    def _mark(run: RunRow, row: WorkerRow) -> None:
+        """Measure a run's pace: the share of it that is done in a second."""
+        elapsed = row.heard_at - run.mark_at
+        if run.mark_at > 0 and elapsed > WINDOW / 2:
+            run.pace = (run.percent - run.mark_percent) / WHOLE / elapsed
+            run.best_pace = max(run.best_pace, run.pace)
+        run.mark_at = row.heard_at
+        run.mark_percent = run.percent
+
+    def _slow(self, row: WorkerRow) -> bool:
+        ratios = [
+            run.pace / run.best_pace
+            for run in self._countable(row)
+            if run.pace is not None and run.best_pace > 0
+        ]
+        return len(ratios) >= MIN_PACES and median(ratios) < SLOW_RATIO
+
+    # -- Moves -------------------------------------------------------------------------------
+
+    def _worth(self, run: RunRow) -> bool:
+        """Tell whether a run would end sooner elsewhere, with what it has saved or from anew."""
+        if not run.pace or not run.best_pace:
+            return False
+        left = 1.0 - run.percent / WHOLE
+        here = left / run.pace
+        share = left if run.saved else 1.0
+        there = share / run.best_pace + self._state.settings.stop_time
+        return here > MIN_MOVE and there < MOVE_MARGIN * here
+
+    def _move(self, row: WorkerRow, runs: list[RunRow]) -> None:
+        for run in runs:
+            self._state.logger.info(
+                "run moved",
+                extra={
+                    "task": run.task,
+                    "run": run.number,
+                    "worker": row.name,
+                    "percent": run.percent,
+                },
+            )
+            self._reconcile.stop(run)
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -1,5 +1,8 @@
 """What workers say that they run and have ended, against what is charged to them."""
 
+from collections.abc import Callable
+from typing import TypeAlias
+
 from sablemount.jobs.actions import EndReport, Heard, RunReport, StopRun
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.lifecycle import Lifecycle
@@ -23,12 +26,21 @@
 """Seconds after which a stop is sent again."""
 
 
+EndListener: TypeAlias = Callable[[str, str, bool, bool], None]
+"""Takes a worker, a job, whether its task failed there, and whether others failed elsewhere."""
+
+
+def _nobody(worker: str, job: str, failed: bool, elsewhere: bool) -> None:
+    """Take an end, and do nothing."""
+
+
 class Reconcile:
     """Takes in the workers' words."""
 
     def __init__(self, state: State, lifecycle: Lifecycle) -> None:
         self._state = state
         self._lifecycle = lifecycle
+        self.on_end: EndListener = _nobody
 
     def heard(self, heard: Heard) -> bool:
         """Take a worker's word and tell whether it lists ends that are new."""
@@ -73,12 +85,17 @@
             task.saved = end.saved
             self._state.mark(task.step.job)
         if end.outcome == DONE and not task.step.spec.lasting:
-            worker.outcomes.append(True)
+            self.on_end(worker.name, task.step.job.name, False, False)
             self._done(task, end.run)
         elif end.outcome == FAILED:
-            worker.outcomes.append(False)
+            self.on_end(worker.name, task.step.job.name, True, self._failed_elsewhere(task, worker))
+            task.failed_on = worker.name
             self._failed(task, end.run)
 
+    @staticmethod
+    def _failed_elsewhere(task: TaskRow, worker: WorkerRow) -> bool:
+        return any(other.failed_on not in ("", worker.name) for other in task.step.tasks)
+
     def _done(self, task: TaskRow, number: int) -> None:
         """One member's end stands for all of its gang's run."""
         members = task.step.tasks if task.step.spec.gang else [task]
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -5,7 +5,6 @@
 """
 
 import enum
-from collections import deque
 from dataclasses import dataclass, field
 
 from sablemount.jobs.model import Shape, StepSpec, WorkerInfo, step_key, task_key
@@ -26,7 +25,6 @@
 ]
 
 NEVER = -1e9
-PROGRESS_SAMPLES = 16
 SLOW_CLOCK = 0.98
 """Rate of the slowest clock of a worker against true time."""
 
@@ -82,6 +80,12 @@
     """When the percentage last rose."""
     figure: float = 0.0
     saved: str = ""
+    mark_at: float = NEVER
+    mark_percent: float = 0.0
+    """When its pace was last measured, and how far it was then."""
+    pace: float | None = None
+    """Share of it that was done in a second, when last measured."""
+    best_pace: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -203,14 +207,10 @@
     gone: bool = False
     avoid_until: float = NEVER
     """No new work before this time: it refused, or its tasks fail or stand still."""
-    outcomes: deque[bool] = field(default_factory=lambda: deque(maxlen=PROGRESS_SAMPLES))
-    paces: deque[float] = field(default_factory=lambda: deque(maxlen=PROGRESS_SAMPLES))
+    failed_jobs: set[str] = field(default_factory=set)
+    """Jobs of which a task has failed there since one was last done."""
     strikes: int = 0
     recorded: bool = False
-    reserved_priority: int | None = None
-    """Only work of this priority or a more urgent one may be placed there."""
-    reserved_until: float = NEVER
-    draining_seen: bool = False
 
     @property
     def name(self) -> str:
