Let members without a link not speak for a dead leader; retry appends sooner

Cause: after a kill the others had heard the leader 0.4 s ago and spoke against a claim, which then waited; and a worker that had left held up a new leader for the longest lease (8.6 s). Change: a member speaks for the leader only while its link stands; a worker without an entry at whose address nothing listens for 1.5 s has left; appends are retried at most 0.2 s apart, so that a leader is back before a member claims when the store returns.

--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -22,13 +22,22 @@
 
 
 class NotSent(Exception):
-    """No byte of the request has left."""
+    """No byte of the request has left; ``refused`` tells that nothing listens at the address."""
+
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class CutShort(Exception):
     """The request may have arrived, and no whole answer came."""
 
 
+def _is_refusal(error: Exception) -> bool:
+    cause = getattr(error, "real_error", None) or error
+    return isinstance(cause, ConnectionRefusedError)
+
+
 class Answer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
@@ -164,7 +173,7 @@
             stream = await asyncio.wait_for(connecting, max(0.0, deadline - time.monotonic()))
         except (TimeoutError, OSError, iostream.StreamClosedError) as error:
             self._open[address] -= 1
-            raise NotSent(type(error).__name__) from error
+            raise NotSent(type(error).__name__, _is_refusal(error)) from error
         stream.set_nodelay(True)
         return stream
 
--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -22,7 +22,7 @@
 FIRST_TIMEOUT = 0.15
 MAX_TIMEOUT = 1.5
 FIRST_PAUSE = 0.03
-MAX_PAUSE = 0.5
+MAX_PAUSE = 0.2
 TIMEOUT_FACTOR = 6.0
 """How many times the usual time of an answer is waited for before an append is sent again."""
 SMOOTHING = 0.2
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -243,6 +243,9 @@
         pong = await link.call(ping, PING_TIMEOUT)
         if not isinstance(pong, Pong):
             return
+        if self.record is None or self.record.epoch != epoch:
+            # Another leader has become known meanwhile, of which this answer tells nothing.
+            return
         now = monotonic()
         self._suspicion.heard(pong, now)
         self._link_leads = pong.leading and pong.epoch == epoch
@@ -315,7 +318,7 @@
         views = await asyncio.gather(*(self._view(address) for address in others))
         heard = [view for view in views if view is not None]
         epoch = 0 if record is None else record.epoch
-        if any(view.epoch >= epoch and view.heard_age < VIEW_FRESH for view in heard):
+        if any(_speaks_for(view, epoch) for view in heard):
             return False
         if heard or not others:
             return True
@@ -343,10 +346,18 @@
             epoch, self.settings.name, self.settings.rpc_address, self._incarnation
         )
         record = Record(LEADER_KEY, _ENCODER.encode(claim))
+        heard_ago = round(self._suspicion.heard_age(monotonic()), 3)
         result = await self.ports.store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=self._end)
         won = isinstance(result, Appended)
         _logger.info(
-            "claim", extra={"epoch": epoch, "why": reason, "won": won, "answer": repr(result)}
+            "claim",
+            extra={
+                "epoch": epoch,
+                "why": reason,
+                "heard_ago": heard_ago,
+                "won": won,
+                "answer": repr(result),
+            },
         )
         self._claim_pause_until = monotonic() + CLAIM_PAUSE * self._rng.uniform(0.5, 1.5)
         if won:
@@ -399,8 +410,8 @@
     def _own_view(self) -> LeaderView:
         epoch = 0 if self.record is None else self.record.epoch
         if self.leader is not None and self.leader.leading:
-            return LeaderView(self.leader.epoch, 0.0)
-        return LeaderView(epoch, self._suspicion.heard_age(monotonic()))
+            return LeaderView(self.leader.epoch, 0.0, True)
+        return LeaderView(epoch, self._suspicion.heard_age(monotonic()), self._link is not None)
 
     def _pinged(self, connection: Link, ping: Ping) -> Pong:
         leader = self.leader
@@ -468,6 +479,13 @@
         return reply
 
 
+def _speaks_for(view: LeaderView, epoch: int) -> bool:
+    """Tell whether a member still hears the leader of an epoch, or knows a later one."""
+    if view.epoch > epoch:
+        return True
+    return view.epoch == epoch and view.linked and view.heard_age < VIEW_FRESH
+
+
 def not_taken(reason: str) -> CallerReply:
     """Return the answer to what has certainly not run."""
     return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER)
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -115,10 +115,14 @@
 
 
 class LeaderView(msgspec.Struct, frozen=True, tag=True):
-    """What a member knows of the leader: its epoch, and how long ago it was heard (seconds)."""
+    """What a member knows of the leader: its epoch, and how long ago it was heard (seconds).
+
+    ``linked`` tells whether the member's connection to the leader stands.
+    """
 
     epoch: int
     heard_age: float
+    linked: bool
 
 
 class CallerReply(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
--- a/src/sablemount/control/ports.py
+++ b/src/sablemount/control/ports.py
@@ -31,6 +31,8 @@
     """The worker has seen a later leader."""
     OTHER_LIFE = "other life"
     """At the address is another life of the worker."""
+    REFUSED = "refused"
+    """Nothing listens at the address."""
     NOT_SENT = "not sent"
     NO_ANSWER = "no answer"
     """The call may be carried out, now or later."""
--- a/src/sablemount/control/worker_calls.py
+++ b/src/sablemount/control/worker_calls.py
@@ -29,6 +29,7 @@
 START_TIMEOUT = 0.3
 START_TRIES = 3
 CALL_MARGIN = 0.05
+NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
 STOP_TIMEOUT = 0.5
 MS = 1000.0
 
@@ -107,6 +108,8 @@
         elif result is CallError.OTHER_LIFE:
             scheduler.workers.died(row.name)
             self._kick()
+        elif result is CallError.REFUSED:
+            scheduler.workers.refused(row)
         _logger.debug("no look", extra={"worker": row.name, "why": result.value})
         # A look that had to wait need not be followed by a pause.
         return monotonic() - sent_at > HOLD_WAIT and not silent
@@ -175,7 +178,7 @@
                 self._scheduler.workers.died(action.worker)
                 self._kick()
                 return
-            certain = certain and result is CallError.NOT_SENT
+            certain = certain and result in NOTHING_SENT
         if certain:
             self._scheduler.reconcile.not_started(action.worker, action.task, action.run)
             self._kick()
--- a/src/sablemount/jobs/systems/workers.py
+++ b/src/sablemount/jobs/systems/workers.py
@@ -12,6 +12,8 @@
 """Share of the longest lease that is asked for, so that it is never cut."""
 LEASE_SLACK = 0.1
 """Seconds beyond a lease until what ran under it counts as over."""
+LEFT_AFTER = 1.5
+"""Seconds for which nothing listens where a worker was that has no entry any more."""
 MS = 1000.0
 
 
@@ -97,6 +99,17 @@
             return self._state.now - 1.0
         return max(row.lease_end, self._state.unheard_until)
 
+    def refused(self, row: WorkerRow) -> None:
+        """Take that nothing listens at a worker's address.
+
+        That, and that its entry is gone, for a while: then it has left, and what ran there is over.
+        """
+        now = self._state.now
+        if row.refused_since < row.heard_at:
+            row.refused_since = now
+        if not row.listed and now - row.refused_since > LEFT_AFTER:
+            self.died(row.name)
+
     def died(self, name: str) -> None:
         """Take that a life of a worker is over for certain."""
         row = self._state.workers.get(name)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -194,6 +194,8 @@
     runs: dict[tuple[str, int], RunRow] = field(default_factory=dict)
     heard_at: float = NEVER
     first_heard_at: float = NEVER
+    refused_since: float = 2 * NEVER
+    """Since when nothing listens at its address; before it was last heard if something does."""
     clock_ms: float = 0.0
     clock_at: float = NEVER
     """When the answer with ``clock_ms`` came."""
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -143,8 +143,8 @@
         headers = {INSTANCE_HEADER: life, "Content-Type": "application/json"}
         try:
             return await self._pool.fetch(address, path, _ENCODER.encode(body), headers, timeout)
-        except NotSent:
-            return CallError.NOT_SENT
+        except NotSent as error:
+            return CallError.REFUSED if error.refused else CallError.NOT_SENT
         except CutShort:
             return CallError.NO_ANSWER
 
