--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -52,7 +52,7 @@
 """Seconds after which a caller is told that its job may have been accepted."""
 RETRY_AFTER = 1.0
 CONFIG_WAIT = 1.0
-WORKERS_WAIT = 2.0
+WORKERS_WAIT = 1.0
 ADVICE_SLACK = 0.25
 COMMIT_PAUSE = 0.015
 CLOSE_TIME = 0.5
@@ -401,8 +401,11 @@
             path = "$" if fault is None else fault.path
             reason = "no job" if fault is None else fault.reason
             return CallerReply(Outcome.INVALID, path=path, reason=reason)
-        if self._store_stuck() and name not in self.scheduler.state.jobs:
+        known = self.scheduler.state.jobs.get(name)
+        if self._store_stuck() and known is None:
             return _not_taken("the store does not answer")
+        if self._store_stuck() and known is not None and not known.durable:
+            return CallerReply(Outcome.UNKNOWN, reason="the store has not answered")
         self.scheduler.now()
         if self.scheduler.submit(name, queue, spec) is Submission.KNOWN:
             return CallerReply(Outcome.DONE, state="known")
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
+import msgspec
+
 from sablemount.jobs.actions import Action, Heard
 from sablemount.jobs.journal import Batch, Journal
 from sablemount.jobs.model import Configuration, JobSpec, Queue, Shape, WorkerInfo
@@ -100,6 +102,7 @@
     def tick(self) -> list[Action]:
         """Run the systems and return what is to be done."""
         state = self.state
+        self.lifecycle.open_due()
         if state.now - self._slow_at >= SLOW_SYSTEMS_INTERVAL:
             self._slow_at = state.now
             self._run_slow()
@@ -113,7 +116,6 @@
         return state.take_actions()
 
     def _run_slow(self) -> None:
-        self.lifecycle.open_due()
         for row in self.workers.expire():
             if row.recorded:
                 self.journal.unuse(row.name)
@@ -128,13 +130,12 @@
         jobs: dict[str, JobRecord] = {}
         progress: dict[str, Progress] = {}
         for record in records:
-            kind, name = record.key[:2], record.key[2:]
-            if kind == JOB_PREFIX:
-                jobs[name] = decode_job(record.value)
-            elif kind == PROGRESS_PREFIX:
-                progress[name] = decode_progress(record.value)
-            elif kind == WORKER_PREFIX:
-                self._load_worker(name, record.value)
+            try:
+                self._load_record(record, jobs, progress)
+            except msgspec.DecodeError as error:
+                # Nothing is dropped for it: a later version may be able to read it.
+                extra = {"key": record.key, "error": str(error)}
+                self.state.logger.error("undecodable record", extra=extra)
         for name, job in sorted(jobs.items(), key=lambda item: item[1].accepted_ms):
             self.lifecycle.restore(name, job, progress.pop(name, None))
         for name, noted in progress.items():
@@ -143,6 +144,17 @@
         settings = self.state.settings
         self.state.unheard_until = self.state.now + settings.takeover_margin + settings.lease / 0.98
 
+    def _load_record(
+        self, record: Record, jobs: dict[str, JobRecord], progress: dict[str, Progress]
+    ) -> None:
+        kind, name = record.key[:2], record.key[2:]
+        if kind == JOB_PREFIX:
+            jobs[name] = decode_job(record.value)
+        elif kind == PROGRESS_PREFIX:
+            progress[name] = decode_progress(record.value)
+        elif kind == WORKER_PREFIX:
+            self._load_worker(name, record.value)
+
     def _load_worker(self, name: str, value: bytes) -> None:
         noted = decode_worker(value)
         info = WorkerInfo(name, noted.address, noted.pool, Shape())
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -7,6 +7,7 @@
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
     NEVER,
+    SLOW_CLOCK,
     JobRow,
     RunRow,
     RunState,
@@ -19,6 +20,8 @@
 __all__ = ["State"]
 
 TASK_KEY_PARTS = 4
+LEASE_SLACK = 0.1
+"""Seconds beyond a lease until what ran under it counts as over."""
 RUNS_AN_EPOCH = 10_000
 """Distance between the run numbers of two leaders, so that they rise without being recorded."""
 
@@ -109,6 +112,10 @@
         number = int(parts[2])
         return steps[number].charge if number < len(steps) else worker.info.capacity
 
+    def longest_lease_end(self) -> float:
+        """Return until when a lease that a worker grants at this moment can last."""
+        return self.now + self.settings.lease / SLOW_CLOCK + LEASE_SLACK
+
     # -- Runs --------------------------------------------------------------------------------
 
     def next_run(self, tasks: list[TaskRow]) -> int:
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -33,6 +33,8 @@
 
     def __init__(self, state: State) -> None:
         self._state = state
+        self._timed: dict[str, JobRow] = {}
+        """Jobs with repetitions that are not due yet."""
 
     # -- Creation ----------------------------------------------------------------------------
 
@@ -46,6 +48,8 @@
         state.jobs[name] = job
         state.live[name] = job
         state.terms.setdefault(terms.name, terms)
+        if record.spec.times:
+            self._timed[name] = job
         self._open_repetitions(job)
         return job
 
@@ -101,9 +105,10 @@
 
     def open_due(self) -> None:
         """Open the repetitions whose time has come."""
-        for job in self._state.live.values():
-            if job.record.spec.times:
-                self._open_repetitions(job)
+        for job in list(self._timed.values()):
+            self._open_repetitions(job)
+            if job.state.final or job.next_repetition >= job.record.spec.times:
+                del self._timed[job.name]
 
     def _open_repetitions(self, job: JobRow) -> None:
         spec = job.record.spec
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -56,6 +56,8 @@
         worker.heard_at = state.now
         if worker.first_heard_at < 0:
             worker.first_heard_at = state.now
+            # From here on no former leader can extend its leases.
+            worker.lease_end = max(worker.lease_end, state.longest_lease_end())
         fresh = [end for end in heard.ended if end.number > worker.seen_end]
         for end in fresh:
             worker.seen_end = max(worker.seen_end, end.number)
--- a/src/sablemount/jobs/systems/workers.py
+++ b/src/sablemount/jobs/systems/workers.py
@@ -4,14 +4,12 @@
 
 from sablemount.jobs.model import WorkerInfo
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import SLOW_CLOCK, RunRow, WorkerRow
+from sablemount.jobs.tables import RunRow, WorkerRow
 
 __all__ = ["Workers"]
 
 LEASE_SHARE = 0.97
 """Share of the longest lease that is asked for, so that it is never cut."""
-LEASE_SLACK = 0.1
-"""Seconds beyond a lease until what ran under it counts as over."""
 LEFT_AFTER = 1.5
 """Seconds for which nothing listens where a worker was that has no entry any more."""
 MS = 1000.0
@@ -66,9 +64,7 @@
         """Return the end of a new lease on the worker's clock (ms) and note how long it lasts."""
         state = self._state
         length = state.settings.lease * LEASE_SHARE
-        row.lease_end = max(
-            row.lease_end, state.now + state.settings.lease / SLOW_CLOCK + LEASE_SLACK
-        )
+        row.lease_end = max(row.lease_end, state.longest_lease_end())
         return int(row.clock_after(state.now) + length * MS)
 
     def fresh(self, row: WorkerRow) -> bool:
@@ -97,6 +93,8 @@
         """Return when all that may run on a silent worker is over (local time)."""
         if row.gone:
             return self._state.now - 1.0
+        if row.first_heard_at > 0:
+            return row.lease_end
         return max(row.lease_end, self._state.unheard_until)
 
     def refused(self, row: WorkerRow) -> None:
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -22,7 +22,7 @@
 from sablemount.platform.store import PlatformStore
 from sablemount.platform.workers import PlatformAdvice, PlatformWorkers
 
-__all__ = ["main", "serve"]
+__all__ = ["Process", "main", "serve"]
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -40,11 +40,11 @@
 _logger = logging.getLogger("sablemount.platform.main")
 
 
-class _Process:
+class Process:
     """Wires the product to the platform."""
 
     def __init__(self, boot: BootSettings) -> None:
-        self._boot = boot
+        self.boot = boot
         self._tasks: set[asyncio.Task[None]] = set()
         self._pool = UpstreamPool(CONNECTIONS, KEPT_SECONDS)
         ports = LeaderPorts(
@@ -66,24 +66,28 @@
     async def run(self) -> int:
         """Serve until the signal to stop."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.member.start()
-        _listen(self._ready, self._boot.listen.ready)
-        _listen(self.front.server, self._boot.listen.front)
-        _logger.info("started", extra={"node": self._boot.node_name})
+        _listen(self._ready, self.boot.listen.ready)
+        _listen(self.front.server, self.boot.listen.front)
+        _logger.info("started", extra={"node": self.boot.node_name})
         await self._stop.wait()
         await self._wind_down()
         return EXIT_OK
 
+    def request_stop(self) -> None:
+        """Begin the planned stop."""
+        self._stop.set()
+
     def _reload(self) -> None:
         loaded = load()
         if isinstance(loaded, Err):
             fault = loaded.err_value
             _logger.error("settings refused", extra={"file": fault.file, "why": fault.reason})
             return
-        self._boot = loaded.ok_value
-        _logger.info("settings read again", extra={"node": self._boot.node_name})
+        self.boot = loaded.ok_value
+        _logger.info("settings read again", extra={"node": self.boot.node_name})
 
     async def _wind_down(self) -> None:
         """Hand over, serve what still comes, finish what is in flight."""
@@ -91,13 +95,14 @@
         _logger.info("stopping", extra={"in_flight": self.front.in_flight})
         self.front.closing = True
         await self.member.stop()
-        last = started + self._boot.bounds.grace_s - STOP_MARGIN
+        last = started + self.boot.bounds.grace_s - STOP_MARGIN
         while time.monotonic() < last:
             served = time.monotonic() - started > STOP_SERVING
             if served and not self.front.in_flight:
                 break
             await asyncio.sleep(STOP_POLL)
         self.front.server.stop()
+        self._ready.stop()
         self.member.close()
         _logger.info("stopped", extra={"in_flight": self.front.in_flight})
 
@@ -109,7 +114,7 @@
 
 async def serve(boot: BootSettings) -> int:
     """Run a process with its settings and return its exit code."""
-    return await _Process(boot).run()
+    return await Process(boot).run()
 
 
 def main() -> int:
--- /dev/null
+++ b/tests/jobs/rig.py
@@ -0,0 +1,144 @@
+"""A job scheduler with a clock of its own, and short ways to tell it what happens."""
+
+from sablemount.jobs.actions import (
+    Action,
+    AskAdvice,
+    EndReport,
+    Heard,
+    RunReport,
+    StartRun,
+    StopRun,
+)
+from sablemount.jobs.journal import Batch
+from sablemount.jobs.model import (
+    AdviceTerms,
+    Configuration,
+    JobSpec,
+    Queue,
+    QueueTerms,
+    Shape,
+    StepSpec,
+    WorkerInfo,
+)
+from sablemount.jobs.records import Record
+from sablemount.jobs.scheduler import JobScheduler
+from sablemount.jobs.settings import JobSettings
+from sablemount.jobs.tables import JobRow
+
+CAPACITY = Shape(16_000, 64_000, 2)
+CORE = Shape(1_000, 1_000)
+WALL = 1.8e12
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def monotonic(self) -> float:
+        return self.time
+
+    def wall_ms(self) -> float:
+        return WALL + self.time * 1000.0
+
+
+def queue(name: str = "q", priority: int = 0, advice: AdviceTerms | None = None) -> Queue:
+    return Queue("host", f"/{name}/", QueueTerms(name, "pool", priority, 3, 2.0, 1000.0, advice))
+
+
+def spec(*steps: StepSpec) -> JobSpec:
+    return JobSpec("payload", steps)
+
+
+class Rig:
+    """Workers answer here at once, and only when the test says so."""
+
+    def __init__(self, workers: int = 2, epoch: int = 1, queues: tuple[Queue, ...] = ()) -> None:
+        self.clock = Clock()
+        self.scheduler = JobScheduler(JobSettings(), epoch, self.clock)
+        self.store: dict[str, bytes] = {}
+        self.actions: list[Action] = []
+        self.listed: list[str] = []
+        self.running: dict[str, list[RunReport]] = {}
+        self.ends: dict[str, list[EndReport]] = {}
+        self.scheduler.configured(Configuration(1, queues or (queue(),)))
+        self.scheduler.load([])
+        self.add_workers(workers)
+
+    def add_workers(self, count: int) -> None:
+        for _ in range(count):
+            number = len(self.listed)
+            labels = ("a" if number % 2 else "b", f"r{number // 2}")
+            self.listed.append(f"w{number}")
+            info = WorkerInfo(f"w{number}", f"a{number}", "pool", CAPACITY, labels)
+            self.scheduler.told(info)
+        self.hear_all()
+
+    # -- What happens ------------------------------------------------------------------------
+
+    def hear(self, worker: str) -> None:
+        clock_ms = self.clock.time * 1000.0
+        running = tuple(self.running.get(worker, ()))
+        ended = tuple(self.ends.get(worker, ()))
+        self.scheduler.now()
+        self.scheduler.heard(Heard(worker, self.clock.time, clock_ms, running, ended))
+
+    def hear_all(self) -> None:
+        for worker in self.listed:
+            self.hear(worker)
+
+    def tick(self, seconds: float = 0.01) -> list[Action]:
+        self.clock.time += seconds
+        self.scheduler.now()
+        actions = self.scheduler.tick()
+        self.actions += actions
+        return actions
+
+    def commit(self) -> Batch:
+        batch = self.scheduler.next_batch()
+        for record in batch.records:
+            if record.value:
+                self.store[record.key] = record.value
+            else:
+                self.store.pop(record.key, None)
+        self.scheduler.durable(batch)
+        return batch
+
+    def accept(self, name: str, job: JobSpec, to: Queue | None = None) -> JobRow:
+        self.scheduler.submit(name, to or queue(), job)
+        self.commit()
+        return self.scheduler.state.jobs[name]
+
+    def started(self) -> list[StartRun]:
+        return [action for action in self.actions if isinstance(action, StartRun)]
+
+    def stopped(self) -> list[StopRun]:
+        return [action for action in self.actions if isinstance(action, StopRun)]
+
+    def asked(self) -> list[AskAdvice]:
+        return [action for action in self.actions if isinstance(action, AskAdvice)]
+
+    def run(self, start: StartRun, percent: float = 0.0) -> None:
+        """Let a worker hold a run that it was told to start."""
+        rows = self.running.setdefault(start.worker, [])
+        rows[:] = [row for row in rows if row.task != start.task]
+        rows.append(RunReport(start.task, start.run, "", percent))
+
+    def end(self, start: StartRun, outcome: str, saved: str = "") -> None:
+        """Let a run end on its worker."""
+        rows = self.running.setdefault(start.worker, [])
+        rows[:] = [row for row in rows if row.task != start.task]
+        ends = self.ends.setdefault(start.worker, [])
+        ends.append(EndReport(len(ends) + 1, start.task, start.run, outcome, saved))
+
+    def successor(self) -> "Rig":
+        """Return a later leader that has loaded what is in the store."""
+        other = Rig(0, self.scheduler.state.epoch + 1)
+        other.clock.time = self.clock.time
+        other.running = self.running
+        other.ends = self.ends
+        other.listed = list(self.listed)
+        other.scheduler.now()
+        other.scheduler.load([Record(key, value) for key, value in self.store.items()])
+        for row in self.scheduler.state.workers.values():
+            other.scheduler.told(row.info)
+        return other
--- /dev/null
+++ b/tests/jobs/test_commit.py
@@ -0,0 +1,68 @@
+"""Appends with lost answers are settled, and a fenced leader stops."""
+
+import asyncio
+import random
+
+import pytest
+
+from sablemount.control.commit import Committer, LostLeadership
+from sablemount.control.store import Topic
+from sablemount.jobs.records import Record
+from tests.emulator.loop import run
+from tests.emulator.store import EmulatedStore, StoreState
+
+
+def _record(number: int) -> Record:
+    return Record(f"k{number}", b"value")
+
+
+def _committer(state: StoreState, epoch: int = 1) -> Committer:
+    return Committer(EmulatedStore(state, "m"), epoch, random.Random(3))
+
+
+def test_an_append_without_records_uses_up_no_sequence_number() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = _committer(state)
+        await committer.open()
+        await committer.append([_record(1)])
+        await committer.append([])
+        await committer.confirm()
+        await committer.append([_record(2)])
+        assert sorted(state.topics[Topic.JOBS].newest) == ["k1", "k2"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_lost_answers_neither_lose_nor_double(late: bool) -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = _committer(state)
+        await committer.open()
+        state.lost = 0.4
+        state.late = late
+        for number in range(40):
+            await committer.append([_record(number)])
+        await asyncio.sleep(10.0)
+        topic = state.topics[Topic.JOBS]
+        assert len(topic.records) == 40
+        assert len(topic.newest) == 40
+
+    run(scenario())
+
+
+def test_a_later_leader_ends_the_former_one() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        former = _committer(state, 1)
+        await former.open()
+        await former.append([_record(1)])
+        await _committer(state, 2).open()
+        with pytest.raises(LostLeadership):
+            await former.append([_record(2)])
+        with pytest.raises(LostLeadership):
+            await former.confirm()
+        assert list(state.topics[Topic.JOBS].newest) == ["k1"]
+
+    run(scenario())
--- /dev/null
+++ b/tests/jobs/test_recovery.py
@@ -0,0 +1,204 @@
+"""What a later leader makes of what is recorded and of what the workers say."""
+
+from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from sablemount.jobs.tables import JobState
+from tests.jobs.rig import CORE, Rig, spec
+
+HALF = Shape(8_000, 1_000)
+
+
+def test_a_running_task_is_kept_and_not_started_again() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    rig.run(rig.started()[0])
+    later = rig.successor()
+    later.hear_all()
+    later.tick()
+    assert later.started() == []
+    assert later.scheduler.state.jobs["job"].state is JobState.RUNNING
+
+
+def test_nothing_former_starts_before_every_worker_is_heard_or_its_lease_is_over() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    later = rig.successor()
+    later.hear("w0")
+    later.tick()
+    assert later.started() == []
+    for _ in range(9):
+        later.clock.time += 1.0
+        later.hear("w0")
+        later.tick()
+    assert [start.worker for start in later.started()] == ["w0"]
+
+
+def test_what_is_accepted_after_a_take_over_need_not_wait() -> None:
+    rig = Rig()
+    rig.accept("old", spec(StepSpec(1, CORE)))
+    later = rig.successor()
+    later.hear("w0")
+    later.accept("new", spec(StepSpec(1, CORE)))
+    later.tick()
+    assert [start.task for start in later.started()] == ["new.0.0.0"]
+
+
+def test_a_failure_that_is_listed_again_counts_once() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    rig.end(rig.started()[0], "failed")
+    rig.hear_all()
+    rig.commit()
+    later = rig.successor()
+    later.hear_all()
+    task = later.scheduler.state.jobs["job"].steps[(0, 0)].tasks[0]
+    assert len(task.failed_runs) == 1
+
+
+def test_run_numbers_rise_from_leader_to_leader() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    later = rig.successor()
+    later.hear_all()
+    later.tick()
+    assert later.started()[0].run > rig.started()[0].run
+
+
+def test_a_noted_end_is_kept_and_acknowledged_only_then() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(2, CORE)))
+    rig.tick()
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    row = rig.scheduler.state.workers[rig.started()[0].worker]
+    assert row.acked_end == 0
+    rig.commit()
+    assert row.acked_end == 1
+    later = rig.successor()
+    later.ends = {}
+    later.hear_all()
+    later.tick()
+    assert [start.task for start in later.started()] == [rig.started()[1].task]
+
+
+def test_the_end_of_a_job_is_told_after_its_records_are_gone() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    rig.commit()
+    assert "j/job" not in rig.store
+    later = rig.successor()
+    assert later.scheduler.state.jobs["job"].shown is JobState.SUCCEEDED
+
+
+def test_an_ended_job_is_forgotten_in_time() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.scheduler.cancel("job")
+    rig.commit()
+    rig.tick(100.0)
+    assert "job" in rig.scheduler.state.jobs
+    rig.tick(100.0)
+    rig.commit()
+    assert "job" not in rig.scheduler.state.jobs
+    assert "p/job" not in rig.store
+
+
+def test_a_run_of_a_cancelled_job_is_stopped_by_a_later_leader() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, HALF)))
+    rig.tick()
+    rig.run(rig.started()[0])
+    rig.scheduler.cancel("job")
+    rig.commit()
+    later = rig.successor()
+    later.hear_all()
+    later.tick(0.1)
+    assert [stop.task for stop in later.stopped()] == ["job.0.0.0"]
+
+
+def test_a_worker_that_has_left_does_not_hold_up_a_later_leader() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    later = rig.successor()
+    later.scheduler.workers.left_list("w1")
+    later.hear("w0")
+    gone = later.scheduler.state.workers["w1"]
+    for _ in range(4):
+        later.clock.time += 0.5
+        later.hear("w0")
+        later.scheduler.workers.refused(gone)
+        later.tick()
+    assert [start.worker for start in later.started()] == ["w0"]
+
+
+def test_a_silent_workers_tasks_start_again_only_after_its_lease() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    first = rig.started()[0]
+    rig.run(first)
+    rig.hear_all()
+    row = rig.scheduler.state.workers[first.worker]
+    rig.scheduler.workers.lease_until(row)
+    other = next(name for name in rig.listed if name != first.worker)
+    for _ in range(12):
+        rig.clock.time += 0.5
+        rig.hear(other)
+        rig.tick()
+    assert len(rig.started()) == 1
+    for _ in range(3):
+        rig.clock.time += 0.5
+        rig.hear(other)
+        rig.tick()
+    assert [start.worker for start in rig.started()] == [first.worker, other]
+
+
+def test_another_life_ends_what_ran_in_the_former_one() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    first = rig.started()[0]
+    rig.run(first)
+    rig.hear_all()
+    rig.scheduler.workers.died(first.worker)
+    rig.tick()
+    assert len(rig.started()) == 2
+    assert rig.started()[1].worker != first.worker
+
+
+def test_a_record_that_does_not_decode_stops_nothing() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.store["j/broken"] = b"\xc1"
+    later = rig.successor()
+    later.hear_all()
+    later.tick()
+    assert [start.task for start in later.started()] == ["job.0.0.0"]
+
+
+def test_repetitions_start_when_they_are_due_also_under_a_later_leader() -> None:
+    rig = Rig()
+    due = rig.clock.wall_ms() + 1000.0
+    rig.accept("job", JobSpec("payload", (StepSpec(1, CORE),), 3, due, 500.0))
+    rig.tick()
+    assert rig.started() == []
+    rig.tick(1.1)
+    assert [start.task for start in rig.started()] == ["job.0.0.0"]
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    rig.commit()
+    later = rig.successor()
+    later.clock.time += 1.0
+    later.hear_all()
+    later.tick()
+    assert [start.task for start in later.started()] == ["job.1.0.0", "job.2.0.0"]
+    for start in later.started():
+        later.end(start, "done")
+    later.clock.time += 0.1
+    later.hear_all()
+    assert later.scheduler.state.jobs["job"].state is JobState.SUCCEEDED
--- /dev/null
+++ b/tests/jobs/test_scheduling.py
@@ -0,0 +1,221 @@
+"""Placement, gangs, advice and ends, one scheduler at a time."""
+
+from sablemount.jobs.actions import StartRun
+from sablemount.jobs.model import AdviceTerms, Shape, StepSpec
+from sablemount.jobs.scheduler import StartRefusal
+from sablemount.jobs.tables import JobState
+from tests.jobs.rig import CORE, Rig, queue, spec
+
+HALF = Shape(8_000, 1_000)
+
+
+def test_nothing_starts_before_the_acceptance_is_in_the_store() -> None:
+    rig = Rig()
+    rig.scheduler.submit("job", queue(), spec(StepSpec(1, CORE)))
+    assert rig.tick() == []
+    rig.commit()
+    assert [start.task for start in rig.tick() if isinstance(start, StartRun)] == ["job.0.0.0"]
+
+
+def test_no_worker_is_given_more_than_it_has() -> None:
+    rig = Rig(workers=1)
+    rig.accept("job", spec(StepSpec(5, HALF)))
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+def test_a_stopping_run_still_takes_its_room() -> None:
+    rig = Rig(workers=1)
+    rig.accept("first", spec(StepSpec(2, HALF)))
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    rig.scheduler.cancel("first")
+    rig.accept("second", spec(StepSpec(2, HALF)))
+    rig.tick()
+    assert len(rig.stopped()) == 2
+    assert len(rig.started()) == 2
+    for start in rig.started():
+        rig.end(start, "stopped")
+    rig.clock.time += 0.1
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 4
+
+
+def test_a_gang_is_placed_whole_or_not_at_all() -> None:
+    rig = Rig(workers=2)
+    rig.accept("other", spec(StepSpec(1, HALF)))
+    rig.tick()
+    rig.accept("gang", spec(StepSpec(4, HALF, gang=True)))
+    rig.tick()
+    assert [start.task for start in rig.started()] == ["other.0.0.0"]
+    rig.run(rig.started()[0])
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    rig.tick()
+    gang = rig.started()[1:]
+    assert len(gang) == 4
+    assert len({start.run for start in gang}) == 1
+
+
+def test_one_done_end_stands_for_the_whole_gang() -> None:
+    rig = Rig(workers=2)
+    job = rig.accept("gang", spec(StepSpec(4, HALF, gang=True)))
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    rig.end(rig.started()[0], "done")
+    rig.clock.time += 0.1
+    rig.hear(rig.started()[0].worker)
+    assert job.state is JobState.SUCCEEDED
+    assert job.shown is not JobState.SUCCEEDED
+    rig.commit()
+    assert job.shown is JobState.SUCCEEDED
+    assert rig.tick() == []
+
+
+def test_a_step_waits_for_the_steps_that_it_names() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE), StepSpec(1, CORE, after=(0,))))
+    rig.tick()
+    assert [start.task for start in rig.started()] == ["job.0.0.0"]
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    rig.tick()
+    assert [start.task for start in rig.started()] == ["job.0.0.0", "job.0.1.0"]
+
+
+def test_labels_and_spread_are_kept() -> None:
+    rig = Rig(workers=4)
+    rig.accept("label", spec(StepSpec(3, CORE, label="a")))
+    rig.accept("spread", spec(StepSpec(8, CORE, spread=2)))
+    rig.tick()
+    labelled = [start for start in rig.started() if start.task.startswith("label")]
+    assert {start.worker for start in labelled} <= {"w1", "w3"}
+    spread = [start.worker for start in rig.started() if start.task.startswith("spread")]
+    assert len(spread) == 8
+    assert all(spread.count(worker) == 2 for worker in set(spread))
+
+
+def test_one_rack_is_used_where_all_fit_there() -> None:
+    rig = Rig(workers=4)
+    rig.accept("job", spec(StepSpec(4, HALF, gang=True, same_rack=True)))
+    rig.tick()
+    assert {start.worker for start in rig.started()} == {"w0", "w1"}
+
+
+def test_more_urgent_work_goes_first() -> None:
+    rig = Rig(workers=1, queues=(queue("slow", 2), queue("fast", 0)))
+    rig.scheduler.submit("batch", queue("slow", 2), spec(StepSpec(2, HALF)))
+    rig.scheduler.submit("quote", queue("fast", 0), spec(StepSpec(1, HALF)))
+    rig.commit()
+    rig.tick()
+    assert [start.task for start in rig.started()] == ["quote.0.0.0", "batch.0.0.0"]
+
+
+def test_a_draining_worker_gets_nothing_new() -> None:
+    rig = Rig(workers=1)
+    info = rig.scheduler.state.workers["w0"].info
+    rig.scheduler.told(type(info)(info.name, info.address, "pool", info.capacity, (), True))
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    assert rig.tick() == []
+
+
+def test_a_task_that_fails_too_often_fails_its_job() -> None:
+    rig = Rig(workers=4)
+    job = rig.accept("job", spec(StepSpec(1, CORE)))
+    for _ in range(3):
+        rig.tick(2.0)
+        rig.hear_all()
+        rig.tick()
+        rig.end(rig.started()[-1], "failed")
+        rig.hear_all()
+    assert job.state is JobState.FAILED
+    assert len(rig.started()) == 3
+    assert len({start.worker for start in rig.started()}) > 1
+
+
+def test_a_start_without_an_answer_is_settled_by_the_workers_word() -> None:
+    rig = Rig(workers=1)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    rig.clock.time += 0.5
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 1
+    rig.clock.time += 2.0
+    rig.hear_all()
+    rig.tick()
+    assert [start.run for start in rig.started()] == [1, 2]
+
+
+def test_a_refused_start_goes_elsewhere() -> None:
+    rig = Rig(workers=2)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    first = rig.started()[0]
+    rig.scheduler.start_refused(first.worker, first.task, 1, StartRefusal.UNHEALTHY, True)
+    rig.tick()
+    assert rig.started()[1].worker != first.worker
+
+
+def test_advice_is_asked_for_at_acceptance_and_its_ticket_used() -> None:
+    asking = queue("q", 0, AdviceTerms(9.0, 0.1, 2000.0))
+    rig = Rig(workers=3, queues=(asking,))
+    rig.scheduler.advice.set_lanes({"one", "two"})
+    rig.scheduler.submit("job", asking, spec(StepSpec(2, HALF)))
+    rig.tick()
+    (ask,) = rig.asked()
+    assert sorted(ask.workers) == ["w0", "w1", "w2"]
+    rig.commit()
+    rig.scheduler.advice.answered(ask.lane, ask.step, ask.workers, {"w2": "t"}, 2000.0)
+    rig.tick()
+    assert {(start.worker, start.ticket) for start in rig.started()} == {("w2", "t")}
+
+
+def test_a_ticket_that_has_run_out_is_renewed_for_the_worker_about_to_be_used() -> None:
+    asking = queue("q", 0, AdviceTerms(9.0, 0.1, 2000.0))
+    rig = Rig(workers=3, queues=(asking,))
+    rig.scheduler.advice.set_lanes({"one"})
+    rig.scheduler.submit("job", asking, spec(StepSpec(1, HALF)))
+    rig.tick()
+    ask = rig.asked()[0]
+    rig.scheduler.advice.answered(ask.lane, ask.step, ask.workers, {"w1": "t"}, 2000.0)
+    rig.clock.time += 2.2
+    rig.hear_all()
+    rig.commit()
+    rig.tick()
+    assert rig.started() == []
+    assert rig.asked()[1].workers == ("w1",)
+    assert rig.scheduler.state.workers["w1"].room.cores == 8_000
+
+
+def test_slow_calls_leave_lanes_to_quick_ones() -> None:
+    slow = queue("slow", 0, AdviceTerms(800.0, 5.0, 2000.0))
+    quick = queue("quick", 5, AdviceTerms(9.0, 0.1, 2000.0))
+    rig = Rig(workers=2, queues=(slow, quick))
+    rig.scheduler.advice.set_lanes({"one", "two", "three"})
+    for number in range(3):
+        rig.scheduler.submit(f"slow{number}", slow, spec(StepSpec(1, CORE)))
+    rig.tick()
+    assert len(rig.asked()) == 2
+    rig.scheduler.submit("quick", quick, spec(StepSpec(1, CORE)))
+    rig.tick()
+    assert rig.asked()[-1].step.startswith("quick")
+
+
+def test_a_lane_that_goes_lets_its_step_ask_again() -> None:
+    asking = queue("q", 0, AdviceTerms(9.0, 0.1, 2000.0))
+    rig = Rig(workers=1, queues=(asking,))
+    rig.scheduler.advice.set_lanes({"one", "two"})
+    rig.scheduler.submit("job", asking, spec(StepSpec(1, CORE)))
+    rig.tick()
+    lane = rig.asked()[0].lane
+    rig.scheduler.advice.set_lanes({"one", "two"} - {lane})
+    rig.tick(0.2)
+    rig.tick(0.2)
+    assert len(rig.asked()) == 2
+    assert rig.asked()[1].lane != lane
--- /dev/null
+++ b/tests/jobs/test_suspicion.py
@@ -0,0 +1,41 @@
+"""When a member tries to lead."""
+
+from sablemount.control.messages import Pong
+from sablemount.control.suspicion import Suspicion, Verdict
+
+PATIENCE = 0.1
+
+
+def test_a_leader_that_answers_is_left_alone() -> None:
+    seen = Suspicion(0.0)
+    for tick in range(100):
+        seen.heard(Pong(1, True, 0.1), tick * 0.15)
+        assert seen.reason(tick * 0.15 + 0.1, PATIENCE) is None
+
+
+def test_silence_and_refusal_are_told_apart() -> None:
+    seen = Suspicion(0.0)
+    seen.heard(Pong(1, True, 0.1), 1.0)
+    assert seen.reason(1.5, PATIENCE) is None
+    assert seen.reason(1.8, PATIENCE) == Verdict.SILENT
+    seen.refused(1.1)
+    assert seen.reason(1.35, PATIENCE) == Verdict.REFUSED
+
+
+def test_a_loading_leader_is_not_idle() -> None:
+    seen = Suspicion(0.0)
+    for tick in range(10):
+        seen.heard(Pong(1, False, 0.0, loading=True), tick * 0.2)
+    assert seen.reason(2.0, PATIENCE) is None
+    for tick in range(10, 20):
+        seen.heard(Pong(1, False, 0.0), tick * 0.2)
+    assert seen.reason(3.85, PATIENCE) == Verdict.IDLE
+
+
+def test_a_leader_without_the_store_is_suspected_until_it_has_it_again() -> None:
+    seen = Suspicion(0.0)
+    seen.heard(Pong(1, True, 0.9), 1.0)
+    seen.heard(Pong(1, True, 1.1), 1.2)
+    assert seen.reason(1.2, PATIENCE) == Verdict.STORE_LOST
+    seen.heard(Pong(1, True, 0.0), 1.3)
+    assert seen.reason(1.3, PATIENCE) is None
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,211 @@
+"""A stand-in of the published pages: store, workers and advice over HTTP on the loopback address.
+
+It keeps its state in the emulated store and cell; here is only what is spoken.
+"""
+
+import asyncio
+import base64
+import json
+import random
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from urllib.parse import parse_qs, urlsplit
+
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from sablemount.control.ports import CallError, HoldCall, Started
+from sablemount.control.store import Appended, Conflict, Fenced, Producer, Topic, WrongSequence
+from sablemount.jobs.actions import StartRun
+from sablemount.jobs.model import Shape
+from sablemount.jobs.records import Record
+from sablemount.jobs.scheduler import StartRefusal
+from sablemount.platform.front import respond
+from sablemount.platform.store import TOPICS, decode_records
+from tests.emulator.store import StoreState
+from tests.emulator.workers import Cell, Worker
+
+Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
+BY_NAME = {name: topic for topic, name in TOPICS.items()}
+SERVICE = "desk"
+HOST = "queues.example"
+PREFIX = "/lohu930/"
+
+
+class Standin:
+    """The platform that a process of the product is started against."""
+
+    def __init__(self) -> None:
+        self.store = StoreState(random.Random(1))
+        self.cell = Cell(random.Random(2))
+        self.cell.fail_share = 0.0
+        self.cell.seconds = 0.1
+        self.seen: list[str] = []
+        self._servers: list[HTTPServer] = []
+        self._tasks: set[asyncio.Future[None]] = set()
+        self.store_address = self._listen(self._store)
+        self.advice_address = self._listen(self._advice)
+
+    def close(self) -> None:
+        for server in self._servers:
+            server.stop()
+
+    def _listen(self, handler: Answering) -> str:
+        def take(request: httputil.HTTPServerRequest) -> None:
+            self._tasks.add(asyncio.ensure_future(self._serve(handler, request)))
+
+        server = HTTPServer(take)
+        socket, port = bind_unused_port()
+        server.add_sockets([socket])
+        self._servers.append(server)
+        return f"127.0.0.1:{port}"
+
+    async def _serve(self, handler: Answering, request: httputil.HTTPServerRequest) -> None:
+        self.seen.append(f"{request.method} {request.path}")
+        status, body = await handler(request)
+        payload = body if isinstance(body, bytes) else json.dumps(body).encode()
+        respond(request, HTTPStatus(status), payload, {})
+
+    # -- The store ---------------------------------------------------------------------------
+
+    async def _store(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
+        if self.store.down:
+            return 503, {}
+        query = {key: values[0] for key, values in parse_qs(urlsplit(request.uri).query).items()}
+        topic = BY_NAME[query["topic"]]
+        if request.path == "/api/log-append":
+            return self._append(topic, query, request.body)
+        if request.path == "/api/log-newest":
+            return self._newest(topic, query.get("dependsOn", ""))
+        return await self._read(topic, int(query["from"]), int(query["waitMs"]))
+
+    def _append(self, topic: Topic, query: dict[str, str], body: bytes) -> tuple[int, object]:
+        producer = None
+        if "producer" in query:
+            producer = Producer(query["producer"], int(query["epoch"]), int(query["seq"]))
+        at = int(query["at"]) if "at" in query else None
+        result = self.store.append(topic, list(decode_records(body)), producer, at)
+        if isinstance(result, Appended):
+            return 200, {"offset": 0, "end": result.end}
+        if isinstance(result, Conflict):
+            return 412, {"end": result.end}
+        if isinstance(result, Fenced):
+            return 409, {"reason": "fenced", "epoch": result.epoch}
+        assert isinstance(result, WrongSequence)
+        return 409, {"reason": "seq", "seq": result.wanted}
+
+    def _newest(self, topic: Topic, after: str) -> tuple[int, object]:
+        kept = self.store.topics[topic]
+        keys = [key for key in sorted(kept.newest) if key > after]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(kept.newest[key].record.value).decode(),
+                "offset": kept.newest[key].offset,
+            }
+            for key in keys[:2]
+        ]
+        return 200, {"items": items, "more": len(keys) > 2, "end": kept.end}
+
+    async def _read(self, topic: Topic, offset: int, wait_ms: int) -> tuple[int, object]:
+        kept = self.store.topics[topic]
+        if offset < kept.first:
+            return 410, {"first": kept.first}
+        if offset >= kept.end:
+            await asyncio.wait([asyncio.ensure_future(kept.changed.wait())], timeout=wait_ms / 1000)
+        records = kept.records[max(0, offset - kept.first) :]
+        body = kept.end.to_bytes(8, "big") + kept.first.to_bytes(8, "big")
+        for record in records:
+            key = record.key.encode()
+            body += (1 + len(key) + len(record.value)).to_bytes(4, "big")
+            body += bytes([len(key)]) + key + record.value
+        return 200, body
+
+    def configure(self, version: int, **changes: object) -> None:
+        """Write a configuration as the operator does."""
+        route = {
+            "name": "r-1",
+            "host": HOST,
+            "pathPrefix": PREFIX,
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 250,
+            "priority": 0,
+            "service": SERVICE,
+            "maxAttempts": 3,
+            "stretch": 1.5,
+            "advice": {"decideMs": 9.0, "eachMs": 0.1, "validMs": 2000},
+            "fieldOfTheFuture": 1,
+        }
+        told = {"version": version, "routes": [route | changes], "services": [{"name": SERVICE}]}
+        record = Record("config", json.dumps(told).encode())
+        self.store.topics[Topic.CONFIGURATION].add([record])
+
+    # -- Workers -----------------------------------------------------------------------------
+
+    def add_worker(self, rack: str) -> Worker:
+        worker = self.cell.add("machine", rack, Shape(16_000, 65_536, 0))
+
+        async def serve(request: httputil.HTTPServerRequest) -> tuple[int, object]:
+            return await self._worker(worker, request)
+
+        address = self._listen(serve)
+        entry = {
+            "service": SERVICE,
+            "addr": address,
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": 16000, "memMb": 65536, "gpu": 0},
+            "labels": ["a", rack],
+            "seq": 1,
+        }
+        record = Record(worker.info.name, json.dumps(entry).encode())
+        self.store.topics[Topic.WORKERS].add([record])
+        return worker
+
+    async def _worker(
+        self, worker: Worker, request: httputil.HTTPServerRequest
+    ) -> tuple[int, object]:
+        told = json.loads(request.body)
+        if request.headers["Expect-Instance"] != worker.info.name:
+            return 421, {}
+        clock = worker.clock_ms(asyncio.get_running_loop().time())
+        if request.path == "/api/hold":
+            return await self._hold(worker, told)
+        if request.path == "/api/run-stop":
+            fenced = self.cell.stop(worker, told["task"], told["run"], told["fence"])
+            return (409, {"clockMs": clock, "reason": "fence"}) if fenced else (200, {})
+        return self._start(worker, told, clock)
+
+    def _start(self, worker: Worker, told: dict[str, object], clock: float) -> tuple[int, object]:
+        if not told.get("ticket"):
+            return 409, {"clockMs": clock, "reason": "ticket"}
+        action = StartRun(worker.info.name, str(told["task"]), int(str(told["run"])), "", 0.0)
+        until = int(str(told["untilMs"]))
+        result = self.cell.start(worker, action, int(str(told["fence"])), until)
+        if isinstance(result, Started):
+            return 200, {"clockMs": result.clock_ms}
+        reason = result.value if isinstance(result, StartRefusal) else "fence"
+        return 409, {"clockMs": clock, "reason": reason}
+
+    async def _hold(self, worker: Worker, told: dict[str, int]) -> tuple[int, object]:
+        call = HoldCall(
+            worker.info.name, "", told["fence"], told.get("untilMs", 0), told["ackedUpto"], 0.0
+        )
+        if self.cell.hold(worker, call) is CallError.FENCED:
+            return 409, {"clockMs": 1, "reason": "fence"}
+        if not worker.ends:
+            worker.news.clear()
+            waiting = asyncio.ensure_future(worker.news.wait())
+            await asyncio.wait([waiting], timeout=told.get("waitMs", 0) / 1000)
+        now = asyncio.get_running_loop().time()
+        running = [[run.task, run.number, "", 10, 3] for run in worker.runs.values()]
+        ended = [[end.number, end.task, end.run, end.outcome, ""] for end in worker.ends]
+        return 200, {"clockMs": worker.clock_ms(now), "running": running, "ended": ended}
+
+    # -- Advice ------------------------------------------------------------------------------
+
+    async def _advice(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
+        told = json.loads(request.body)
+        return 200, {"good": [[name, "c81e"] for name in told["workers"]], "validMs": 2000}
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,132 @@
+"""What is read and written in the platform's words."""
+
+import contextlib
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from sablemount.jobs.model import Shape, check_spec
+from sablemount.jobs.records import Record
+from sablemount.platform import settings
+from sablemount.platform.directory import PlatformDirectory
+from sablemount.platform.front import decode_job
+from sablemount.platform.store import decode_records, encode_records
+
+KEYS = st.text(alphabet="abc/0-", min_size=1, max_size=40)
+RECORDS = st.lists(st.builds(Record, KEYS, st.binary(max_size=50)), max_size=8)
+
+
+@given(RECORDS)
+def test_records_come_back_as_they_went(records: list[Record]) -> None:
+    assert list(decode_records(encode_records(records))) == records
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_decode_or_are_refused(payload: bytes) -> None:
+    with contextlib.suppress(ValueError):
+        list(decode_records(payload))
+
+
+@given(
+    st.binary(max_size=80)
+    | st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(
+                st.sampled_from(("spec", "steps", "count", "cpu", "dependsOn")), inner
+            )
+        ),
+        max_leaves=8,
+    ).map(lambda value: json.dumps(value).encode())
+)
+def test_any_body_is_a_job_or_refused(body: bytes) -> None:
+    with contextlib.suppress(msgspec.DecodeError):
+        check_spec(decode_job(body))
+
+
+def test_a_job_keeps_all_that_it_says() -> None:
+    step = {
+        "count": 3,
+        "cpu": 500,
+        "memMb": 256,
+        "gpu": 1,
+        "estMs": 900,
+        "gang": True,
+        "sameRack": True,
+        "constraints": "b",
+        "affinity": "r1-3",
+        "antiAffinity": 2,
+        "speculative": True,
+        "daemon": True,
+        "checkpoint": True,
+        "image": "img",
+        "targetMs": 20,
+        "fills": True,
+        "mayMiss": 1,
+    }
+    body = {"spec": "s", "steps": [step], "maxRuns": 4, "startAtMs": 10, "intervalMs": 5}
+    job = decode_job(json.dumps(body).encode())
+    (told,) = job.steps
+    assert told.shape == Shape(500, 256, 1)
+    assert told.charge == Shape(0, 256, 1)
+    assert (told.label, told.rack, told.spread, told.may_miss) == ("b", "r1-3", 2, 1)
+    assert told.gang and told.same_rack and told.speculative and told.lasting and told.saves
+    assert [job.due_ms(number) for number in job.repetitions()] == [10, 15, 20, 25]
+
+
+def test_entries_that_do_not_decode_are_passed_over() -> None:
+    directory = PlatformDirectory()
+    assert directory.worker(Record("i-1", b"{")) is None
+    assert directory.worker(Record("i-1", b"{}")) is None
+    assert directory.configuration(Record("config", b"[]")) is None
+    assert directory.configuration(Record("wave/1", b"{}")) is None
+
+
+def test_a_draining_worker_is_told_so() -> None:
+    entry = {"service": "s", "addr": "1.2.3.4:5", "state": "draining", "labels": ["a", "r1"]}
+    info = PlatformDirectory().worker(Record("i-1", json.dumps(entry).encode()))
+    assert info is not None
+    assert info.draining
+    assert info.rack == "r1"
+
+
+SETTINGS = {
+    "nodeName": "edge-1",
+    "ip": "10.1.0.13",
+    "listen": {"front": "10.1.0.13:8161", "ready": "10.1.0.13:8167"},
+    "portRange": [7720, 7735],
+    "platform": {"addr": "10.200.1.7:8169"},
+    "bounds": {"holdMaxMs": 10000, "status_s": 90},
+    "unknown": 1,
+}
+
+
+def test_settings_are_read_and_unknown_fields_ignored(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(SETTINGS))
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    loaded = settings.load()
+    assert isinstance(loaded, Ok)
+    member = settings.member_settings(loaded.ok_value)
+    assert member.rpc_address == "10.1.0.13:7720"
+    assert (member.jobs.lease, member.jobs.state_kept) == (10.0, 90.0)
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"nodeName": 3}'])
+def test_bad_settings_are_refused_with_a_reason(
+    text: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "node.json"
+    path.write_text(text)
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    loaded = settings.load()
+    assert isinstance(loaded, Err)
+    assert loaded.err_value.reason
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,190 @@
+"""Processes of the product over real sockets, against the stand-in of the platform."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.testing import bind_unused_port
+
+from sablemount.platform.front import decode_job
+from sablemount.platform.main import Process
+from sablemount.platform.settings import BootSettings, Bounds, Listen, Service
+from tests.platform.standin import HOST, PREFIX, Standin
+
+JOB = {"spec": "payload", "steps": [{"count": 2, "cpu": 500}, {"count": 1, "dependsOn": [0]}]}
+WAIT = 30.0
+
+
+def _free_port() -> int:
+    socket, port = bind_unused_port()
+    socket.close()
+    return port
+
+
+class Front:
+    """Two processes, and calls to them as a client makes them."""
+
+    def __init__(self) -> None:
+        self.standin = Standin()
+        self.processes = [Process(self._boot(name)) for name in ("one", "two")]
+        self.running: list[asyncio.Task[int]] = []
+        self._client = AsyncHTTPClient()
+
+    def _boot(self, name: str) -> BootSettings:
+        listen = Listen(f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}")
+        ports = (_free_port(), _free_port())
+        store = Service(self.standin.store_address)
+        return BootSettings(
+            name, "127.0.0.1", listen, ports, store, self.standin.advice_address, Bounds()
+        )
+
+    async def start(self) -> None:
+        self.standin.configure(3)
+        for rack in ("r1", "r2"):
+            self.standin.add_worker(rack)
+        self.running = [asyncio.create_task(process.run()) for process in self.processes]
+        await self.until(lambda: self.all_ready())
+
+    async def call(self, number: int, method: str, path: str, body: object = None) -> HTTPResponse:
+        address = self.processes[number].boot.listen.front
+        return await self._client.fetch(
+            f"http://{address}{path}",
+            method=method,
+            body=None if body is None else json.dumps(body),
+            headers={"Host": HOST},
+            raise_error=False,
+        )
+
+    async def all_ready(self) -> bool:
+        for process in self.processes:
+            url = f"http://{process.boot.listen.ready}/api/readyz"
+            response = await self._client.fetch(url, raise_error=False)
+            if response.code != 200:
+                return False
+        return True
+
+    async def state(self, number: int, job: str) -> str:
+        response = await self.call(number, "GET", PREFIX + job)
+        return str(json.loads(response.body).get("state", response.code))
+
+    async def until(self, holds: Callable[[], Awaitable[bool]]) -> None:
+        async with asyncio.timeout(WAIT):
+            while not await holds():
+                await asyncio.sleep(0.05)
+
+
+def play(scenario: Callable[[Front], Awaitable[None]]) -> None:
+    async def run() -> None:
+        front = Front()
+        await front.start()
+        try:
+            await scenario(front)
+        finally:
+            for process in front.processes:
+                process.request_stop()
+            codes = await asyncio.gather(*front.running)
+            front.standin.close()
+        assert codes == [0, 0]
+
+    asyncio.run(run())
+
+
+def test_a_job_is_accepted_run_and_told_by_any_process() -> None:
+    async def scenario(front: Front) -> None:
+        job = "5c0e7a21d94b36f8"
+        front.standin.cell.jobs[job] = decode_job(json.dumps(JOB).encode())
+        assert (await front.call(0, "POST", PREFIX + job, JOB)).code == 200
+        assert (await front.call(1, "POST", PREFIX + job, JOB)).code == 200
+
+        async def done() -> bool:
+            return await front.state(1, job) == "succeeded"
+
+        await front.until(done)
+        assert await front.state(0, job) == "succeeded"
+        assert front.standin.cell.violations == []
+        assert sorted(front.standin.cell.starts) == [f"{job}.0.0.0", f"{job}.0.0.1", f"{job}.0.1.0"]
+
+    play(scenario)
+
+
+def test_what_is_unknown_or_malformed_is_refused_at_once() -> None:
+    async def scenario(front: Front) -> None:
+        assert (await front.call(0, "GET", PREFIX + "00000000000000aa")).code == 410
+        assert (await front.call(1, "GET", "/nowhere/1")).code == 404
+        assert (await front.call(1, "DELETE", PREFIX + "00000000000000aa")).code == 410
+        waiting = await front.call(1, "GET", PREFIX)
+        assert json.loads(waiting.body) == {"waiting": 0}
+        bad = {"spec": "x", "steps": [{"count": 1}, {"count": 1, "dependsOn": [4]}]}
+        refused = await front.call(0, "POST", PREFIX + "00000000000000ab", bad)
+        assert refused.code == 400
+        assert json.loads(refused.body)["path"] == "$.steps[1].dependsOn"
+        mistyped = await front.call(
+            0, "POST", PREFIX + "ac", {"spec": "x", "steps": [{"count": "1"}]}
+        )
+        assert mistyped.code == 400
+        assert json.loads(mistyped.body)["path"] == "$.steps[0].count"
+
+    play(scenario)
+
+
+def test_a_cancelled_job_is_told_so_and_stops() -> None:
+    async def scenario(front: Front) -> None:
+        front.standin.cell.seconds = 60.0
+        job = "00000000000000ca"
+        front.standin.cell.jobs[job] = decode_job(json.dumps(JOB).encode())
+        await front.call(0, "POST", PREFIX + job, JOB)
+
+        async def runs() -> bool:
+            return any(worker.runs for worker in front.standin.cell.workers.values())
+
+        async def stopped() -> bool:
+            return not await runs()
+
+        await front.until(runs)
+        assert (await front.call(1, "DELETE", PREFIX + job)).code == 200
+        assert await front.state(0, job) == "cancelled"
+        await front.until(stopped)
+
+    play(scenario)
+
+
+def test_without_the_store_new_jobs_are_refused_with_a_time_to_come_back() -> None:
+    async def scenario(front: Front) -> None:
+        front.standin.store.down = True
+        jobs = [f"{number:016x}" for number in range(200)]
+        for job in jobs:
+            front.standin.cell.jobs[job] = decode_job(json.dumps(JOB).encode())
+        asked: list[str] = []
+
+        async def refused() -> bool:
+            # An uncertain job stays uncertain, so each try is another one.
+            asked.append(jobs[len(asked)])
+            response = await front.call(0, "POST", PREFIX + asked[-1], JOB)
+            assert response.code in (503, 504)
+            return response.code == 503 and "Retry-After" in response.headers
+
+        await front.until(refused)
+        front.standin.store.down = False
+
+        async def taken() -> bool:
+            return (await front.call(1, "POST", PREFIX + asked[-1], JOB)).code == 200
+
+        await front.until(taken)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("prefix", ["/dropped/"])
+def test_a_new_configuration_is_in_force(prefix: str) -> None:
+    async def scenario(front: Front) -> None:
+        front.standin.configure(9, pathPrefix=prefix)
+
+        async def moved() -> bool:
+            return (await front.call(1, "GET", prefix)).code == 200
+
+        await front.until(moved)
+        assert (await front.call(0, "GET", PREFIX)).code == 404
+
+    play(scenario)
