Start a gang only when no member runs, and stop its rest when one is gone

Change: a gang waits until all members wait; what is left of a run is stopped when a member is gone. Ruled out: a refused ticket (none in the log), a late order (the start was answered).

--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -111,6 +111,7 @@
             state.freed += 1
             state.logger.info("former runs settled", extra={"workers": len(state.workers)})
         self.health.run()
+        self.reconcile.stop_broken_gangs()
         self.placement.run()
         self.advice.run()
         return state.take_actions()
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -45,6 +45,8 @@
         self.workers: dict[str, WorkerRow] = {}
         self.orphans: dict[tuple[str, str, int], RunRow] = {}
         """Runs that belong to no open task and are being stopped, by worker, task and run."""
+        self.broken_gangs: list[tuple[StepRow, int]] = []
+        """Gangs, with the run of which a member has gone."""
         self.steps_asked: dict[str, StepRow] = {}
         """Steps for which a call for advice is on its way."""
         self.dirty: dict[str, JobRow] = {}
@@ -149,6 +151,8 @@
         if task is None or run not in task.runs:
             return
         task.runs.remove(run)
+        if task.step.spec.gang and task.state is not TaskState.DONE:
+            self.broken_gangs.append((task.step, run.number))
         if not task.runs and task.state is TaskState.PLACED:
             self.requeue(task)
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -73,7 +73,7 @@
         self._state.release_booked(step)
         step.tried_at_freed = self._state.freed
         candidates = self._candidates(step, usable)
-        if not self._ready(step):
+        if not self._ready(step) or _gang_runs(step):
             self._ask_unknown(step, candidates)
             return
         allowed = [row for row in candidates if self._advice.known_good(step, row)]
@@ -229,6 +229,11 @@
 """Seconds that a worker's clock may be ahead of what is known of it."""
 
 
+def _gang_runs(step: StepRow) -> bool:
+    """Tell whether some member of a gang may still run, so that none can be started yet."""
+    return step.spec.gang and step.waiting < step.open_tasks
+
+
 def _leftover(room: Shape, capacity: Shape) -> float:
     """Return the share of a worker that is free, cores and memory weighed alike."""
     cores = room.cores / capacity.cores if capacity.cores else 0.0
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -230,6 +230,15 @@
         if run is not None and run.state is not RunState.RUNNING:
             self._state.drop_run(run)
 
+    def stop_broken_gangs(self) -> None:
+        """Stop what is left of the gangs of which a member has gone: alone it does no work."""
+        for step, number in self._state.broken_gangs:
+            for task in step.tasks:
+                for run in task.runs:
+                    if run.number == number and run.state is not RunState.STOPPING:
+                        self.stop(run)
+        self._state.broken_gangs.clear()
+
     def stop_orphans(self) -> None:
         """Send the stops that are due."""
         now = self._state.now
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -219,3 +219,36 @@
     rig.tick(0.2)
     assert len(rig.asked()) == 2
     assert rig.asked()[1].lane != lane
+
+
+def test_a_member_of_a_gang_is_not_started_while_another_still_runs() -> None:
+    rig = Rig(workers=3)
+    rig.accept("gang", spec(StepSpec(2, HALF, gang=True, spread=1)))
+    rig.tick()
+    first, second = rig.started()
+    rig.run(first)
+    rig.run(second)
+    rig.hear_all()
+    rig.end(second, "broken")
+    rig.clock.time += 0.1
+    rig.hear(second.worker)
+    rig.tick()
+    assert len(rig.started()) == 2
+    rig.end(first, "stopped")
+    rig.clock.time += 0.1
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 4
+    assert len({start.run for start in rig.started()[2:]}) == 1
+
+
+def test_the_rest_of_a_gang_is_stopped_when_a_member_could_not_start() -> None:
+    rig = Rig(workers=2)
+    rig.accept("gang", spec(StepSpec(2, HALF, gang=True, spread=1)))
+    rig.tick()
+    first, second = rig.started()
+    rig.run(first)
+    rig.hear_all()
+    rig.scheduler.start_refused(second.worker, second.task, 1, StartRefusal.TICKET, True)
+    rig.tick()
+    assert [stop.task for stop in rig.stopped()] == [first.task]
