Appends in flight together; links to former leaders end; figures at the metrics address

Cause: behind a slow store each batch waited for the answer to the one before, and an append was given up and sent anew three times (0.73 s); a member that connected to the old leader while the new one became known went on asking the old one, and claimed since it did not lead. Change: up to four batches in flight, an append is sent once more while its former call goes on, and a link ends when another leader is known. Counters and histograms of each process.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench matrix soak slopes generate
+.PHONY: demo test lint format bench matrix soak job-soak slopes generate
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -30,6 +30,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.bench
+	$(BIN)/python -m benchmarks.job_core
 
 slopes: $(STAMP)
 	$(BIN)/python -m benchmarks.slopes
@@ -37,5 +38,8 @@
 soak: $(STAMP)
 	$(BIN)/python -m benchmarks.soak
 
+job-soak: $(STAMP)
+	$(BIN)/python -m benchmarks.job_soak
+
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --grpc_python_out=src --pyi_out=src src/sablemount/peer/peer.proto
--- /dev/null
+++ b/benchmarks/job_core.py
@@ -0,0 +1,47 @@
+"""Core time of the job scheduler: accepting, placing and ending jobs, without I/O.
+
+python -m benchmarks.job_core
+"""
+
+import time
+from typing import Annotated
+
+import typer
+
+from sablemount.jobs.actions import StartRun
+from sablemount.jobs.model import Shape, StepSpec
+from tests.jobs.rig import Rig, queue, spec
+
+TASKS = 4
+SHAPE = Shape(1_000, 1_000)
+MICRO = 1e6
+
+
+def measure(workers: int, jobs: int) -> float:
+    """Return microseconds of processor time a job of some tasks."""
+    rig = Rig(workers=workers)
+    terms = queue()
+    began = time.process_time()
+    for number in range(jobs):
+        rig.scheduler.submit(f"j{number}", terms, spec(StepSpec(TASKS, SHAPE)))
+        rig.commit()
+        starts = [action for action in rig.tick() if isinstance(action, StartRun)]
+        for start in starts:
+            rig.end(start, "done")
+        for worker in {start.worker for start in starts}:
+            rig.hear(worker)
+            rig.ends[worker] = []
+            rig.scheduler.state.workers[worker].seen_end = 0
+            rig.scheduler.state.workers[worker].noted_end = 0
+        rig.commit()
+    return (time.process_time() - began) / jobs * MICRO
+
+
+def main(jobs: Annotated[int, typer.Option(help="How many jobs.")] = 1000) -> None:
+    """Print the time a job by the number of workers."""
+    for workers in (24, 176, 1000):
+        typer.echo(f"{workers:5d} workers: {measure(workers, jobs):7.0f} us a job of {TASKS} tasks")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/benchmarks/job_soak.py
@@ -0,0 +1,56 @@
+"""Plays seeded mixes of faults over the emulated system and lists those that break an invariant.
+
+python -m benchmarks.job_soak --first 0 --count 500
+"""
+
+import random
+import time
+from multiprocessing import Pool
+from typing import Annotated
+
+import msgspec
+import typer
+
+from tests.emulator import faults as kinds
+from tests.emulator.loop import run
+from tests.jobs.test_emulated import play
+
+FAULTS_A_MIX = 5
+PROCESSES = 6
+
+
+class Played(msgspec.Struct):
+    """One mix: its seed, its faults, and what was wrong."""
+
+    seed: int
+    faults: list[str]
+    wrong: list[str]
+
+
+def play_one(seed: int) -> Played:
+    """Play the mix of a seed."""
+    rng = random.Random(seed)
+    chosen = [rng.choice(kinds.FAULTS) for _ in range(FAULTS_A_MIX)]
+    wrong = run(play(100 + seed, chosen, advice=seed % 2 == 0))
+    return Played(seed, [fault.__name__ for fault in chosen], wrong)
+
+
+def main(
+    first: Annotated[int, typer.Option(help="First seed.")] = 0,
+    count: Annotated[int, typer.Option(help="How many seeds.")] = 200,
+) -> None:
+    """Play some mixes and print those that break an invariant."""
+    began = time.monotonic()
+    bad = 0
+    with Pool(PROCESSES) as pool:
+        for played in pool.imap_unordered(play_one, range(first, first + count)):
+            if played.wrong:
+                bad += 1
+                typer.echo(f"seed {played.seed} {played.faults}: {played.wrong[:3]}")
+    seconds = time.monotonic() - began
+    typer.echo(f"{count} mixes of {FAULTS_A_MIX} faults, {bad} bad, {seconds:.0f} s")
+    raise typer.Exit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -21,9 +21,9 @@
 
 from benchmarks.cellproc import free_port
 from benchmarks.documents import demo_documents
+from sablemount.adapters.upstream import UpstreamPool
 from sablemount.core.config import CoreSettings
 from sablemount.core.documents import document_key
-from sablemount.adapters.upstream import UpstreamPool
 from sablemount.settings import PeerAddress, Settings
 
 __all__ = ["Figures", "RequestBench", "compare_clients", "load"]
--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from typing import Any
 
 from sablemount.control.clock import monotonic
 from sablemount.control.store import (
@@ -19,12 +20,15 @@
 __all__ = ["Committer", "LostLeadership"]
 
 PRODUCER = "leader"
-FIRST_TIMEOUT = 0.15
-MAX_TIMEOUT = 1.5
-FIRST_PAUSE = 0.03
+TRY_TIMEOUT = 2.0
+FIRST_INTERVAL = 0.15
+MAX_INTERVAL = 1.0
+INTERVAL_FACTOR = 4.0
+"""How many times the usual time of an answer is waited for before an append is sent once more.
+
+The former call goes on: a slow store answers it, and what is sent twice is done once."""
+MAX_TRIES_AT_ONCE = 3
 MAX_PAUSE = 0.2
-TIMEOUT_FACTOR = 6.0
-"""How many times the usual time of an answer is waited for before an append is sent again."""
 SMOOTHING = 0.2
 
 _logger = logging.getLogger("sablemount.control.commit")
@@ -39,7 +43,11 @@
 
 
 class Committer:
-    """Writes under one epoch. ``good_at`` is when the store last took something (local time)."""
+    """Writes under one epoch; a few appends may be on their way at once.
+
+    The store takes them in the order of their sequence numbers, so that one that is done tells that
+    all earlier ones are. ``good_at`` is when the store last took something (local time).
+    """
 
     def __init__(self, store: Store, epoch: int, rng: random.Random) -> None:
         self._store = store
@@ -47,58 +55,124 @@
         self._rng = rng
         self._sequence = 0
         self._usual = 0.02
+        self._open: list[_Open] = []
         self.good_at = -1e9
-        self.waiting_since = -1e9
-        """When the append that has no answer yet was first sent; before all times if none."""
+
+    @property
+    def waiting_since(self) -> float:
+        """Return when the oldest append without an answer was sent; before all times if none."""
+        return min((entry.since for entry in self._open), default=-1e9)
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many appends have no answer yet."""
+        return len(self._open)
 
     async def open(self) -> None:
         """Set the epoch, so that no former leader writes any more."""
-        await self._settle([])
+        await self.confirm()
 
     async def confirm(self) -> None:
-        """Make sure that no later leader has written."""
-        await self._settle([])
+        """Make sure that no later leader has written; nothing else may be in flight."""
+        await self._settle([], self._sequence)
 
     async def append(self, records: list[Record]) -> None:
         """Append one batch; returns once it is in the store."""
-        await self._settle(records)
-        if records:
+        if not records:
             # An append without records uses up no sequence number.
-            self._sequence += 1
-
-    async def _settle(self, records: list[Record]) -> None:
+            await self._settled()
+            return
+        sequence = self._sequence
+        self._sequence += 1
+        await self._settle(records, sequence)
+
+    async def _settled(self) -> None:
+        """Wait until what is in flight is in the store, or ask the store if nothing is."""
+        waiting = [entry.done for entry in self._open]
+        if waiting:
+            await asyncio.gather(*waiting)
+        else:
+            await self.confirm()
+
+    async def _settle(self, records: list[Record], sequence: int) -> None:
         """Send the same append until it is known to be done; raises ``LostLeadership``."""
-        timeout = max(FIRST_TIMEOUT, TIMEOUT_FACTOR * self._usual)
-        pause = FIRST_PAUSE
-        producer = Producer(PRODUCER, self._epoch, self._sequence)
-        self.waiting_since = monotonic()
+        entry = _Open(sequence, monotonic(), asyncio.get_running_loop().create_future())
+        self._open.append(entry)
+        try:
+            tries = await self._send(records, sequence, entry.done)
+            self._good(sequence, entry, tries)
+        finally:
+            self._open.remove(entry)
+            if not entry.done.done():
+                entry.done.cancel()
+
+    async def _send(
+        self, records: list[Record], sequence: int, done: "asyncio.Future[None]"
+    ) -> int:
+        """Return after how many tries the append is done."""
+        interval = max(FIRST_INTERVAL, INTERVAL_FACTOR * self._usual)
+        producer = Producer(PRODUCER, self._epoch, sequence)
+        pending: set[asyncio.Future[Any]] = {done}
         tries = 0
-        while True:
-            tries += 1
-            sent_at = monotonic()
-            result = await self._store.append(Topic.JOBS, records, timeout, producer)
-            if self._done(result):
-                self._good(sent_at, tries)
-                return
-            timeout = min(MAX_TIMEOUT, timeout * 2)
-            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
-            pause = min(MAX_PAUSE, pause * 2)
-
-    def _done(self, result: AppendResult) -> bool:
+        try:
+            while not done.done():
+                if len(pending) <= MAX_TRIES_AT_ONCE:
+                    tries += 1
+                    pending.add(asyncio.ensure_future(self._try(records, producer)))
+                pause = interval * self._rng.uniform(0.8, 1.0)
+                ended, pending = await asyncio.wait(
+                    pending, timeout=pause, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done in ended or any(self._done(call.result(), sequence) for call in ended):
+                    break
+                if ended:
+                    # Refused at once: as if its time had gone by.
+                    await asyncio.sleep(min(pause, MAX_PAUSE))
+                interval = min(MAX_INTERVAL, interval * 2)
+        finally:
+            for call in pending - {done}:
+                call.cancel()
+        return tries
+
+    async def _try(self, records: list[Record], producer: Producer) -> AppendResult:
+        sent_at = monotonic()
+        result = await self._store.append(Topic.JOBS, records, TRY_TIMEOUT, producer)
+        if isinstance(result, Appended):
+            self._usual += SMOOTHING * (monotonic() - sent_at - self._usual)
+        return result
+
+    def _done(self, result: AppendResult, sequence: int) -> bool:
         if isinstance(result, Fenced):
             raise LostLeadership(result.epoch)
         if isinstance(result, WrongSequence):
-            # An earlier attempt was carried out, and its answer is not remembered any more.
-            if result.wanted < self._sequence:
+            # Later: an earlier attempt was carried out, and its answer is not remembered any more.
+            # Sooner: an earlier append has not arrived yet; without one, the count is broken.
+            first = min(entry.sequence for entry in self._open)
+            if result.wanted < sequence and first == sequence:
                 raise LostLeadership(self._epoch)
-            return result.wanted > self._sequence
+            return result.wanted > sequence
         return isinstance(result, Appended)
 
-    def _good(self, sent_at: float, tries: int) -> None:
+    def _good(self, sequence: int, entry: "_Open", tries: int) -> None:
         now = monotonic()
         if tries > 1:
-            seconds = round(now - self.waiting_since, 3)
+            seconds = round(now - entry.since, 3)
             _logger.info("append settled", extra={"tries": tries, "seconds": seconds})
-        self._usual += SMOOTHING * (now - sent_at - self._usual)
         self.good_at = now
-        self.waiting_since = -1e9
+        for other in self._open:
+            # One without records has the number that the next one with records takes too.
+            if other.sequence < sequence and not other.done.done():
+                other.done.set_result(None)
+        if not entry.done.done():
+            entry.done.set_result(None)
+
+
+class _Open:
+    """An append without an answer: when it was first sent, and what is set once it is done."""
+
+    __slots__ = ("done", "sequence", "since")
+
+    def __init__(self, sequence: int, since: float, done: "asyncio.Future[None]") -> None:
+        self.sequence = sequence
+        self.since = since
+        self.done = done
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -8,6 +8,7 @@
 
 from sablemount.control.clock import LoopClock, monotonic
 from sablemount.control.commit import Committer, LostLeadership
+from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower, read_newest
 from sablemount.control.messages import (
     AdviceReply,
@@ -55,8 +56,14 @@
 WORKERS_WAIT = 1.0
 ADVICE_SLACK = 0.25
 COMMIT_PAUSE = 0.015
+PIPELINE_AFTER = 0.04
+"""Seconds that a batch waits for the answer to the one before."""
+PIPELINE_DEPTH = 4
+"""Appends in flight at most: the store remembers the answers to the last five."""
+PIPELINE_POLL = 0.01
 CLOSE_TIME = 0.5
 CLOSE_POLL = 0.005
+HEIR_CORES = 0.9
 HEIR_AGE = 0.5
 """Seconds since its start after which a member may be asked to take over."""
 
@@ -79,12 +86,20 @@
     """Leads under one epoch."""
 
     def __init__(
-        self, name: str, epoch: int, ports: LeaderPorts, settings: JobSettings, rng: random.Random
+        self,
+        name: str,
+        epoch: int,
+        ports: LeaderPorts,
+        settings: JobSettings,
+        rng: random.Random,
+        figures: Figures,
     ) -> None:
         self.name = name
         self.epoch = epoch
         self.ports = ports
+        self.figures = figures
         self.scheduler = JobScheduler(settings, epoch, LoopClock())
+        self.scheduler.reconcile.on_outcome = self._count_end
         self.committer = Committer(ports.store, epoch, rng)
         self.calls = WorkerCalls(
             self.scheduler,
@@ -101,6 +116,7 @@
         self.members: dict[str, Link] = {}
         self.member_heard: dict[str, float] = {}
         self.member_uptime: dict[str, float] = {}
+        self.member_cores: dict[str, float] = {}
         self.closing = False
         self._kicked = asyncio.Event()
         self._commit_wanted = asyncio.Event()
@@ -147,11 +163,13 @@
     def heir(self) -> list[str]:
         """Return the members in the order in which they are asked to take over.
 
-        The one that started last goes first: when all are stopped in turn, it has had its turn.
+        Of those that are strong enough, the one that started last goes first: when all are stopped
+        in turn, it has had its turn.
         """
         ages = self.member_uptime
         grown = [name for name in self.members if ages.get(name, 0.0) > HEIR_AGE]
-        return sorted(grown, key=lambda name: ages[name])
+        weak = {name: self.member_cores.get(name, 1.0) < HEIR_CORES for name in grown}
+        return sorted(grown, key=lambda name: (weak[name], ages[name]))
 
     def _close(self) -> None:
         self.calls.close()
@@ -161,6 +179,9 @@
             if not future.done():
                 future.cancel()
 
+    def _count_end(self, outcome: str) -> None:
+        self.figures.count("end", outcome)
+
     def _sizes(self) -> dict[str, int]:
         state = self.scheduler.state
         return {"jobs": len(state.jobs), "live": len(state.live), "workers": len(state.workers)}
@@ -187,7 +208,9 @@
         self._spawn(workers.run())
 
     def _spawn(self, work: Coroutine[object, object, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+        self._keep(asyncio.get_running_loop().create_task(work))
+
+    def _keep(self, task: "asyncio.Task[None]") -> None:
         self._tasks.add(task)
         task.add_done_callback(self._task_ended)
 
@@ -262,11 +285,13 @@
             _logger.info(
                 "start", extra={"task": action.task, "run": action.run, "worker": action.worker}
             )
+            self.figures.count("start")
             self.calls.start(action)
         elif isinstance(action, StopRun):
             _logger.info(
                 "stop", extra={"task": action.task, "run": action.run, "worker": action.worker}
             )
+            self.figures.count("stop")
             self.calls.stop(action)
         else:
             self._spawn(self._advise(action))
@@ -279,7 +304,12 @@
                 async with asyncio.timeout(CONFIRM_INTERVAL):
                     await self._commit_wanted.wait()
             self._commit_wanted.clear()
-            await self._commit()
+            commit = asyncio.ensure_future(self._commit())
+            self._keep(commit)
+            # Behind a slow answer the next batch is sent without waiting for it.
+            await asyncio.wait([commit], timeout=PIPELINE_AFTER)
+            while self.committer.in_flight >= PIPELINE_DEPTH:
+                await asyncio.sleep(PIPELINE_POLL)
             # What comes meanwhile goes together: each call of the store costs.
             await asyncio.sleep(COMMIT_PAUSE)
 
@@ -288,12 +318,15 @@
         self._durable = []
         if self.scheduler.journal.pending():
             batch: Batch = self.scheduler.next_batch()
+            sent_at = monotonic()
             await self.committer.append(batch.records)
+            self.figures.observe("append", monotonic() - sent_at)
+            self.figures.count("records", by=len(batch.records))
             self.scheduler.now()
             self.scheduler.durable(batch)
             self.kick()
         else:
-            await self.committer.confirm()
+            await self.committer.append([])
         self._doubt = False
         for future in waiting:
             if not future.done():
@@ -344,7 +377,10 @@
 
     async def _advise(self, action: AskAdvice) -> None:
         timeout = 2 * action.cost + ADVICE_SLACK
+        sent_at = monotonic()
         reply = await self._ask(action, timeout)
+        self.figures.observe("advice", monotonic() - sent_at)
+        self.figures.count("advice", "answered" if reply.ok else "failed")
         self.scheduler.now()
         advice = self.scheduler.advice
         if reply.ok:
@@ -370,6 +406,13 @@
 
     async def serve(self, call: CallerCall) -> CallerReply:
         """Answer a caller's request."""
+        began = monotonic()
+        reply = await self._serve(call)
+        self.figures.observe(f"call_{call.operation.name.lower()}", monotonic() - began)
+        self.figures.count(call.operation.name.lower(), reply.outcome.name.lower())
+        return reply
+
+    async def _serve(self, call: CallerCall) -> CallerReply:
         if self.closing or not self.leading or not self.authority():
             return _not_taken("the leader is not sure that it leads")
         configuration = self.scheduler.state.configuration
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sablemount.control.clock import monotonic
+from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.messages import (
@@ -47,6 +48,10 @@
 CLAIM_TIMEOUT = 1.0
 PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
+FIRST_CLAIM = 0.1
+"""Seconds after its start before which a member does not claim the first leadership."""
+ENOUGH_CORES = 0.9
+WEAK_PATIENCE = 0.4
 CLAIM_PAUSE = 0.3
 STORE_TRIAL = 0.4
 STORE_SECOND_LOOK = 0.16
@@ -75,6 +80,8 @@
     name: str
     rpc_address: str
     jobs: JobSettings
+    cores: float = 1.0
+    """Share of a processor core that it may use: weak members leave the lead to others."""
 
 
 class Member:
@@ -92,12 +99,14 @@
         self.leader: Leader | None = None
         self.record: LeaderRecord | None = None
         self.stopping = False
+        self.figures = Figures()
         self._rng = rng
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._end = 0
         self._started_at = monotonic()
         self._suspicion = Suspicion(monotonic())
-        self._patience = rng.uniform(0.0, PATIENCE)
+        weak = settings.cores < ENOUGH_CORES
+        self._patience = rng.uniform(0.0, PATIENCE) + (WEAK_PATIENCE if weak else 0.0)
         self._known = False
         self._link: Link | None = None
         self._link_leads = False
@@ -216,16 +225,16 @@
                     self._suspicion.refused(monotonic())
                 await asyncio.sleep(RECONNECT_PAUSE)
                 continue
-            await self._keep(link)
+            await self._keep(link, record)
             await asyncio.sleep(RECONNECT_PAUSE)
 
-    async def _keep(self, link: Link) -> None:
-        """Keep a link until it is over."""
+    async def _keep(self, link: Link, record: LeaderRecord) -> None:
+        """Keep a link until it is over, or leads to a former leader."""
         self._link = link
         serving = asyncio.get_running_loop().create_task(link.serve())
         try:
             await link.call(Hello(self.settings.name, self.settings.rpc_address), PING_TIMEOUT)
-            while not link.closed:
+            while not link.closed and self.record is record:
                 await self._ping(link)
                 await asyncio.sleep(PING_INTERVAL)
         except CallFailed:
@@ -239,7 +248,9 @@
     async def _ping(self, link: Link) -> None:
         epoch = 0 if self.record is None else self.record.epoch
         uptime = monotonic() - self._started_at
-        ping = Ping(self.settings.name, self.settings.rpc_address, epoch, uptime)
+        ping = Ping(
+            self.settings.name, self.settings.rpc_address, epoch, uptime, self.settings.cores
+        )
         pong = await link.call(ping, PING_TIMEOUT)
         if not isinstance(pong, Pong):
             return
@@ -273,7 +284,8 @@
         if self._asked_to_lead:
             return Verdict.ASKED
         if self.record is None:
-            return Verdict.NO_LEADER
+            waited = now - self._started_at > FIRST_CLAIM + self._patience
+            return Verdict.NO_LEADER if waited else None
         if self.record.name == self.settings.name:
             rested = now > self._rest_until
             return Verdict.OWN_FORMER_LIFE if rested else None
@@ -349,6 +361,7 @@
         heard_ago = round(self._suspicion.heard_age(monotonic()), 3)
         result = await self.ports.store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=self._end)
         won = isinstance(result, Appended)
+        self.figures.count("claim", reason)
         _logger.info(
             "claim",
             extra={
@@ -381,7 +394,14 @@
     async def _lead(self, epoch: int) -> None:
         if self.leader is not None or self.stopping:
             return
-        leader = Leader(self.settings.name, epoch, self.ports, self.settings.jobs, self._rng)
+        leader = Leader(
+            self.settings.name,
+            epoch,
+            self.ports,
+            self.settings.jobs,
+            self._rng,
+            self.figures,
+        )
         self.leader = leader
         try:
             await leader.run()
@@ -424,6 +444,7 @@
         leader.members[ping.name] = connection
         leader.member_heard[ping.name] = monotonic()
         leader.member_uptime[ping.name] = ping.uptime
+        leader.member_cores[ping.name] = ping.cores
         connection.peer = ping.name
         addresses = {ping.name: ping.address}
         self._members.update(addresses)
@@ -462,8 +483,30 @@
                 return
             await asyncio.sleep(HAND_OVER_POLL)
 
+    def gauges(self) -> dict[str, float]:
+        """Return the figures of the present state."""
+        epoch = 0 if self.record is None else self.record.epoch
+        figures = {"epoch": float(epoch), "ready": float(self.ready), "leading": 0.0}
+        leader = self.leader
+        if leader is not None and leader.leading:
+            state = leader.scheduler.state
+            figures["leading"] = 1.0
+            figures["store_age_seconds"] = leader.store_age()
+            figures["live_jobs"] = float(len(state.live))
+            figures["open_steps"] = float(len(state.open_steps))
+            figures["workers"] = float(len(state.workers))
+            figures["runs"] = float(sum(len(row.runs) for row in state.workers.values()))
+        return figures
+
     async def serve(self, call: CallerCall, timeout: float) -> CallerReply:
         """Answer a caller's request, here or through the leader; ``timeout`` is in seconds."""
+        began = monotonic()
+        reply = await self._serve(call, timeout)
+        self.figures.observe("request", monotonic() - began)
+        self.figures.count("request", reply.outcome.name.lower())
+        return reply
+
+    async def _serve(self, call: CallerCall, timeout: float) -> CallerReply:
         await self._await_leader()
         leader = self.leader
         if leader is not None and leader.leading:
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -63,6 +63,8 @@
     epoch: int
     uptime: float = 0.0
     """Seconds since the member's process started."""
+    cores: float = 1.0
+    """Share of a processor core that the member may use."""
 
 
 class Hello(msgspec.Struct, frozen=True, tag=True):
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -34,6 +34,10 @@
     """Take an end, and do nothing."""
 
 
+def _ignore(outcome: str) -> None:
+    """Take an outcome, and do nothing."""
+
+
 class Reconcile:
     """Takes in the workers' words."""
 
@@ -41,6 +45,7 @@
         self._state = state
         self._lifecycle = lifecycle
         self.on_end: EndListener = _nobody
+        self.on_outcome: Callable[[str], None] = _ignore
 
     def heard(self, heard: Heard) -> bool:
         """Take a worker's word and tell whether it lists ends that are new."""
@@ -71,6 +76,7 @@
     def _ended(self, worker: WorkerRow, end: EndReport) -> None:
         run = worker.runs.get((end.task, end.run))
         task = self._state.task(end.task)
+        self.on_outcome(end.outcome)
         self._state.logger.info(
             "run ended",
             extra={"task": end.task, "run": end.run, "worker": worker.name, "how": end.outcome},
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -13,7 +13,7 @@
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 
-__all__ = ["Front", "decode_job", "ready_server"]
+__all__ = ["Front", "decode_job", "metrics_server", "ready_server"]
 
 DEADLINE_HEADER = "Deadline-Ms"
 DEFAULT_DEADLINE_MS = 3000.0
@@ -212,3 +212,14 @@
         respond(request, status, b"{}", {"Content-Type": "application/json"})
 
     return HTTPServer(answer)
+
+
+def metrics_server(member: Member) -> HTTPServer:
+    """Return the server that tells the process's own figures."""
+
+    def answer(request: httputil.HTTPServerRequest) -> None:
+        accepts = request.headers.get_list("Accept")
+        text = member.figures.render(member.gauges(), accepts)
+        respond(request, HTTPStatus.OK, text, {"Content-Type": "text/plain; version=0.0.4"})
+
+    return HTTPServer(answer)
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -17,8 +17,8 @@
 from sablemount.control.member import Member
 from sablemount.control.rpc import TcpNetwork
 from sablemount.platform.directory import PlatformDirectory
-from sablemount.platform.front import Front, ready_server
-from sablemount.platform.settings import BootSettings, load, member_settings
+from sablemount.platform.front import Front, metrics_server, ready_server
+from sablemount.platform.settings import METRICS_PORT, BootSettings, load, member_settings
 from sablemount.platform.store import PlatformStore
 from sablemount.platform.workers import PlatformAdvice, PlatformWorkers
 
@@ -43,7 +43,7 @@
 class Process:
     """Wires the product to the platform."""
 
-    def __init__(self, boot: BootSettings) -> None:
+    def __init__(self, boot: BootSettings, metrics_port: int = METRICS_PORT) -> None:
         self.boot = boot
         self._tasks: set[asyncio.Task[None]] = set()
         self._pool = UpstreamPool(CONNECTIONS, KEPT_SECONDS)
@@ -56,6 +56,8 @@
         self.member = Member(member_settings(boot), ports, TcpNetwork(), random.Random())
         self.front = Front(self.member, self._spawn)
         self._ready = ready_server(lambda: self.member.ready)
+        self._metrics = metrics_server(self.member)
+        self.metrics_port = metrics_port
         self._stop = asyncio.Event()
 
     def _spawn(self, work: Awaitable[None]) -> None:
@@ -71,6 +73,7 @@
         self.member.start()
         _listen(self._ready, self.boot.listen.ready)
         _listen(self.front.server, self.boot.listen.front)
+        _listen(self._metrics, f"{self.boot.ip}:{self.metrics_port}")
         _logger.info("started", extra={"node": self.boot.node_name})
         await self._stop.wait()
         await self._wind_down()
@@ -103,6 +106,7 @@
             await asyncio.sleep(STOP_POLL)
         self.front.server.stop()
         self._ready.stop()
+        self._metrics.stop()
         self.member.close()
         _logger.info("stopped", extra={"in_flight": self.front.in_flight})
 
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -12,6 +12,8 @@
 __all__ = ["BootSettings", "SettingsFault", "load", "member_settings"]
 
 PATH_VARIABLE = "SABLEMOUNT_BOOT"
+METRICS_PORT = 9464
+"""Where a process tells its own figures; the deploy file names the same port."""
 MS = 1000.0
 
 
@@ -41,6 +43,13 @@
     pace_ms: float = 100
 
 
+class MachineLimits(_Wire, frozen=True):
+    """What the machine gives: ``cores`` times as fast, for ``cpu_share`` of the time."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class Service(_Wire, frozen=True):
     """Where one of the platform's services answers."""
 
@@ -57,7 +66,7 @@
     platform: Service
     advice: str | None = None
     bounds: Bounds = Bounds()
-    cloud_api: Service | None = None
+    limits: MachineLimits = MachineLimits()
 
 
 class SettingsFault(msgspec.Struct, frozen=True):
@@ -95,9 +104,5 @@
         harm_time=bounds.harm_ms / MS,
         pace_interval=bounds.pace_ms / MS,
     )
-    return MemberSettings(boot.node_name, f"{boot.ip}:{boot.port_range[0]}", jobs)
-
-
-def metrics_address(boot: BootSettings) -> tuple[str, int]:
-    """Return where the process tells its own figures: the last of its free ports."""
-    return boot.ip, boot.port_range[1]
+    cores = boot.limits.cpu_share * boot.limits.cores
+    return MemberSettings(boot.node_name, f"{boot.ip}:{boot.port_range[0]}", jobs, cores)
--- a/tests/jobs/test_commit.py
+++ b/tests/jobs/test_commit.py
@@ -52,6 +52,44 @@
     run(scenario())
 
 
+def test_a_confirmation_on_its_way_makes_no_batch_durable() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = _committer(state)
+        await committer.open()
+        state.latency = 0.1
+        confirming = asyncio.create_task(committer.confirm())
+        await asyncio.sleep(0.06)
+        appending = asyncio.create_task(committer.append([_record(1)]))
+        await confirming
+        state.down = True
+        await asyncio.sleep(0.3)
+        assert not appending.done()
+        assert not state.topics[Topic.JOBS].newest
+        state.down = False
+        await appending
+        assert list(state.topics[Topic.JOBS].newest) == ["k1"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.4])
+def test_batches_in_flight_together_keep_their_order(lost: float) -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = _committer(state)
+        await committer.open()
+        state.latency = 0.1
+        state.lost = lost
+        for start in range(0, 40, 4):
+            batches = (committer.append([_record(start + more)]) for more in range(4))
+            await asyncio.gather(*batches)
+        topic = state.topics[Topic.JOBS]
+        assert [record.key for record in topic.records] == [f"k{n}" for n in range(40)]
+
+    run(scenario())
+
+
 def test_a_later_leader_ends_the_former_one() -> None:
     async def scenario() -> None:
         state = StoreState(random.Random(1))
--- a/tests/jobs/test_emulated.py
+++ b/tests/jobs/test_emulated.py
@@ -12,7 +12,7 @@
 SETTLE = 60.0
 
 
-async def _play(seed: int, chosen: list[kinds.Fault], advice: bool = False) -> list[str]:
+async def play(seed: int, chosen: list[kinds.Fault], advice: bool = False) -> list[str]:
     system = System(seed, advice=advice)
     system.start_all()
     await asyncio.sleep(1.0)
@@ -37,20 +37,20 @@
 
 
 def test_calm() -> None:
-    assert run(_play(1, [])) == []
+    assert run(play(1, [])) == []
 
 
 def test_calm_with_advice() -> None:
-    assert run(_play(2, [], advice=True)) == []
+    assert run(play(2, [], advice=True)) == []
 
 
 @pytest.mark.parametrize("fault", kinds.FAULTS, ids=lambda fault: fault.__name__)
 def test_each_fault_twice(fault: kinds.Fault) -> None:
-    assert run(_play(3, [fault, fault])) == []
+    assert run(play(3, [fault, fault])) == []
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_mixes(seed: int) -> None:
     rng = random.Random(seed)
     chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
-    assert run(_play(100 + seed, chosen, advice=seed % 2 == 0)) == []
+    assert run(play(100 + seed, chosen, advice=seed % 2 == 0)) == []
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -28,7 +28,7 @@
 
     def __init__(self) -> None:
         self.standin = Standin()
-        self.processes = [Process(self._boot(name)) for name in ("one", "two")]
+        self.processes = [Process(self._boot(name), _free_port()) for name in ("one", "two")]
         self.running: list[asyncio.Task[int]] = []
         self._client = AsyncHTTPClient()
 
@@ -65,6 +65,10 @@
                 return False
         return True
 
+    async def figures(self, number: int) -> str:
+        url = f"http://127.0.0.1:{self.processes[number].metrics_port}/metrics"
+        return (await self._client.fetch(url)).body.decode()
+
     async def state(self, number: int, job: str) -> str:
         response = await self.call(number, "GET", PREFIX + job)
         return str(json.loads(response.body).get("state", response.code))
@@ -104,6 +108,11 @@
         await front.until(done)
         assert await front.state(0, job) == "succeeded"
         assert front.standin.cell.violations == []
+        figures = [await front.figures(number) for number in (0, 1)]
+        assert all(
+            'sablemount_events_total{event="request",label="done"}' in text for text in figures
+        )
+        assert any('event="end",label="done"} 3' in text for text in figures)
         assert sorted(front.standin.cell.starts) == [f"{job}.0.0.0", f"{job}.0.0.1", f"{job}.0.1.0"]
 
     play(scenario)
