Cheaper work yields to what has waited; placement prefers workers with tickets and looks at less

Change: preemption by priority where little is thrown away, room kept meanwhile; workers with a valid ticket go first; candidates once a round, unknown workers only after a change. Ruled out: stuck flags of calls (each call ends in an answer or is given up).

--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -30,6 +30,7 @@
 from sablemount.jobs.systems.health import Health
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.systems.placement import Placement
+from sablemount.jobs.systems.preemption import Preemption
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.workers import Workers
 from sablemount.jobs.tables import JobRow, JobState, RunState, WorkerRow
@@ -87,6 +88,7 @@
         self.reconcile = Reconcile(self.state, self.lifecycle)
         self.advice = Advice(self.state)
         self.placement = Placement(self.state, self.workers, self.advice)
+        self.preemption = Preemption(self.state, self.placement, self.advice, self.reconcile)
         self.health = Health(self.state, self.reconcile)
         self.reconcile.on_end = self.health.ended
         self.journal = Journal(self.state, self.lifecycle)
@@ -113,6 +115,7 @@
         self.health.run()
         self.reconcile.stop_broken_gangs()
         self.placement.run()
+        self.preemption.run()
         self.advice.run()
         return state.take_actions()
 
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -53,6 +53,8 @@
         self.freed = 0
         """Counts what may let a waiting task fit."""
         self.placed_at_freed = -1
+        self.workers_changed = 0
+        """Counts what may make workers usable of which steps know nothing yet."""
         self.touched: set[str] = set()
         """Steps to be looked at again, though no room was freed."""
         self.former_settled = False
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -11,10 +11,12 @@
 from sablemount.jobs.systems.workers import Workers
 from sablemount.jobs.tables import RunRow, StepRow, TaskRow, TaskState, WorkerRow
 
-__all__ = ["Assignment", "Placement"]
+__all__ = ["Assignment", "Placement", "slots"]
 
 MS = 1000.0
 Assignment = list[tuple[TaskRow, WorkerRow]]
+TELL_AFTER = 3.0
+"""Seconds after which a step that waits is logged, again and again."""
 RETRY_INTERVAL = 0.25
 """Seconds after which a step that found no room is looked at again in any case."""
 
@@ -27,6 +29,8 @@
         self._workers = workers
         self._advice = advice
         self._looked_at = -RETRY_INTERVAL
+        self._round_of: list[WorkerRow] = []
+        self._by_kind: dict[tuple[str, str], list[WorkerRow]] = {}
 
     # -- The round ---------------------------------------------------------------------------
 
@@ -35,12 +39,13 @@
         state = self._state
         if state.now - self._looked_at > RETRY_INTERVAL:
             state.freed += 1
+            self._tell_of_waiting()
         if state.freed == state.placed_at_freed and not state.touched:
             return
         self._looked_at = state.now
         freed = state.freed
-        usable = [row for row in state.workers.values() if self.usable(row)]
-        for step in sorted(state.open_steps.values(), key=self._order):
+        usable = self.usable_rows()
+        for step in self.in_order():
             if not step.waiting:
                 state.open_steps.pop(step.key, None)
             elif step.tried_at_freed != freed or step.key in state.touched:
@@ -48,11 +53,18 @@
         state.touched.clear()
         state.placed_at_freed = freed
 
+    def in_order(self) -> list[StepRow]:
+        """Return the open steps, the most urgent first."""
+        return sorted(self._state.open_steps.values(), key=self._order)
+
     def _order(self, step: StepRow) -> tuple[int, float]:
         return (self._state.terms_of(step.job).priority, step.job.objective_at)
 
-    def usable(self, row: WorkerRow) -> bool:
-        """Tell whether a worker may get new work at all."""
+    def usable_rows(self) -> list[WorkerRow]:
+        """Return the workers that may get new work at all."""
+        return [row for row in self._state.workers.values() if self._usable(row)]
+
+    def _usable(self, row: WorkerRow) -> bool:
         return (
             not row.gone
             and not row.info.draining
@@ -60,9 +72,10 @@
             and self._workers.fresh(row)
         )
 
-    def _ready(self, step: StepRow) -> bool:
+    def ready(self, step: StepRow) -> bool:
+        """Tell whether a step may be started at all."""
         job = step.job
-        if not job.durable:
+        if not job.durable or _gang_runs(step):
             return False
         # What a former leader accepted may still run where nobody has looked yet.
         return not job.former or self._state.former_settled
@@ -72,28 +85,62 @@
             return
         self._state.release_booked(step)
         step.tried_at_freed = self._state.freed
-        candidates = self._candidates(step, usable)
-        if not self._ready(step) or _gang_runs(step):
-            self._ask_unknown(step, candidates)
+        if not self.ready(step):
+            self._ask_unknown(step, usable)
             return
-        allowed = [row for row in candidates if self._advice.known_good(step, row)]
         tasks = [task for task in step.tasks if task.state is TaskState.WAITING]
-        chosen = self._assign(step, tasks, allowed)
+        chosen = self._assign(step, tasks, self.allowed(step, usable))
         if len(chosen) < len(tasks):
-            self._ask_unknown(step, candidates)
+            self._ask_unknown(step, usable)
             if step.spec.gang:
                 return
         self._start_or_ask(step, chosen)
 
-    def _candidates(self, step: StepRow, usable: list[WorkerRow]) -> list[WorkerRow]:
-        pool = self._state.terms_of(step.job).pool
-        label = step.spec.label
+    def allowed(self, step: StepRow, usable: list[WorkerRow]) -> list[WorkerRow]:
+        """Return the workers on which a step may run, whether they have room or not."""
+        now = self._state.now
+        priority = self._state.terms_of(step.job).priority
+        good = None if step.advice is None else step.advice.good
         return [
             row
-            for row in usable
-            if row.info.pool == pool and (not label or label in row.info.labels)
+            for row in self._candidates(step, usable)
+            if (good is None or row.name in good)
+            and (row.kept_until <= now or priority <= row.kept_priority)
         ]
 
+    def _candidates(self, step: StepRow, usable: list[WorkerRow]) -> list[WorkerRow]:
+        """Return the usable workers of a step's pool and label, found once a round."""
+        kind = (self._state.terms_of(step.job).pool, step.spec.label)
+        if self._round_of is not usable:
+            self._round_of = usable
+            self._by_kind = {}
+        found = self._by_kind.get(kind)
+        if found is None:
+            found = self._by_kind[kind] = [row for row in usable if _is_of(row, *kind)]
+        return found
+
+    def _tell_of_waiting(self) -> None:
+        """Log the steps that have waited for long, now and then, with what they wait for."""
+        state = self._state
+        for step in state.open_steps.values():
+            since = max(step.opened_at, step.told_at)
+            if not step.waiting or state.now - since < TELL_AFTER:
+                continue
+            step.told_at = state.now
+            advice = step.advice
+            state.logger.info(
+                "step waits",
+                extra={
+                    "step": step.key,
+                    "waits": step.waiting,
+                    "of": step.open_tasks,
+                    "ready": self.ready(step),
+                    "asking": advice is not None and advice.asking,
+                    "good": -1 if advice is None else len(advice.good),
+                    "bad": -1 if advice is None else len(advice.bad),
+                },
+            )
+
     # -- Choice ------------------------------------------------------------------------------
 
     def _assign(self, step: StepRow, tasks: list[TaskRow], rows: list[WorkerRow]) -> Assignment:
@@ -101,16 +148,21 @@
         if step.spec.same_rack:
             rows = self._one_rack(step, len(tasks), rows)
         charge = step.spec.charge
-        room = {row.name: row.room for row in rows if charge.fits(row.room)}
+        fitting = [row for row in rows if charge.fits(row.room)]
+        if not fitting:
+            return []
+        room = {row.name: row.room for row in fitting}
         counts = self._counts(step) if step.spec.spread else {}
         chosen: Assignment = []
         for task in tasks:
-            best = self._best(step, task, rows, room, counts)
+            best = self._best(step, task, fitting, room, counts)
             if best is None:
                 break
             chosen.append((task, best))
             counts[best.name] = counts.get(best.name, 0) + 1
             room[best.name] = room[best.name].plus(charge, -1)
+            if not charge.fits(room[best.name]):
+                fitting.remove(best)
         return chosen
 
     def _best(
@@ -122,20 +174,19 @@
         counts: dict[str, int],
     ) -> WorkerRow | None:
         """Return the worker that is left with the least room, the wanted rack first."""
-        charge = step.spec.charge
         best: WorkerRow | None = None
         best_score = 0.0
+        spec = step.spec
         for row in rows:
-            left = room.get(row.name)
-            if left is None or not charge.fits(left):
-                continue
-            if step.spec.spread and counts.get(row.name, 0) >= step.spec.spread:
+            if spec.spread and counts.get(row.name, 0) >= spec.spread:
                 continue
-            score = _leftover(left, row.info.capacity)
-            if step.spec.rack and step.spec.rack not in row.info.labels:
+            score = _leftover(room[row.name], row.info.capacity)
+            if spec.rack and spec.rack not in row.info.labels:
                 score += FAR_PENALTY
             if task.failed_on == row.name:
                 score += FAILED_PENALTY
+            if not self._advice.valid(step, row):
+                score += STALE_PENALTY
             if best is None or score < best_score:
                 best = row
                 best_score = score
@@ -153,7 +204,7 @@
         for row in rows:
             racks.setdefault(row.info.rack, []).append(row)
         for rack in sorted(racks, key=lambda name: name not in used):
-            if sum(_times(step.spec.charge, row.room) for row in racks[rack]) >= count:
+            if sum(slots(step.spec.charge, row.room) for row in racks[rack]) >= count:
                 return racks[rack]
         return rows
 
@@ -166,15 +217,22 @@
 
     # -- Advice ------------------------------------------------------------------------------
 
-    def _ask_unknown(self, step: StepRow, candidates: list[WorkerRow]) -> None:
-        if step.advice is None or step.advice.asking:
+    def _ask_unknown(self, step: StepRow, usable: list[WorkerRow]) -> None:
+        """Ask for the workers of which nothing is known, those with most room first."""
+        advice = step.advice
+        if advice is None or advice.asking or advice.known_at == self._state.workers_changed:
             return
         charge = step.spec.charge
         unknown = [
             row
-            for row in candidates
+            for row in self._candidates(step, usable)
             if self._advice.unknown(step, row) and charge.fits(row.info.capacity)
         ]
+        if not unknown:
+            # One that is silent or avoided now may be unknown, and usable again at any time.
+            if len(usable) == len(self._state.workers):
+                advice.known_at = self._state.workers_changed
+            return
         unknown.sort(key=lambda row: -row.room.cores)
         self._advice.want(step, [row.name for row in unknown])
 
@@ -225,10 +283,17 @@
 
 FAR_PENALTY = 10.0
 FAILED_PENALTY = 5.0
+STALE_PENALTY = 3.0
+"""Workers with a valid ticket go first: otherwise steps whose bookings make each other's workers the
+fullest ask for new tickets without end."""
 SETTLE = 0.3
 """Seconds that a worker's clock may be ahead of what is known of it."""
 
 
+def _is_of(row: WorkerRow, pool: str, label: str) -> bool:
+    return row.info.pool == pool and (not label or label in row.info.labels)
+
+
 def _gang_runs(step: StepRow) -> bool:
     """Tell whether some member of a gang may still run, so that none can be started yet."""
     return step.spec.gang and step.waiting < step.open_tasks
@@ -241,7 +306,7 @@
     return cores + memory
 
 
-def _times(shape: Shape, room: Shape) -> int:
+def slots(shape: Shape, room: Shape) -> int:
     """Return how often a shape fits into some room."""
     fits = [
         have // need
--- /dev/null
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -0,0 +1,179 @@
+"""Which cheaper work yields to a step that has waited too long for room.
+
+Only work of a lower priority yields, and only where what is thrown away is small beside the work
+that gets its room. The room is kept for the step until what yields has stopped.
+"""
+
+from dataclasses import dataclass
+
+from sablemount.jobs.state import State
+from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.placement import Placement, slots
+from sablemount.jobs.systems.reconcile import Reconcile
+from sablemount.jobs.tables import RunRow, RunState, StepRow, WorkerRow
+
+__all__ = ["Preemption"]
+
+INTERVAL = 0.1
+MS = 1000.0
+PATIENCE_SHARE = 0.2
+"""Share of its expected time that a step waits before others yield to it."""
+LEAST_PATIENCE = 0.1
+MOST_PATIENCE = 1.5
+LOSS_SHARE = 0.25
+"""Work thrown away at most, as a share of the work that gets the room."""
+MAX_AT_ONCE = 2
+"""Steps that have room made for them at once."""
+KEEP_MARGIN = 1.0
+WORTH_KEEPING = 0.85
+"""A run that is further than this yields to nobody: it ends soon."""
+
+
+@dataclass(slots=True)
+class _Offer:
+    """Slots of one worker: those that are free, or one more that its victims' room makes."""
+
+    row: WorkerRow
+    slots: int
+    victims: list[RunRow]
+    loss: float
+
+
+class Preemption:
+    """Makes room for steps that are worth it."""
+
+    def __init__(
+        self, state: State, placement: Placement, advice: Advice, reconcile: Reconcile
+    ) -> None:
+        self._state = state
+        self._placement = placement
+        self._advice = advice
+        self._reconcile = reconcile
+        self._ran_at = -INTERVAL
+        self._made: dict[str, float] = {}
+        """Steps for which room is being made, until when."""
+
+    def run(self) -> None:
+        """Make room for the most urgent steps that wait."""
+        now = self._state.now
+        if now - self._ran_at < INTERVAL:
+            return
+        self._ran_at = now
+        self._made = {key: until for key, until in self._made.items() if until > now}
+        usable: list[WorkerRow] | None = None
+        for step in self._placement.in_order():
+            if len(self._made) >= MAX_AT_ONCE:
+                return
+            if step.key in self._made or not self._due(step):
+                continue
+            if usable is None:
+                usable = self._placement.usable_rows()
+            self._make_room(step, self._placement.allowed(step, usable))
+
+    def _due(self, step: StepRow) -> bool:
+        """Tell whether a step has waited long enough; what waits for tickets does not count."""
+        if not step.waiting or step.booked or not self._placement.ready(step):
+            return False
+        if step.spec.lasting:
+            return False
+        expected = step.spec.expected_ms / MS
+        patience = min(MOST_PATIENCE, max(LEAST_PATIENCE, PATIENCE_SHARE * expected))
+        return self._state.now - max(step.opened_at, step.job.accepted_at) > patience
+
+    # -- Offers ------------------------------------------------------------------------------
+
+    def _make_room(self, step: StepRow, rows: list[WorkerRow]) -> None:
+        wanted = step.waiting
+        offers = [offer for row in rows for offer in self._offers(step, row)]
+        # Sorting keeps the order of one worker's offers, each of which builds on those before.
+        offers.sort(key=lambda offer: offer.loss)
+        chosen: list[_Offer] = []
+        found = 0
+        for offer in offers:
+            if found >= wanted:
+                break
+            chosen.append(offer)
+            found += offer.slots
+        if not any(offer.victims for offer in chosen):
+            return
+        if found < wanted and step.spec.gang:
+            return
+        loss = sum(offer.loss for offer in chosen)
+        work = wanted * step.spec.shape.cores / MS * step.spec.expected_ms / MS
+        if loss <= LOSS_SHARE * work:
+            self._take(step, chosen, loss)
+
+    def _offers(self, step: StepRow, row: WorkerRow) -> list[_Offer]:
+        """Return the free slots of a worker, then each further one with what has to yield for it.
+
+        The losses of one worker's offers rise.
+        """
+        charge = step.spec.charge
+        room = row.room
+        have = slots(charge, room)
+        offers = [_Offer(row, have, [], 0.0)] if have else []
+        victims: list[RunRow] = []
+        loss = highest = 0.0
+        for cost, run in sorted(self._victims(row, step), key=lambda pair: pair[0]):
+            room = room.plus(run.charge)
+            victims.append(run)
+            loss += cost
+            made = slots(charge, room) - have
+            if made > 0:
+                highest = max(highest, loss)
+                offers.append(_Offer(row, made, victims, highest))
+                have += made
+                victims = []
+                loss = 0.0
+        return offers
+
+    def _victims(self, row: WorkerRow, step: StepRow) -> list[tuple[float, RunRow]]:
+        """Return the runs of a worker that may yield, with the core seconds that are lost."""
+        priority = self._state.terms_of(step.job).priority
+        found = []
+        for run in row.runs.values():
+            task = self._state.task(run.task)
+            if task is None or run.state is not RunState.RUNNING:
+                continue
+            spec = task.step.spec
+            if spec.gang or spec.lasting or run.percent > 100 * WORTH_KEEPING:
+                continue
+            if self._state.terms_of(task.step.job).priority <= priority:
+                continue
+            found.append((self._loss(run, spec.saves), run))
+        return found
+
+    def _loss(self, run: RunRow, saves: bool) -> float:
+        """Return the core seconds that a stop throws away: a stop saves what can be saved."""
+        elapsed = max(0.0, self._state.now - run.started_at)
+        lost = self._state.settings.restore if saves else elapsed
+        return run.charge.cores / MS * (lost + self._state.settings.stop_time)
+
+    # -- Taking ------------------------------------------------------------------------------
+
+    def _take(self, step: StepRow, offers: list[_Offer], loss: float) -> None:
+        state = self._state
+        names = sorted({offer.row.name for offer in offers})
+        cost = self._advice.cost(step, len(names))
+        until = state.now + state.settings.stop_time + 2 * cost + KEEP_MARGIN
+        self._made[step.key] = until
+        priority = state.terms_of(step.job).priority
+        stopped = 0
+        for offer in offers:
+            offer.row.kept_priority = priority
+            offer.row.kept_until = until
+            for run in offer.victims:
+                self._reconcile.stop(run)
+                stopped += 1
+        if step.advice is not None:
+            self._advice.want(step, names)
+        state.logger.info(
+            "room made",
+            extra={
+                "step": step.key,
+                "waits": step.waiting,
+                "stopped": stopped,
+                "workers": len(names),
+                "lost_core_seconds": round(loss, 2),
+            },
+        )
--- a/src/sablemount/jobs/systems/workers.py
+++ b/src/sablemount/jobs/systems/workers.py
@@ -39,6 +39,7 @@
             return None
         row = WorkerRow(info, room=info.capacity)
         self._state.workers[info.name] = row
+        self._state.workers_changed += 1
         self._log("worker listed", row)
         return row
 
@@ -48,9 +49,11 @@
             row.room = row.room.plus(info.capacity).plus(row.info.capacity, -1)
         if info.draining and not row.info.draining:
             self._log("worker drains", row)
+        if info != row.info:
+            self._state.workers_changed += 1
+            self._state.freed += 1
         row.info = info
         row.listed = True
-        self._state.freed += 1
 
     def left_list(self, name: str) -> None:
         """Take that a worker's entry is gone; it may still run what is leased there."""
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -122,6 +122,8 @@
     asking: bool = False
     asked_at: float = NEVER
     failures: int = 0
+    known_at: int = -1
+    """Count of changes of the workers at which all of them were known."""
 
 
 @dataclass(slots=True, eq=False)
@@ -141,6 +143,8 @@
     advice: AdviceRow | None = None
     booked: dict[str, int] = field(default_factory=dict)
     """Tasks by worker whose room is kept while tickets are asked for."""
+    told_at: float = NEVER
+    """When it was last logged that it waits."""
     tried_at_freed: int = -1
     """Count of freed room at which its placement was last tried."""
 
@@ -189,6 +193,8 @@
     """One life of a worker."""
 
     info: WorkerInfo
+    name: str = field(init=False)
+    """Name of this life."""
     listed: bool = True
     room: Shape = Shape()
     runs: dict[tuple[str, int], RunRow] = field(default_factory=dict)
@@ -211,13 +217,14 @@
     """No new work before this time: it refused, or its tasks fail or stand still."""
     failed_jobs: set[str] = field(default_factory=set)
     """Jobs of which a task has failed there since one was last done."""
+    kept_priority: int = 0
+    kept_until: float = NEVER
+    """Until when its room is kept for work of that priority or a more urgent one."""
     strikes: int = 0
     recorded: bool = False
 
-    @property
-    def name(self) -> str:
-        """Return the name of this life."""
-        return self.info.name
+    def __post_init__(self) -> None:
+        self.name = self.info.name
 
     def clock_after(self, now: float) -> float:
         """Return the least that the worker's clock can show now, in ms."""
--- /dev/null
+++ b/tests/jobs/test_preemption.py
@@ -0,0 +1,106 @@
+"""Cheaper work yields to what has waited, and only then."""
+
+from sablemount.jobs.model import Shape, StepSpec
+from tests.jobs.rig import Rig, queue, spec
+
+HALF = Shape(8_000, 1_000)
+URGENT = queue("fast", 0)
+CHEAP = queue("slow", 2)
+
+
+def _full(step: StepSpec, workers: int = 2) -> Rig:
+    rig = Rig(workers=workers, queues=(URGENT, CHEAP))
+    # Here no task comes further, which is not what is looked at.
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    rig.accept("batch", spec(step), CHEAP)
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    rig.tick()
+    return rig
+
+
+def test_cheaper_work_yields_to_urgent_work_that_has_waited() -> None:
+    rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
+    rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
+    rig.tick()
+    assert rig.stopped() == []
+    rig.clock.time += 0.7
+    rig.hear_all()
+    rig.tick()
+    (stop,) = rig.stopped()
+    stopped = next(start for start in rig.started() if start.task == stop.task)
+    rig.end(stopped, "stopped", "saved-1")
+    rig.clock.time += 0.1
+    rig.hear_all()
+    rig.tick()
+    assert rig.started()[-1].task == "quote.0.0.0"
+    assert rig.started()[-1].worker == stop.worker
+
+
+def test_what_yielded_goes_on_from_what_it_saved() -> None:
+    rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
+    rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
+    rig.clock.time += 0.7
+    rig.hear_all()
+    rig.tick()
+    stop = rig.stopped()[0]
+    rig.end(next(s for s in rig.started() if s.task == stop.task), "stopped", "saved-1")
+    rig.hear_all()
+    rig.tick()
+    quote = rig.started()[-1]
+    rig.end(quote, "done")
+    rig.clock.time += 1.5
+    rig.hear_all()
+    rig.tick()
+    again = rig.started()[-1]
+    assert (again.task, again.saved) == (stop.task, "saved-1")
+
+
+def test_work_of_the_same_priority_does_not_yield() -> None:
+    rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
+    rig.accept("other", spec(StepSpec(1, HALF, expected_ms=3000.0)), CHEAP)
+    for _ in range(10):
+        rig.clock.time += 0.5
+        rig.hear_all()
+        rig.tick()
+    assert rig.stopped() == []
+
+
+def test_gangs_and_work_that_would_lose_too_much_do_not_yield() -> None:
+    rig = _full(StepSpec(4, HALF, expected_ms=60_000.0, gang=True))
+    rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=1000.0)), URGENT)
+    rig.clock.time += 1.0
+    rig.hear_all()
+    rig.tick()
+    assert rig.stopped() == []
+    long = _full(StepSpec(4, HALF, expected_ms=60_000.0))
+    long.clock.time += 20.0
+    long.hear_all()
+    long.accept("quote", spec(StepSpec(1, HALF, expected_ms=1000.0)), URGENT)
+    long.clock.time += 1.0
+    long.hear_all()
+    long.tick()
+    assert long.stopped() == []
+
+
+def test_room_is_made_for_a_whole_gang_and_kept_for_it() -> None:
+    rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
+    rig.accept("gang", spec(StepSpec(4, HALF, expected_ms=6000.0, gang=True)), URGENT)
+    rig.clock.time += 1.5
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.stopped()) == 4
+    ends = [s for s in rig.started() if s.task.startswith("batch")]
+    rig.end(ends[0], "stopped")
+    rig.clock.time += 0.1
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 4
+    for start in ends[1:]:
+        rig.end(start, "stopped")
+    rig.clock.time += 0.1
+    rig.hear_all()
+    rig.tick()
+    assert [s.task.split(".")[0] for s in rig.started()[4:]] == ["gang"] * 4
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -252,3 +252,26 @@
     rig.scheduler.start_refused(second.worker, second.task, 1, StartRefusal.TICKET, True)
     rig.tick()
     assert [stop.task for stop in rig.stopped()] == [first.task]
+
+
+def test_a_worker_with_a_valid_ticket_goes_before_a_fuller_one() -> None:
+    asking = queue("q", 0, AdviceTerms(700.0, 5.0, 2000.0))
+    rig = Rig(workers=2, queues=(asking, queue("other")))
+    rig.scheduler.advice.set_lanes({"one"})
+    rig.scheduler.submit("job", asking, spec(StepSpec(1, HALF)))
+    rig.tick()
+    ask = rig.asked()[0]
+    tickets = dict.fromkeys(ask.workers, "t")
+    rig.scheduler.advice.answered(ask.lane, ask.step, ask.workers, tickets, 2000.0)
+    rig.clock.time += 3.0
+    rig.hear_all()
+    # Only one of them has a new ticket, and the other one is the fuller.
+    rig.scheduler.advice.answered("one", ask.step, ("w1",), {"w1": "t"}, 2000.0)
+    advice = rig.scheduler.state.jobs["job"].steps[(0, 0)].advice
+    assert advice is not None
+    advice.good["w1"].until = rig.clock.time + 2.0
+    row = rig.scheduler.state.workers["w0"]
+    row.room = row.room.plus(HALF, -1)
+    rig.commit()
+    rig.tick()
+    assert [start.worker for start in rig.started()] == ["w1"]
