--- a/src/sablemount/control/worker_calls.py
+++ b/src/sablemount/control/worker_calls.py
@@ -110,6 +110,9 @@
             self._kick()
         elif result is CallError.REFUSED:
             scheduler.workers.refused(row)
+            scheduler.workers.unanswered(row)
+        else:
+            scheduler.workers.unanswered(row)
         _logger.debug("no look", extra={"worker": row.name, "why": result.value})
         # A look that had to wait need not be followed by a pause.
         return monotonic() - sent_at > HOLD_WAIT and not silent
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -31,6 +31,8 @@
     accepted: list[str] = []
     states: dict[str, int] = {}
     """State of the jobs whose progress is in the batch, by job."""
+    used: list[str] = []
+    """Workers that may be given work from now on."""
     ends: dict[str, int] = {}
     """Number of the last end noted, by worker."""
 
@@ -43,6 +45,7 @@
         self._lifecycle = lifecycle
         self._accepting: dict[str, JobRow] = {}
         self._workers: list[Record] = []
+        self._used: list[str] = []
         self._dropped: list[Record] = []
 
     def accept(self, job: JobRow) -> None:
@@ -56,12 +59,16 @@
     def use(self, row: WorkerRow) -> None:
         """Record that a worker may run something."""
         row.recorded = True
+        self._used.append(row.name)
         value = encode(WorkerRecord(row.info.address, row.info.pool))
         self._workers.append(Record(WORKER_PREFIX + row.name, value))
 
-    def unuse(self, name: str) -> None:
+    def unuse(self, row: WorkerRow) -> None:
         """Record that a worker runs nothing any more."""
-        self._dropped.append(Record(WORKER_PREFIX + name))
+        row.recorded = row.in_use = False
+        if row.name in self._used:
+            self._used.remove(row.name)
+        self._workers.append(Record(WORKER_PREFIX + row.name))
 
     def forget(self, name: str) -> None:
         """Drop the record of an ended job."""
@@ -77,8 +84,9 @@
     def next_batch(self) -> Batch:
         """Return the next batch; what it holds does not go with a later one."""
         state = self._state
-        batch = Batch(self._workers + self._dropped)
+        batch = Batch(self._workers + self._dropped, used=self._used)
         self._workers = []
+        self._used = []
         self._dropped = []
         size = 0
         while self._accepting and size < MAX_BATCH_BYTES:
@@ -111,6 +119,11 @@
                 job.durable = True
         for name, number in batch.states.items():
             self._shown(name, JobState(number))
+        for worker in batch.used:
+            row = self._state.workers.get(worker)
+            if row is not None and row.recorded:
+                row.in_use = True
+                self._state.freed += 1
         for worker, end in batch.ends.items():
             row = self._state.workers.get(worker)
             if row is not None:
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -122,7 +122,11 @@
     def _run_slow(self) -> None:
         for row in self.workers.expire():
             if row.recorded:
-                self.journal.unuse(row.name)
+                self.journal.unuse(row)
+        for row in self.workers.idle():
+            self.journal.unuse(row)
+        for row in self.workers.unrecorded():
+            self.journal.use(row)
         self.reconcile.stop_orphans()
         for job in self.lifecycle.forget_old():
             self.journal.forget(job.name)
@@ -165,7 +169,7 @@
         row = self.workers.told(info)
         if row is not None:
             row.listed = False
-            row.recorded = True
+            row.loaded = row.recorded = row.in_use = True
 
     # -- Configuration and workers -----------------------------------------------------------
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -66,7 +66,8 @@
 
     def _usable(self, row: WorkerRow) -> bool:
         return (
-            not row.gone
+            row.in_use
+            and not row.gone
             and not row.info.draining
             and row.avoid_until <= self._state.now
             and self._workers.fresh(row)
@@ -284,8 +285,8 @@
 FAR_PENALTY = 10.0
 FAILED_PENALTY = 5.0
 STALE_PENALTY = 3.0
-"""Workers with a valid ticket go first: otherwise steps whose bookings make each other's workers the
-fullest ask for new tickets without end."""
+"""Workers with a valid ticket go first: otherwise steps whose bookings make each other's workers
+the fullest ask for new tickets without end."""
 SETTLE = 0.3
 """Seconds that a worker's clock may be ahead of what is known of it."""
 
--- a/src/sablemount/jobs/systems/workers.py
+++ b/src/sablemount/jobs/systems/workers.py
@@ -92,9 +92,26 @@
                 self._log("worker forgotten", row)
         return out
 
+    def idle(self) -> list[WorkerRow]:
+        """Return the workers in use on which nothing can run any more, silent as they are."""
+        now = self._state.now
+        return [
+            row
+            for row in self._state.workers.values()
+            if row.recorded and not row.runs and not self.fresh(row) and now > self._over_at(row)
+        ]
+
+    def unrecorded(self) -> list[WorkerRow]:
+        """Return the workers that are heard, and that no record says to be in use."""
+        return [
+            row
+            for row in self._state.workers.values()
+            if not row.recorded and not row.gone and self.fresh(row)
+        ]
+
     def _over_at(self, row: WorkerRow) -> float:
         """Return when all that may run on a silent worker is over (local time)."""
-        if row.gone:
+        if row.gone or not (row.loaded or row.first_heard_at > 0):
             return self._state.now - 1.0
         if row.first_heard_at > 0:
             return row.lease_end
@@ -111,6 +128,15 @@
         if not row.listed and now - row.refused_since > LEFT_AFTER:
             self.died(row.name)
 
+    def unanswered(self, row: WorkerRow) -> None:
+        """Take that a look got no answer.
+
+        A worker that drained, whose entry is gone and that does not answer for a while has left.
+        """
+        left = row.info.draining and not row.listed
+        if left and self._state.now - row.heard_at > LEFT_AFTER:
+            self.died(row.name)
+
     def died(self, name: str) -> None:
         """Take that a life of a worker is over for certain."""
         row = self._state.workers.get(name)
@@ -141,4 +167,5 @@
         state = self._state
         if state.now > state.unheard_until:
             return True
-        return all(row.first_heard_at > 0 or row.gone for row in state.workers.values())
+        loaded = [row for row in state.workers.values() if row.loaded]
+        return all(row.first_heard_at > 0 or row.gone for row in loaded)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -222,6 +222,11 @@
     """Until when its room is kept for work of that priority or a more urgent one."""
     strikes: int = 0
     recorded: bool = False
+    """Whether its record says, or is about to say, that it may run something."""
+    in_use: bool = False
+    """Whether that record is in the store, so that something may be started."""
+    loaded: bool = False
+    """Whether a former leader may have started something there."""
 
     def __post_init__(self) -> None:
         self.name = self.info.name
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -14,6 +14,9 @@
 PATH_VARIABLE = "SABLEMOUNT_BOOT"
 METRICS_PORT = 9464
 """Where a process tells its own figures; the deploy file names the same port."""
+LONGEST_LEASE = 6.0
+"""Seconds: what ran on a silent worker starts elsewhere only after its lease, and a change of
+leader takes about one second."""
 MS = 1000.0
 
 
@@ -94,7 +97,7 @@
     """Translate into the product's settings."""
     bounds = boot.bounds
     jobs = JobSettings(
-        lease=bounds.hold_max_ms / MS,
+        lease=min(bounds.hold_max_ms / MS, LONGEST_LEASE),
         stop_time=bounds.stop_ms / MS,
         gang_timeout=bounds.gang_timeout_ms / MS,
         state_kept=bounds.status_s,
--- a/tests/jobs/rig.py
+++ b/tests/jobs/rig.py
@@ -63,6 +63,7 @@
         self.scheduler.configured(Configuration(1, queues or (queue(),)))
         self.scheduler.load([])
         self.add_workers(workers)
+        self.commit()
 
     def add_workers(self, count: int) -> None:
         for _ in range(count):
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -1,8 +1,8 @@
 """What a later leader makes of what is recorded and of what the workers say."""
 
-from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from sablemount.jobs.model import JobSpec, Shape, StepSpec, WorkerInfo
 from sablemount.jobs.tables import JobState
-from tests.jobs.rig import CORE, Rig, spec
+from tests.jobs.rig import CAPACITY, CORE, Rig, spec
 
 HALF = Shape(8_000, 1_000)
 
@@ -202,3 +202,62 @@
     later.clock.time += 0.1
     later.hear_all()
     assert later.scheduler.state.jobs["job"].state is JobState.SUCCEEDED
+
+
+def test_a_worker_that_ran_nothing_any_more_does_not_hold_up_a_later_leader() -> None:
+    rig = Rig()
+    for _ in range(20):
+        rig.clock.time += 0.5
+        rig.hear("w0")
+        rig.tick()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    assert "w/w1" not in rig.store
+    later = rig.successor()
+    later.hear("w0")
+    later.tick()
+    assert [start.worker for start in later.started()] == ["w0"]
+
+
+def test_a_worker_gets_nothing_before_the_store_tells_that_it_is_in_use() -> None:
+    rig = Rig(workers=0)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.add_workers(1)
+    rig.tick()
+    assert rig.started() == []
+    rig.commit()
+    assert "w/w0" in rig.store
+    rig.tick()
+    assert len(rig.started()) == 1
+
+
+def test_a_worker_that_comes_back_is_in_use_again() -> None:
+    rig = Rig(workers=1)
+    rig.commit()
+    rig.tick()
+    for _ in range(20):
+        rig.tick(0.5)
+    rig.commit()
+    assert "w/w0" not in rig.store
+    rig.hear_all()
+    rig.tick(0.6)
+    rig.commit()
+    assert "w/w0" in rig.store
+
+
+def test_a_drained_worker_that_has_left_does_not_hold_up_a_later_leader() -> None:
+    rig = Rig()
+    row = rig.scheduler.state.workers["w1"]
+    rig.scheduler.told(WorkerInfo("w1", "a1", "pool", CAPACITY, (), draining=True))
+    rig.scheduler.workers.lease_until(row)
+    rig.scheduler.workers.left_list("w1")
+    for _ in range(4):
+        rig.clock.time += 0.5
+        rig.hear("w0")
+        rig.scheduler.workers.unanswered(row)
+        rig.tick()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    assert "w/w1" not in rig.store
+    later = rig.successor()
+    later.hear("w0")
+    later.tick()
+    assert [start.worker for start in later.started()] == ["w0"]
