--- a/src/sablemount/control/clock.py
+++ b/src/sablemount/control/clock.py
@@ -1,18 +1,25 @@
-"""The clocks of the machine."""
+"""The clocks of a process. Durations are measured by the event loop's clock, so that a test may
+run the whole in virtual time."""
 
+import asyncio
 import time
 
-__all__ = ["SystemClock"]
+__all__ = ["LoopClock", "monotonic"]
 
 MS = 1000.0
 
 
-class SystemClock:
-    """Reads the machine's clocks."""
+def monotonic() -> float:
+    """Return the running event loop's time in seconds; it never goes back."""
+    return asyncio.get_running_loop().time()
+
+
+class LoopClock:
+    """Reads the event loop's clock, and the machine's time of day."""
 
     def monotonic(self) -> float:
         """Return local monotonic seconds."""
-        return time.monotonic()
+        return monotonic()
 
     def wall_ms(self) -> float:
         """Return the time of day in ms since 1970."""
--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 import random
-import time
 
+from sablemount.control.clock import monotonic
 from sablemount.control.store import (
     Appended,
     AppendResult,
@@ -71,11 +71,11 @@
         timeout = max(FIRST_TIMEOUT, TIMEOUT_FACTOR * self._usual)
         pause = FIRST_PAUSE
         producer = Producer(PRODUCER, self._epoch, self._sequence)
-        self.waiting_since = time.monotonic()
+        self.waiting_since = monotonic()
         tries = 0
         while True:
             tries += 1
-            sent_at = time.monotonic()
+            sent_at = monotonic()
             result = await self._store.append(Topic.JOBS, records, timeout, producer)
             if self._done(result):
                 self._good(sent_at, tries)
@@ -95,7 +95,7 @@
         return isinstance(result, Appended)
 
     def _good(self, sent_at: float, tries: int) -> None:
-        now = time.monotonic()
+        now = monotonic()
         if tries > 1:
             seconds = round(now - self.waiting_since, 3)
             _logger.info("append settled", extra={"tries": tries, "seconds": seconds})
--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -5,9 +5,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Sequence
 
+from sablemount.control.clock import monotonic
 from sablemount.control.store import PageItem, Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
 
@@ -91,7 +91,7 @@
 
     def _note(self, reachable: bool) -> None:
         if reachable:
-            self.good_at = time.monotonic()
+            self.good_at = monotonic()
         if reachable != self._reachable:
             self._reachable = reachable
             text = "store answers" if reachable else "store does not answer"
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -4,10 +4,9 @@
 import contextlib
 import logging
 import random
-import time
 from collections.abc import Coroutine, Sequence
 
-from sablemount.control.clock import SystemClock
+from sablemount.control.clock import LoopClock, monotonic
 from sablemount.control.commit import Committer, LostLeadership
 from sablemount.control.follow import Follower, read_newest
 from sablemount.control.messages import (
@@ -18,8 +17,8 @@
     Operation,
     Outcome,
 )
+from sablemount.control.network import CallFailed, Link
 from sablemount.control.ports import AdvicePort, DirectoryCodec, WorkerPort
-from sablemount.control.rpc import CallFailed, Connection
 from sablemount.control.store import PageItem, Store, Topic
 from sablemount.control.worker_calls import WorkerCalls
 from sablemount.jobs.actions import Action, AskAdvice, StartRun, StopRun
@@ -84,7 +83,7 @@
         self.name = name
         self.epoch = epoch
         self.ports = ports
-        self.scheduler = JobScheduler(settings, epoch, SystemClock())
+        self.scheduler = JobScheduler(settings, epoch, LoopClock())
         self.committer = Committer(ports.store, epoch, rng)
         self.calls = WorkerCalls(
             self.scheduler,
@@ -98,7 +97,7 @@
         self.leading = False
         self.over = asyncio.Event()
         self.why = ""
-        self.members: dict[str, Connection] = {}
+        self.members: dict[str, Link] = {}
         self.member_heard: dict[str, float] = {}
         self.member_uptime: dict[str, float] = {}
         self.closing = False
@@ -106,7 +105,7 @@
         self._commit_wanted = asyncio.Event()
         self._durable: list[asyncio.Future[None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._ticked_at = time.monotonic()
+        self._ticked_at = monotonic()
         self._doubt = False
 
     # -- Life --------------------------------------------------------------------------------
@@ -139,8 +138,8 @@
     async def close(self) -> None:
         """Take no more calls, wait a little for what is being appended, and end."""
         self.closing = True
-        last = time.monotonic() + CLOSE_TIME
-        while self.committer.waiting_since > 0 and time.monotonic() < last:
+        last = monotonic() + CLOSE_TIME
+        while self.committer.waiting_since > 0 and monotonic() < last:
             await asyncio.sleep(CLOSE_POLL)
         self.end("planned stop")
 
@@ -206,7 +205,7 @@
 
     def authority(self) -> bool:
         """Tell whether orders may be given now."""
-        now = time.monotonic()
+        now = monotonic()
         if not self.leading or self.over.is_set():
             return False
         if now - self._ticked_at > WOKEN_AFTER:
@@ -223,7 +222,7 @@
 
     def store_age(self) -> float:
         """Return for how many seconds the store has not confirmed the leadership."""
-        return time.monotonic() - self.committer.good_at
+        return monotonic() - self.committer.good_at
 
     def _fenced_by_worker(self, worker: str) -> None:
         self.end(f"worker {worker} has seen a later leader")
@@ -245,9 +244,9 @@
 
     def _tick(self) -> None:
         self.authority()
-        self._ticked_at = time.monotonic()
+        self._ticked_at = monotonic()
         self.scheduler.now()
-        now = time.monotonic()
+        now = monotonic()
         lanes = {name for name, at in self.member_heard.items() if now - at < PEERS_TIME}
         self.scheduler.advice.set_lanes({self.name} | (lanes & self.members.keys()))
         if self.authority():
@@ -308,7 +307,7 @@
 
     def _store_stuck(self) -> bool:
         since = self.committer.waiting_since
-        return since > 0 and time.monotonic() - since > STORE_STUCK
+        return since > 0 and monotonic() - since > STORE_STUCK
 
     # -- The directory -----------------------------------------------------------------------
 
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -3,12 +3,12 @@
 import asyncio
 import logging
 import random
-import time
 import uuid
 from collections.abc import Coroutine, Sequence
 
 import msgspec
 
+from sablemount.control.clock import monotonic
 from sablemount.control.follow import Follower
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.messages import (
@@ -28,7 +28,7 @@
     TakeOver,
     ViewCall,
 )
-from sablemount.control.rpc import CallFailed, Connection, RpcServer, connect
+from sablemount.control.network import CallFailed, Link, Listener, Network
 from sablemount.control.store import Appended, PageItem, Topic, Unavailable
 from sablemount.control.suspicion import Suspicion, Verdict
 from sablemount.jobs.records import Record
@@ -80,7 +80,13 @@
 class Member:
     """One member. ``ports`` are its adapters to the platform."""
 
-    def __init__(self, settings: MemberSettings, ports: LeaderPorts, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: MemberSettings,
+        ports: LeaderPorts,
+        network: Network,
+        rng: random.Random,
+    ) -> None:
         self.settings = settings
         self.ports = ports
         self.leader: Leader | None = None
@@ -89,30 +95,30 @@
         self._rng = rng
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._end = 0
-        self._started_at = time.monotonic()
-        self._suspicion = Suspicion(time.monotonic())
+        self._started_at = monotonic()
+        self._suspicion = Suspicion(monotonic())
         self._patience = rng.uniform(0.0, PATIENCE)
         self._known = False
-        self._link: Connection | None = None
+        self._link: Link | None = None
         self._link_leads = False
         self._members: dict[str, str] = {}
         self._asked_to_lead = False
         self._rest_until = 0.0
         self._claim_pause_until = 0.0
         self._served_at = -1e9
-        self._server = RpcServer(self._handle, self._connection_closed)
+        self._network = network
+        self._listener: Listener | None = None
         self._watch = Follower(
             ports.store, Topic.LEADER, self._leader_listed, self._leader_told, WATCH_WAIT
         )
         self._tasks: set[asyncio.Task[None]] = set()
-        self._in_flight = 0
 
     # -- Life --------------------------------------------------------------------------------
 
     def start(self) -> None:
         """Listen and begin to follow."""
-        host, _, port = self.settings.rpc_address.rpartition(":")
-        self._server.listen(int(port), host)
+        address = self.settings.rpc_address
+        self._listener = self._network.listen(address, self._handle, self._link_closed)
         for work in (self._watch.run(), self._link_forever(), self._judge_forever()):
             self._spawn(work)
 
@@ -136,7 +142,8 @@
         """End all connections and tasks."""
         for task in list(self._tasks):
             task.cancel()
-        self._server.close_all()
+        if self._listener is not None:
+            self._listener.close_all()
         if self._link is not None:
             self._link.close()
 
@@ -153,7 +160,7 @@
     @property
     def ready(self) -> bool:
         """Tell whether this member can serve callers."""
-        return not self.stopping and time.monotonic() - self._served_at < READY_GRACE
+        return not self.stopping and monotonic() - self._served_at < READY_GRACE
 
     # -- Who leads ---------------------------------------------------------------------------
 
@@ -183,7 +190,7 @@
         if self.record is not None and seen.epoch <= self.record.epoch:
             return
         self.record = seen
-        self._suspicion = Suspicion(time.monotonic())
+        self._suspicion = Suspicion(monotonic())
         self._link_leads = False
         _logger.info("leader known", extra={"leader": seen.name, "epoch": seen.epoch})
         if self.leader is not None and self.leader.epoch < seen.epoch:
@@ -203,16 +210,16 @@
                 await asyncio.sleep(RECONNECT_PAUSE)
                 continue
             try:
-                link = await connect(record.address, self._handle, CONNECT_TIMEOUT)
+                link = await self._network.connect(record.address, self._handle, CONNECT_TIMEOUT)
             except CallFailed as failed:
-                if failed.args[0] != "TimeoutError":
-                    self._suspicion.refused(time.monotonic())
+                if failed.refused:
+                    self._suspicion.refused(monotonic())
                 await asyncio.sleep(RECONNECT_PAUSE)
                 continue
             await self._keep(link)
             await asyncio.sleep(RECONNECT_PAUSE)
 
-    async def _keep(self, link: Connection) -> None:
+    async def _keep(self, link: Link) -> None:
         """Keep a link until it is over."""
         self._link = link
         serving = asyncio.get_running_loop().create_task(link.serve())
@@ -229,14 +236,14 @@
             link.close()
             serving.cancel()
 
-    async def _ping(self, link: Connection) -> None:
+    async def _ping(self, link: Link) -> None:
         epoch = 0 if self.record is None else self.record.epoch
-        uptime = time.monotonic() - self._started_at
+        uptime = monotonic() - self._started_at
         ping = Ping(self.settings.name, self.settings.rpc_address, epoch, uptime)
         pong = await link.call(ping, PING_TIMEOUT)
         if not isinstance(pong, Pong):
             return
-        now = time.monotonic()
+        now = monotonic()
         self._suspicion.heard(pong, now)
         self._link_leads = pong.leading and pong.epoch == epoch
         self._members = pong.members
@@ -250,14 +257,14 @@
             await asyncio.sleep(WATCH_INTERVAL)
             if self.leader is not None:
                 if self.leader.leading and self.leader.authority():
-                    self._served_at = time.monotonic()
+                    self._served_at = monotonic()
                 continue
             reason = self._reason()
             if reason is not None:
                 await self._consider(reason)
 
     def _reason(self) -> str | None:
-        now = time.monotonic()
+        now = monotonic()
         if self.stopping or not self._known or now < self._claim_pause_until:
             return None
         if self._asked_to_lead:
@@ -279,10 +286,10 @@
     async def _consider(self, reason: str) -> None:
         """Claim, unless others still hear the leader."""
         if reason in (Verdict.SILENT, Verdict.REFUSED) and not await self._others_agree():
-            self._claim_pause_until = time.monotonic() + CLAIM_PAUSE
+            self._claim_pause_until = monotonic() + CLAIM_PAUSE
             return
         if reason == Verdict.STORE_LOST and not await self._store_reached():
-            self._claim_pause_until = time.monotonic() + CLAIM_PAUSE
+            self._claim_pause_until = monotonic() + CLAIM_PAUSE
             return
         self._asked_to_lead = False
         await self._claim(reason)
@@ -312,11 +319,11 @@
             return False
         if heard or not others:
             return True
-        return self._suspicion.alone_too_long(time.monotonic())
+        return self._suspicion.alone_too_long(monotonic())
 
     async def _view(self, address: str) -> LeaderView | None:
         try:
-            connection = await connect(address, self._handle, VIEW_TIMEOUT)
+            connection = await self._network.connect(address, self._handle, VIEW_TIMEOUT)
         except CallFailed:
             return None
         serving = asyncio.get_running_loop().create_task(connection.serve())
@@ -341,7 +348,7 @@
         _logger.info(
             "claim", extra={"epoch": epoch, "why": reason, "won": won, "answer": repr(result)}
         )
-        self._claim_pause_until = time.monotonic() + CLAIM_PAUSE * self._rng.uniform(0.5, 1.5)
+        self._claim_pause_until = monotonic() + CLAIM_PAUSE * self._rng.uniform(0.5, 1.5)
         if won:
             # The record may have been read before the answer to the claim came.
             self._follow(claim)
@@ -369,13 +376,13 @@
             await leader.run()
         finally:
             self.leader = None
-            self._rest_until = time.monotonic() + REST_AFTER_LEADING
+            self._rest_until = monotonic() + REST_AFTER_LEADING
             for connection in leader.members.values():
                 connection.close()
 
     # -- Calls of other members --------------------------------------------------------------
 
-    async def _handle(self, connection: Connection, message: Message) -> Reply:
+    async def _handle(self, connection: Link, message: Message) -> Reply:
         if isinstance(message, Ping):
             return self._pinged(connection, message)
         if isinstance(message, Hello):
@@ -393,9 +400,9 @@
         epoch = 0 if self.record is None else self.record.epoch
         if self.leader is not None and self.leader.leading:
             return LeaderView(self.leader.epoch, 0.0)
-        return LeaderView(epoch, self._suspicion.heard_age(time.monotonic()))
+        return LeaderView(epoch, self._suspicion.heard_age(monotonic()))
 
-    def _pinged(self, connection: Connection, ping: Ping) -> Pong:
+    def _pinged(self, connection: Link, ping: Ping) -> Pong:
         leader = self.leader
         if leader is None or not leader.leading:
             epoch = 0 if self.record is None else self.record.epoch
@@ -404,14 +411,14 @@
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
         leader.members[ping.name] = connection
-        leader.member_heard[ping.name] = time.monotonic()
+        leader.member_heard[ping.name] = monotonic()
         leader.member_uptime[ping.name] = ping.uptime
         connection.peer = ping.name
         addresses = {ping.name: ping.address}
         self._members.update(addresses)
         return Pong(leader.epoch, True, leader.store_age(), members=self._members)
 
-    def _connection_closed(self, connection: Connection) -> None:
+    def _link_closed(self, connection: Link) -> None:
         leader = self.leader
         if leader is not None and leader.members.get(connection.peer) is connection:
             del leader.members[connection.peer]
@@ -438,9 +445,9 @@
 
     async def _await_leader(self) -> None:
         """Wait a moment while the lead changes hands: a hand-over takes some 50 ms."""
-        last = time.monotonic() + HAND_OVER_WAIT
-        while not self._leader_reached() and time.monotonic() < last:
-            if time.monotonic() - self._served_at > HAND_OVER_TIME:
+        last = monotonic() + HAND_OVER_WAIT
+        while not self._leader_reached() and monotonic() < last:
+            if monotonic() - self._served_at > HAND_OVER_TIME:
                 return
             await asyncio.sleep(HAND_OVER_POLL)
 
--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -7,15 +7,15 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
-from typing import TypeAlias
+from collections.abc import Callable
 
 import msgspec
 from tornado import iostream, tcpclient, tcpserver
 
 from sablemount.control.messages import Message, Reply
+from sablemount.control.network import CallFailed, Handler, Link
 
-__all__ = ["CallFailed", "Connection", "Handler", "RpcServer", "connect"]
+__all__ = ["Connection", "RpcServer", "TcpNetwork"]
 
 LENGTH_BYTES = 4
 MAX_FRAME = 16 * 1024 * 1024
@@ -23,14 +23,6 @@
 """How long sent bytes may stay unacknowledged before the connection is given up."""
 
 
-class CallFailed(Exception):
-    """No answer to a call; it may have been carried out unless ``sent`` is false."""
-
-    def __init__(self, reason: str, sent: bool) -> None:
-        super().__init__(reason)
-        self.sent = sent
-
-
 class _Frame(msgspec.Struct, array_like=True, omit_defaults=True):
     """One frame: a call has a message, an answer has a reply."""
 
@@ -39,8 +31,6 @@
     reply: Reply | None = None
 
 
-Handler: TypeAlias = Callable[["Connection", Message], Awaitable[Reply]]
-
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(_Frame)
 
@@ -142,7 +132,7 @@
 class RpcServer(tcpserver.TCPServer):
     """Takes connections of other members."""
 
-    def __init__(self, handler: Handler, closed: Callable[[Connection], None]) -> None:
+    def __init__(self, handler: Handler, closed: Callable[[Link], None]) -> None:
         super().__init__()
         self._handler = handler
         self._closed = closed
@@ -165,11 +155,24 @@
             connection.close()
 
 
-async def connect(address: str, handler: Handler, timeout: float) -> Connection:
-    """Connect to a member and serve its calls; raises ``CallFailed``."""
-    host, _, port = address.rpartition(":")
-    try:
-        stream = await asyncio.wait_for(tcpclient.TCPClient().connect(host, int(port)), timeout)
-    except (TimeoutError, OSError, iostream.StreamClosedError) as error:
-        raise CallFailed(type(error).__name__, False) from error
-    return Connection(stream, handler)
+class TcpNetwork:
+    """Connects members over TCP."""
+
+    async def connect(self, address: str, handler: Handler, timeout: float) -> Connection:
+        """Connect to a member; raises ``CallFailed``."""
+        host, _, port = address.rpartition(":")
+        try:
+            connecting = tcpclient.TCPClient().connect(host, int(port))
+            stream = await asyncio.wait_for(connecting, timeout)
+        except TimeoutError as error:
+            raise CallFailed("no connection in time", False) from error
+        except (OSError, iostream.StreamClosedError) as error:
+            raise CallFailed(type(error).__name__, False, refused=True) from error
+        return Connection(stream, handler)
+
+    def listen(self, address: str, handler: Handler, closed: Callable[[Link], None]) -> RpcServer:
+        """Take connections at an address."""
+        server = RpcServer(handler, closed)
+        host, _, port = address.rpartition(":")
+        server.listen(int(port), host)
+        return server
--- a/src/sablemount/control/worker_calls.py
+++ b/src/sablemount/control/worker_calls.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Coroutine
 
+from sablemount.control.clock import monotonic
 from sablemount.control.ports import CallError, HoldCall, Started, WorkerPort
 from sablemount.jobs.actions import Heard, StartRun, StopRun
 from sablemount.jobs.scheduler import JobScheduler, StartRefusal
@@ -96,7 +96,7 @@
         wait = self._wait(row) if known and not silent else 0.0
         call = HoldCall(row.name, row.info.address, self._fence, until, row.acked_end, wait)
         timeout = self._timeout(known, silent, wait)
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         result = await self._port.hold(call, timeout)
         scheduler.now()
         if isinstance(result, Heard):
@@ -109,7 +109,7 @@
             self._kick()
         _logger.debug("no look", extra={"worker": row.name, "why": result.value})
         # A look that had to wait need not be followed by a pause.
-        return time.monotonic() - sent_at > HOLD_WAIT and not silent
+        return monotonic() - sent_at > HOLD_WAIT and not silent
 
     def _wait(self, row: WorkerRow) -> float:
         if row.seen_end > row.acked_end:
@@ -151,7 +151,7 @@
         row = self._scheduler.state.workers.get(action.worker)
         if row is None:
             return
-        until = int(row.clock_after(time.monotonic()) + self._left(action) * MS)
+        until = int(row.clock_after(monotonic()) + self._left(action) * MS)
         certain = True
         for _ in range(START_TRIES):
             left = self._left(action)
@@ -186,7 +186,7 @@
 
     @staticmethod
     def _left(action: StartRun) -> float:
-        return action.not_after - time.monotonic()
+        return action.not_after - monotonic()
 
     async def _stop(self, action: StopRun) -> None:
         row = self._scheduler.state.workers.get(action.worker)
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -47,7 +47,7 @@
 
     def set_lanes(self, names: set[str]) -> None:
         """Take the machines that can ask at present."""
-        for name in names - self._lanes.keys():
+        for name in sorted(names - self._lanes.keys()):
             self._lanes[name] = _Lane()
         for name in self._lanes.keys() - names:
             lane = self._lanes.pop(name)
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -15,6 +15,7 @@
 from sablemount.adapters.upstream import UpstreamPool
 from sablemount.control.leader import LeaderPorts
 from sablemount.control.member import Member
+from sablemount.control.rpc import TcpNetwork
 from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.front import Front, ready_server
 from sablemount.platform.settings import BootSettings, load, member_settings
@@ -52,7 +53,7 @@
             PlatformAdvice(boot.advice, self._pool),
             PlatformDirectory(),
         )
-        self.member = Member(member_settings(boot), ports, random.Random())
+        self.member = Member(member_settings(boot), ports, TcpNetwork(), random.Random())
         self.front = Front(self.member, self._spawn)
         self._ready = ready_server(lambda: self.member.ready)
         self._stop = asyncio.Event()
--- /dev/null
+++ b/tests/emulator/faults.py
@@ -0,0 +1,110 @@
+"""Random faults, each of which ends by itself."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+
+from tests.emulator.system import System
+
+Fault = Callable[[System, random.Random], Coroutine[object, object, None]]
+
+
+def _member(system: System, rng: random.Random) -> str:
+    leader = system.leader()
+    if leader is not None and rng.random() < 0.5:
+        return leader
+    return rng.choice(system.names)
+
+
+async def kill_member(system: System, rng: random.Random) -> None:
+    system.kill(_member(system, rng), rng.uniform(0.1, 3.0))
+
+
+async def power_off(system: System, rng: random.Random) -> None:
+    system.power_off(_member(system, rng), rng.uniform(0.5, 4.0))
+
+
+async def power_off_all(system: System, rng: random.Random) -> None:
+    back = rng.uniform(0.5, 3.0)
+    for name in system.names:
+        system.power_off(name, back + rng.uniform(0.0, 0.3))
+
+
+async def stop_member(system: System, rng: random.Random) -> None:
+    await system.stop(_member(system, rng), rng.uniform(0.2, 2.0))
+
+
+async def store_down(system: System, rng: random.Random) -> None:
+    system.store.down = True
+    await asyncio.sleep(rng.uniform(1.0, 7.0))
+    system.store.down = False
+
+
+async def store_turns_away(system: System, rng: random.Random) -> None:
+    name = _member(system, rng)
+    system.store.turned_away.add(name)
+    await asyncio.sleep(rng.uniform(1.0, 8.0))
+    system.store.turned_away.discard(name)
+
+
+async def store_slow(system: System, rng: random.Random) -> None:
+    system.store.latency = 0.004 * rng.uniform(30, 75)
+    await asyncio.sleep(rng.uniform(1.0, 5.0))
+    system.store.latency = 0.004
+
+
+async def answers_lost(system: System, rng: random.Random) -> None:
+    system.store.lost = 0.35
+    system.store.late = rng.random() < 0.5
+    await asyncio.sleep(rng.uniform(1.0, 5.0))
+    system.store.lost = 0.0
+
+
+async def history_forgotten(system: System, rng: random.Random) -> None:
+    system.store.forget_history()
+
+
+async def worker_crash(system: System, rng: random.Random) -> None:
+    worker = rng.choice([row for row in system.cell.workers.values() if row.up])
+    system.crash_worker(worker, rng.uniform(0.5, 5.0))
+
+
+async def worker_cut(system: System, rng: random.Random) -> None:
+    worker = rng.choice([row for row in system.cell.workers.values() if row.up])
+    worker.cut = True
+    await asyncio.sleep(rng.uniform(1.0, 9.0))
+    worker.cut = False
+
+
+async def late_orders(system: System, rng: random.Random) -> None:
+    system.cell.late_orders = 0.06
+    await asyncio.sleep(rng.uniform(2.0, 6.0))
+    system.cell.late_orders = 0.0
+
+
+async def member_cut(system: System, rng: random.Random) -> None:
+    name = _member(system, rng)
+    cuts = {frozenset((name, other)) for other in system.names if other != name}
+    system.wires.cuts |= cuts
+    if rng.random() < 0.4:
+        system.store.turned_away.add(name)
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    system.wires.cuts -= cuts
+    system.store.turned_away.discard(name)
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_member,
+    power_off,
+    power_off_all,
+    stop_member,
+    store_down,
+    store_turns_away,
+    store_slow,
+    answers_lost,
+    history_forgotten,
+    worker_crash,
+    worker_cut,
+    late_orders,
+    member_cut,
+)
--- /dev/null
+++ b/tests/emulator/store.py
@@ -0,0 +1,170 @@
+"""The emulated store: keyed topics, fenced producers, and the ways in which it fails."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from sablemount.control.store import (
+    Appended,
+    AppendResult,
+    Conflict,
+    Fenced,
+    Page,
+    PageItem,
+    Producer,
+    ReadResult,
+    Records,
+    Topic,
+    Trimmed,
+    Unavailable,
+    WrongSequence,
+)
+from sablemount.jobs.records import Record
+
+PAGE = 500
+REMEMBERED = 5
+
+
+@dataclass
+class _Topic:
+    records: list[Record] = field(default_factory=list)
+    first: int = 0
+    newest: dict[str, PageItem] = field(default_factory=dict)
+    epoch: int = -1
+    sequence: int = 0
+    answers: dict[int, int] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def add(self, records: list[Record]) -> None:
+        for record in records:
+            if record.value:
+                self.newest[record.key] = PageItem(record, self.end)
+            else:
+                self.newest.pop(record.key, None)
+            self.records.append(record)
+        if records:
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+
+class StoreState:
+    """What the store keeps, and the faults in force."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.topics = {topic: _Topic() for topic in Topic}
+        self.down = False
+        self.turned_away: set[str] = set()
+        self.latency = 0.004
+        self.lost = 0.0
+        self.late = False
+        self.appends = 0
+
+    def forget_history(self) -> None:
+        for topic in self.topics.values():
+            topic.first = topic.end
+            topic.records = []
+
+    def append(
+        self, topic: Topic, records: list[Record], producer: Producer | None, at: int | None
+    ) -> AppendResult:
+        kept = self.topics[topic]
+        if producer is not None:
+            refusal = self._check(kept, producer, bool(records))
+            if refusal is not None:
+                return refusal
+        if at is not None and at != kept.end:
+            return Conflict(kept.end)
+        if producer is not None:
+            if producer.epoch > kept.epoch:
+                kept.epoch = producer.epoch
+                kept.sequence = producer.sequence
+                kept.answers = {}
+            if records:
+                kept.sequence = producer.sequence + 1
+                kept.answers[producer.sequence] = kept.end + len(records)
+                kept.answers.pop(producer.sequence - REMEMBERED, None)
+        kept.add(records)
+        self.appends += 1
+        return Appended(kept.end)
+
+    @staticmethod
+    def _check(kept: _Topic, producer: Producer, some: bool) -> AppendResult | None:
+        if producer.epoch < kept.epoch:
+            return Fenced(kept.epoch)
+        if producer.epoch > kept.epoch or producer.sequence == kept.sequence:
+            return None
+        if some and producer.sequence in kept.answers:
+            return Appended(kept.answers[producer.sequence])
+        return WrongSequence(kept.sequence)
+
+
+class EmulatedStore:
+    """The store as one member sees it."""
+
+    def __init__(self, state: StoreState, member: str) -> None:
+        self._state = state
+        self._member = member
+
+    async def append(
+        self,
+        topic: Topic,
+        records: list[Record],
+        timeout: float,
+        producer: Producer | None = None,
+        at: int | None = None,
+    ) -> AppendResult:
+        state = self._state
+        if not await self._reach(timeout):
+            return Unavailable("no answer")
+        if state.lost and state.rng.random() < state.lost:
+            if state.late:
+                delay = state.rng.uniform(1.0, 6.0)
+                asyncio.get_running_loop().call_later(
+                    delay, state.append, topic, records, producer, at
+                )
+            else:
+                state.append(topic, records, producer, at)
+            await asyncio.sleep(timeout)
+            return Unavailable("the answer was lost")
+        return state.append(topic, records, producer, at)
+
+    async def newest(self, topic: Topic, after: str, timeout: float) -> Page | Unavailable:
+        if not await self._reach(timeout):
+            return Unavailable("no answer")
+        kept = self._state.topics[topic]
+        items = [kept.newest[key] for key in sorted(kept.newest) if key > after]
+        return Page(items[:PAGE], len(items) > PAGE, kept.end)
+
+    async def read(self, topic: Topic, offset: int, wait: float) -> ReadResult:
+        if not await self._reach(wait + 0.8):
+            return Unavailable("no answer")
+        kept = self._state.topics[topic]
+        if offset < kept.first:
+            return Trimmed()
+        if offset >= kept.end:
+            try:
+                await asyncio.wait_for(kept.changed.wait(), wait)
+            except TimeoutError:
+                return Records([], kept.end)
+        if self._away():
+            return Unavailable("the connection was lost")
+        if offset < kept.first:
+            return Trimmed()
+        found = kept.records[offset - kept.first :]
+        return Records(found, kept.end)
+
+    def _away(self) -> bool:
+        return self._state.down or self._member in self._state.turned_away
+
+    async def _reach(self, timeout: float) -> bool:
+        latency = self._state.latency
+        if self._away() or latency > timeout:
+            await asyncio.sleep(timeout)
+            return False
+        await asyncio.sleep(latency * self._state.rng.uniform(0.8, 1.2))
+        return not self._away()
--- /dev/null
+++ b/tests/emulator/system.py
@@ -0,0 +1,273 @@
+"""The emulated system: members that are started and killed, callers, and what must hold."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from sablemount.control.leader import LeaderPorts
+from sablemount.control.member import Member, MemberSettings
+from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.store import Topic
+from sablemount.jobs.model import (
+    AdviceTerms,
+    Configuration,
+    JobSpec,
+    Queue,
+    QueueTerms,
+    Shape,
+    StepSpec,
+    WorkerInfo,
+)
+from sablemount.jobs.records import Record
+from sablemount.jobs.settings import JobSettings
+from tests.emulator.network import Wires
+from tests.emulator.store import EmulatedStore, StoreState
+from tests.emulator.workers import Cell, EmulatedAdvice, EmulatedWorkers, Worker
+
+HOST = "queues.example"
+PREFIX = "/work/"
+CAPACITY = Shape(16_000, 64_000, 0)
+TIMEOUT = 2.7
+RETRIES = 6
+
+
+class Codec:
+    """Reads the entries as the emulation writes them."""
+
+    def worker(self, record: Record) -> WorkerInfo | None:
+        if not record.value:
+            return None
+        return msgspec.msgpack.decode(record.value, type=WorkerInfo)
+
+    def configuration(self, record: Record) -> Configuration | None:
+        if record.key != "config" or not record.value:
+            return None
+        return msgspec.msgpack.decode(record.value, type=Configuration)
+
+
+class System:
+    """A running system."""
+
+    def __init__(self, seed: int, members: int = 4, workers: int = 6, advice: bool = False) -> None:
+        self.rng = random.Random(seed)
+        self.store = StoreState(random.Random(seed + 1))
+        self.cell = Cell(random.Random(seed + 2))
+        self.wires = Wires()
+        self.members: dict[str, Member] = {}
+        self.names = [f"m{number}" for number in range(members)]
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.open_calls = 0
+        self._life = 0
+        self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
+        for number in range(workers):
+            self.list_worker(self.cell.add(f"w{number}", f"r{number // 3}", CAPACITY))
+        self.configure(1)
+
+    # -- The platform ------------------------------------------------------------------------
+
+    def configure(self, version: int, prefix: str = PREFIX) -> None:
+        terms = QueueTerms("work", "pool", 0, self.cell.max_attempts, 2.0, 1000.0, self._advice)
+        configuration = Configuration(version, (Queue(HOST, prefix, terms),))
+        value = msgspec.msgpack.encode(configuration)
+        self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
+
+    def list_worker(self, worker: Worker) -> None:
+        value = msgspec.msgpack.encode(worker.info)
+        self.store.topics[Topic.WORKERS].add([Record(worker.info.name, value)])
+
+    def drain(self, worker: Worker) -> None:
+        worker.info = msgspec.structs.replace(worker.info, draining=True)
+        self.list_worker(worker)
+
+    def crash_worker(self, worker: Worker, back_after: float | None) -> None:
+        self.cell.crash(worker)
+        if back_after is not None:
+            asyncio.get_running_loop().call_later(back_after, self._worker_back, worker)
+
+    def _worker_back(self, worker: Worker) -> None:
+        info = worker.info
+        self.store.topics[Topic.WORKERS].add([Record(info.name)])
+        self.list_worker(self.cell.add(info.machine, info.rack, info.capacity))
+
+    # -- Members -----------------------------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        self._life += 1
+        ports = LeaderPorts(
+            EmulatedStore(self.store, name), EmulatedWorkers(self.cell), EmulatedAdvice(), Codec()
+        )
+        settings = MemberSettings(name, name, JobSettings())
+        rng = random.Random(self.rng.getrandbits(32))
+        member = Member(settings, ports, self.wires.port(name), rng)
+        self.members[name] = member
+        member.start()
+
+    def start_all(self) -> None:
+        for name in self.names:
+            if name not in self.members:
+                self.start(name)
+
+    def kill(self, name: str, back_after: float | None) -> None:
+        member = self.members.pop(name, None)
+        if member is not None:
+            member.close()
+        if back_after is not None:
+            asyncio.get_running_loop().call_later(back_after, self._back, name)
+
+    def _back(self, name: str) -> None:
+        self.wires.silent.discard(name)
+        if name not in self.members:
+            self.start(name)
+
+    def power_off(self, name: str, back_after: float) -> None:
+        """Kill a member so that its connections say nothing of it."""
+        self.wires.silent.add(name)
+        self.kill(name, back_after)
+
+    async def stop(self, name: str, back_after: float) -> None:
+        """Stop a member as planned."""
+        member = self.members.get(name)
+        if member is not None:
+            await member.stop()
+            await asyncio.sleep(1.0)
+            if self.members.get(name) is member:
+                self.kill(name, back_after)
+
+    def leader(self) -> str | None:
+        for name, member in self.members.items():
+            if member.leader is not None and member.leader.leading:
+                return name
+        return None
+
+    # -- Callers -----------------------------------------------------------------------------
+
+    async def call(self, call: CallerCall) -> CallerReply | None:
+        """Call any member; ``None`` if it died before it answered."""
+        names = list(self.members)
+        if not names:
+            await asyncio.sleep(0.2)
+            return None
+        member = self.members[self.rng.choice(names)]
+        task = asyncio.get_running_loop().create_task(member.serve(call, TIMEOUT))
+        await asyncio.wait([task], timeout=TIMEOUT + 0.5)
+        if not task.done():
+            task.cancel()
+            return None
+        return None if task.cancelled() or task.exception() else task.result()
+
+    async def submit(self, name: str, spec: JobSpec) -> None:
+        """Hand a job in, and again while it is not known what became of it."""
+        self.cell.jobs[name] = spec
+        self.open_calls += 1
+        uncertain = False
+        try:
+            for _ in range(RETRIES):
+                reply = await self.call(CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec))
+                if reply is not None and reply.outcome is Outcome.DONE:
+                    self.accepted.add(name)
+                    return
+                if reply is None or reply.outcome is Outcome.UNKNOWN:
+                    uncertain = True
+                await asyncio.sleep(0.3 if reply is None else max(0.3, reply.retry_after))
+            if not uncertain:
+                self.refused.add(name)
+        finally:
+            self.open_calls -= 1
+
+    async def cancel(self, name: str) -> None:
+        # Without an answer the job may be cancelled or not.
+        self.cancelled.add(name)
+        await self.call(CallerCall(Operation.CANCEL, HOST, PREFIX + name))
+
+    async def state(self, name: str) -> CallerReply | None:
+        return await self.call(CallerCall(Operation.STATE, HOST, PREFIX + name))
+
+    async def traffic(self, prefix: str, count: int, every: float) -> None:
+        """Hand in some jobs, one after the other, without waiting for answers."""
+        tasks = []
+        for number in range(count):
+            name = f"{prefix}{number:04x}"
+            tasks.append(asyncio.get_running_loop().create_task(self.submit(name, self.job())))
+            await asyncio.sleep(self.rng.expovariate(1.0 / every))
+        await asyncio.wait(tasks)
+
+    def job(self) -> JobSpec:
+        """Return a job of a random kind."""
+        shape = Shape(self.rng.choice((500, 1_000, 4_000, 7_500)), self.rng.choice((500, 8_000)))
+        first = StepSpec(count=self.rng.randint(1, 5), shape=shape, expected_ms=1000.0)
+        kind = self.rng.random()
+        if kind < 0.25:
+            first = msgspec.structs.replace(first, gang=True)
+        elif kind < 0.35:
+            first = msgspec.structs.replace(first, spread=2)
+        if self.rng.random() < 0.4:
+            second = StepSpec(count=self.rng.randint(1, 3), shape=shape, after=(0,))
+            return JobSpec("payload", (first, second))
+        return JobSpec("payload", (first,))
+
+    # -- What must hold ----------------------------------------------------------------------
+
+    async def settle(self, seconds: float) -> None:
+        """Undo all faults and wait until every accepted job has ended, or some seconds."""
+        self.calm()
+        last = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < last:
+            await asyncio.sleep(1.0)
+            if not self.open_calls and not await self.unfinished():
+                return
+
+    def calm(self) -> None:
+        """Undo all faults."""
+        self.store.down = False
+        self.store.turned_away.clear()
+        self.store.latency = 0.004
+        self.store.lost = 0.0
+        self.cell.late_orders = 0.0
+        self.wires.cuts.clear()
+        self.wires.silent.clear()
+        for worker in self.cell.workers.values():
+            worker.cut = False
+        self.start_all()
+
+    async def unfinished(self) -> list[str]:
+        """Return the accepted jobs that have not ended as they should."""
+        found = []
+        for name in sorted(self.accepted):
+            reply = await self.state(name)
+            state = None if reply is None else reply.state
+            if state not in self.allowed_ends(name):
+                found.append(f"{name}: {reply}")
+        return found
+
+    def allowed_ends(self, name: str) -> set[str]:
+        if name in self.cancelled:
+            return {"cancelled", "succeeded", "failed"}
+        return {"failed"} if name in self.cell.poison else {"succeeded"}
+
+    async def faults(self) -> list[str]:
+        """Return what is wrong once all has settled."""
+        wrong = list(self.cell.violations)
+        wrong += await self.unfinished()
+        for name in sorted(self.refused):
+            if any(task.startswith(f"{name}.") for task in self.cell.starts):
+                wrong.append(f"refused, yet started: {name}")
+        for name in sorted(self.accepted - self.cancelled - self.cell.poison):
+            missing = [task for task in self._tasks(name) if task not in self.cell.done]
+            if missing:
+                wrong.append(f"shown as done without: {missing}")
+        return wrong
+
+    def _tasks(self, name: str) -> list[str]:
+        steps = self.cell.jobs[name].steps
+        return [
+            f"{name}.0.{number}.{index}"
+            for number, step in enumerate(steps)
+            for index in range(step.count)
+        ]
+
+
+Fault = Callable[["System"], None]
--- a/tests/fakes/servers.py
+++ b/tests/fakes/servers.py
@@ -7,11 +7,11 @@
 import msgspec
 from tornado import httpserver, netutil, web
 
+from sablemount.adapters.cell_services import ReadReply
+from sablemount.adapters.workers import REFUSED_HEADER, REQUEST_HEADER, PollReply
 from sablemount.core.actions import Poll, StartRun
 from sablemount.core.documents import Shape
 from sablemount.core.facts import VmFacts
-from sablemount.adapters.cell_services import ReadReply
-from sablemount.adapters.workers import REFUSED_HEADER, REQUEST_HEADER, PollReply
 from tests.fakes.log import AnswerLost, FakeLog, LogUnavailable
 from tests.fakes.worker import FakeWorker, Truth
 
--- /dev/null
+++ b/tests/jobs/test_emulated.py
@@ -0,0 +1,56 @@
+"""The whole system in virtual time: a calm run, each fault twice, and seeded mixes of faults."""
+
+import asyncio
+import random
+
+import pytest
+
+from tests.emulator import faults as kinds
+from tests.emulator.loop import run
+from tests.emulator.system import System
+
+SETTLE = 60.0
+
+
+async def _play(seed: int, chosen: list[kinds.Fault], advice: bool = False) -> list[str]:
+    system = System(seed, advice=advice)
+    system.start_all()
+    await asyncio.sleep(1.0)
+    rng = random.Random(seed + 7)
+    traffic = asyncio.create_task(system.traffic("a", 60, 0.2))
+    cancels = asyncio.create_task(_cancel_some(system, rng))
+    for fault in chosen:
+        await asyncio.sleep(rng.uniform(0.2, 2.5))
+        asyncio.create_task(fault(system, rng))
+    await traffic
+    await cancels
+    await asyncio.sleep(9.0)
+    await system.settle(SETTLE)
+    return await system.faults()
+
+
+async def _cancel_some(system: System, rng: random.Random) -> None:
+    for _ in range(6):
+        await asyncio.sleep(2.0)
+        if system.accepted:
+            await system.cancel(rng.choice(sorted(system.accepted)))
+
+
+def test_calm() -> None:
+    assert run(_play(1, [])) == []
+
+
+def test_calm_with_advice() -> None:
+    assert run(_play(2, [], advice=True)) == []
+
+
+@pytest.mark.parametrize("fault", kinds.FAULTS, ids=lambda fault: fault.__name__)
+def test_each_fault_twice(fault: kinds.Fault) -> None:
+    assert run(_play(3, [fault, fault])) == []
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_mixes(seed: int) -> None:
+    rng = random.Random(seed)
+    chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
+    assert run(_play(100 + seed, chosen, advice=seed % 2 == 0)) == []
