--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -7,7 +7,6 @@
 import logging
 from collections.abc import Callable, Sequence
 
-from sablemount.control.clock import monotonic
 from sablemount.control.store import PageItem, Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
 
@@ -16,8 +15,6 @@
 PAGE_TIMEOUT = 1.5
 RETRY_PAUSE = 0.15
 MAX_PAUSE = 0.8
-READ_SLACK = 0.8
-"""Seconds beyond its wait after which a read is given up."""
 
 _logger = logging.getLogger("sablemount.control.follow")
 
@@ -55,8 +52,6 @@
         self._on_records = on_records
         self._wait = wait
         self._reachable: bool | None = None
-        self.good_at = -1e9
-        """When the store last answered."""
 
     async def run(self) -> None:
         """Follow without end."""
@@ -90,8 +85,6 @@
         return True
 
     def _note(self, reachable: bool) -> None:
-        if reachable:
-            self.good_at = monotonic()
         if reachable != self._reachable:
             self._reachable = reachable
             text = "store answers" if reachable else "store does not answer"
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -17,6 +17,7 @@
     CallerReply,
     Operation,
     Outcome,
+    not_taken,
 )
 from sablemount.control.network import CallFailed, Link
 from sablemount.control.ports import AdvicePort, DirectoryCodec, WorkerPort
@@ -51,7 +52,6 @@
 """Seconds without an answer after which the store counts as not answering, for new work."""
 ACCEPT_TIMEOUT = 1.5
 """Seconds after which a caller is told that its job may have been accepted."""
-RETRY_AFTER = 1.0
 CONFIG_WAIT = 1.0
 WORKERS_WAIT = 1.0
 ADVICE_SLACK = 0.25
@@ -63,8 +63,9 @@
 PIPELINE_POLL = 0.01
 CLOSE_TIME = 0.5
 CLOSE_POLL = 0.005
-HEIR_CORES = 0.9
-HEIR_AGE = 0.5
+MAX_NAME = 64
+SUCCESSOR_CORES = 0.9
+SUCCESSOR_AGE = 0.5
 """Seconds since its start after which a member may be asked to take over."""
 
 _logger = logging.getLogger("sablemount.control.leader")
@@ -160,15 +161,15 @@
             await asyncio.sleep(CLOSE_POLL)
         self.end("planned stop")
 
-    def heir(self) -> list[str]:
+    def successors(self) -> list[str]:
         """Return the members in the order in which they are asked to take over.
 
         Of those that are strong enough, the one that started last goes first: when all are stopped
         in turn, it has had its turn.
         """
         ages = self.member_uptime
-        grown = [name for name in self.members if ages.get(name, 0.0) > HEIR_AGE]
-        weak = {name: self.member_cores.get(name, 1.0) < HEIR_CORES for name in grown}
+        grown = [name for name in self.members if ages.get(name, 0.0) > SUCCESSOR_AGE]
+        weak = {name: self.member_cores.get(name, 1.0) < SUCCESSOR_CORES for name in grown}
         return sorted(grown, key=lambda name: (weak[name], ages[name]))
 
     def _close(self) -> None:
@@ -414,10 +415,10 @@
 
     async def _serve(self, call: CallerCall) -> CallerReply:
         if self.closing or not self.leading or not self.authority():
-            return _not_taken("the leader is not sure that it leads")
+            return not_taken("the leader is not sure that it leads")
         configuration = self.scheduler.state.configuration
         if configuration.version < 0:
-            return _not_taken("no configuration yet")
+            return not_taken("no configuration yet")
         queue = queue_for(configuration, call.host, call.path)
         if queue is None:
             return CallerReply(Outcome.NO_QUEUE, reason="no queue at this host and prefix")
@@ -446,7 +447,7 @@
             return CallerReply(Outcome.INVALID, path=path, reason=reason)
         known = self.scheduler.state.jobs.get(name)
         if self._store_stuck() and known is None:
-            return _not_taken("the store does not answer")
+            return not_taken("the store does not answer")
         if self._store_stuck() and known is not None and not known.durable:
             return CallerReply(Outcome.UNKNOWN, reason="the store has not answered")
         self.scheduler.now()
@@ -463,7 +464,7 @@
             _logger.info("job accepted", extra={"job": name, "queue": queue.terms.name})
             return CallerReply(Outcome.DONE)
         if self.scheduler.withdraw(name):
-            return _not_taken("the store does not answer")
+            return not_taken("the store does not answer")
         _logger.info("job uncertain", extra={"job": name, "queue": queue.terms.name})
         return CallerReply(Outcome.UNKNOWN, reason="the store has not answered")
 
@@ -481,12 +482,5 @@
         return CallerReply(Outcome.DONE, state=job.shown.name.lower())
 
 
-def _not_taken(reason: str) -> CallerReply:
-    return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER)
-
-
-MAX_NAME = 64
-
-
 def _is_name(name: str) -> bool:
     return 0 < len(name) <= MAX_NAME and name.isascii() and name.isalnum()
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -28,10 +28,11 @@
     Reply,
     TakeOver,
     ViewCall,
+    not_taken,
 )
 from sablemount.control.network import CallFailed, Link, Listener, Network
 from sablemount.control.store import Appended, PageItem, Topic, Unavailable
-from sablemount.control.suspicion import Suspicion, Verdict
+from sablemount.control.suspicion import ClaimReason, Suspicion
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 
@@ -58,7 +59,6 @@
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 READY_GRACE = 1.0
-RETRY_AFTER = 1.0
 CALL_TIMEOUT = 2.0
 VIEW_FRESH = 0.5
 """A member that has heard the leader within these seconds speaks against a claim."""
@@ -137,9 +137,9 @@
         if self.leader is None:
             return
         leader = self.leader
-        heirs = [(name, leader.members[name]) for name in leader.heir()]
+        successors = [(name, leader.members[name]) for name in leader.successors()]
         await leader.close()
-        for name, connection in heirs:
+        for name, connection in successors:
             try:
                 await connection.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
             except CallFailed:
@@ -207,8 +207,10 @@
         if self._link is not None:
             self._link.close()
 
-    def _mine(self) -> bool:
-        return self.record is not None and self.record.incarnation == self._incarnation
+    @property
+    def _epoch(self) -> int:
+        """Return the highest epoch known here; 0 without a leader."""
+        return 0 if self.record is None else self.record.epoch
 
     # -- The link to the leader --------------------------------------------------------------
 
@@ -246,7 +248,7 @@
             serving.cancel()
 
     async def _ping(self, link: Link) -> None:
-        epoch = 0 if self.record is None else self.record.epoch
+        epoch = self._epoch
         uptime = monotonic() - self._started_at
         ping = Ping(
             self.settings.name, self.settings.rpc_address, epoch, uptime, self.settings.cores
@@ -254,7 +256,7 @@
         pong = await link.call(ping, PING_TIMEOUT)
         if not isinstance(pong, Pong):
             return
-        if self.record is None or self.record.epoch != epoch:
+        if self._epoch != epoch:
             # Another leader has become known meanwhile, of which this answer tells nothing.
             return
         now = monotonic()
@@ -282,13 +284,13 @@
         if self.stopping or not self._known or now < self._claim_pause_until:
             return None
         if self._asked_to_lead:
-            return Verdict.ASKED
+            return ClaimReason.ASKED
         if self.record is None:
             waited = now - self._started_at > FIRST_CLAIM + self._patience
-            return Verdict.NO_LEADER if waited else None
+            return ClaimReason.NO_LEADER if waited else None
         if self.record.name == self.settings.name:
             rested = now > self._rest_until
-            return Verdict.OWN_FORMER_LIFE if rested else None
+            return ClaimReason.OWN_FORMER_LIFE if rested else None
         reason = self._suspicion.reason(now, self._patience)
         if (
             reason is not None
@@ -300,10 +302,10 @@
 
     async def _consider(self, reason: str) -> None:
         """Claim, unless others still hear the leader."""
-        if reason in (Verdict.SILENT, Verdict.REFUSED) and not await self._others_agree():
+        if reason in (ClaimReason.SILENT, ClaimReason.REFUSED) and not await self._others_agree():
             self._claim_pause_until = monotonic() + CLAIM_PAUSE
             return
-        if reason == Verdict.STORE_LOST and not await self._store_reached():
+        if reason == ClaimReason.STORE_LOST and not await self._store_reached():
             self._claim_pause_until = monotonic() + CLAIM_PAUSE
             return
         self._asked_to_lead = False
@@ -322,6 +324,7 @@
     async def _others_agree(self) -> bool:
         """Ask the other members whether they hear the leader."""
         record = self.record
+        epoch = self._epoch
         others = [
             address
             for name, address in self._members.items()
@@ -329,7 +332,6 @@
         ]
         views = await asyncio.gather(*(self._view(address) for address in others))
         heard = [view for view in views if view is not None]
-        epoch = 0 if record is None else record.epoch
         if any(_speaks_for(view, epoch) for view in heard):
             return False
         if heard or not others:
@@ -353,7 +355,7 @@
 
     async def _claim(self, reason: str) -> None:
         """Write the next leader record where the topic ends, which only one claim can do."""
-        epoch = 1 if self.record is None else self.record.epoch + 1
+        epoch = self._epoch + 1
         claim = LeaderRecord(
             epoch, self.settings.name, self.settings.rpc_address, self._incarnation
         )
@@ -376,9 +378,8 @@
         if won:
             # The record may have been read before the answer to the claim came.
             self._follow(claim)
-            if self._mine() and self.record is not None and self.record.epoch == epoch:
-                self._spawn(self._lead(epoch))
-        elif not won:
+            self._lead_if_mine(epoch)
+        else:
             # The topic's end may have moved, or the claim may be there though its answer is lost.
             await self._look_again(epoch)
 
@@ -387,8 +388,11 @@
         if isinstance(page, Unavailable):
             return
         self._leader_listed(page.items, page.end)
-        won = self._mine() and self.record is not None and self.record.epoch == epoch
-        if won and self.leader is None:
+        self._lead_if_mine(epoch)
+
+    def _lead_if_mine(self, epoch: int) -> None:
+        record = self.record
+        if record is not None and (record.epoch, record.incarnation) == (epoch, self._incarnation):
             self._spawn(self._lead(epoch))
 
     async def _lead(self, epoch: int) -> None:
@@ -428,16 +432,16 @@
         return self._take_over(message)
 
     def _own_view(self) -> LeaderView:
-        epoch = 0 if self.record is None else self.record.epoch
         if self.leader is not None and self.leader.leading:
             return LeaderView(self.leader.epoch, 0.0, True)
-        return LeaderView(epoch, self._suspicion.heard_age(monotonic()), self._link is not None)
+        return LeaderView(
+            self._epoch, self._suspicion.heard_age(monotonic()), self._link is not None
+        )
 
     def _pinged(self, connection: Link, ping: Ping) -> Pong:
         leader = self.leader
         if leader is None or not leader.leading:
-            epoch = 0 if self.record is None else self.record.epoch
-            return Pong(epoch, False, 0.0, leader is not None and not leader.over.is_set())
+            return Pong(self._epoch, False, 0.0, leader is not None and not leader.over.is_set())
         if ping.epoch > leader.epoch:
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
@@ -446,8 +450,7 @@
         leader.member_uptime[ping.name] = ping.uptime
         leader.member_cores[ping.name] = ping.cores
         connection.peer = ping.name
-        addresses = {ping.name: ping.address}
-        self._members.update(addresses)
+        self._members[ping.name] = ping.address
         return Pong(leader.epoch, True, leader.store_age(), members=self._members)
 
     def _link_closed(self, connection: Link) -> None:
@@ -485,8 +488,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the figures of the present state."""
-        epoch = 0 if self.record is None else self.record.epoch
-        figures = {"epoch": float(epoch), "ready": float(self.ready), "leading": 0.0}
+        figures = {"epoch": float(self._epoch), "ready": float(self.ready), "leading": 0.0}
         leader = self.leader
         if leader is not None and leader.leading:
             state = leader.scheduler.state
@@ -529,11 +531,6 @@
     return view.epoch == epoch and view.linked and view.heard_age < VIEW_FRESH
 
 
-def not_taken(reason: str) -> CallerReply:
-    """Return the answer to what has certainly not run."""
-    return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER)
-
-
 def _failed(call: CallerCall, failed: CallFailed) -> CallerReply:
     if failed.sent and call.operation is not Operation.STATE:
         return CallerReply(Outcome.UNKNOWN, reason=str(failed))
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -24,8 +24,12 @@
     "Reply",
     "TakeOver",
     "ViewCall",
+    "not_taken",
 ]
 
+RETRY_AFTER = 1.0
+"""Seconds after which a caller that was refused is asked to come back."""
+
 
 class LeaderRecord(msgspec.Struct, frozen=True):
     """Who leads since when: the newest record of the leader topic."""
@@ -138,6 +142,11 @@
     retry_after: float = 0.0
 
 
+def not_taken(reason: str) -> CallerReply:
+    """Return the answer to what has certainly not run, with a time to come back."""
+    return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER)
+
+
 class AdviceReply(msgspec.Struct, frozen=True, tag=True):
     """Tickets by worker, or none with ``ok`` false if there was no usable answer."""
 
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -8,7 +8,7 @@
 
 from sablemount.control.messages import Pong
 
-__all__ = ["Suspicion", "Verdict"]
+__all__ = ["Suspicion", "ClaimReason"]
 
 NEVER = -1e9
 SILENT_AFTER = 0.6
@@ -24,7 +24,7 @@
 """Seconds of suspicion after which a member that hears nobody else claims all the same."""
 
 
-class Verdict:
+class ClaimReason:
     """Reasons for a claim, as they are logged."""
 
     NO_LEADER = "no leader"
@@ -72,13 +72,13 @@
         """Return why to claim now, or ``None``; ``patience`` (seconds) differs by member."""
         silent = self.heard_age(now)
         if self.refused_since != NEVER and now - self.refused_since > REFUSED_AFTER + patience:
-            return Verdict.REFUSED
+            return ClaimReason.REFUSED
         if silent > SILENT_AFTER + patience:
-            return Verdict.SILENT
+            return ClaimReason.SILENT
         if self.idle_since != NEVER and now - self.idle_since > IDLE_AFTER + patience:
-            return Verdict.IDLE
+            return ClaimReason.IDLE
         if self.store_lost_since != NEVER and now - self.store_lost_since > patience:
-            return Verdict.STORE_LOST
+            return ClaimReason.STORE_LOST
         return None
 
     def alone_too_long(self, now: float) -> bool:
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -33,7 +33,7 @@
 from sablemount.jobs.systems.preemption import Preemption
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.workers import Workers
-from sablemount.jobs.tables import JobRow, JobState, RunState, WorkerRow
+from sablemount.jobs.tables import SLOW_CLOCK, JobRow, JobState, RunState, WorkerRow
 
 __all__ = ["Clock", "JobScheduler", "StartRefusal", "Submission"]
 
@@ -150,7 +150,9 @@
             if JobState(noted.state).final:
                 self.lifecycle.restore_ended(name, noted)
         settings = self.state.settings
-        self.state.unheard_until = self.state.now + settings.takeover_margin + settings.lease / 0.98
+        self.state.unheard_until = (
+            self.state.now + settings.takeover_margin + settings.lease / SLOW_CLOCK
+        )
 
     def _load_record(
         self, record: Record, jobs: dict[str, JobRecord], progress: dict[str, Progress]
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -81,10 +81,6 @@
         ticket = row.good.get(worker.name)
         return ticket is not None and self._state.now < ticket.until - TICKET_MARGIN
 
-    def known_good(self, step: StepRow, worker: WorkerRow) -> bool:
-        """Tell whether a worker is known to be allowed, with or without a valid ticket."""
-        return step.advice is None or worker.name in step.advice.good
-
     def unknown(self, step: StepRow, worker: WorkerRow) -> bool:
         """Tell whether nothing is known of a worker for a step."""
         row = step.advice
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -8,7 +8,7 @@
 
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, RunState, StepRow, WorkerRow
+from sablemount.jobs.tables import RunRow, RunState, WorkerRow
 
 __all__ = ["Health"]
 
@@ -52,15 +52,18 @@
             return
         self._ran_at = now
         rows = [row for row in self._state.workers.values() if row.runs and not row.gone]
-        self._measure(rows)
         for row in rows:
-            still = self._still(row)
-            if self._stands(row, still):
-                self._put_out(row, "its tasks stand still")
-                self._move(row, still)
-            elif self._slow(row):
-                self._put_out(row, "its tasks are slow")
-                self._move(row, [run for run in self._countable(row) if self._worth(run)])
+            self._judge(row, self._countable(row))
+
+    def _judge(self, row: WorkerRow, runs: list[RunRow]) -> None:
+        self._measure(row, runs)
+        still = self._still(row, runs)
+        if self._stands(runs, still):
+            self._put_out(row, "its tasks stand still")
+            self._move(row, still)
+        elif self._slow(runs):
+            self._put_out(row, "its tasks are slow")
+            self._move(row, [run for run in runs if self._worth(run)])
 
     # -- Failures ----------------------------------------------------------------------------
 
@@ -101,39 +104,34 @@
     def _countable(self, row: WorkerRow) -> list[RunRow]:
         """Return the runs whose progress tells of their worker alone."""
         return [
-            run
-            for run in row.runs.values()
-            if run.state is RunState.RUNNING and self._own_step(run) is not None
+            run for run in row.runs.values() if run.state is RunState.RUNNING and self._tells(run)
         ]
 
-    def _own_step(self, run: RunRow) -> StepRow | None:
+    def _tells(self, run: RunRow) -> bool:
         task = self._state.task(run.task)
-        if task is None or task.step.spec.gang or task.step.spec.lasting:
-            return None
-        return task.step
+        return task is not None and not task.step.spec.gang and not task.step.spec.lasting
 
-    def _still(self, row: WorkerRow) -> list[RunRow]:
+    @staticmethod
+    def _still(row: WorkerRow, runs: list[RunRow]) -> list[RunRow]:
         """Return the runs that made no progress, as far as the worker's last word tells."""
         return [
             run
-            for run in self._countable(row)
+            for run in runs
             if row.heard_at - run.percent_at > STILL_AFTER and run.percent < WHOLE
         ]
 
-    def _stands(self, row: WorkerRow, still: list[RunRow]) -> bool:
-        counted = len(self._countable(row))
+    @staticmethod
+    def _stands(runs: list[RunRow], still: list[RunRow]) -> bool:
         if not still:
             return False
-        return len(still) >= min(MIN_STILL, counted) and len(still) >= STILL_SHARE * counted
+        return len(still) >= min(MIN_STILL, len(runs)) and len(still) >= STILL_SHARE * len(runs)
 
     # -- Slowness ----------------------------------------------------------------------------
 
-    def _measure(self, rows: list[WorkerRow]) -> None:
-        now = self._state.now
-        for row in rows:
-            for run in self._countable(row):
-                if now - run.mark_at > WINDOW:
-                    self._mark(run, row)
+    def _measure(self, row: WorkerRow, runs: list[RunRow]) -> None:
+        for run in runs:
+            if self._state.now - run.mark_at > WINDOW:
+                self._mark(run, row)
 
     @staticmethod
     def _mark(run: RunRow, row: WorkerRow) -> None:
@@ -145,11 +143,10 @@
         run.mark_at = row.heard_at
         run.mark_percent = run.percent
 
-    def _slow(self, row: WorkerRow) -> bool:
+    @staticmethod
+    def _slow(runs: list[RunRow]) -> bool:
         ratios = [
-            run.pace / run.best_pace
-            for run in self._countable(row)
-            if run.pace is not None and run.best_pace > 0
+            run.pace / run.best_pace for run in runs if run.pace is not None and run.best_pace > 0
         ]
         return len(ratios) >= MIN_PACES and median(ratios) < SLOW_RATIO
 
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -36,14 +36,9 @@
 
     hold_max_ms: float = 6000
     stop_ms: float = 400
-    gang_timeout_ms: float = 3000
     status_s: float = msgspec.field(name="status_s", default=120)
-    far_x: float = 1.5
-    save_s: float = 2
     restore_ms: float = 250
     grace_s: float = 6
-    harm_ms: float = 4000
-    pace_ms: float = 100
 
 
 class MachineLimits(_Wire, frozen=True):
@@ -99,13 +94,8 @@
     jobs = JobSettings(
         lease=min(bounds.hold_max_ms / MS, LONGEST_LEASE),
         stop_time=bounds.stop_ms / MS,
-        gang_timeout=bounds.gang_timeout_ms / MS,
         state_kept=bounds.status_s,
         restore=bounds.restore_ms / MS,
-        far_factor=bounds.far_x,
-        save_interval=bounds.save_s,
-        harm_time=bounds.harm_ms / MS,
-        pace_interval=bounds.pace_ms / MS,
     )
     cores = boot.limits.cpu_share * boot.limits.cores
     return MemberSettings(boot.node_name, f"{boot.ip}:{boot.port_range[0]}", jobs, cores)
