--- a/benchmarks/job_core.py
+++ b/benchmarks/job_core.py
@@ -17,9 +17,9 @@
 MICRO = 1e6
 
 
-def measure(workers: int, jobs: int) -> float:
+def measure(vms: int, jobs: int) -> float:
     """Return microseconds of processor time a job of some tasks."""
-    rig = Rig(workers=workers)
+    rig = Rig(vms=vms)
     terms = queue()
     began = time.process_time()
     for number in range(jobs):
@@ -28,19 +28,19 @@
         starts = [action for action in rig.tick() if isinstance(action, StartRun)]
         for start in starts:
             rig.end(start, "done")
-        for worker in {start.worker for start in starts}:
-            rig.hear(worker)
-            rig.ends[worker] = []
-            rig.scheduler.state.workers[worker].seen_end = 0
-            rig.scheduler.state.workers[worker].noted_end = 0
+        for vm in {start.vm for start in starts}:
+            rig.hear(vm)
+            rig.ends[vm] = []
+            rig.scheduler.state.vms[vm].seen_end = 0
+            rig.scheduler.state.vms[vm].noted_end = 0
         rig.commit()
     return (time.process_time() - began) / jobs * MICRO
 
 
 def main(jobs: Annotated[int, typer.Option(help="How many jobs.")] = 1000) -> None:
-    """Print the time a job by the number of workers."""
-    for workers in (24, 176, 1000):
-        typer.echo(f"{workers:5d} workers: {measure(workers, jobs):7.0f} us a job of {TASKS} tasks")
+    """Print the time a job by the number of VMs."""
+    for vms in (24, 176, 1000):
+        typer.echo(f"{vms:5d} VMs: {measure(vms, jobs):7.0f} us a job of {TASKS} tasks")
 
 
 if __name__ == "__main__":
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -20,9 +20,9 @@
     not_taken,
 )
 from sablemount.control.network import CallFailed, Link
-from sablemount.control.ports import AdvicePort, DirectoryCodec, WorkerPort
+from sablemount.control.ports import AdvicePort, DirectoryCodec, VmPort
 from sablemount.control.store import PageItem, Store, Topic
-from sablemount.control.worker_calls import WorkerCalls
+from sablemount.control.vm_calls import VmCalls
 from sablemount.jobs.actions import Action, AskAdvice, StartRun, StopRun
 from sablemount.jobs.journal import Batch
 from sablemount.jobs.model import JobSpec, Queue, check_spec, queue_for
@@ -53,7 +53,7 @@
 ACCEPT_TIMEOUT = 1.5
 """Seconds after which a caller is told that its job may have been accepted."""
 CONFIG_WAIT = 1.0
-WORKERS_WAIT = 1.0
+VMS_WAIT = 1.0
 ADVICE_SLACK = 0.25
 COMMIT_PAUSE = 0.015
 PIPELINE_AFTER = 0.04
@@ -75,10 +75,10 @@
     """The adapters that a leader uses."""
 
     def __init__(
-        self, store: Store, workers: WorkerPort, advice: AdvicePort, codec: DirectoryCodec
+        self, store: Store, vms: VmPort, advice: AdvicePort, codec: DirectoryCodec
     ) -> None:
         self.store = store
-        self.workers = workers
+        self.vms = vms
         self.advice = advice
         self.codec = codec
 
@@ -102,12 +102,12 @@
         self.scheduler = JobScheduler(settings, epoch, LoopClock())
         self.scheduler.reconcile.on_outcome = self._count_end
         self.committer = Committer(ports.store, epoch, rng)
-        self.calls = WorkerCalls(
+        self.calls = VmCalls(
             self.scheduler,
-            ports.workers,
+            ports.vms,
             epoch,
             self.authority,
-            self._fenced_by_worker,
+            self._fenced_by_vm,
             self.kick,
             self._noted,
         )
@@ -185,7 +185,7 @@
 
     def _sizes(self) -> dict[str, int]:
         state = self.scheduler.state
-        return {"jobs": len(state.jobs), "live": len(state.live), "workers": len(state.workers)}
+        return {"jobs": len(state.jobs), "live": len(state.live), "vms": len(state.vms)}
 
     async def _load(self) -> None:
         await self.committer.open()
@@ -202,11 +202,9 @@
         config = Follower(
             store, Topic.CONFIGURATION, self._configured, self._configured_more, CONFIG_WAIT
         )
-        workers = Follower(
-            store, Topic.WORKERS, self._workers_listed, self._workers_told, WORKERS_WAIT
-        )
+        vms = Follower(store, Topic.VMS, self._vms_listed, self._vms_told, VMS_WAIT)
         self._spawn(config.run())
-        self._spawn(workers.run())
+        self._spawn(vms.run())
 
     def _spawn(self, work: Coroutine[object, object, None]) -> None:
         self._keep(asyncio.get_running_loop().create_task(work))
@@ -249,8 +247,8 @@
         """Return for how many seconds the store has not confirmed the leadership."""
         return monotonic() - self.committer.good_at
 
-    def _fenced_by_worker(self, worker: str) -> None:
-        self.end(f"worker {worker} has seen a later leader")
+    def _fenced_by_vm(self, vm: str) -> None:
+        self.end(f"VM {vm} has seen a later leader")
 
     # -- Time --------------------------------------------------------------------------------
 
@@ -283,15 +281,11 @@
 
     def _perform(self, action: Action) -> None:
         if isinstance(action, StartRun):
-            _logger.info(
-                "start", extra={"task": action.task, "run": action.run, "worker": action.worker}
-            )
+            _logger.info("start", extra={"task": action.task, "run": action.run, "vm": action.vm})
             self.figures.count("start")
             self.calls.start(action)
         elif isinstance(action, StopRun):
-            _logger.info(
-                "stop", extra={"task": action.task, "run": action.run, "worker": action.worker}
-            )
+            _logger.info("stop", extra={"task": action.task, "run": action.run, "vm": action.vm})
             self.figures.count("stop")
             self.calls.stop(action)
         else:
@@ -358,20 +352,20 @@
             if configuration is not None and self.scheduler.configured(configuration):
                 self.kick()
 
-    def _workers_listed(self, items: Sequence[PageItem], end: int) -> None:
+    def _vms_listed(self, items: Sequence[PageItem], end: int) -> None:
         self.scheduler.now()
-        infos = [self.ports.codec.worker(item.record) for item in items]
+        infos = [self.ports.codec.vm(item.record) for item in items]
         self.scheduler.listed([info for info in infos if info is not None])
         self.kick()
 
-    def _workers_told(self, records: Sequence[Record], end: int) -> None:
+    def _vms_told(self, records: Sequence[Record], end: int) -> None:
         self.scheduler.now()
         for record in records:
-            info = self.ports.codec.worker(record)
+            info = self.ports.codec.vm(record)
             if info is not None:
                 self.scheduler.told(info)
             elif not record.value:
-                self.scheduler.workers.left_list(record.key)
+                self.scheduler.vms.left_list(record.key)
         self.kick()
 
     # -- Advice ------------------------------------------------------------------------------
@@ -385,18 +379,18 @@
         self.scheduler.now()
         advice = self.scheduler.advice
         if reply.ok:
-            advice.answered(action.lane, action.step, action.workers, reply.good, reply.valid_ms)
+            advice.answered(action.lane, action.step, action.vms, reply.good, reply.valid_ms)
         else:
             advice.failed(action.lane, action.step)
         self.kick()
 
     async def _ask(self, action: AskAdvice, timeout: float) -> AdviceReply:
         if action.lane == self.name:
-            return await self.ports.advice.advise(action.step, action.workers, timeout)
+            return await self.ports.advice.advise(action.step, action.vms, timeout)
         connection = self.members.get(action.lane)
         if connection is None:
             return AdviceReply(False)
-        call = AdviseCall(action.step, action.workers, timeout)
+        call = AdviseCall(action.step, action.vms, timeout)
         try:
             reply = await connection.call(call, timeout + ADVICE_SLACK)
         except CallFailed:
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -428,7 +428,7 @@
         if isinstance(message, CallerCall):
             return await self._serve_locally(message)
         if isinstance(message, AdviseCall):
-            return await self.ports.advice.advise(message.step, message.workers, message.timeout)
+            return await self.ports.advice.advise(message.step, message.vms, message.timeout)
         return self._take_over(message)
 
     def _own_view(self) -> LeaderView:
@@ -496,8 +496,8 @@
             figures["store_age_seconds"] = leader.store_age()
             figures["live_jobs"] = float(len(state.live))
             figures["open_steps"] = float(len(state.open_steps))
-            figures["workers"] = float(len(state.workers))
-            figures["runs"] = float(sum(len(row.runs) for row in state.workers.values()))
+            figures["vms"] = float(len(state.vms))
+            figures["runs"] = float(sum(len(row.runs) for row in state.vms.values()))
         return figures
 
     async def serve(self, call: CallerCall, timeout: float) -> CallerReply:
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -95,7 +95,7 @@
     """The leader lets a member ask for advice; ``timeout`` is in seconds."""
 
     step: str
-    workers: tuple[str, ...]
+    vms: tuple[str, ...]
     timeout: float
 
 
@@ -148,7 +148,7 @@
 
 
 class AdviceReply(msgspec.Struct, frozen=True, tag=True):
-    """Tickets by worker, or none with ``ok`` false if there was no usable answer."""
+    """Tickets by VM, or none with ``ok`` false if there was no usable answer."""
 
     ok: bool
     good: dict[str, str] = {}
--- a/src/sablemount/control/ports.py
+++ b/src/sablemount/control/ports.py
@@ -8,7 +8,7 @@
 
 from sablemount.control.messages import AdviceReply
 from sablemount.jobs.actions import Heard, StartRun, StopRun
-from sablemount.jobs.model import Configuration, WorkerInfo
+from sablemount.jobs.model import Configuration, VmInfo
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import StartRefusal
 
@@ -20,17 +20,17 @@
     "HoldResult",
     "Started",
     "StartResult",
-    "WorkerPort",
+    "VmPort",
 ]
 
 
 class CallError(enum.Enum):
-    """Why a call to a worker gave nothing."""
+    """Why a call to a VM gave nothing."""
 
     FENCED = "fenced"
-    """The worker has seen a later leader."""
+    """The VM has seen a later leader."""
     OTHER_LIFE = "other life"
-    """At the address is another life of the worker."""
+    """At the address is another life of the VM."""
     REFUSED = "refused"
     """Nothing listens at the address."""
     NOT_SENT = "not sent"
@@ -39,20 +39,20 @@
 
 
 class HoldCall(msgspec.Struct, frozen=True):
-    """Extends a worker's leases, acknowledges ends and asks what runs."""
+    """Extends a VM's leases, acknowledges ends and asks what runs."""
 
-    worker: str
+    vm: str
     address: str
     fence: int
     until_ms: int
-    """End of the leases on the worker's clock; 0 to leave them as they are."""
+    """End of the leases on the VM's clock; 0 to leave them as they are."""
     acked_end: int
     wait: float
     """Seconds that the answer may wait for an end."""
 
 
 class Started(msgspec.Struct, frozen=True):
-    """A run is there; the worker's clock in ms."""
+    """A run is there; the VM's clock in ms."""
 
     clock_ms: float
 
@@ -61,8 +61,8 @@
 StartResult: TypeAlias = Started | StartRefusal | CallError
 
 
-class WorkerPort(Protocol):
-    """The workers; timeouts are in seconds."""
+class VmPort(Protocol):
+    """The VMs; timeouts are in seconds."""
 
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
         """Hold and look."""
@@ -82,18 +82,18 @@
 
 
 class AdvicePort(Protocol):
-    """The service that knows which workers may run a step."""
+    """The service that knows which VMs may run a step."""
 
-    async def advise(self, step: str, workers: Sequence[str], timeout: float) -> AdviceReply:
-        """Ask for some workers."""
+    async def advise(self, step: str, vms: Sequence[str], timeout: float) -> AdviceReply:
+        """Ask for some VMs."""
         ...
 
 
 class DirectoryCodec(Protocol):
     """Decodes what others write to the store; what does not decode gives ``None``."""
 
-    def worker(self, record: Record) -> WorkerInfo | None:
-        """Decode a worker's entry."""
+    def vm(self, record: Record) -> VmInfo | None:
+        """Decode a VM's entry."""
         ...
 
     def configuration(self, record: Record) -> Configuration | None:
--- a/src/sablemount/control/store.py
+++ b/src/sablemount/control/store.py
@@ -33,7 +33,7 @@
 
     JOBS = "jobs"
     LEADER = "leader"
-    WORKERS = "workers"
+    VMS = "vms"
     CONFIGURATION = "configuration"
 
 
--- a/src/sablemount/control/worker_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -1,16 +1,16 @@
-"""Carries out the leader's orders and keeps looking at each worker."""
+"""Carries out the leader's orders and keeps looking at each VM."""
 
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
 
 from sablemount.control.clock import monotonic
-from sablemount.control.ports import CallError, HoldCall, Started, WorkerPort
+from sablemount.control.ports import CallError, HoldCall, Started, VmPort
 from sablemount.jobs.actions import Heard, StartRun, StopRun
 from sablemount.jobs.scheduler import JobScheduler, StartRefusal
-from sablemount.jobs.tables import WorkerRow
+from sablemount.jobs.tables import VmRow
 
-__all__ = ["WorkerCalls"]
+__all__ = ["VmCalls"]
 
 HOLD_WAIT = 0.7
 """Seconds that a look waits for an end."""
@@ -33,20 +33,20 @@
 STOP_TIMEOUT = 0.5
 MS = 1000.0
 
-_logger = logging.getLogger("sablemount.control.workers")
+_logger = logging.getLogger("sablemount.control.vms")
 
 
-class WorkerCalls:
-    """Talks to the workers for one leadership.
+class VmCalls:
+    """Talks to the VMs for one leadership.
 
-    ``authority`` tells whether orders may be given now, ``fenced`` is called once a worker has
+    ``authority`` tells whether orders may be given now, ``fenced`` is called once a VM has
     refused the fence, ``kick`` after anything that may let the scheduler decide anew.
     """
 
     def __init__(
         self,
         scheduler: JobScheduler,
-        port: WorkerPort,
+        port: VmPort,
         fence: int,
         authority: Callable[[], bool],
         fenced: Callable[[str], None],
@@ -66,16 +66,16 @@
     # -- Looks -------------------------------------------------------------------------------
 
     def follow_new(self) -> None:
-        """Begin to look at the workers that are not looked at yet."""
-        for name, row in self._scheduler.state.workers.items():
+        """Begin to look at the VMs that are not looked at yet."""
+        for name, row in self._scheduler.state.vms.items():
             if name not in self._followed:
                 task = asyncio.get_running_loop().create_task(self._follow(row))
                 self._followed[name] = task
 
-    async def _follow(self, row: WorkerRow) -> None:
+    async def _follow(self, row: VmRow) -> None:
         pause = RETRY_PAUSE
         try:
-            while not row.gone and self._scheduler.state.workers.get(row.name) is row:
+            while not row.gone and self._scheduler.state.vms.get(row.name) is row:
                 if not self._authority():
                     await asyncio.sleep(NO_AUTHORITY_PAUSE)
                     continue
@@ -87,13 +87,13 @@
         finally:
             self._followed.pop(row.name, None)
 
-    async def _look(self, row: WorkerRow) -> bool:
-        """Look once; return whether the worker answered."""
+    async def _look(self, row: VmRow) -> bool:
+        """Look once; return whether the VM answered."""
         scheduler = self._scheduler
         scheduler.now()
         known = row.first_heard_at > 0
-        silent = known and scheduler.workers.silent_for(row) > STOP_EXTENDING
-        until = scheduler.workers.lease_until(row) if known and not silent else 0
+        silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING
+        until = scheduler.vms.lease_until(row) if known and not silent else 0
         wait = self._wait(row) if known and not silent else 0.0
         call = HoldCall(row.name, row.info.address, self._fence, until, row.acked_end, wait)
         timeout = self._timeout(known, silent, wait)
@@ -106,18 +106,18 @@
         if result is CallError.FENCED:
             self._fenced(row.name)
         elif result is CallError.OTHER_LIFE:
-            scheduler.workers.died(row.name)
+            scheduler.vms.died(row.name)
             self._kick()
         elif result is CallError.REFUSED:
-            scheduler.workers.refused(row)
-            scheduler.workers.unanswered(row)
+            scheduler.vms.refused(row)
+            scheduler.vms.unanswered(row)
         else:
-            scheduler.workers.unanswered(row)
-        _logger.debug("no look", extra={"worker": row.name, "why": result.value})
+            scheduler.vms.unanswered(row)
+        _logger.debug("no look", extra={"vm": row.name, "why": result.value})
         # A look that had to wait need not be followed by a pause.
         return monotonic() - sent_at > HOLD_WAIT and not silent
 
-    def _wait(self, row: WorkerRow) -> float:
+    def _wait(self, row: VmRow) -> float:
         if row.seen_end > row.acked_end:
             return 0.0
         return SHORT_WAIT if self._scheduler.uncertain_on(row.name) else HOLD_WAIT
@@ -128,7 +128,7 @@
             return FIRST_HOLD_TIMEOUT
         return SILENT_HOLD_TIMEOUT if silent else wait + HOLD_SLACK
 
-    async def _heard(self, row: WorkerRow, heard: Heard) -> None:
+    async def _heard(self, row: VmRow, heard: Heard) -> None:
         self._scheduler.heard(heard)
         self._kick()
         if row.seen_end <= row.acked_end:
@@ -154,7 +154,7 @@
 
     async def _start(self, action: StartRun) -> None:
         """Order a start, and again while it has no answer: the same run is started once only."""
-        row = self._scheduler.state.workers.get(action.worker)
+        row = self._scheduler.state.vms.get(action.vm)
         if row is None:
             return
         until = int(row.clock_after(monotonic()) + self._left(action) * MS)
@@ -168,26 +168,26 @@
             self._scheduler.now()
             if isinstance(result, Started):
                 self._scheduler.reconcile.started(
-                    action.worker, action.task, action.run, result.clock_ms
+                    action.vm, action.task, action.run, result.clock_ms
                 )
                 return
             if isinstance(result, StartRefusal):
                 self._refused(action, result, certain)
                 return
             if result is CallError.FENCED:
-                self._fenced(action.worker)
+                self._fenced(action.vm)
                 return
             if result is CallError.OTHER_LIFE:
-                self._scheduler.workers.died(action.worker)
+                self._scheduler.vms.died(action.vm)
                 self._kick()
                 return
             certain = certain and result in NOTHING_SENT
         if certain:
-            self._scheduler.reconcile.not_started(action.worker, action.task, action.run)
+            self._scheduler.reconcile.not_started(action.vm, action.task, action.run)
             self._kick()
 
     def _refused(self, action: StartRun, why: StartRefusal, certain: bool) -> None:
-        self._scheduler.start_refused(action.worker, action.task, action.run, why, certain)
+        self._scheduler.start_refused(action.vm, action.task, action.run, why, certain)
         self._kick()
 
     @staticmethod
@@ -195,12 +195,12 @@
         return action.not_after - monotonic()
 
     async def _stop(self, action: StopRun) -> None:
-        row = self._scheduler.state.workers.get(action.worker)
+        row = self._scheduler.state.vms.get(action.vm)
         if row is None or not self._authority():
             return
         result = await self._port.stop(action, row.info.address, self._fence, STOP_TIMEOUT)
         if result is CallError.FENCED:
-            self._fenced(action.worker)
+            self._fenced(action.vm)
 
     def close(self) -> None:
         """Stop looking and ordering."""
--- a/src/sablemount/jobs/actions.py
+++ b/src/sablemount/jobs/actions.py
@@ -8,9 +8,9 @@
 
 
 class StartRun(msgspec.Struct, frozen=True):
-    """Start a run of a task on a worker; ``not_after`` is local monotonic seconds."""
+    """Start a run of a task on a VM; ``not_after`` is local monotonic seconds."""
 
-    worker: str
+    vm: str
     task: str
     run: int
     payload: str
@@ -22,17 +22,17 @@
 class StopRun(msgspec.Struct, frozen=True):
     """Stop a run."""
 
-    worker: str
+    vm: str
     task: str
     run: int
 
 
 class AskAdvice(msgspec.Struct, frozen=True):
-    """Ask from a machine which workers may run a step; ``cost`` is the expected seconds."""
+    """Ask from a machine which VMs may run a step; ``cost`` is the expected seconds."""
 
     lane: str
     step: str
-    workers: tuple[str, ...]
+    vms: tuple[str, ...]
     cost: float
 
 
@@ -40,7 +40,7 @@
 
 
 class RunReport(msgspec.Struct, frozen=True, array_like=True):
-    """A run that a worker holds; ``percent`` is how far it is."""
+    """A run that a VM holds; ``percent`` is how far it is."""
 
     task: str
     run: int
@@ -50,7 +50,7 @@
 
 
 class EndReport(msgspec.Struct, frozen=True, array_like=True):
-    """An end that a worker lists until it is acknowledged; ``number`` rises within its life."""
+    """An end that a VM lists until it is acknowledged; ``number`` rises within its life."""
 
     number: int
     task: str
@@ -60,9 +60,9 @@
 
 
 class Heard(msgspec.Struct, frozen=True):
-    """A worker's own word; times are local monotonic seconds, the clock is the worker's (ms)."""
+    """A VM's own word; times are local monotonic seconds, the clock is the VM's (ms)."""
 
-    worker: str
+    vm: str
     sent_at: float
     clock_ms: float
     running: tuple[RunReport, ...]
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -1,4 +1,4 @@
-"""Group commit of what must last: accepted jobs, noted ends, states, workers in use.
+"""Group commit of what must last: accepted jobs, noted ends, states, VMs in use.
 
 Pure: it says what the next batch holds and what its success means. One batch is on its way at a
 time; what has no definite answer is sent again as it was.
@@ -10,14 +10,14 @@
 from sablemount.jobs.records import (
     JOB_PREFIX,
     PROGRESS_PREFIX,
-    WORKER_PREFIX,
+    VM_PREFIX,
     Record,
-    WorkerRecord,
+    VmRecord,
     encode,
 )
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.lifecycle import Lifecycle
-from sablemount.jobs.tables import JobRow, JobState, WorkerRow
+from sablemount.jobs.tables import JobRow, JobState, VmRow
 
 __all__ = ["Batch", "Journal"]
 
@@ -32,9 +32,9 @@
     states: dict[str, int] = {}
     """State of the jobs whose progress is in the batch, by job."""
     used: list[str] = []
-    """Workers that may be given work from now on."""
+    """VMs that may be given work from now on."""
     ends: dict[str, int] = {}
-    """Number of the last end noted, by worker."""
+    """Number of the last end noted, by VM."""
 
 
 class Journal:
@@ -44,7 +44,7 @@
         self._state = state
         self._lifecycle = lifecycle
         self._accepting: dict[str, JobRow] = {}
-        self._workers: list[Record] = []
+        self._vms: list[Record] = []
         self._used: list[str] = []
         self._dropped: list[Record] = []
 
@@ -56,19 +56,19 @@
         """Take back an acceptance that has not been sent, and tell whether it could be."""
         return self._accepting.pop(name, None) is not None
 
-    def use(self, row: WorkerRow) -> None:
-        """Record that a worker may run something."""
+    def use(self, row: VmRow) -> None:
+        """Record that a VM may run something."""
         row.recorded = True
         self._used.append(row.name)
-        value = encode(WorkerRecord(row.info.address, row.info.pool))
-        self._workers.append(Record(WORKER_PREFIX + row.name, value))
+        value = encode(VmRecord(row.info.address, row.info.pool))
+        self._vms.append(Record(VM_PREFIX + row.name, value))
 
-    def unuse(self, row: WorkerRow) -> None:
-        """Record that a worker runs nothing any more."""
+    def unuse(self, row: VmRow) -> None:
+        """Record that a VM runs nothing any more."""
         row.recorded = row.in_use = False
         if row.name in self._used:
             self._used.remove(row.name)
-        self._workers.append(Record(WORKER_PREFIX + row.name))
+        self._vms.append(Record(VM_PREFIX + row.name))
 
     def forget(self, name: str) -> None:
         """Drop the record of an ended job."""
@@ -77,15 +77,15 @@
     def pending(self) -> bool:
         """Tell whether there is something to append."""
         state = self._state
-        if self._accepting or self._workers or state.dirty:
+        if self._accepting or self._vms or state.dirty:
             return True
-        return any(row.seen_end > row.noted_end for row in state.workers.values())
+        return any(row.seen_end > row.noted_end for row in state.vms.values())
 
     def next_batch(self) -> Batch:
         """Return the next batch; what it holds does not go with a later one."""
         state = self._state
-        batch = Batch(self._workers + self._dropped, used=self._used)
-        self._workers = []
+        batch = Batch(self._vms + self._dropped, used=self._used)
+        self._vms = []
         self._used = []
         self._dropped = []
         size = 0
@@ -98,7 +98,7 @@
         for job in state.dirty.values():
             self._add_progress(batch, job)
         state.dirty = {}
-        for row in state.workers.values():
+        for row in state.vms.values():
             if row.seen_end > row.noted_end:
                 row.noted_end = row.seen_end
                 batch.ends[row.name] = row.seen_end
@@ -119,13 +119,13 @@
                 job.durable = True
         for name, number in batch.states.items():
             self._shown(name, JobState(number))
-        for worker in batch.used:
-            row = self._state.workers.get(worker)
+        for vm in batch.used:
+            row = self._state.vms.get(vm)
             if row is not None and row.recorded:
                 row.in_use = True
                 self._state.freed += 1
-        for worker, end in batch.ends.items():
-            row = self._state.workers.get(worker)
+        for vm, end in batch.ends.items():
+            row = self._state.vms.get(vm)
             if row is not None:
                 row.acked_end = max(row.acked_end, end)
 
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -1,4 +1,4 @@
-"""Immutable values of the job model: shapes, steps, jobs, queues and workers.
+"""Immutable values of the job model: shapes, steps, jobs, queues and VMs.
 
 Times are in milliseconds where a name ends in ``_ms``; cores are thousandths of a core and memory
 is in megabytes throughout.
@@ -17,7 +17,7 @@
     "Shape",
     "SpecError",
     "StepSpec",
-    "WorkerInfo",
+    "VmInfo",
     "check_spec",
     "queue_for",
     "step_key",
@@ -30,7 +30,7 @@
 
 
 class Shape(msgspec.Struct, frozen=True, array_like=True):
-    """What a task takes or a worker has: thousandths of a core, megabytes, accelerators."""
+    """What a task takes or a VM has: thousandths of a core, megabytes, accelerators."""
 
     cores: int = 0
     memory: int = 0
@@ -65,7 +65,7 @@
     label: str = ""
     rack: str = ""
     spread: int = 0
-    """At most this many tasks of the step on one worker; 0 for any number."""
+    """At most this many tasks of the step on one VM; 0 for any number."""
     speculative: bool = False
     lasting: bool = False
     saves: bool = False
@@ -76,14 +76,14 @@
 
     @property
     def charge(self) -> Shape:
-        """Return what a task of the step is charged to its worker."""
+        """Return what a task of the step is charged to its VM."""
         if not self.fills:
             return self.shape
         return Shape(0, self.shape.memory, self.shape.accelerators)
 
 
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
-    """What a client hands in; ``payload`` is passed to the workers as it is."""
+    """What a client hands in; ``payload`` is passed to the VMs as it is."""
 
     payload: str
     steps: tuple[StepSpec, ...]
@@ -141,11 +141,11 @@
     version: int = -1
     queues: tuple[Queue, ...] = ()
     guarded_pools: frozenset[str] = frozenset()
-    """Pools whose workers reject what does not fit."""
+    """Pools whose VMs reject what does not fit."""
 
 
-class WorkerInfo(msgspec.Struct, frozen=True):
-    """One life of a worker, as it describes itself."""
+class VmInfo(msgspec.Struct, frozen=True):
+    """One life of a VM, as it describes itself."""
 
     name: str
     address: str
@@ -157,7 +157,7 @@
 
     @property
     def rack(self) -> str:
-        """Return the label that names the worker's rack, which is the last one."""
+        """Return the label that names the VM's rack, which is the last one."""
         return self.labels[-1] if self.labels else ""
 
 
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -1,7 +1,7 @@
 """What lasts of a job: records under keys of a keyed topic, the newest of each key counting.
 
 ``j/JOB`` holds what was accepted and never changes; ``p/JOB`` holds how far it is and is replaced
-with each noted end; ``w/WORKER`` names a worker that may run something. A record without a value
+with each noted end; ``w/VM`` names a VM that may run something. A record without a value
 drops its key.
 """
 
@@ -12,21 +12,21 @@
 __all__ = [
     "JOB_PREFIX",
     "PROGRESS_PREFIX",
-    "WORKER_PREFIX",
+    "VM_PREFIX",
     "JobRecord",
     "Progress",
     "Record",
     "StepProgress",
-    "WorkerRecord",
+    "VmRecord",
     "decode_job",
     "decode_progress",
-    "decode_worker",
+    "decode_vm",
     "encode",
 ]
 
 JOB_PREFIX = "j/"
 PROGRESS_PREFIX = "p/"
-WORKER_PREFIX = "w/"
+VM_PREFIX = "w/"
 
 
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -58,8 +58,8 @@
     ended_ms: float = 0.0
 
 
-class WorkerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A worker that may run something."""
+class VmRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A VM that may run something."""
 
     address: str
     pool: str
@@ -75,10 +75,10 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _JOB_DECODER = msgspec.msgpack.Decoder(JobRecord)
 _PROGRESS_DECODER = msgspec.msgpack.Decoder(Progress)
-_WORKER_DECODER = msgspec.msgpack.Decoder(WorkerRecord)
+_VM_DECODER = msgspec.msgpack.Decoder(VmRecord)
 
 
-def encode(value: JobRecord | Progress | WorkerRecord) -> bytes:
+def encode(value: JobRecord | Progress | VmRecord) -> bytes:
     """Encode a record's value."""
     return _ENCODER.encode(value)
 
@@ -93,6 +93,6 @@
     return _PROGRESS_DECODER.decode(value)
 
 
-def decode_worker(value: bytes) -> WorkerRecord:
-    """Decode a worker's record; raises ``msgspec.DecodeError``."""
-    return _WORKER_DECODER.decode(value)
+def decode_vm(value: bytes) -> VmRecord:
+    """Decode a VM's record; raises ``msgspec.DecodeError``."""
+    return _VM_DECODER.decode(value)
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -12,17 +12,17 @@
 
 from sablemount.jobs.actions import Action, Heard
 from sablemount.jobs.journal import Batch, Journal
-from sablemount.jobs.model import Configuration, JobSpec, Queue, Shape, WorkerInfo
+from sablemount.jobs.model import Configuration, JobSpec, Queue, Shape, VmInfo
 from sablemount.jobs.records import (
     JOB_PREFIX,
     PROGRESS_PREFIX,
-    WORKER_PREFIX,
+    VM_PREFIX,
     JobRecord,
     Progress,
     Record,
     decode_job,
     decode_progress,
-    decode_worker,
+    decode_vm,
 )
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.state import State
@@ -32,13 +32,13 @@
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.preemption import Preemption
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.systems.workers import Workers
-from sablemount.jobs.tables import SLOW_CLOCK, JobRow, JobState, RunState, WorkerRow
+from sablemount.jobs.systems.vms import Vms
+from sablemount.jobs.tables import SLOW_CLOCK, JobRow, JobState, RunState, VmRow
 
 __all__ = ["Clock", "JobScheduler", "StartRefusal", "Submission"]
 
 UNHEALTHY_PAUSE = 1.5
-"""Seconds without new work after a worker has said that it is not well."""
+"""Seconds without new work after a VM has said that it is not well."""
 FULL_PAUSE = 0.5
 SLOW_SYSTEMS_INTERVAL = 0.5
 """Seconds between runs of the systems that need not run at each tick."""
@@ -66,7 +66,7 @@
 
 
 class StartRefusal(enum.Enum):
-    """Why a worker did not start a run."""
+    """Why a VM did not start a run."""
 
     OLD = "old"
     LATE = "late"
@@ -84,10 +84,10 @@
         now = clock.monotonic()
         self.state = State(settings, epoch, now, clock.wall_ms())
         self.lifecycle = Lifecycle(self.state)
-        self.workers = Workers(self.state)
+        self.vms = Vms(self.state)
         self.reconcile = Reconcile(self.state, self.lifecycle)
         self.advice = Advice(self.state)
-        self.placement = Placement(self.state, self.workers, self.advice)
+        self.placement = Placement(self.state, self.vms, self.advice)
         self.preemption = Preemption(self.state, self.placement, self.advice, self.reconcile)
         self.health = Health(self.state, self.reconcile)
         self.reconcile.on_end = self.health.ended
@@ -108,10 +108,10 @@
         if state.now - self._slow_at >= SLOW_SYSTEMS_INTERVAL:
             self._slow_at = state.now
             self._run_slow()
-        if not state.former_settled and self.workers.all_heard():
+        if not state.former_settled and self.vms.all_heard():
             state.former_settled = True
             state.freed += 1
-            state.logger.info("former runs settled", extra={"workers": len(state.workers)})
+            state.logger.info("former runs settled", extra={"vms": len(state.vms)})
         self.health.run()
         self.reconcile.stop_broken_gangs()
         self.placement.run()
@@ -120,12 +120,12 @@
         return state.take_actions()
 
     def _run_slow(self) -> None:
-        for row in self.workers.expire():
+        for row in self.vms.expire():
             if row.recorded:
                 self.journal.unuse(row)
-        for row in self.workers.idle():
+        for row in self.vms.idle():
             self.journal.unuse(row)
-        for row in self.workers.unrecorded():
+        for row in self.vms.unrecorded():
             self.journal.use(row)
         self.reconcile.stop_orphans()
         for job in self.lifecycle.forget_old():
@@ -162,18 +162,18 @@
             jobs[name] = decode_job(record.value)
         elif kind == PROGRESS_PREFIX:
             progress[name] = decode_progress(record.value)
-        elif kind == WORKER_PREFIX:
-            self._load_worker(name, record.value)
+        elif kind == VM_PREFIX:
+            self._load_vm(name, record.value)
 
-    def _load_worker(self, name: str, value: bytes) -> None:
-        noted = decode_worker(value)
-        info = WorkerInfo(name, noted.address, noted.pool, Shape())
-        row = self.workers.told(info)
+    def _load_vm(self, name: str, value: bytes) -> None:
+        noted = decode_vm(value)
+        info = VmInfo(name, noted.address, noted.pool, Shape())
+        row = self.vms.told(info)
         if row is not None:
             row.listed = False
             row.loaded = row.recorded = row.in_use = True
 
-    # -- Configuration and workers -----------------------------------------------------------
+    # -- Configuration and VMs -----------------------------------------------------------
 
     def configured(self, configuration: Configuration) -> bool:
         """Take a configuration and tell whether it is newer than the one in force."""
@@ -190,20 +190,20 @@
         )
         return True
 
-    def listed(self, infos: Sequence[WorkerInfo]) -> list[WorkerRow]:
-        """Take the whole list of workers; return the new ones."""
-        new = self.workers.listed(infos)
+    def listed(self, infos: Sequence[VmInfo]) -> list[VmRow]:
+        """Take the whole list of VMs; return the new ones."""
+        new = self.vms.listed(infos)
         self._use(new)
         return new
 
-    def told(self, info: WorkerInfo) -> WorkerRow | None:
-        """Take one worker's entry; return its row if it is new."""
-        row = self.workers.told(info)
+    def told(self, info: VmInfo) -> VmRow | None:
+        """Take one VM's entry; return its row if it is new."""
+        row = self.vms.told(info)
         if row is not None:
             self._use([row])
         return row
 
-    def _use(self, rows: list[WorkerRow]) -> None:
+    def _use(self, rows: list[VmRow]) -> None:
         for row in rows:
             if not row.recorded:
                 self.journal.use(row)
@@ -245,25 +245,25 @@
             if job.record.terms.name == queue and job.durable and not job.begun
         )
 
-    # -- Workers' answers --------------------------------------------------------------------
+    # -- VMs' answers --------------------------------------------------------------------
 
     def heard(self, heard: Heard) -> bool:
-        """Take a worker's word; tell whether ends are to be noted."""
+        """Take a VM's word; tell whether ends are to be noted."""
         return self.reconcile.heard(heard)
 
     def start_refused(
-        self, worker: str, task: str, number: int, why: StartRefusal, certain: bool
+        self, vm: str, task: str, number: int, why: StartRefusal, certain: bool
     ) -> None:
-        """Take that a worker refused a start.
+        """Take that a VM refused a start.
 
         ``certain`` tells whether no earlier order for the run went without an answer.
         """
-        row = self.state.workers.get(worker)
+        row = self.state.vms.get(vm)
         if row is None:
             return
         self.state.logger.info(
             "start refused",
-            extra={"task": task, "run": number, "worker": worker, "why": why.value},
+            extra={"task": task, "run": number, "vm": vm, "why": why.value},
         )
         if why is StartRefusal.UNHEALTHY:
             row.avoid_until = self.state.now + UNHEALTHY_PAUSE
@@ -272,13 +272,13 @@
         elif why is StartRefusal.TICKET:
             found = self.state.task(task)
             if found is not None:
-                self.advice.refused(found.step, worker)
+                self.advice.refused(found.step, vm)
         if certain:
-            self.reconcile.not_started(worker, task, number)
+            self.reconcile.not_started(vm, task, number)
 
-    def uncertain_on(self, worker: str) -> bool:
-        """Tell whether a start on a worker is not known to have come to pass."""
-        row = self.state.workers.get(worker)
+    def uncertain_on(self, vm: str) -> bool:
+        """Tell whether a start on a VM is not known to have come to pass."""
+        row = self.state.vms.get(vm)
         return row is not None and any(run.state is RunState.SENT for run in row.runs.values())
 
     # -- The store ---------------------------------------------------------------------------
--- a/src/sablemount/jobs/settings.py
+++ b/src/sablemount/jobs/settings.py
@@ -9,14 +9,14 @@
     """Bounds and intervals of the job scheduler."""
 
     lease: float = 6.0
-    """Longest lease that a worker grants."""
+    """Longest lease that a VM grants."""
     stop_time: float = 0.4
     """Longest time that a stop takes."""
     state_kept: float = 120.0
     """How long the state of an ended job can be asked for."""
     restore: float = 0.25
     fresh: float = 2.5
-    """A worker that was not heard for this long gets no new work."""
+    """A VM that was not heard for this long gets no new work."""
     start_valid: float = 1.5
     """How long after it was sent a start may be carried out."""
     takeover_margin: float = 2.5
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -14,7 +14,7 @@
     StepRow,
     TaskRow,
     TaskState,
-    WorkerRow,
+    VmRow,
 )
 
 __all__ = ["State"]
@@ -42,9 +42,9 @@
         """Jobs that have not ended."""
         self.open_steps: dict[str, StepRow] = {}
         """Steps with waiting tasks whose turn has come, by key."""
-        self.workers: dict[str, WorkerRow] = {}
+        self.vms: dict[str, VmRow] = {}
         self.orphans: dict[tuple[str, str, int], RunRow] = {}
-        """Runs that belong to no open task and are being stopped, by worker, task and run."""
+        """Runs that belong to no open task and are being stopped, by VM, task and run."""
         self.broken_gangs: list[tuple[StepRow, int]] = []
         """Gangs, with the run of which a member has gone."""
         self.steps_asked: dict[str, StepRow] = {}
@@ -53,8 +53,8 @@
         self.freed = 0
         """Counts what may let a waiting task fit."""
         self.placed_at_freed = -1
-        self.workers_changed = 0
-        """Counts what may make workers usable of which steps know nothing yet."""
+        self.vms_changed = 0
+        """Counts what may make VMs usable of which steps know nothing yet."""
         self.touched: set[str] = set()
         """Steps to be looked at again, though no room was freed."""
         self.former_settled = False
@@ -106,18 +106,18 @@
         """Return the terms in force for a job: its queue's, or those that it was accepted under."""
         return self.terms.get(job.record.terms.name, job.record.terms)
 
-    def charge_of(self, task_name: str, worker: WorkerRow) -> Shape:
-        """Return what a run takes; all of its worker, if its job is not known any more."""
+    def charge_of(self, task_name: str, vm: VmRow) -> Shape:
+        """Return what a run takes; all of its VM, if its job is not known any more."""
         parts = task_name.split(".")
         job = self.jobs.get(parts[0])
         if job is None or len(parts) != TASK_KEY_PARTS or not parts[2].isdigit():
-            return worker.info.capacity
+            return vm.info.capacity
         steps = job.record.spec.steps
         number = int(parts[2])
-        return steps[number].charge if number < len(steps) else worker.info.capacity
+        return steps[number].charge if number < len(steps) else vm.info.capacity
 
     def longest_lease_end(self) -> float:
-        """Return until when a lease that a worker grants at this moment can last."""
+        """Return until when a lease that a VM grants at this moment can last."""
         return self.now + self.settings.lease / SLOW_CLOCK + LEASE_SLACK
 
     # -- Runs --------------------------------------------------------------------------------
@@ -128,7 +128,7 @@
         return max(base, *(task.last_run for task in tasks)) + 1
 
     def add_run(self, task: TaskRow, run: RunRow) -> None:
-        """Enter a run of an open task and charge its worker."""
+        """Enter a run of an open task and charge its VM."""
         task.runs.append(run)
         task.last_run = max(task.last_run, run.number)
         if task.state is TaskState.WAITING:
@@ -137,18 +137,18 @@
         self.charge(run)
 
     def charge(self, run: RunRow) -> None:
-        """Charge a worker for a run."""
-        worker = self.workers[run.worker]
-        worker.runs[(run.task, run.number)] = run
-        worker.room = worker.room.plus(run.charge, -1)
+        """Charge a VM for a run."""
+        vm = self.vms[run.vm]
+        vm.runs[(run.task, run.number)] = run
+        vm.room = vm.room.plus(run.charge, -1)
 
     def drop_run(self, run: RunRow) -> None:
         """Take a run out and give back what was charged for it."""
-        worker = self.workers.get(run.worker)
-        if worker is not None and worker.runs.pop((run.task, run.number), None) is not None:
-            worker.room = worker.room.plus(run.charge)
+        vm = self.vms.get(run.vm)
+        if vm is not None and vm.runs.pop((run.task, run.number), None) is not None:
+            vm.room = vm.room.plus(run.charge)
             self.freed += 1
-        self.orphans.pop((run.worker, run.task, run.number), None)
+        self.orphans.pop((run.vm, run.task, run.number), None)
         task = self.task(run.task)
         if task is None or run not in task.runs:
             return
@@ -168,12 +168,12 @@
     def release_booked(self, step: StepRow) -> None:
         """Give back the room that was kept for a step."""
         for name, count in step.booked.items():
-            worker = self.workers.get(name)
-            if worker is not None:
-                worker.room = worker.room.plus(step.spec.charge, count)
+            vm = self.vms.get(name)
+            if vm is not None:
+                vm.room = vm.room.plus(step.spec.charge, count)
         step.booked.clear()
 
     def orphan(self, run: RunRow) -> None:
-        """Charge a worker for a run that is to be stopped."""
+        """Charge a VM for a run that is to be stopped."""
         run.state = RunState.STOPPING
-        self.orphans[(run.worker, run.task, run.number)] = run
+        self.orphans[(run.vm, run.task, run.number)] = run
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -1,4 +1,4 @@
-"""Advice: which workers may run a step, asked for over lanes.
+"""Advice: which VMs may run a step, asked for over lanes.
 
 Each machine is a lane that works on one call at a time. A call may take from a few milliseconds to
 nearly a second, so slow calls leave some lanes to quick ones.
@@ -8,7 +8,7 @@
 
 from sablemount.jobs.actions import AskAdvice
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import NEVER, AdviceRow, StepRow, Ticket, WorkerRow
+from sablemount.jobs.tables import NEVER, AdviceRow, StepRow, Ticket, VmRow
 
 __all__ = ["Advice"]
 
@@ -64,27 +64,27 @@
 
     # -- Wishes ------------------------------------------------------------------------------
 
-    def want(self, step: StepRow, workers: list[str]) -> None:
-        """Ask for some workers as soon as a lane is free."""
+    def want(self, step: StepRow, vms: list[str]) -> None:
+        """Ask for some VMs as soon as a lane is free."""
         row = step.advice
-        if row is None or row.asking or not workers:
+        if row is None or row.asking or not vms:
             return
         if row.failures and self._state.now < row.asked_at + RETRY_AFTER * row.failures:
             return
-        self._wanted[step.key] = (step, tuple(workers[:MAX_NAMED]))
+        self._wanted[step.key] = (step, tuple(vms[:MAX_NAMED]))
 
-    def valid(self, step: StepRow, worker: WorkerRow) -> bool:
-        """Tell whether a step may be started on a worker now."""
+    def valid(self, step: StepRow, vm: VmRow) -> bool:
+        """Tell whether a step may be started on a VM now."""
         row = step.advice
         if row is None:
             return True
-        ticket = row.good.get(worker.name)
+        ticket = row.good.get(vm.name)
         return ticket is not None and self._state.now < ticket.until - TICKET_MARGIN
 
-    def unknown(self, step: StepRow, worker: WorkerRow) -> bool:
-        """Tell whether nothing is known of a worker for a step."""
+    def unknown(self, step: StepRow, vm: VmRow) -> bool:
+        """Tell whether nothing is known of a VM for a step."""
         row = step.advice
-        return row is not None and worker.name not in row.good and worker.name not in row.bad
+        return row is not None and vm.name not in row.good and vm.name not in row.bad
 
     def cost(self, step: StepRow, count: int) -> float:
         """Return the expected time of a call in seconds."""
@@ -103,10 +103,10 @@
         if not self._wanted:
             return
         for key in sorted(self._wanted, key=self._urgency):
-            step, workers = self._wanted[key]
-            name = self._lane_for(self.cost(step, len(workers)))
+            step, vms = self._wanted[key]
+            name = self._lane_for(self.cost(step, len(vms)))
             if name is not None:
-                self._send(name, step, workers)
+                self._send(name, step, vms)
                 del self._wanted[key]
         # What found no lane is wished for again when placement still needs it.
         for step, _ in self._wanted.values():
@@ -127,18 +127,18 @@
             return None
         return free[0] if free else None
 
-    def _send(self, name: str, step: StepRow, workers: tuple[str, ...]) -> None:
+    def _send(self, name: str, step: StepRow, vms: tuple[str, ...]) -> None:
         state = self._state
         row = step.advice
         assert row is not None
         lane = self._lanes[name]
-        cost = self.cost(step, len(workers))
+        cost = self.cost(step, len(vms))
         lane.step = step.key
         lane.busy_until = state.now + 2 * cost + CALL_SLACK
         row.asking = True
         row.asked_at = state.now
         state.steps_asked[step.key] = step
-        state.emit(AskAdvice(name, step.key, workers, cost))
+        state.emit(AskAdvice(name, step.key, vms, cost))
 
     # -- Answers -----------------------------------------------------------------------------
 
@@ -150,7 +150,7 @@
         good: dict[str, str],
         valid_ms: float,
     ) -> None:
-        """Take an answer: tickets by worker, valid for some milliseconds from now."""
+        """Take an answer: tickets by VM, valid for some milliseconds from now."""
         step = self._free(lane_name, step_key)
         if step is None or step.advice is None:
             return
@@ -158,12 +158,12 @@
         row.asking = False
         row.failures = 0
         until = self._state.now + valid_ms / MS
-        for worker in asked:
-            if worker in good:
-                row.good[worker] = Ticket(good[worker], until)
+        for vm in asked:
+            if vm in good:
+                row.good[vm] = Ticket(good[vm], until)
             else:
-                row.bad.add(worker)
-                row.good.pop(worker, None)
+                row.bad.add(vm)
+                row.good.pop(vm, None)
         self._state.touch(step)
 
     def failed(self, lane_name: str, step_key: str) -> None:
@@ -184,9 +184,9 @@
             lane.step = ""
         return self._state.steps_asked.pop(step_key, None)
 
-    def refused(self, step: StepRow, worker: str) -> None:
-        """Take that a worker refused a ticket."""
+    def refused(self, step: StepRow, vm: str) -> None:
+        """Take that a VM refused a ticket."""
         row: AdviceRow | None = step.advice
-        if row is not None and worker in row.good:
-            row.good[worker].until = NEVER
+        if row is not None and vm in row.good:
+            row.good[vm].until = NEVER
             self._state.touch(step)
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -1,6 +1,6 @@
-"""Which workers are not well, judged by their tasks: they fail, stand still or are slow.
+"""Which VMs are not well, judged by their tasks: they fail, stand still or are slow.
 
-A worker's own word that it is well is not asked for. A worker that is not well gets no new work for
+A VM's own word that it is well is not asked for. A VM that is not well gets no new work for
 a while that doubles each time, and tasks that stand still there are started elsewhere.
 """
 
@@ -8,7 +8,7 @@
 
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, RunState, WorkerRow
+from sablemount.jobs.tables import RunRow, RunState, VmRow
 
 __all__ = ["Health"]
 
@@ -16,19 +16,19 @@
 FIRST_PAUSE = 1.5
 MAX_PAUSE = 6.0
 FAILURES_IN_A_ROW = 2
-"""Failures of different jobs, with nothing done in between, that put a worker out."""
+"""Failures of different jobs, with nothing done in between, that put a VM out."""
 STILL_AFTER = 1.2
 """Seconds without progress after which a run stands still."""
 STILL_SHARE = 0.5
 MIN_STILL = 2
-"""A worker is put out if so many of its runs, and this share of them, stand still."""
+"""A VM is put out if so many of its runs, and this share of them, stand still."""
 WINDOW = 0.8
 """Seconds over which the pace of a run is measured."""
 SLOW_RATIO = 0.4
-"""A worker has turned slow if its tasks' pace is below this share of their own best pace.
+"""A VM has turned slow if its tasks' pace is below this share of their own best pace.
 
-Expected times are off by a factor of two and more, so that they can't tell a slow worker from a
-long task; that all tasks of a worker slow down at once can."""
+Expected times are off by a factor of two and more, so that they can't tell a slow VM from a
+long task; that all tasks of a VM slow down at once can."""
 MIN_PACES = 2
 MOVE_MARGIN = 0.6
 """A task is moved if elsewhere it needs less than this share of the time that is left here."""
@@ -38,7 +38,7 @@
 
 
 class Health:
-    """Puts workers out and moves what stands still or crawls."""
+    """Puts VMs out and moves what stands still or crawls."""
 
     def __init__(self, state: State, reconcile: Reconcile) -> None:
         self._state = state
@@ -46,16 +46,16 @@
         self._ran_at = -INTERVAL
 
     def run(self) -> None:
-        """Judge every worker that is heard."""
+        """Judge every VM that is heard."""
         now = self._state.now
         if now - self._ran_at < INTERVAL:
             return
         self._ran_at = now
-        rows = [row for row in self._state.workers.values() if row.runs and not row.gone]
+        rows = [row for row in self._state.vms.values() if row.runs and not row.gone]
         for row in rows:
             self._judge(row, self._countable(row))
 
-    def _judge(self, row: WorkerRow, runs: list[RunRow]) -> None:
+    def _judge(self, row: VmRow, runs: list[RunRow]) -> None:
         self._measure(row, runs)
         still = self._still(row, runs)
         if self._stands(runs, still):
@@ -67,13 +67,13 @@
 
     # -- Failures ----------------------------------------------------------------------------
 
-    def ended(self, worker: str, job: str, failed: bool, elsewhere: bool) -> None:
+    def ended(self, vm: str, job: str, failed: bool, elsewhere: bool) -> None:
         """Take how a task ended.
 
-        ``elsewhere`` tells that tasks of its job have failed on other workers too, so that the job
+        ``elsewhere`` tells that tasks of its job have failed on other VMs too, so that the job
         may be to blame.
         """
-        row = self._state.workers.get(worker)
+        row = self._state.vms.get(vm)
         if row is None:
             return
         if not failed:
@@ -87,7 +87,7 @@
             row.failed_jobs.clear()
             self._put_out(row, "its tasks fail")
 
-    def _put_out(self, row: WorkerRow, why: str) -> None:
+    def _put_out(self, row: VmRow, why: str) -> None:
         now = self._state.now
         if row.avoid_until > now:
             return
@@ -95,14 +95,14 @@
         row.strikes += 1
         row.avoid_until = now + pause
         self._state.logger.info(
-            "worker put out",
-            extra={"worker": row.name, "why": why, "seconds": pause, "runs": len(row.runs)},
+            "VM put out",
+            extra={"vm": row.name, "why": why, "seconds": pause, "runs": len(row.runs)},
         )
 
     # -- Standing still ----------------------------------------------------------------------
 
-    def _countable(self, row: WorkerRow) -> list[RunRow]:
-        """Return the runs whose progress tells of their worker alone."""
+    def _countable(self, row: VmRow) -> list[RunRow]:
+        """Return the runs whose progress tells of their VM alone."""
         return [
             run for run in row.runs.values() if run.state is RunState.RUNNING and self._tells(run)
         ]
@@ -112,8 +112,8 @@
         return task is not None and not task.step.spec.gang and not task.step.spec.lasting
 
     @staticmethod
-    def _still(row: WorkerRow, runs: list[RunRow]) -> list[RunRow]:
-        """Return the runs that made no progress, as far as the worker's last word tells."""
+    def _still(row: VmRow, runs: list[RunRow]) -> list[RunRow]:
+        """Return the runs that made no progress, as far as the VM's last word tells."""
         return [
             run
             for run in runs
@@ -128,13 +128,13 @@
 
     # -- Slowness ----------------------------------------------------------------------------
 
-    def _measure(self, row: WorkerRow, runs: list[RunRow]) -> None:
+    def _measure(self, row: VmRow, runs: list[RunRow]) -> None:
         for run in runs:
             if self._state.now - run.mark_at > WINDOW:
                 self._mark(run, row)
 
     @staticmethod
-    def _mark(run: RunRow, row: WorkerRow) -> None:
+    def _mark(run: RunRow, row: VmRow) -> None:
         """Measure a run's pace: the share of it that is done in a second."""
         elapsed = row.heard_at - run.mark_at
         if run.mark_at > 0 and elapsed > WINDOW / 2:
@@ -162,14 +162,14 @@
         there = share / run.best_pace + self._state.settings.stop_time
         return here > MIN_MOVE and there < MOVE_MARGIN * here
 
-    def _move(self, row: WorkerRow, runs: list[RunRow]) -> None:
+    def _move(self, row: VmRow, runs: list[RunRow]) -> None:
         for run in runs:
             self._state.logger.info(
                 "run moved",
                 extra={
                     "task": run.task,
                     "run": run.number,
-                    "worker": row.name,
+                    "vm": row.name,
                     "percent": run.percent,
                 },
             )
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -1,4 +1,4 @@
-"""Which waiting tasks start on which workers.
+"""Which waiting tasks start on which VMs.
 
 Steps are taken by priority and then by when their job's objective ends. A gang is placed whole or
 not at all. Where advice is needed, the room of an assignment is booked while tickets are asked for.
@@ -8,13 +8,13 @@
 from sablemount.jobs.model import Shape
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
-from sablemount.jobs.systems.workers import Workers
-from sablemount.jobs.tables import RunRow, StepRow, TaskRow, TaskState, WorkerRow
+from sablemount.jobs.systems.vms import Vms
+from sablemount.jobs.tables import RunRow, StepRow, TaskRow, TaskState, VmRow
 
 __all__ = ["Assignment", "Placement", "slots"]
 
 MS = 1000.0
-Assignment = list[tuple[TaskRow, WorkerRow]]
+Assignment = list[tuple[TaskRow, VmRow]]
 TELL_AFTER = 3.0
 """Seconds after which a step that waits is logged, again and again."""
 RETRY_INTERVAL = 0.25
@@ -24,13 +24,13 @@
 class Placement:
     """Places waiting tasks."""
 
-    def __init__(self, state: State, workers: Workers, advice: Advice) -> None:
+    def __init__(self, state: State, vms: Vms, advice: Advice) -> None:
         self._state = state
-        self._workers = workers
+        self._vms = vms
         self._advice = advice
         self._looked_at = -RETRY_INTERVAL
-        self._round_of: list[WorkerRow] = []
-        self._by_kind: dict[tuple[str, str], list[WorkerRow]] = {}
+        self._round_of: list[VmRow] = []
+        self._by_kind: dict[tuple[str, str], list[VmRow]] = {}
 
     # -- The round ---------------------------------------------------------------------------
 
@@ -60,17 +60,17 @@
     def _order(self, step: StepRow) -> tuple[int, float]:
         return (self._state.terms_of(step.job).priority, step.job.objective_at)
 
-    def usable_rows(self) -> list[WorkerRow]:
-        """Return the workers that may get new work at all."""
-        return [row for row in self._state.workers.values() if self._usable(row)]
+    def usable_rows(self) -> list[VmRow]:
+        """Return the VMs that may get new work at all."""
+        return [row for row in self._state.vms.values() if self._usable(row)]
 
-    def _usable(self, row: WorkerRow) -> bool:
+    def _usable(self, row: VmRow) -> bool:
         return (
             row.in_use
             and not row.gone
             and not row.info.draining
             and row.avoid_until <= self._state.now
-            and self._workers.fresh(row)
+            and self._vms.fresh(row)
         )
 
     def ready(self, step: StepRow) -> bool:
@@ -81,7 +81,7 @@
         # What a former leader accepted may still run where nobody has looked yet.
         return not job.former or self._state.former_settled
 
-    def _place(self, step: StepRow, usable: list[WorkerRow]) -> None:
+    def _place(self, step: StepRow, usable: list[VmRow]) -> None:
         if step.booked and step.advice is not None and step.advice.asking:
             return
         self._state.release_booked(step)
@@ -97,8 +97,8 @@
                 return
         self._start_or_ask(step, chosen)
 
-    def allowed(self, step: StepRow, usable: list[WorkerRow]) -> list[WorkerRow]:
-        """Return the workers on which a step may run, whether they have room or not."""
+    def allowed(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
+        """Return the VMs on which a step may run, whether they have room or not."""
         now = self._state.now
         priority = self._state.terms_of(step.job).priority
         good = None if step.advice is None else step.advice.good
@@ -109,8 +109,8 @@
             and (row.kept_until <= now or priority <= row.kept_priority)
         ]
 
-    def _candidates(self, step: StepRow, usable: list[WorkerRow]) -> list[WorkerRow]:
-        """Return the usable workers of a step's pool and label, found once a round."""
+    def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
+        """Return the usable VMs of a step's pool and label, found once a round."""
         kind = (self._state.terms_of(step.job).pool, step.spec.label)
         if self._round_of is not usable:
             self._round_of = usable
@@ -144,8 +144,8 @@
 
     # -- Choice ------------------------------------------------------------------------------
 
-    def _assign(self, step: StepRow, tasks: list[TaskRow], rows: list[WorkerRow]) -> Assignment:
-        """Choose a worker for as many tasks as there is room for."""
+    def _assign(self, step: StepRow, tasks: list[TaskRow], rows: list[VmRow]) -> Assignment:
+        """Choose a VM for as many tasks as there is room for."""
         if step.spec.same_rack:
             rows = self._one_rack(step, len(tasks), rows)
         charge = step.spec.charge
@@ -170,12 +170,12 @@
         self,
         step: StepRow,
         task: TaskRow,
-        rows: list[WorkerRow],
+        rows: list[VmRow],
         room: dict[str, Shape],
         counts: dict[str, int],
-    ) -> WorkerRow | None:
-        """Return the worker that is left with the least room, the wanted rack first."""
-        best: WorkerRow | None = None
+    ) -> VmRow | None:
+        """Return the VM that is left with the least room, the wanted rack first."""
+        best: VmRow | None = None
         best_score = 0.0
         spec = step.spec
         for row in rows:
@@ -193,15 +193,15 @@
                 best_score = score
         return best
 
-    def _one_rack(self, step: StepRow, count: int, rows: list[WorkerRow]) -> list[WorkerRow]:
-        """Return the workers of one rack that holds all tasks, or all if there is none."""
+    def _one_rack(self, step: StepRow, count: int, rows: list[VmRow]) -> list[VmRow]:
+        """Return the VMs of one rack that holds all tasks, or all if there is none."""
         used = {
-            self._state.workers[run.worker].info.rack
+            self._state.vms[run.vm].info.rack
             for task in step.tasks
             for run in task.runs
-            if run.worker in self._state.workers
+            if run.vm in self._state.vms
         }
-        racks: dict[str, list[WorkerRow]] = {}
+        racks: dict[str, list[VmRow]] = {}
         for row in rows:
             racks.setdefault(row.info.rack, []).append(row)
         for rack in sorted(racks, key=lambda name: name not in used):
@@ -213,15 +213,15 @@
         counts: dict[str, int] = {}
         for task in step.tasks:
             for run in task.runs:
-                counts[run.worker] = counts.get(run.worker, 0) + 1
+                counts[run.vm] = counts.get(run.vm, 0) + 1
         return counts
 
     # -- Advice ------------------------------------------------------------------------------
 
-    def _ask_unknown(self, step: StepRow, usable: list[WorkerRow]) -> None:
-        """Ask for the workers of which nothing is known, those with most room first."""
+    def _ask_unknown(self, step: StepRow, usable: list[VmRow]) -> None:
+        """Ask for the VMs of which nothing is known, those with most room first."""
         advice = step.advice
-        if advice is None or advice.asking or advice.known_at == self._state.workers_changed:
+        if advice is None or advice.asking or advice.known_at == self._state.vms_changed:
             return
         charge = step.spec.charge
         unknown = [
@@ -231,8 +231,8 @@
         ]
         if not unknown:
             # One that is silent or avoided now may be unknown, and usable again at any time.
-            if len(usable) == len(self._state.workers):
-                advice.known_at = self._state.workers_changed
+            if len(usable) == len(self._state.vms):
+                advice.known_at = self._state.vms_changed
             return
         unknown.sort(key=lambda row: -row.room.cores)
         self._advice.want(step, [row.name for row in unknown])
@@ -269,7 +269,7 @@
             number = gang_run or state.next_run([task])
             self._send(step, task, row, number, gang_saved if gang_run else task.saved)
 
-    def _send(self, step: StepRow, task: TaskRow, row: WorkerRow, number: int, saved: str) -> None:
+    def _send(self, step: StepRow, task: TaskRow, row: VmRow, number: int, saved: str) -> None:
         state = self._state
         run = RunRow(task.key, number, row.name, step.spec.charge, state.now)
         not_after = state.now + state.settings.start_valid
@@ -285,13 +285,13 @@
 FAR_PENALTY = 10.0
 FAILED_PENALTY = 5.0
 STALE_PENALTY = 3.0
-"""Workers with a valid ticket go first: otherwise steps whose bookings make each other's workers
+"""VMs with a valid ticket go first: otherwise steps whose bookings make each other's VMs
 the fullest ask for new tickets without end."""
 SETTLE = 0.3
-"""Seconds that a worker's clock may be ahead of what is known of it."""
+"""Seconds that a VM's clock may be ahead of what is known of it."""
 
 
-def _is_of(row: WorkerRow, pool: str, label: str) -> bool:
+def _is_of(row: VmRow, pool: str, label: str) -> bool:
     return row.info.pool == pool and (not label or label in row.info.labels)
 
 
@@ -301,7 +301,7 @@
 
 
 def _leftover(room: Shape, capacity: Shape) -> float:
-    """Return the share of a worker that is free, cores and memory weighed alike."""
+    """Return the share of a VM that is free, cores and memory weighed alike."""
     cores = room.cores / capacity.cores if capacity.cores else 0.0
     memory = room.memory / capacity.memory if capacity.memory else 0.0
     return cores + memory
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -10,7 +10,7 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.placement import Placement, slots
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, RunState, StepRow, WorkerRow
+from sablemount.jobs.tables import RunRow, RunState, StepRow, VmRow
 
 __all__ = ["Preemption"]
 
@@ -31,9 +31,9 @@
 
 @dataclass(slots=True)
 class _Offer:
-    """Slots of one worker: those that are free, or one more that its victims' room makes."""
+    """Slots of one VM: those that are free, or one more that its victims' room makes."""
 
-    row: WorkerRow
+    row: VmRow
     slots: int
     victims: list[RunRow]
     loss: float
@@ -60,7 +60,7 @@
             return
         self._ran_at = now
         self._made = {key: until for key, until in self._made.items() if until > now}
-        usable: list[WorkerRow] | None = None
+        usable: list[VmRow] | None = None
         for step in self._placement.in_order():
             if len(self._made) >= MAX_AT_ONCE:
                 return
@@ -82,10 +82,10 @@
 
     # -- Offers ------------------------------------------------------------------------------
 
-    def _make_room(self, step: StepRow, rows: list[WorkerRow]) -> None:
+    def _make_room(self, step: StepRow, rows: list[VmRow]) -> None:
         wanted = step.waiting
         offers = [offer for row in rows for offer in self._offers(step, row)]
-        # Sorting keeps the order of one worker's offers, each of which builds on those before.
+        # Sorting keeps the order of one VM's offers, each of which builds on those before.
         offers.sort(key=lambda offer: offer.loss)
         chosen: list[_Offer] = []
         found = 0
@@ -103,10 +103,10 @@
         if loss <= LOSS_SHARE * work:
             self._take(step, chosen, loss)
 
-    def _offers(self, step: StepRow, row: WorkerRow) -> list[_Offer]:
-        """Return the free slots of a worker, then each further one with what has to yield for it.
+    def _offers(self, step: StepRow, row: VmRow) -> list[_Offer]:
+        """Return the free slots of a VM, then each further one with what has to yield for it.
 
-        The losses of one worker's offers rise.
+        The losses of one VM's offers rise.
         """
         charge = step.spec.charge
         room = row.room
@@ -127,8 +127,8 @@
                 loss = 0.0
         return offers
 
-    def _victims(self, row: WorkerRow, step: StepRow) -> list[tuple[float, RunRow]]:
-        """Return the runs of a worker that may yield, with the core seconds that are lost."""
+    def _victims(self, row: VmRow, step: StepRow) -> list[tuple[float, RunRow]]:
+        """Return the runs of a VM that may yield, with the core seconds that are lost."""
         priority = self._state.terms_of(step.job).priority
         found = []
         for run in row.runs.values():
@@ -173,7 +173,7 @@
                 "step": step.key,
                 "waits": step.waiting,
                 "stopped": stopped,
-                "workers": len(names),
+                "vms": len(names),
                 "lost_core_seconds": round(loss, 2),
             },
         )
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -1,4 +1,4 @@
-"""What workers say that they run and have ended, against what is charged to them."""
+"""What VMs say that they run and have ended, against what is charged to them."""
 
 from collections.abc import Callable
 from typing import TypeAlias
@@ -13,7 +13,7 @@
     RunState,
     TaskRow,
     TaskState,
-    WorkerRow,
+    VmRow,
 )
 
 __all__ = ["Reconcile"]
@@ -21,16 +21,16 @@
 DONE = "done"
 FAILED = "failed"
 ENDS_AT_ONCE = 500
-"""A worker lists this many ends at once; with more, a run's end may not be listed yet."""
+"""A VM lists this many ends at once; with more, a run's end may not be listed yet."""
 STOP_AGAIN = 0.5
 """Seconds after which a stop is sent again."""
 
 
 EndListener: TypeAlias = Callable[[str, str, bool, bool], None]
-"""Takes a worker, a job, whether its task failed there, and whether others failed elsewhere."""
+"""Takes a VM, a job, whether its task failed there, and whether others failed elsewhere."""
 
 
-def _nobody(worker: str, job: str, failed: bool, elsewhere: bool) -> None:
+def _nobody(vm: str, job: str, failed: bool, elsewhere: bool) -> None:
     """Take an end, and do nothing."""
 
 
@@ -39,7 +39,7 @@
 
 
 class Reconcile:
-    """Takes in the workers' words."""
+    """Takes in the VMs' words."""
 
     def __init__(self, state: State, lifecycle: Lifecycle) -> None:
         self._state = state
@@ -48,61 +48,61 @@
         self.on_outcome: Callable[[str], None] = _ignore
 
     def heard(self, heard: Heard) -> bool:
-        """Take a worker's word and tell whether it lists ends that are new."""
+        """Take a VM's word and tell whether it lists ends that are new."""
         state = self._state
-        worker = state.workers.get(heard.worker)
-        if worker is None or worker.gone:
+        vm = state.vms.get(heard.vm)
+        if vm is None or vm.gone:
             return False
-        if heard.clock_ms < worker.clock_ms:
+        if heard.clock_ms < vm.clock_ms:
             # Answers on different connections may overtake one another.
             return False
-        worker.clock_ms = heard.clock_ms
-        worker.clock_at = state.now
-        worker.heard_at = state.now
-        if worker.first_heard_at < 0:
-            worker.first_heard_at = state.now
+        vm.clock_ms = heard.clock_ms
+        vm.clock_at = state.now
+        vm.heard_at = state.now
+        if vm.first_heard_at < 0:
+            vm.first_heard_at = state.now
             # From here on no former leader can extend its leases.
-            worker.lease_end = max(worker.lease_end, state.longest_lease_end())
-        fresh = [end for end in heard.ended if end.number > worker.seen_end]
+            vm.lease_end = max(vm.lease_end, state.longest_lease_end())
+        fresh = [end for end in heard.ended if end.number > vm.seen_end]
         for end in fresh:
-            worker.seen_end = max(worker.seen_end, end.number)
-            self._ended(worker, end)
-        self._listed(worker, heard)
-        self._missing(worker, heard)
+            vm.seen_end = max(vm.seen_end, end.number)
+            self._ended(vm, end)
+        self._listed(vm, heard)
+        self._missing(vm, heard)
         return bool(fresh)
 
     # -- Ends --------------------------------------------------------------------------------
 
-    def _ended(self, worker: WorkerRow, end: EndReport) -> None:
-        run = worker.runs.get((end.task, end.run))
+    def _ended(self, vm: VmRow, end: EndReport) -> None:
+        run = vm.runs.get((end.task, end.run))
         task = self._state.task(end.task)
         self.on_outcome(end.outcome)
         self._state.logger.info(
             "run ended",
-            extra={"task": end.task, "run": end.run, "worker": worker.name, "how": end.outcome},
+            extra={"task": end.task, "run": end.run, "vm": vm.name, "how": end.outcome},
         )
         if task is not None and task.state is not TaskState.DONE:
-            self._apply(worker, task, run, end)
+            self._apply(vm, task, run, end)
         if run is not None:
             self._state.drop_run(run)
 
-    def _apply(self, worker: WorkerRow, task: TaskRow, run: RunRow | None, end: EndReport) -> None:
+    def _apply(self, vm: VmRow, task: TaskRow, run: RunRow | None, end: EndReport) -> None:
         task.last_run = max(task.last_run, end.run)
         self._began(task.step.job)
         if end.saved:
             task.saved = end.saved
             self._state.mark(task.step.job)
         if end.outcome == DONE and not task.step.spec.lasting:
-            self.on_end(worker.name, task.step.job.name, False, False)
+            self.on_end(vm.name, task.step.job.name, False, False)
             self._done(task, end.run)
         elif end.outcome == FAILED:
-            self.on_end(worker.name, task.step.job.name, True, self._failed_elsewhere(task, worker))
-            task.failed_on = worker.name
+            self.on_end(vm.name, task.step.job.name, True, self._failed_elsewhere(task, vm))
+            task.failed_on = vm.name
             self._failed(task, end.run)
 
     @staticmethod
-    def _failed_elsewhere(task: TaskRow, worker: WorkerRow) -> bool:
-        return any(other.failed_on not in ("", worker.name) for other in task.step.tasks)
+    def _failed_elsewhere(task: TaskRow, vm: VmRow) -> bool:
+        return any(other.failed_on not in ("", vm.name) for other in task.step.tasks)
 
     def _done(self, task: TaskRow, number: int) -> None:
         """One member's end stands for all of its gang's run."""
@@ -112,7 +112,7 @@
             # What still runs of it is a copy, or a member whose end is on its way.
             for run in member.runs:
                 if run.number == number and member is not task:
-                    self._state.orphans[(run.worker, run.task, run.number)] = run
+                    self._state.orphans[(run.vm, run.task, run.number)] = run
                 elif run.number != number:
                     self._state.orphan(run)
             member.runs.clear()
@@ -132,19 +132,19 @@
 
     # -- What runs ---------------------------------------------------------------------------
 
-    def _listed(self, worker: WorkerRow, heard: Heard) -> None:
+    def _listed(self, vm: VmRow, heard: Heard) -> None:
         for report in heard.running:
-            run = worker.runs.get((report.task, report.run))
+            run = vm.runs.get((report.task, report.run))
             if run is None:
-                run = self._adopt(worker, report)
-            self._update(worker, run, report)
+                run = self._adopt(vm, report)
+            self._update(vm, run, report)
 
-    def _adopt(self, worker: WorkerRow, report: RunReport) -> RunRow:
-        """Charge a worker for a run that a former leader, or a late order, started."""
+    def _adopt(self, vm: VmRow, report: RunReport) -> RunRow:
+        """Charge a VM for a run that a former leader, or a late order, started."""
         state = self._state
         task = state.task(report.task)
-        charge = state.charge_of(report.task, worker)
-        run = RunRow(report.task, report.run, worker.name, charge, state.now, RunState.RUNNING)
+        charge = state.charge_of(report.task, vm)
+        run = RunRow(report.task, report.run, vm.name, charge, state.now, RunState.RUNNING)
         run.started_at = state.now
         run.percent_at = state.now
         wanted = task is not None and task.state is TaskState.WAITING
@@ -156,17 +156,17 @@
             state.orphan(run)
         state.logger.info(
             "run found",
-            extra={"task": run.task, "run": run.number, "worker": worker.name, "kept": wanted},
+            extra={"task": run.task, "run": run.number, "vm": vm.name, "kept": wanted},
         )
         return run
 
-    def _update(self, worker: WorkerRow, run: RunRow, report: RunReport) -> None:
+    def _update(self, vm: VmRow, run: RunRow, report: RunReport) -> None:
         now = self._state.now
         if run.state is RunState.SENT:
             run.state = RunState.RUNNING
             run.started_at = now
             run.percent_at = now
-            run.settle_clock = min(run.settle_clock, worker.clock_ms)
+            run.settle_clock = min(run.settle_clock, vm.clock_ms)
             self._run_began(run)
         if report.percent > run.percent:
             run.percent = report.percent
@@ -184,31 +184,31 @@
             task.saved = saved
 
     def stop(self, run: RunRow) -> None:
-        """Send the stop of a run, which stays charged until its worker shows that it is gone."""
+        """Send the stop of a run, which stays charged until its VM shows that it is gone."""
         run.state = RunState.STOPPING
         run.stop_sent_at = self._state.now
-        self._state.emit(StopRun(run.worker, run.task, run.number))
+        self._state.emit(StopRun(run.vm, run.task, run.number))
 
-    def _missing(self, worker: WorkerRow, heard: Heard) -> None:
-        """Give up the runs that a worker does not list and that can't come to be there."""
+    def _missing(self, vm: VmRow, heard: Heard) -> None:
+        """Give up the runs that a VM does not list and that can't come to be there."""
         if len(heard.ended) >= ENDS_AT_ONCE:
             return
         listed = {(report.task, report.run) for report in heard.running}
-        for key, run in list(worker.runs.items()):
+        for key, run in list(vm.runs.items()):
             if key in listed or heard.clock_ms <= run.settle_clock:
                 continue
             self._state.logger.info(
                 "run not there",
-                extra={"task": run.task, "run": run.number, "worker": worker.name},
+                extra={"task": run.task, "run": run.number, "vm": vm.name},
             )
             self._state.drop_run(run)
 
     # -- Starts ------------------------------------------------------------------------------
 
-    def started(self, worker_name: str, task: str, number: int, clock_ms: float) -> None:
+    def started(self, vm_name: str, task: str, number: int, clock_ms: float) -> None:
         """Take the answer that a run has started."""
-        worker = self._state.workers.get(worker_name)
-        run = None if worker is None else worker.runs.get((task, number))
+        vm = self._state.vms.get(vm_name)
+        run = None if vm is None else vm.runs.get((task, number))
         if run is None or run.state is not RunState.SENT:
             return
         run.state = RunState.RUNNING
@@ -229,10 +229,10 @@
             if job.shown is JobState.PENDING:
                 job.shown = JobState.RUNNING
 
-    def not_started(self, worker_name: str, task: str, number: int) -> None:
+    def not_started(self, vm_name: str, task: str, number: int) -> None:
         """Take a refusal after which a run will certainly not be there."""
-        worker = self._state.workers.get(worker_name)
-        run = None if worker is None else worker.runs.get((task, number))
+        vm = self._state.vms.get(vm_name)
+        run = None if vm is None else vm.runs.get((task, number))
         if run is not None and run.state is not RunState.RUNNING:
             self._state.drop_run(run)
 
--- a/src/sablemount/jobs/systems/workers.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -1,124 +1,124 @@
-"""Which workers there are, what leases they have, and when what ran on a silent one is over."""
+"""Which VMs there are, what leases they have, and when what ran on a silent one is over."""
 
 from collections.abc import Sequence
 
-from sablemount.jobs.model import WorkerInfo
+from sablemount.jobs.model import VmInfo
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import RunRow, WorkerRow
+from sablemount.jobs.tables import RunRow, VmRow
 
-__all__ = ["Workers"]
+__all__ = ["Vms"]
 
 LEASE_SHARE = 0.97
 """Share of the longest lease that is asked for, so that it is never cut."""
 LEFT_AFTER = 1.5
-"""Seconds for which nothing listens where a worker was that has no entry any more."""
+"""Seconds for which nothing listens where a VM was that has no entry any more."""
 MS = 1000.0
 
 
-class Workers:
-    """Keeps the rows of the workers."""
+class Vms:
+    """Keeps the rows of the VMs."""
 
     def __init__(self, state: State) -> None:
         self._state = state
 
     # -- The list ----------------------------------------------------------------------------
 
-    def listed(self, infos: Sequence[WorkerInfo]) -> list[WorkerRow]:
+    def listed(self, infos: Sequence[VmInfo]) -> list[VmRow]:
         """Take the present list and return the rows that are new."""
         names = {info.name for info in infos}
         new = [row for info in infos if (row := self.told(info)) is not None]
-        for row in self._state.workers.values():
+        for row in self._state.vms.values():
             row.listed = row.name in names
         return new
 
-    def told(self, info: WorkerInfo) -> WorkerRow | None:
-        """Take what a worker says of itself; return its row if it is new."""
-        row = self._state.workers.get(info.name)
+    def told(self, info: VmInfo) -> VmRow | None:
+        """Take what a VM says of itself; return its row if it is new."""
+        row = self._state.vms.get(info.name)
         if row is not None:
             self._changed(row, info)
             return None
-        row = WorkerRow(info, room=info.capacity)
-        self._state.workers[info.name] = row
-        self._state.workers_changed += 1
-        self._log("worker listed", row)
+        row = VmRow(info, room=info.capacity)
+        self._state.vms[info.name] = row
+        self._state.vms_changed += 1
+        self._log("VM listed", row)
         return row
 
-    def _changed(self, row: WorkerRow, info: WorkerInfo) -> None:
+    def _changed(self, row: VmRow, info: VmInfo) -> None:
         if info.capacity != row.info.capacity:
             # Known so far only from a record that does not tell its capacity.
             row.room = row.room.plus(info.capacity).plus(row.info.capacity, -1)
         if info.draining and not row.info.draining:
-            self._log("worker drains", row)
+            self._log("VM drains", row)
         if info != row.info:
-            self._state.workers_changed += 1
+            self._state.vms_changed += 1
             self._state.freed += 1
         row.info = info
         row.listed = True
 
     def left_list(self, name: str) -> None:
-        """Take that a worker's entry is gone; it may still run what is leased there."""
-        row = self._state.workers.get(name)
+        """Take that a VM's entry is gone; it may still run what is leased there."""
+        row = self._state.vms.get(name)
         if row is not None:
             row.listed = False
 
     # -- Leases ------------------------------------------------------------------------------
 
-    def lease_until(self, row: WorkerRow) -> int:
-        """Return the end of a new lease on the worker's clock (ms) and note how long it lasts."""
+    def lease_until(self, row: VmRow) -> int:
+        """Return the end of a new lease on the VM's clock (ms) and note how long it lasts."""
         state = self._state
         length = state.settings.lease * LEASE_SHARE
         row.lease_end = max(row.lease_end, state.longest_lease_end())
         return int(row.clock_after(state.now) + length * MS)
 
-    def fresh(self, row: WorkerRow) -> bool:
-        """Tell whether a worker was heard of late."""
+    def fresh(self, row: VmRow) -> bool:
+        """Tell whether a VM was heard of late."""
         return self._state.now - row.heard_at < self._state.settings.fresh
 
-    def silent_for(self, row: WorkerRow) -> float:
-        """Return for how many seconds a worker has not been heard."""
+    def silent_for(self, row: VmRow) -> float:
+        """Return for how many seconds a VM has not been heard."""
         return self._state.now - max(row.heard_at, self._state.elected_at)
 
-    def expire(self) -> list[WorkerRow]:
-        """Give up what ran on workers whose leases are over; return the rows taken out."""
+    def expire(self) -> list[VmRow]:
+        """Give up what ran on VMs whose leases are over; return the rows taken out."""
         now = self._state.now
         out = []
-        for row in list(self._state.workers.values()):
+        for row in list(self._state.vms.values()):
             silent = now - row.heard_at > self._state.settings.fresh
             if row.gone or (silent and row.runs and now > self._over_at(row)):
                 self._drop_runs(row)
             if (row.gone or not row.listed) and not row.runs and now > self._over_at(row):
                 out.append(row)
-                del self._state.workers[row.name]
-                self._log("worker forgotten", row)
+                del self._state.vms[row.name]
+                self._log("VM forgotten", row)
         return out
 
-    def idle(self) -> list[WorkerRow]:
-        """Return the workers in use on which nothing can run any more, silent as they are."""
+    def idle(self) -> list[VmRow]:
+        """Return the VMs in use on which nothing can run any more, silent as they are."""
         now = self._state.now
         return [
             row
-            for row in self._state.workers.values()
+            for row in self._state.vms.values()
             if row.recorded and not row.runs and not self.fresh(row) and now > self._over_at(row)
         ]
 
-    def unrecorded(self) -> list[WorkerRow]:
-        """Return the workers that are heard, and that no record says to be in use."""
+    def unrecorded(self) -> list[VmRow]:
+        """Return the VMs that are heard, and that no record says to be in use."""
         return [
             row
-            for row in self._state.workers.values()
+            for row in self._state.vms.values()
             if not row.recorded and not row.gone and self.fresh(row)
         ]
 
-    def _over_at(self, row: WorkerRow) -> float:
-        """Return when all that may run on a silent worker is over (local time)."""
+    def _over_at(self, row: VmRow) -> float:
+        """Return when all that may run on a silent VM is over (local time)."""
         if row.gone or not (row.loaded or row.first_heard_at > 0):
             return self._state.now - 1.0
         if row.first_heard_at > 0:
             return row.lease_end
         return max(row.lease_end, self._state.unheard_until)
 
-    def refused(self, row: WorkerRow) -> None:
-        """Take that nothing listens at a worker's address.
+    def refused(self, row: VmRow) -> None:
+        """Take that nothing listens at a VM's address.
 
         That, and that its entry is gone, for a while: then it has left, and what ran there is over.
         """
@@ -128,36 +128,36 @@
         if not row.listed and now - row.refused_since > LEFT_AFTER:
             self.died(row.name)
 
-    def unanswered(self, row: WorkerRow) -> None:
+    def unanswered(self, row: VmRow) -> None:
         """Take that a look got no answer.
 
-        A worker that drained, whose entry is gone and that does not answer for a while has left.
+        A VM that drained, whose entry is gone and that does not answer for a while has left.
         """
         left = row.info.draining and not row.listed
         if left and self._state.now - row.heard_at > LEFT_AFTER:
             self.died(row.name)
 
     def died(self, name: str) -> None:
-        """Take that a life of a worker is over for certain."""
-        row = self._state.workers.get(name)
+        """Take that a life of a VM is over for certain."""
+        row = self._state.vms.get(name)
         if row is None or row.gone:
             return
         row.gone = True
         row.listed = False
-        self._log("worker's life over", row)
+        self._log("VM's life over", row)
         self._drop_runs(row)
 
-    def _drop_runs(self, row: WorkerRow) -> None:
+    def _drop_runs(self, row: VmRow) -> None:
         runs: list[RunRow] = list(row.runs.values())
         if runs:
-            self._log("runs lost with worker", row)
+            self._log("runs lost with VM", row)
         for run in runs:
             self._state.drop_run(run)
 
-    def _log(self, text: str, row: WorkerRow) -> None:
+    def _log(self, text: str, row: VmRow) -> None:
         age = round(self._state.now - row.heard_at, 3) if row.heard_at > 0 else None
         self._state.logger.info(
-            text, extra={"worker": row.name, "heard_ago": age, "runs": len(row.runs)}
+            text, extra={"vm": row.name, "heard_ago": age, "runs": len(row.runs)}
         )
 
     # -- After a change of leader ------------------------------------------------------------
@@ -167,5 +167,5 @@
         state = self._state
         if state.now > state.unheard_until:
             return True
-        loaded = [row for row in state.workers.values() if row.loaded]
+        loaded = [row for row in state.vms.values() if row.loaded]
         return all(row.first_heard_at > 0 or row.gone for row in loaded)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -1,4 +1,4 @@
-"""The live tables of the job scheduler: jobs, steps, tasks, runs and workers.
+"""The live tables of the job scheduler: jobs, steps, tasks, runs and VMs.
 
 All times are local monotonic seconds unless a name says otherwise. Rows are changed in place by
 the systems; only records and messages are immutable.
@@ -7,7 +7,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from sablemount.jobs.model import Shape, StepSpec, WorkerInfo, step_key, task_key
+from sablemount.jobs.model import Shape, StepSpec, VmInfo, step_key, task_key
 from sablemount.jobs.records import JobRecord
 
 __all__ = [
@@ -21,12 +21,12 @@
     "TaskRow",
     "TaskState",
     "Ticket",
-    "WorkerRow",
+    "VmRow",
 ]
 
 NEVER = -1e9
 SLOW_CLOCK = 0.98
-"""Rate of the slowest clock of a worker against true time."""
+"""Rate of the slowest clock of a VM against true time."""
 
 
 class JobState(enum.IntEnum):
@@ -63,16 +63,16 @@
 
 @dataclass(slots=True, eq=False)
 class RunRow:
-    """A run that may take room on a worker."""
+    """A run that may take room on a VM."""
 
     task: str
     number: int
-    worker: str
+    vm: str
     charge: Shape
     sent_at: float
     state: RunState = RunState.SENT
     settle_clock: float = 0.0
-    """Worker's clock (ms) after which a run that it does not list will never be there."""
+    """VM's clock (ms) after which a run that it does not list will never be there."""
     started_at: float = 0.0
     stop_sent_at: float = NEVER
     percent: float = 0.0
@@ -102,12 +102,12 @@
     last_run: int = 0
     runs: list[RunRow] = field(default_factory=list)
     failed_on: str = ""
-    """Worker on which the task last failed."""
+    """VM on which the task last failed."""
 
 
 @dataclass(slots=True)
 class Ticket:
-    """Leave to run a step on a worker, until a local time."""
+    """Leave to run a step on a VM, until a local time."""
 
     text: str
     until: float
@@ -115,7 +115,7 @@
 
 @dataclass(slots=True)
 class AdviceRow:
-    """What is known of which workers may run a step."""
+    """What is known of which VMs may run a step."""
 
     good: dict[str, Ticket] = field(default_factory=dict)
     bad: set[str] = field(default_factory=set)
@@ -123,7 +123,7 @@
     asked_at: float = NEVER
     failures: int = 0
     known_at: int = -1
-    """Count of changes of the workers at which all of them were known."""
+    """Count of changes of the VMs at which all of them were known."""
 
 
 @dataclass(slots=True, eq=False)
@@ -142,7 +142,7 @@
     opened_at: float = NEVER
     advice: AdviceRow | None = None
     booked: dict[str, int] = field(default_factory=dict)
-    """Tasks by worker whose room is kept while tickets are asked for."""
+    """Tasks by VM whose room is kept while tickets are asked for."""
     told_at: float = NEVER
     """When it was last logged that it waits."""
     tried_at_freed: int = -1
@@ -189,10 +189,10 @@
 
 
 @dataclass(slots=True, eq=False)
-class WorkerRow:
-    """One life of a worker."""
+class VmRow:
+    """One life of a VM."""
 
-    info: WorkerInfo
+    info: VmInfo
     name: str = field(init=False)
     """Name of this life."""
     listed: bool = True
@@ -232,5 +232,5 @@
         self.name = self.info.name
 
     def clock_after(self, now: float) -> float:
-        """Return the least that the worker's clock can show now, in ms."""
+        """Return the least that the VM's clock can show now, in ms."""
         return self.clock_ms + max(0.0, now - self.clock_at) * 1000.0 * SLOW_CLOCK
--- a/src/sablemount/platform/directory.py
+++ b/src/sablemount/platform/directory.py
@@ -10,7 +10,7 @@
     Queue,
     QueueTerms,
     Shape,
-    WorkerInfo,
+    VmInfo,
 )
 from sablemount.jobs.records import Record
 
@@ -82,7 +82,7 @@
 class PlatformDirectory:
     """Decodes the entries; what does not decode is logged and passed over."""
 
-    def worker(self, record: Record) -> WorkerInfo | None:
+    def vm(self, record: Record) -> VmInfo | None:
         """Decode a worker's entry."""
         if not record.value:
             return None
@@ -91,7 +91,7 @@
         except msgspec.DecodeError as error:
             _logger.warning("undecodable", extra={"key": record.key, "error": str(error)})
             return None
-        return WorkerInfo(
+        return VmInfo(
             record.key.removeprefix(WORKERS_PREFIX),
             told.addr,
             told.service,
--- a/src/sablemount/platform/store.py
+++ b/src/sablemount/platform/store.py
@@ -28,7 +28,7 @@
 TOPICS = {
     Topic.JOBS: "keyed.sablemount-jobs",
     Topic.LEADER: "keyed.sablemount-leader",
-    Topic.WORKERS: "keyed.servers",
+    Topic.VMS: "keyed.servers",
     Topic.CONFIGURATION: "keyed.op",
 }
 PART = 0
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -79,7 +79,7 @@
 
 
 class PlatformWorkers:
-    """Implements the product's worker port."""
+    """Implements the product's VM port."""
 
     def __init__(self, pool: UpstreamPool) -> None:
         self._pool = pool
@@ -88,7 +88,7 @@
         """Hold and look."""
         body = _Hold(call.fence, call.acked_end, call.until_ms, int(call.wait * MS))
         sent_at = time.monotonic()
-        answer = await self._call(call.address, "/api/hold", body, call.worker, timeout)
+        answer = await self._call(call.address, "/api/hold", body, call.vm, timeout)
         if isinstance(answer, CallError):
             return answer
         if answer.status != OK:
@@ -97,7 +97,7 @@
             held = _HELD.decode(answer.body)
         except msgspec.DecodeError:
             return CallError.NO_ANSWER
-        return Heard(call.worker, sent_at, held.clock_ms, held.running, held.ended)
+        return Heard(call.vm, sent_at, held.clock_ms, held.running, held.ended)
 
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
@@ -112,7 +112,7 @@
             action.saved,
             action.ticket,
         )
-        answer = await self._call(address, "/api/run-start", body, action.worker, timeout)
+        answer = await self._call(address, "/api/run-start", body, action.vm, timeout)
         if isinstance(answer, CallError):
             return answer
         if answer.status in UNHEALTHY:
@@ -132,7 +132,7 @@
     ) -> CallError | None:
         """Stop a run."""
         body = _Stop(action.task, action.run, fence)
-        answer = await self._call(address, "/api/run-stop", body, action.worker, timeout)
+        answer = await self._call(address, "/api/run-stop", body, action.vm, timeout)
         if isinstance(answer, CallError):
             return answer
         return None if answer.status == OK else _error(answer)
--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -64,16 +64,16 @@
     system.store.forget_history()
 
 
-async def worker_crash(system: System, rng: random.Random) -> None:
-    worker = rng.choice([row for row in system.cell.workers.values() if row.up])
-    system.crash_worker(worker, rng.uniform(0.5, 5.0))
+async def vm_crash(system: System, rng: random.Random) -> None:
+    vm = rng.choice([row for row in system.cell.vms.values() if row.up])
+    system.crash_vm(vm, rng.uniform(0.5, 5.0))
 
 
-async def worker_cut(system: System, rng: random.Random) -> None:
-    worker = rng.choice([row for row in system.cell.workers.values() if row.up])
-    worker.cut = True
+async def vm_cut(system: System, rng: random.Random) -> None:
+    vm = rng.choice([row for row in system.cell.vms.values() if row.up])
+    vm.cut = True
     await asyncio.sleep(rng.uniform(1.0, 9.0))
-    worker.cut = False
+    vm.cut = False
 
 
 async def late_orders(system: System, rng: random.Random) -> None:
@@ -103,8 +103,8 @@
     store_slow,
     answers_lost,
     history_forgotten,
-    worker_crash,
-    worker_cut,
+    vm_crash,
+    vm_cut,
     late_orders,
     member_cut,
 )
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -18,13 +18,13 @@
     QueueTerms,
     Shape,
     StepSpec,
-    WorkerInfo,
+    VmInfo,
 )
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.network import Wires
 from tests.emulator.store import EmulatedStore, StoreState
-from tests.emulator.workers import Cell, EmulatedAdvice, EmulatedWorkers, Worker
+from tests.emulator.vms import Cell, EmulatedAdvice, EmulatedVms, Vm
 
 HOST = "queues.example"
 PREFIX = "/queue/"
@@ -36,10 +36,10 @@
 class Codec:
     """Reads the entries as the emulation writes them."""
 
-    def worker(self, record: Record) -> WorkerInfo | None:
+    def vm(self, record: Record) -> VmInfo | None:
         if not record.value:
             return None
-        return msgspec.msgpack.decode(record.value, type=WorkerInfo)
+        return msgspec.msgpack.decode(record.value, type=VmInfo)
 
     def configuration(self, record: Record) -> Configuration | None:
         if record.key != "config" or not record.value:
@@ -50,7 +50,7 @@
 class System:
     """A running system."""
 
-    def __init__(self, seed: int, members: int = 4, workers: int = 6, advice: bool = False) -> None:
+    def __init__(self, seed: int, members: int = 4, vms: int = 6, advice: bool = False) -> None:
         self.rng = random.Random(seed)
         self.store = StoreState(random.Random(seed + 1))
         self.cell = Cell(random.Random(seed + 2))
@@ -63,8 +63,8 @@
         self.open_calls = 0
         self._life = 0
         self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
-        for number in range(workers):
-            self.list_worker(self.cell.add(f"w{number}", f"r{number // 3}", CAPACITY))
+        for number in range(vms):
+            self.list_vm(self.cell.add(f"w{number}", f"r{number // 3}", CAPACITY))
         self.configure(1)
 
     # -- The platform ------------------------------------------------------------------------
@@ -75,30 +75,30 @@
         value = msgspec.msgpack.encode(configuration)
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
-    def list_worker(self, worker: Worker) -> None:
-        value = msgspec.msgpack.encode(worker.info)
-        self.store.topics[Topic.WORKERS].add([Record(worker.info.name, value)])
+    def list_vm(self, vm: Vm) -> None:
+        value = msgspec.msgpack.encode(vm.info)
+        self.store.topics[Topic.VMS].add([Record(vm.info.name, value)])
 
-    def drain(self, worker: Worker) -> None:
-        worker.info = msgspec.structs.replace(worker.info, draining=True)
-        self.list_worker(worker)
+    def drain(self, vm: Vm) -> None:
+        vm.info = msgspec.structs.replace(vm.info, draining=True)
+        self.list_vm(vm)
 
-    def crash_worker(self, worker: Worker, back_after: float | None) -> None:
-        self.cell.crash(worker)
+    def crash_vm(self, vm: Vm, back_after: float | None) -> None:
+        self.cell.crash(vm)
         if back_after is not None:
-            asyncio.get_running_loop().call_later(back_after, self._worker_back, worker)
+            asyncio.get_running_loop().call_later(back_after, self._vm_back, vm)
 
-    def _worker_back(self, worker: Worker) -> None:
-        info = worker.info
-        self.store.topics[Topic.WORKERS].add([Record(info.name)])
-        self.list_worker(self.cell.add(info.machine, info.rack, info.capacity))
+    def _vm_back(self, vm: Vm) -> None:
+        info = vm.info
+        self.store.topics[Topic.VMS].add([Record(info.name)])
+        self.list_vm(self.cell.add(info.machine, info.rack, info.capacity))
 
     # -- Members -----------------------------------------------------------------------------
 
     def start(self, name: str) -> None:
         self._life += 1
         ports = LeaderPorts(
-            EmulatedStore(self.store, name), EmulatedWorkers(self.cell), EmulatedAdvice(), Codec()
+            EmulatedStore(self.store, name), EmulatedVms(self.cell), EmulatedAdvice(), Codec()
         )
         settings = MemberSettings(name, name, JobSettings())
         rng = random.Random(self.rng.getrandbits(32))
@@ -229,8 +229,8 @@
         self.cell.late_orders = 0.0
         self.wires.cuts.clear()
         self.wires.silent.clear()
-        for worker in self.cell.workers.values():
-            worker.cut = False
+        for vm in self.cell.vms.values():
+            vm.cut = False
         self.start_all()
 
     async def unfinished(self) -> list[str]:
--- a/tests/emulator/workers.py
+++ b/tests/emulator/vms.py
@@ -1,4 +1,4 @@
-"""Emulated workers: they obey the protocol and note each broken invariant."""
+"""Emulated VMs: they obey the protocol and note each broken invariant."""
 
 import asyncio
 import contextlib
@@ -10,7 +10,7 @@
 from sablemount.control.messages import AdviceReply
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult
 from sablemount.jobs.actions import EndReport, Heard, RunReport, StartRun, StopRun
-from sablemount.jobs.model import JobSpec, Shape, WorkerInfo
+from sablemount.jobs.model import JobSpec, Shape, VmInfo
 from sablemount.jobs.scheduler import StartRefusal
 
 LEASE = 6.0
@@ -31,10 +31,10 @@
 
 
 @dataclass
-class Worker:
-    """One life of a worker."""
+class Vm:
+    """One life of a VM."""
 
-    info: WorkerInfo
+    info: VmInfo
     clock_rate: float
     clock_start: float
     up: bool = True
@@ -63,11 +63,11 @@
 
 
 class Cell:
-    """All workers, and what is true of the tasks."""
+    """All VMs, and what is true of the tasks."""
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
-        self.workers: dict[str, Worker] = {}
+        self.vms: dict[str, Vm] = {}
         self.jobs: dict[str, JobSpec] = {}
         self.done: set[str] = set()
         self.failures: Counter[str] = Counter()
@@ -82,97 +82,97 @@
         self._gangs: dict[tuple[str, int], set[str]] = {}
         self._lives = 0
 
-    # -- Workers -----------------------------------------------------------------------------
+    # -- VMs -----------------------------------------------------------------------------
 
-    def add(self, machine: str, rack: str, capacity: Shape) -> Worker:
+    def add(self, machine: str, rack: str, capacity: Shape) -> Vm:
         self._lives += 1
-        info = WorkerInfo(
+        info = VmInfo(
             f"{machine}-{self._lives}", machine, "pool", capacity, ("a", rack), False, machine
         )
-        worker = Worker(info, self.rng.choice((0.98, 1.0, 1.01)), self.rng.uniform(0, 1e6))
-        self.workers[info.name] = worker
-        return worker
+        vm = Vm(info, self.rng.choice((0.98, 1.0, 1.01)), self.rng.uniform(0, 1e6))
+        self.vms[info.name] = vm
+        return vm
 
-    def crash(self, worker: Worker) -> None:
-        worker.up = False
-        for run in worker.runs.values():
+    def crash(self, vm: Vm) -> None:
+        vm.up = False
+        for run in vm.runs.values():
             if run.timer is not None:
                 run.timer.cancel()
-        worker.runs.clear()
+        vm.runs.clear()
 
-    def life_at(self, address: str) -> Worker | None:
-        for worker in self.workers.values():
-            if worker.info.address == address and worker.up:
-                return worker
+    def life_at(self, address: str) -> Vm | None:
+        for vm in self.vms.values():
+            if vm.info.address == address and vm.up:
+                return vm
         return None
 
     # -- Tasks -------------------------------------------------------------------------------
 
-    def start(self, worker: Worker, action: StartRun, fence: int, until: int) -> StartResult:
+    def start(self, vm: Vm, action: StartRun, fence: int, until: int) -> StartResult:
         now = asyncio.get_running_loop().time()
-        clock = worker.clock_ms(now)
-        if fence < worker.fence:
+        clock = vm.clock_ms(now)
+        if fence < vm.fence:
             return CallError.FENCED
-        worker.fence = fence
-        present = worker.runs.get(action.task)
+        vm.fence = fence
+        present = vm.runs.get(action.task)
         if present is not None and present.number == action.run:
             return Started(clock)
-        if action.run <= worker.ended_runs[action.task]:
+        if action.run <= vm.ended_runs[action.task]:
             return StartRefusal.OLD
         if until < clock:
             return StartRefusal.LATE
-        self._begin(worker, action, now)
-        self._extend(worker, until, now)
+        self._begin(vm, action, now)
+        self._extend(vm, until, now)
         return Started(clock)
 
-    def _begin(self, worker: Worker, action: StartRun, now: float) -> None:
+    def _begin(self, vm: Vm, action: StartRun, now: float) -> None:
         job, _, step, _ = action.task.split(".")
         spec = self.jobs[job].steps[int(step)]
-        self._check(worker, action, spec.charge)
+        self._check(vm, action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
-        length = max(0.05, self.rng.expovariate(1.0 / self.seconds)) * worker.slow
+        length = max(0.05, self.rng.expovariate(1.0 / self.seconds)) * vm.slow
         run = _Run(action.task, action.run, spec.charge, now, length)
-        worker.runs[action.task] = run
+        vm.runs[action.task] = run
         if spec.gang:
-            self._gang_joined(worker, run, spec.count)
+            self._gang_joined(vm, run, spec.count)
             return
-        run.timer = asyncio.get_running_loop().call_later(length, self._finish, worker, run)
+        run.timer = asyncio.get_running_loop().call_later(length, self._finish, vm, run)
 
-    def _gang_joined(self, worker: Worker, run: _Run, count: int) -> None:
+    def _gang_joined(self, vm: Vm, run: _Run, count: int) -> None:
         key = (run.task.rpartition(".")[0], run.number)
         members = self._gangs.setdefault(key, set())
         members.add(run.task)
         loop = asyncio.get_running_loop()
         if len(members) < count:
-            run.timer = loop.call_later(GANG_TIMEOUT, self._alone, worker, run, key, count)
+            run.timer = loop.call_later(GANG_TIMEOUT, self._alone, vm, run, key, count)
             return
         loop.call_later(run.length, self._gang_finish, key, run.number)
 
-    def _alone(self, worker: Worker, run: _Run, key: tuple[str, int], count: int) -> None:
+    def _alone(self, vm: Vm, run: _Run, key: tuple[str, int], count: int) -> None:
         if len(self._gangs[key]) < count:
-            self._end(worker, run, "alone")
+            self._end(vm, run, "alone")
 
     def _gang_finish(self, key: tuple[str, int], number: int) -> None:
         step = key[0]
         present = [
-            (worker, run)
-            for worker in self.workers.values()
-            for run in list(worker.runs.values())
+            (vm, run)
+            for vm in self.vms.values()
+            for run in list(vm.runs.values())
             if run.task.rpartition(".")[0] == step and run.number == number
         ]
         whole = len(present) == len(self._gangs[key])
-        for worker, run in present:
+        for vm, run in present:
             if whole:
                 self.done.add(run.task)
-            self._end(worker, run, "done" if whole else "broken")
+            self._end(vm, run, "done" if whole else "broken")
 
-    def _check(self, worker: Worker, action: StartRun, charge: Shape) -> None:
+    def _check(self, vm: Vm, action: StartRun, charge: Shape) -> None:
         job, repetition, step, _ = action.task.split(".")
-        if not charge.plus(worker.used()).fits(worker.info.capacity):
-            self.violations.append(f"over capacity: {action.task} on {worker.info.name}")
+        if not charge.plus(vm.used()).fits(vm.info.capacity):
+            self.violations.append(f"over capacity: {action.task} on {vm.info.name}")
         if action.task in self.noted:
             self.violations.append(f"started after its end was noted: {action.task}")
-        for other in self.workers.values():
+        for other in self.vms.values():
             if other.up and action.task in other.runs:
                 self.violations.append(f"runs twice: {action.task}")
         if self.failures[action.task] >= self.max_attempts:
@@ -182,81 +182,81 @@
                 if f"{job}.{repetition}.{earlier}.{index}" not in self.done:
                     self.violations.append(f"before its turn: {action.task}")
 
-    def _finish(self, worker: Worker, run: _Run) -> None:
+    def _finish(self, vm: Vm, run: _Run) -> None:
         job = run.task.split(".")[0]
         failed = job in self.poison or self.rng.random() < self.fail_share
         if failed:
             self.failures[run.task] += 1
         else:
             self.done.add(run.task)
-        self._end(worker, run, "failed" if failed else "done")
+        self._end(vm, run, "failed" if failed else "done")
 
-    def _end(self, worker: Worker, run: _Run, how: str) -> None:
-        if worker.runs.get(run.task) is not run or not worker.up:
+    def _end(self, vm: Vm, run: _Run, how: str) -> None:
+        if vm.runs.get(run.task) is not run or not vm.up:
             return
         if run.timer is not None:
             run.timer.cancel()
-        del worker.runs[run.task]
-        worker.ended_runs[run.task] = max(worker.ended_runs[run.task], run.number)
-        worker.ends.append(EndReport(worker.next_end, run.task, run.number, how))
+        del vm.runs[run.task]
+        vm.ended_runs[run.task] = max(vm.ended_runs[run.task], run.number)
+        vm.ends.append(EndReport(vm.next_end, run.task, run.number, how))
         if how == "done":
             now = asyncio.get_running_loop().time()
-            worker.done_ends[worker.next_end] = (run.task, now, worker.lapses)
-        worker.next_end += 1
-        worker.news.set()
+            vm.done_ends[vm.next_end] = (run.task, now, vm.lapses)
+        vm.next_end += 1
+        vm.news.set()
 
-    def stop(self, worker: Worker, task: str, number: int, fence: int) -> CallError | None:
-        if fence < worker.fence:
+    def stop(self, vm: Vm, task: str, number: int, fence: int) -> CallError | None:
+        if fence < vm.fence:
             return CallError.FENCED
-        worker.fence = fence
-        run = worker.runs.get(task)
+        vm.fence = fence
+        run = vm.runs.get(task)
         if run is not None and run.number == number and not run.stopping:
             run.stopping = True
-            asyncio.get_running_loop().call_later(STOP_TIME, self._end, worker, run, "stopped")
-        worker.ended_runs[task] = max(worker.ended_runs[task], number)
+            asyncio.get_running_loop().call_later(STOP_TIME, self._end, vm, run, "stopped")
+        vm.ended_runs[task] = max(vm.ended_runs[task], number)
         return None
 
     # -- Leases ------------------------------------------------------------------------------
 
-    def _extend(self, worker: Worker, until_ms: float, now: float) -> None:
-        clock = worker.clock_ms(now)
-        worker.until_ms = max(worker.until_ms, min(until_ms, clock + LEASE * 1000.0))
-        if worker.lapse is not None:
-            worker.lapse.cancel()
-        left = max(0.0, worker.until_ms - clock) / 1000.0 / worker.clock_rate
+    def _extend(self, vm: Vm, until_ms: float, now: float) -> None:
+        clock = vm.clock_ms(now)
+        vm.until_ms = max(vm.until_ms, min(until_ms, clock + LEASE * 1000.0))
+        if vm.lapse is not None:
+            vm.lapse.cancel()
+        left = max(0.0, vm.until_ms - clock) / 1000.0 / vm.clock_rate
         loop = asyncio.get_running_loop()
-        worker.lapse = loop.call_later(left, self._lapsed, worker)
+        vm.lapse = loop.call_later(left, self._lapsed, vm)
 
-    def _lapsed(self, worker: Worker) -> None:
-        worker.lapses += 1
-        for run in list(worker.runs.values()):
-            self._end(worker, run, "lapsed")
+    def _lapsed(self, vm: Vm) -> None:
+        vm.lapses += 1
+        for run in list(vm.runs.values()):
+            self._end(vm, run, "lapsed")
 
-    def hold(self, worker: Worker, call: HoldCall) -> CallError | None:
+    def hold(self, vm: Vm, call: HoldCall) -> CallError | None:
         now = asyncio.get_running_loop().time()
-        if call.fence < worker.fence:
+        if call.fence < vm.fence:
             return CallError.FENCED
-        worker.fence = call.fence
+        vm.fence = call.fence
         if call.until_ms:
-            self._extend(worker, call.until_ms, now)
-        for end in worker.ends:
+            self._extend(vm, call.until_ms, now)
+        for end in vm.ends:
             if end.number <= call.acked_end and end.outcome == "done":
-                self._note(worker, end.number)
-        worker.ends = [end for end in worker.ends if end.number > call.acked_end]
+                self._note(vm, end.number)
+        vm.ends = [end for end in vm.ends if end.number > call.acked_end]
         return None
 
-    def _note(self, worker: Worker, number: int) -> None:
+    def _note(self, vm: Vm, number: int) -> None:
         """An end stands once it is acknowledged, unless the lease lapsed in between."""
-        task, ended_at, lapses = worker.done_ends.pop(number)
-        if lapses != worker.lapses:
+        task, ended_at, lapses = vm.done_ends.pop(number)
+        if lapses != vm.lapses:
             return
         self.noted.add(task)
         if any(start > ended_at for start in self.starts[task]):
             self.violations.append(f"started again after an end that was noted: {task}")
 
 
-class EmulatedWorkers:
-    """The workers as one member sees them."""
+class EmulatedVms:
+    """The VMs as one member sees them."""
 
     def __init__(self, cell: Cell) -> None:
         self._cell = cell
@@ -268,73 +268,73 @@
         delay = self._cell.rng.uniform(2.0, 12.0)
         asyncio.get_running_loop().call_later(delay, *call)  # type: ignore[arg-type]
 
-    async def _reach(self, name: str, address: str, timeout: float) -> Worker | CallError:
-        worker = self._cell.workers[name]
+    async def _reach(self, name: str, address: str, timeout: float) -> Vm | CallError:
+        vm = self._cell.vms[name]
         await asyncio.sleep(LATENCY)
-        if worker.cut:
+        if vm.cut:
             await asyncio.sleep(timeout)
             return CallError.NO_ANSWER
-        if not worker.up:
+        if not vm.up:
             present = self._cell.life_at(address)
             if present is not None and not present.cut:
                 return CallError.OTHER_LIFE
             await asyncio.sleep(timeout)
             return CallError.NO_ANSWER
-        return worker
+        return vm
 
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
         sent_at = asyncio.get_running_loop().time()
-        worker = await self._reach(call.worker, call.address, timeout)
-        if isinstance(worker, CallError):
-            return worker
+        vm = await self._reach(call.vm, call.address, timeout)
+        if isinstance(vm, CallError):
+            return vm
         if self._late():
-            self._later(self._cell.hold, worker, call)
+            self._later(self._cell.hold, vm, call)
             await asyncio.sleep(timeout)
             return CallError.NO_ANSWER
-        fenced = self._cell.hold(worker, call)
+        fenced = self._cell.hold(vm, call)
         if fenced is not None:
             return fenced
-        if not worker.ends and call.wait:
-            worker.news.clear()
+        if not vm.ends and call.wait:
+            vm.news.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(worker.news.wait(), call.wait)
+                await asyncio.wait_for(vm.news.wait(), call.wait)
         await asyncio.sleep(LATENCY)
-        if worker.cut or not worker.up:
+        if vm.cut or not vm.up:
             await asyncio.sleep(timeout)
             return CallError.NO_ANSWER
         now = asyncio.get_running_loop().time()
         running = tuple(
             RunReport(run.task, run.number, "", 100 * (now - run.began) / run.length)
-            for run in worker.runs.values()
+            for run in vm.runs.values()
         )
-        return Heard(call.worker, sent_at, worker.clock_ms(now), running, tuple(worker.ends))
+        return Heard(call.vm, sent_at, vm.clock_ms(now), running, tuple(vm.ends))
 
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
-        worker = await self._reach(action.worker, address, timeout)
-        if isinstance(worker, CallError):
-            return worker
+        vm = await self._reach(action.vm, address, timeout)
+        if isinstance(vm, CallError):
+            return vm
         if self._late():
-            self._later(self._cell.start, worker, action, fence, until_ms)
+            self._later(self._cell.start, vm, action, fence, until_ms)
             await asyncio.sleep(timeout)
             return CallError.NO_ANSWER
-        result = self._cell.start(worker, action, fence, until_ms)
+        result = self._cell.start(vm, action, fence, until_ms)
         await asyncio.sleep(LATENCY)
         return result
 
     async def stop(
         self, action: StopRun, address: str, fence: int, timeout: float
     ) -> CallError | None:
-        worker = await self._reach(action.worker, address, timeout)
-        if isinstance(worker, CallError):
-            return worker
-        return self._cell.stop(worker, action.task, action.run, fence)
+        vm = await self._reach(action.vm, address, timeout)
+        if isinstance(vm, CallError):
+            return vm
+        return self._cell.stop(vm, action.task, action.run, fence)
 
 
 class EmulatedAdvice:
-    """Advice that lets every worker run every step."""
+    """Advice that lets every VM run every step."""
 
-    async def advise(self, step: str, workers: Sequence[str], timeout: float) -> AdviceReply:
+    async def advise(self, step: str, vms: Sequence[str], timeout: float) -> AdviceReply:
         await asyncio.sleep(0.01)
-        return AdviceReply(True, dict.fromkeys(workers, "ticket"), 2000.0)
+        return AdviceReply(True, dict.fromkeys(vms, "ticket"), 2000.0)
--- a/tests/jobs/rig.py
+++ b/tests/jobs/rig.py
@@ -18,7 +18,7 @@
     QueueTerms,
     Shape,
     StepSpec,
-    WorkerInfo,
+    VmInfo,
 )
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import JobScheduler
@@ -50,9 +50,9 @@
 
 
 class Rig:
-    """Workers answer here at once, and only when the test says so."""
+    """VMs answer here at once, and only when the test says so."""
 
-    def __init__(self, workers: int = 2, epoch: int = 1, queues: tuple[Queue, ...] = ()) -> None:
+    def __init__(self, vms: int = 2, epoch: int = 1, queues: tuple[Queue, ...] = ()) -> None:
         self.clock = Clock()
         self.scheduler = JobScheduler(JobSettings(), epoch, self.clock)
         self.store: dict[str, bytes] = {}
@@ -62,30 +62,30 @@
         self.ends: dict[str, list[EndReport]] = {}
         self.scheduler.configured(Configuration(1, queues or (queue(),)))
         self.scheduler.load([])
-        self.add_workers(workers)
+        self.add_vms(vms)
         self.commit()
 
-    def add_workers(self, count: int) -> None:
+    def add_vms(self, count: int) -> None:
         for _ in range(count):
             number = len(self.listed)
             labels = ("a" if number % 2 else "b", f"r{number // 2}")
             self.listed.append(f"w{number}")
-            info = WorkerInfo(f"w{number}", f"a{number}", "pool", CAPACITY, labels)
+            info = VmInfo(f"w{number}", f"a{number}", "pool", CAPACITY, labels)
             self.scheduler.told(info)
         self.hear_all()
 
     # -- What happens ------------------------------------------------------------------------
 
-    def hear(self, worker: str) -> None:
+    def hear(self, vm: str) -> None:
         clock_ms = self.clock.time * 1000.0
-        running = tuple(self.running.get(worker, ()))
-        ended = tuple(self.ends.get(worker, ()))
+        running = tuple(self.running.get(vm, ()))
+        ended = tuple(self.ends.get(vm, ()))
         self.scheduler.now()
-        self.scheduler.heard(Heard(worker, self.clock.time, clock_ms, running, ended))
+        self.scheduler.heard(Heard(vm, self.clock.time, clock_ms, running, ended))
 
     def hear_all(self) -> None:
-        for worker in self.listed:
-            self.hear(worker)
+        for vm in self.listed:
+            self.hear(vm)
 
     def tick(self, seconds: float = 0.01) -> list[Action]:
         self.clock.time += seconds
@@ -119,16 +119,16 @@
         return [action for action in self.actions if isinstance(action, AskAdvice)]
 
     def run(self, start: StartRun, percent: float = 0.0) -> None:
-        """Let a worker hold a run that it was told to start."""
-        rows = self.running.setdefault(start.worker, [])
+        """Let a VM hold a run that it was told to start."""
+        rows = self.running.setdefault(start.vm, [])
         rows[:] = [row for row in rows if row.task != start.task]
         rows.append(RunReport(start.task, start.run, "", percent))
 
     def end(self, start: StartRun, outcome: str, saved: str = "") -> None:
-        """Let a run end on its worker."""
-        rows = self.running.setdefault(start.worker, [])
+        """Let a run end on its VM."""
+        rows = self.running.setdefault(start.vm, [])
         rows[:] = [row for row in rows if row.task != start.task]
-        ends = self.ends.setdefault(start.worker, [])
+        ends = self.ends.setdefault(start.vm, [])
         ends.append(EndReport(len(ends) + 1, start.task, start.run, outcome, saved))
 
     def successor(self) -> "Rig":
@@ -140,6 +140,6 @@
         other.listed = list(self.listed)
         other.scheduler.now()
         other.scheduler.load([Record(key, value) for key, value in self.store.items()])
-        for row in self.scheduler.state.workers.values():
+        for row in self.scheduler.state.vms.values():
             other.scheduler.told(row.info)
         return other
--- a/tests/jobs/test_preemption.py
+++ b/tests/jobs/test_preemption.py
@@ -8,8 +8,8 @@
 CHEAP = queue("slow", 2)
 
 
-def _full(step: StepSpec, workers: int = 2) -> Rig:
-    rig = Rig(workers=workers, queues=(URGENT, CHEAP))
+def _full(step: StepSpec, vms: int = 2) -> Rig:
+    rig = Rig(vms=vms, queues=(URGENT, CHEAP))
     # Here no task comes further, which is not what is looked at.
     rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
     rig.accept("batch", spec(step), CHEAP)
@@ -36,7 +36,7 @@
     rig.hear_all()
     rig.tick()
     assert rig.started()[-1].task == "quote.0.0.0"
-    assert rig.started()[-1].worker == stop.worker
+    assert rig.started()[-1].vm == stop.vm
 
 
 def test_what_yielded_goes_on_from_what_it_saved() -> None:
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -1,6 +1,6 @@
-"""What a later leader makes of what is recorded and of what the workers say."""
+"""What a later leader makes of what is recorded and of what the VMs say."""
 
-from sablemount.jobs.model import JobSpec, Shape, StepSpec, WorkerInfo
+from sablemount.jobs.model import JobSpec, Shape, StepSpec, VmInfo
 from sablemount.jobs.tables import JobState
 from tests.jobs.rig import CAPACITY, CORE, Rig, spec
 
@@ -19,7 +19,7 @@
     assert later.scheduler.state.jobs["job"].state is JobState.RUNNING
 
 
-def test_nothing_former_starts_before_every_worker_is_heard_or_its_lease_is_over() -> None:
+def test_nothing_former_starts_before_every_vm_is_heard_or_its_lease_is_over() -> None:
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE)))
     later = rig.successor()
@@ -30,7 +30,7 @@
         later.clock.time += 1.0
         later.hear("w0")
         later.tick()
-    assert [start.worker for start in later.started()] == ["w0"]
+    assert [start.vm for start in later.started()] == ["w0"]
 
 
 def test_what_is_accepted_after_a_take_over_need_not_wait() -> None:
@@ -72,7 +72,7 @@
     rig.tick()
     rig.end(rig.started()[0], "done")
     rig.hear_all()
-    row = rig.scheduler.state.workers[rig.started()[0].worker]
+    row = rig.scheduler.state.vms[rig.started()[0].vm]
     assert row.acked_end == 0
     rig.commit()
     assert row.acked_end == 1
@@ -121,31 +121,31 @@
     assert [stop.task for stop in later.stopped()] == ["job.0.0.0"]
 
 
-def test_a_worker_that_has_left_does_not_hold_up_a_later_leader() -> None:
+def test_a_vm_that_has_left_does_not_hold_up_a_later_leader() -> None:
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE)))
     later = rig.successor()
-    later.scheduler.workers.left_list("w1")
+    later.scheduler.vms.left_list("w1")
     later.hear("w0")
-    gone = later.scheduler.state.workers["w1"]
+    gone = later.scheduler.state.vms["w1"]
     for _ in range(4):
         later.clock.time += 0.5
         later.hear("w0")
-        later.scheduler.workers.refused(gone)
+        later.scheduler.vms.refused(gone)
         later.tick()
-    assert [start.worker for start in later.started()] == ["w0"]
+    assert [start.vm for start in later.started()] == ["w0"]
 
 
-def test_a_silent_workers_tasks_start_again_only_after_its_lease() -> None:
+def test_a_silent_vms_tasks_start_again_only_after_its_lease() -> None:
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE)))
     rig.tick()
     first = rig.started()[0]
     rig.run(first)
     rig.hear_all()
-    row = rig.scheduler.state.workers[first.worker]
-    rig.scheduler.workers.lease_until(row)
-    other = next(name for name in rig.listed if name != first.worker)
+    row = rig.scheduler.state.vms[first.vm]
+    rig.scheduler.vms.lease_until(row)
+    other = next(name for name in rig.listed if name != first.vm)
     for _ in range(12):
         rig.clock.time += 0.5
         rig.hear(other)
@@ -155,7 +155,7 @@
         rig.clock.time += 0.5
         rig.hear(other)
         rig.tick()
-    assert [start.worker for start in rig.started()] == [first.worker, other]
+    assert [start.vm for start in rig.started()] == [first.vm, other]
 
 
 def test_another_life_ends_what_ran_in_the_former_one() -> None:
@@ -165,10 +165,10 @@
     first = rig.started()[0]
     rig.run(first)
     rig.hear_all()
-    rig.scheduler.workers.died(first.worker)
+    rig.scheduler.vms.died(first.vm)
     rig.tick()
     assert len(rig.started()) == 2
-    assert rig.started()[1].worker != first.worker
+    assert rig.started()[1].vm != first.vm
 
 
 def test_a_record_that_does_not_decode_stops_nothing() -> None:
@@ -204,7 +204,7 @@
     assert later.scheduler.state.jobs["job"].state is JobState.SUCCEEDED
 
 
-def test_a_worker_that_ran_nothing_any_more_does_not_hold_up_a_later_leader() -> None:
+def test_a_vm_that_ran_nothing_any_more_does_not_hold_up_a_later_leader() -> None:
     rig = Rig()
     for _ in range(20):
         rig.clock.time += 0.5
@@ -215,13 +215,13 @@
     later = rig.successor()
     later.hear("w0")
     later.tick()
-    assert [start.worker for start in later.started()] == ["w0"]
+    assert [start.vm for start in later.started()] == ["w0"]
 
 
-def test_a_worker_gets_nothing_before_the_store_tells_that_it_is_in_use() -> None:
-    rig = Rig(workers=0)
+def test_a_vm_gets_nothing_before_the_store_tells_that_it_is_in_use() -> None:
+    rig = Rig(vms=0)
     rig.accept("job", spec(StepSpec(1, CORE)))
-    rig.add_workers(1)
+    rig.add_vms(1)
     rig.tick()
     assert rig.started() == []
     rig.commit()
@@ -230,8 +230,8 @@
     assert len(rig.started()) == 1
 
 
-def test_a_worker_that_comes_back_is_in_use_again() -> None:
-    rig = Rig(workers=1)
+def test_a_vm_that_comes_back_is_in_use_again() -> None:
+    rig = Rig(vms=1)
     rig.commit()
     rig.tick()
     for _ in range(20):
@@ -244,20 +244,20 @@
     assert "w/w0" in rig.store
 
 
-def test_a_drained_worker_that_has_left_does_not_hold_up_a_later_leader() -> None:
+def test_a_drained_vm_that_has_left_does_not_hold_up_a_later_leader() -> None:
     rig = Rig()
-    row = rig.scheduler.state.workers["w1"]
-    rig.scheduler.told(WorkerInfo("w1", "a1", "pool", CAPACITY, (), draining=True))
-    rig.scheduler.workers.lease_until(row)
-    rig.scheduler.workers.left_list("w1")
+    row = rig.scheduler.state.vms["w1"]
+    rig.scheduler.told(VmInfo("w1", "a1", "pool", CAPACITY, (), draining=True))
+    rig.scheduler.vms.lease_until(row)
+    rig.scheduler.vms.left_list("w1")
     for _ in range(4):
         rig.clock.time += 0.5
         rig.hear("w0")
-        rig.scheduler.workers.unanswered(row)
+        rig.scheduler.vms.unanswered(row)
         rig.tick()
     rig.accept("job", spec(StepSpec(1, CORE)))
     assert "w/w1" not in rig.store
     later = rig.successor()
     later.hear("w0")
     later.tick()
-    assert [start.worker for start in later.started()] == ["w0"]
+    assert [start.vm for start in later.started()] == ["w0"]
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -17,15 +17,15 @@
     assert [start.task for start in rig.tick() if isinstance(start, StartRun)] == ["job.0.0.0"]
 
 
-def test_no_worker_is_given_more_than_it_has() -> None:
-    rig = Rig(workers=1)
+def test_no_vm_is_given_more_than_it_has() -> None:
+    rig = Rig(vms=1)
     rig.accept("job", spec(StepSpec(5, HALF)))
     rig.tick()
     assert len(rig.started()) == 2
 
 
 def test_a_stopping_run_still_takes_its_room() -> None:
-    rig = Rig(workers=1)
+    rig = Rig(vms=1)
     rig.accept("first", spec(StepSpec(2, HALF)))
     rig.tick()
     for start in rig.started():
@@ -45,7 +45,7 @@
 
 
 def test_a_gang_is_placed_whole_or_not_at_all() -> None:
-    rig = Rig(workers=2)
+    rig = Rig(vms=2)
     rig.accept("other", spec(StepSpec(1, HALF)))
     rig.tick()
     rig.accept("gang", spec(StepSpec(4, HALF, gang=True)))
@@ -61,7 +61,7 @@
 
 
 def test_one_done_end_stands_for_the_whole_gang() -> None:
-    rig = Rig(workers=2)
+    rig = Rig(vms=2)
     job = rig.accept("gang", spec(StepSpec(4, HALF, gang=True)))
     rig.tick()
     for start in rig.started():
@@ -69,7 +69,7 @@
     rig.hear_all()
     rig.end(rig.started()[0], "done")
     rig.clock.time += 0.1
-    rig.hear(rig.started()[0].worker)
+    rig.hear(rig.started()[0].vm)
     assert job.state is JobState.SUCCEEDED
     assert job.shown is not JobState.SUCCEEDED
     rig.commit()
@@ -89,26 +89,26 @@
 
 
 def test_labels_and_spread_are_kept() -> None:
-    rig = Rig(workers=4)
+    rig = Rig(vms=4)
     rig.accept("label", spec(StepSpec(3, CORE, label="a")))
     rig.accept("spread", spec(StepSpec(8, CORE, spread=2)))
     rig.tick()
     labelled = [start for start in rig.started() if start.task.startswith("label")]
-    assert {start.worker for start in labelled} <= {"w1", "w3"}
-    spread = [start.worker for start in rig.started() if start.task.startswith("spread")]
+    assert {start.vm for start in labelled} <= {"w1", "w3"}
+    spread = [start.vm for start in rig.started() if start.task.startswith("spread")]
     assert len(spread) == 8
-    assert all(spread.count(worker) == 2 for worker in set(spread))
+    assert all(spread.count(vm) == 2 for vm in set(spread))
 
 
 def test_one_rack_is_used_where_all_fit_there() -> None:
-    rig = Rig(workers=4)
+    rig = Rig(vms=4)
     rig.accept("job", spec(StepSpec(4, HALF, gang=True, same_rack=True)))
     rig.tick()
-    assert {start.worker for start in rig.started()} == {"w0", "w1"}
+    assert {start.vm for start in rig.started()} == {"w0", "w1"}
 
 
 def test_more_urgent_work_goes_first() -> None:
-    rig = Rig(workers=1, queues=(queue("slow", 2), queue("fast", 0)))
+    rig = Rig(vms=1, queues=(queue("slow", 2), queue("fast", 0)))
     rig.scheduler.submit("batch", queue("slow", 2), spec(StepSpec(2, HALF)))
     rig.scheduler.submit("quote", queue("fast", 0), spec(StepSpec(1, HALF)))
     rig.commit()
@@ -116,16 +116,16 @@
     assert [start.task for start in rig.started()] == ["quote.0.0.0", "batch.0.0.0"]
 
 
-def test_a_draining_worker_gets_nothing_new() -> None:
-    rig = Rig(workers=1)
-    info = rig.scheduler.state.workers["w0"].info
+def test_a_draining_vm_gets_nothing_new() -> None:
+    rig = Rig(vms=1)
+    info = rig.scheduler.state.vms["w0"].info
     rig.scheduler.told(type(info)(info.name, info.address, "pool", info.capacity, (), True))
     rig.accept("job", spec(StepSpec(1, CORE)))
     assert rig.tick() == []
 
 
 def test_a_task_that_fails_too_often_fails_its_job() -> None:
-    rig = Rig(workers=4)
+    rig = Rig(vms=4)
     job = rig.accept("job", spec(StepSpec(1, CORE)))
     for _ in range(3):
         rig.tick(2.0)
@@ -135,11 +135,11 @@
         rig.hear_all()
     assert job.state is JobState.FAILED
     assert len(rig.started()) == 3
-    assert len({start.worker for start in rig.started()}) > 1
+    assert len({start.vm for start in rig.started()}) > 1
 
 
-def test_a_start_without_an_answer_is_settled_by_the_workers_word() -> None:
-    rig = Rig(workers=1)
+def test_a_start_without_an_answer_is_settled_by_the_vms_word() -> None:
+    rig = Rig(vms=1)
     rig.accept("job", spec(StepSpec(1, CORE)))
     rig.tick()
     rig.clock.time += 0.5
@@ -153,50 +153,50 @@
 
 
 def test_a_refused_start_goes_elsewhere() -> None:
-    rig = Rig(workers=2)
+    rig = Rig(vms=2)
     rig.accept("job", spec(StepSpec(1, CORE)))
     rig.tick()
     first = rig.started()[0]
-    rig.scheduler.start_refused(first.worker, first.task, 1, StartRefusal.UNHEALTHY, True)
+    rig.scheduler.start_refused(first.vm, first.task, 1, StartRefusal.UNHEALTHY, True)
     rig.tick()
-    assert rig.started()[1].worker != first.worker
+    assert rig.started()[1].vm != first.vm
 
 
 def test_advice_is_asked_for_at_acceptance_and_its_ticket_used() -> None:
     asking = queue("q", 0, AdviceTerms(9.0, 0.1, 2000.0))
-    rig = Rig(workers=3, queues=(asking,))
+    rig = Rig(vms=3, queues=(asking,))
     rig.scheduler.advice.set_lanes({"one", "two"})
     rig.scheduler.submit("job", asking, spec(StepSpec(2, HALF)))
     rig.tick()
     (ask,) = rig.asked()
-    assert sorted(ask.workers) == ["w0", "w1", "w2"]
+    assert sorted(ask.vms) == ["w0", "w1", "w2"]
     rig.commit()
-    rig.scheduler.advice.answered(ask.lane, ask.step, ask.workers, {"w2": "t"}, 2000.0)
+    rig.scheduler.advice.answered(ask.lane, ask.step, ask.vms, {"w2": "t"}, 2000.0)
     rig.tick()
-    assert {(start.worker, start.ticket) for start in rig.started()} == {("w2", "t")}
+    assert {(start.vm, start.ticket) for start in rig.started()} == {("w2", "t")}
 
 
-def test_a_ticket_that_has_run_out_is_renewed_for_the_worker_about_to_be_used() -> None:
+def test_a_ticket_that_has_run_out_is_renewed_for_the_vm_about_to_be_used() -> None:
     asking = queue("q", 0, AdviceTerms(9.0, 0.1, 2000.0))
-    rig = Rig(workers=3, queues=(asking,))
+    rig = Rig(vms=3, queues=(asking,))
     rig.scheduler.advice.set_lanes({"one"})
     rig.scheduler.submit("job", asking, spec(StepSpec(1, HALF)))
     rig.tick()
     ask = rig.asked()[0]
-    rig.scheduler.advice.answered(ask.lane, ask.step, ask.workers, {"w1": "t"}, 2000.0)
+    rig.scheduler.advice.answered(ask.lane, ask.step, ask.vms, {"w1": "t"}, 2000.0)
     rig.clock.time += 2.2
     rig.hear_all()
     rig.commit()
     rig.tick()
     assert rig.started() == []
-    assert rig.asked()[1].workers == ("w1",)
-    assert rig.scheduler.state.workers["w1"].room.cores == 8_000
+    assert rig.asked()[1].vms == ("w1",)
+    assert rig.scheduler.state.vms["w1"].room.cores == 8_000
 
 
 def test_slow_calls_leave_lanes_to_quick_ones() -> None:
     slow = queue("slow", 0, AdviceTerms(800.0, 5.0, 2000.0))
     quick = queue("quick", 5, AdviceTerms(9.0, 0.1, 2000.0))
-    rig = Rig(workers=2, queues=(slow, quick))
+    rig = Rig(vms=2, queues=(slow, quick))
     rig.scheduler.advice.set_lanes({"one", "two", "three"})
     for number in range(3):
         rig.scheduler.submit(f"slow{number}", slow, spec(StepSpec(1, CORE)))
@@ -209,7 +209,7 @@
 
 def test_a_lane_that_goes_lets_its_step_ask_again() -> None:
     asking = queue("q", 0, AdviceTerms(9.0, 0.1, 2000.0))
-    rig = Rig(workers=1, queues=(asking,))
+    rig = Rig(vms=1, queues=(asking,))
     rig.scheduler.advice.set_lanes({"one", "two"})
     rig.scheduler.submit("job", asking, spec(StepSpec(1, CORE)))
     rig.tick()
@@ -222,7 +222,7 @@
 
 
 def test_a_member_of_a_gang_is_not_started_while_another_still_runs() -> None:
-    rig = Rig(workers=3)
+    rig = Rig(vms=3)
     rig.accept("gang", spec(StepSpec(2, HALF, gang=True, spread=1)))
     rig.tick()
     first, second = rig.started()
@@ -231,7 +231,7 @@
     rig.hear_all()
     rig.end(second, "broken")
     rig.clock.time += 0.1
-    rig.hear(second.worker)
+    rig.hear(second.vm)
     rig.tick()
     assert len(rig.started()) == 2
     rig.end(first, "stopped")
@@ -243,26 +243,26 @@
 
 
 def test_the_rest_of_a_gang_is_stopped_when_a_member_could_not_start() -> None:
-    rig = Rig(workers=2)
+    rig = Rig(vms=2)
     rig.accept("gang", spec(StepSpec(2, HALF, gang=True, spread=1)))
     rig.tick()
     first, second = rig.started()
     rig.run(first)
     rig.hear_all()
-    rig.scheduler.start_refused(second.worker, second.task, 1, StartRefusal.TICKET, True)
+    rig.scheduler.start_refused(second.vm, second.task, 1, StartRefusal.TICKET, True)
     rig.tick()
     assert [stop.task for stop in rig.stopped()] == [first.task]
 
 
-def test_a_worker_with_a_valid_ticket_goes_before_a_fuller_one() -> None:
+def test_a_vm_with_a_valid_ticket_goes_before_a_fuller_one() -> None:
     asking = queue("q", 0, AdviceTerms(700.0, 5.0, 2000.0))
-    rig = Rig(workers=2, queues=(asking, queue("other")))
+    rig = Rig(vms=2, queues=(asking, queue("other")))
     rig.scheduler.advice.set_lanes({"one"})
     rig.scheduler.submit("job", asking, spec(StepSpec(1, HALF)))
     rig.tick()
     ask = rig.asked()[0]
-    tickets = dict.fromkeys(ask.workers, "t")
-    rig.scheduler.advice.answered(ask.lane, ask.step, ask.workers, tickets, 2000.0)
+    tickets = dict.fromkeys(ask.vms, "t")
+    rig.scheduler.advice.answered(ask.lane, ask.step, ask.vms, tickets, 2000.0)
     rig.clock.time += 3.0
     rig.hear_all()
     # Only one of them has a new ticket, and the other one is the fuller.
@@ -270,8 +270,8 @@
     advice = rig.scheduler.state.jobs["job"].steps[(0, 0)].advice
     assert advice is not None
     advice.good["w1"].until = rig.clock.time + 2.0
-    row = rig.scheduler.state.workers["w0"]
+    row = rig.scheduler.state.vms["w0"]
     row.room = row.room.plus(HALF, -1)
     rig.commit()
     rig.tick()
-    assert [start.worker for start in rig.started()] == ["w1"]
+    assert [start.vm for start in rig.started()] == ["w1"]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,7 +24,7 @@
 from sablemount.platform.front import respond
 from sablemount.platform.store import TOPICS, decode_records
 from tests.emulator.store import StoreState
-from tests.emulator.workers import Cell, Worker
+from tests.emulator.vms import Cell, Vm
 
 Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
 BY_NAME = {name: topic for topic, name in TOPICS.items()}
@@ -144,7 +144,7 @@
 
     # -- Workers -----------------------------------------------------------------------------
 
-    def add_worker(self, rack: str) -> Worker:
+    def add_worker(self, rack: str) -> Vm:
         worker = self.cell.add("machine", rack, Shape(16_000, 65_536, 0))
 
         async def serve(request: httputil.HTTPServerRequest) -> tuple[int, object]:
@@ -161,12 +161,10 @@
             "seq": 1,
         }
         record = Record(worker.info.name, json.dumps(entry).encode())
-        self.store.topics[Topic.WORKERS].add([record])
+        self.store.topics[Topic.VMS].add([record])
         return worker
 
-    async def _worker(
-        self, worker: Worker, request: httputil.HTTPServerRequest
-    ) -> tuple[int, object]:
+    async def _worker(self, worker: Vm, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         told = json.loads(request.body)
         if request.headers["Expect-Instance"] != worker.info.name:
             return 421, {}
@@ -178,7 +176,7 @@
             return (409, {"clockMs": clock, "reason": "fence"}) if fenced else (200, {})
         return self._start(worker, told, clock)
 
-    def _start(self, worker: Worker, told: dict[str, object], clock: float) -> tuple[int, object]:
+    def _start(self, worker: Vm, told: dict[str, object], clock: float) -> tuple[int, object]:
         if not told.get("ticket"):
             return 409, {"clockMs": clock, "reason": "ticket"}
         action = StartRun(worker.info.name, str(told["task"]), int(str(told["run"])), "", 0.0)
@@ -189,7 +187,7 @@
         reason = result.value if isinstance(result, StartRefusal) else "fence"
         return 409, {"clockMs": clock, "reason": reason}
 
-    async def _hold(self, worker: Worker, told: dict[str, int]) -> tuple[int, object]:
+    async def _hold(self, worker: Vm, told: dict[str, int]) -> tuple[int, object]:
         call = HoldCall(
             worker.info.name, "", told["fence"], told.get("untilMs", 0), told["ackedUpto"], 0.0
         )
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -82,15 +82,15 @@
 
 def test_entries_that_do_not_decode_are_passed_over() -> None:
     directory = PlatformDirectory()
-    assert directory.worker(Record("i-1", b"{")) is None
-    assert directory.worker(Record("i-1", b"{}")) is None
+    assert directory.vm(Record("i-1", b"{")) is None
+    assert directory.vm(Record("i-1", b"{}")) is None
     assert directory.configuration(Record("config", b"[]")) is None
     assert directory.configuration(Record("wave/1", b"{}")) is None
 
 
 def test_a_draining_worker_is_told_so() -> None:
     entry = {"service": "s", "addr": "1.2.3.4:5", "state": "draining", "labels": ["a", "r1"]}
-    info = PlatformDirectory().worker(Record("i-1", json.dumps(entry).encode()))
+    info = PlatformDirectory().vm(Record("i-1", json.dumps(entry).encode()))
     assert info is not None
     assert info.draining
     assert info.rack == "r1"
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -146,7 +146,7 @@
         await front.call(0, "POST", PREFIX + job, JOB)
 
         async def runs() -> bool:
-            return any(worker.runs for worker in front.standin.cell.workers.values())
+            return any(worker.runs for worker in front.standin.cell.vms.values())
 
         async def stopped() -> bool:
             return not await runs()
