Split the member and the leader by job; a pause needs a fresh word of the store

Ruled out: counting good_at from when an append was sent, which would end the authority in a slow store.

--- /dev/null
+++ b/src/sablemount/control/callers.py
@@ -0,0 +1,119 @@
+"""The leader's answers to callers' requests."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from sablemount.control.commit_loop import CommitLoop
+from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome, not_taken
+from sablemount.jobs.model import JobSpec, Queue, SpecError, check_spec, queue_for
+from sablemount.jobs.scheduler import JobScheduler, Submission
+from sablemount.jobs.tables import JobRow, JobState
+
+__all__ = ["Callers"]
+
+ACCEPT_TIMEOUT = 1.5
+"""Seconds after which a caller is told that its job may have been accepted."""
+MAX_NAME = 64
+STORE_SILENT = "the store has not answered"
+
+_logger = logging.getLogger("sablemount.control.callers")
+
+
+class Callers:
+    """Serves callers; ``sure`` tells whether this process certainly leads."""
+
+    def __init__(
+        self,
+        scheduler: JobScheduler,
+        commits: CommitLoop,
+        sure: Callable[[], bool],
+        kick: Callable[[], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._commits = commits
+        self._sure = sure
+        self._kick = kick
+
+    async def serve(self, call: CallerCall) -> CallerReply:
+        """Answer a caller's request."""
+        if not self._sure():
+            return not_taken("the leader is not sure that it leads")
+        configuration = self._scheduler.state.configuration
+        if configuration.version < 0:
+            return not_taken("no configuration yet")
+        queue = queue_for(configuration, call.host, call.path)
+        if queue is None:
+            return CallerReply(Outcome.NO_QUEUE, reason="no queue at this host and prefix")
+        name = call.path[len(queue.prefix) :]
+        if call.operation is Operation.SUBMIT:
+            return await self._submit(queue, name, call.spec)
+        if not name:
+            return CallerReply(Outcome.DONE, waiting=self._scheduler.waiting(queue.terms.name))
+        if call.operation is Operation.CANCEL:
+            return await self._cancel(name)
+        return self._state(name)
+
+    def _state(self, name: str) -> CallerReply:
+        job = self._scheduler.state.jobs.get(name)
+        if job is None or not job.durable:
+            return CallerReply(Outcome.NO_JOB)
+        return CallerReply(Outcome.DONE, state=job.shown.name.lower())
+
+    # -- Submissions -------------------------------------------------------------------------
+
+    async def _submit(self, queue: Queue, name: str, spec: JobSpec | None) -> CallerReply:
+        fault = _fault(name, spec)
+        if spec is None or fault is not None:
+            fault = fault or SpecError("$", "no job")
+            return CallerReply(Outcome.INVALID, path=fault.path, reason=fault.reason)
+        if self._commits.stuck():
+            refusal = _refusal(self._scheduler.state.jobs.get(name))
+            if refusal is not None:
+                return refusal
+        self._scheduler.now()
+        if self._scheduler.submit(name, queue, spec) is Submission.KNOWN:
+            return CallerReply(Outcome.DONE, state="known")
+        self._kick()
+        return await self._accepted(name, queue)
+
+    async def _accepted(self, name: str, queue: Queue) -> CallerReply:
+        await asyncio.wait([self._commits.noted()], timeout=ACCEPT_TIMEOUT)
+        job = self._scheduler.state.jobs.get(name)
+        if job is not None and job.durable:
+            _logger.info("job accepted", extra={"job": name, "queue": queue.terms.name})
+            return CallerReply(Outcome.DONE)
+        if self._scheduler.withdraw(name):
+            return not_taken("the store does not answer")
+        _logger.info("job uncertain", extra={"job": name, "queue": queue.terms.name})
+        return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT)
+
+    # -- Cancellations -----------------------------------------------------------------------
+
+    async def _cancel(self, name: str) -> CallerReply:
+        self._scheduler.now()
+        job = self._scheduler.cancel(name)
+        if job is None:
+            return CallerReply(Outcome.NO_JOB)
+        self._kick()
+        if job.shown is not JobState.CANCELLED and not job.shown.final:
+            await asyncio.wait([self._commits.noted()], timeout=ACCEPT_TIMEOUT)
+        if not job.shown.final:
+            return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT)
+        _logger.info("job cancelled", extra={"job": name, "state": job.shown.name.lower()})
+        return CallerReply(Outcome.DONE, state=job.shown.name.lower())
+
+
+def _fault(name: str, spec: JobSpec | None) -> SpecError | None:
+    if not (0 < len(name) <= MAX_NAME and name.isascii() and name.isalnum()):
+        return SpecError("$.id", "not a name of a job")
+    return None if spec is None else check_spec(spec)
+
+
+def _refusal(known: JobRow | None) -> CallerReply | None:
+    """Return the answer to a submission while the store is stuck; ``None`` if it is accepted."""
+    if known is None:
+        return not_taken("the store does not answer")
+    if not known.durable:
+        return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT)
+    return None
--- /dev/null
+++ b/src/sablemount/control/commit_loop.py
@@ -0,0 +1,114 @@
+"""Brings the scheduler's journal into the store, batch after batch."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from sablemount.control.clock import monotonic
+from sablemount.control.commit import Committer
+from sablemount.control.figures import Figures
+from sablemount.jobs.scheduler import JobScheduler
+
+__all__ = ["CommitLoop"]
+
+CONFIRM_INTERVAL = 0.5
+"""Seconds after which the store is asked to confirm the leadership when there is nothing to add."""
+COMMIT_PAUSE = 0.015
+PIPELINE_AFTER = 0.04
+"""Seconds that a batch waits for the answer to the one before."""
+PIPELINE_DEPTH = 4
+"""Appends in flight at most: the store remembers the answers to the last five."""
+PIPELINE_POLL = 0.01
+STORE_STUCK = 0.6
+"""Seconds without an answer after which the store counts as not answering, for new work."""
+
+
+class CommitLoop:
+    """Appends what is pending.
+
+    ``on_durable`` is called each time the store has taken something, with the local time at which
+    the oldest of it was sent.
+    """
+
+    def __init__(
+        self,
+        scheduler: JobScheduler,
+        committer: Committer,
+        figures: Figures,
+        on_durable: Callable[[float], None],
+        keep: Callable[["asyncio.Task[None]"], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._committer = committer
+        self._figures = figures
+        self._on_durable = on_durable
+        self._keep = keep
+        self._wanted = asyncio.Event()
+        self._waiting: list[asyncio.Future[None]] = []
+
+    def want(self) -> None:
+        """Have the next batch appended, or the leadership confirmed if nothing is pending."""
+        self._wanted.set()
+
+    def noted(self) -> "asyncio.Future[None]":
+        """Return a future that is done once all that is to last by now is in the store."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(future)
+        self.want()
+        return future
+
+    def stuck(self) -> bool:
+        """Tell whether the store has not answered for some time."""
+        since = self._committer.waiting_since
+        return since > 0 and monotonic() - since > STORE_STUCK
+
+    async def run(self) -> None:
+        """Append without end."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CONFIRM_INTERVAL):
+                    await self._wanted.wait()
+            self._wanted.clear()
+            commit = asyncio.get_running_loop().create_task(self._commit())
+            self._keep(commit)
+            # Behind a slow answer the next batch is sent without waiting for it.
+            await asyncio.wait([commit], timeout=PIPELINE_AFTER)
+            while self._committer.in_flight >= PIPELINE_DEPTH:
+                await asyncio.sleep(PIPELINE_POLL)
+            # What comes meanwhile goes together: each call of the store costs.
+            await asyncio.sleep(COMMIT_PAUSE)
+
+    async def _commit(self) -> None:
+        waiting = self._waiting
+        self._waiting = []
+        asked_at = self._asked_at()
+        if self._scheduler.journal.pending():
+            await self._append()
+        else:
+            await self._committer.append([])
+        self._on_durable(asked_at)
+        for future in waiting:
+            if not future.done():
+                future.set_result(None)
+        if self._scheduler.journal.pending():
+            self.want()
+
+    def _asked_at(self) -> float:
+        """Return since when the answer that is awaited next may be under way."""
+        since = self._committer.waiting_since
+        return since if since > 0 else monotonic()
+
+    async def _append(self) -> None:
+        batch = self._scheduler.next_batch()
+        sent_at = monotonic()
+        await self._committer.append(batch.records)
+        self._figures.observe("append", monotonic() - sent_at)
+        self._figures.count("records", by=len(batch.records))
+        self._scheduler.now()
+        self._scheduler.durable(batch)
+
+    def close(self) -> None:
+        """Let nobody wait any more."""
+        for future in self._waiting:
+            if not future.done():
+                future.cancel()
--- /dev/null
+++ b/src/sablemount/control/election.py
@@ -0,0 +1,226 @@
+"""When this member claims the leadership, and how."""
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from sablemount.control.clock import monotonic
+from sablemount.control.figures import Figures
+from sablemount.control.leader_link import LeaderLink
+from sablemount.control.member_settings import MemberSettings
+from sablemount.control.messages import LeaderRecord, LeaderView, ViewCall
+from sablemount.control.network import CallFailed
+from sablemount.control.store import Appended, PageItem, Store, Topic, Unavailable
+from sablemount.control.suspicion import ClaimReason
+from sablemount.jobs.records import Record
+
+__all__ = ["Election"]
+
+LEADER_KEY = "leader"
+VIEW_TIMEOUT = 0.2
+VIEW_FRESH = 0.5
+"""A member that has heard the leader within these seconds speaks against a claim."""
+CLAIM_TIMEOUT = 1.0
+CLAIM_PAUSE = 0.3
+PATIENCE = 0.15
+"""Members wait for a random time up to this many seconds, so that few claim at once."""
+ENOUGH_CORES = 0.9
+WEAK_PATIENCE = 0.4
+FIRST_CLAIM = 0.1
+"""Seconds after its start before which a member does not claim the first leadership."""
+STORE_TRIAL = 0.4
+STORE_SECOND_LOOK = 0.16
+REST_AFTER_LEADING = 3.5
+"""Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
+FROM_AFAR = (ClaimReason.SILENT, ClaimReason.REFUSED)
+"""Reasons that may lie with this member's own connection, so that others are asked."""
+
+_logger = logging.getLogger("sablemount.control.election")
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(LeaderRecord)
+
+
+class Election:
+    """Reads the leader's records and writes the next one when that is due.
+
+    ``on_leader`` is told of each newer record, ``on_won`` of the epoch that this member has won.
+    """
+
+    def __init__(
+        self,
+        settings: MemberSettings,
+        store: Store,
+        link: LeaderLink,
+        rng: random.Random,
+        figures: Figures,
+        on_leader: Callable[[LeaderRecord], None],
+        on_won: Callable[[int], None],
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._link = link
+        self._rng = rng
+        self._figures = figures
+        self._on_leader = on_leader
+        self._on_won = on_won
+        self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
+        self._started_at = monotonic()
+        weak = settings.cores < ENOUGH_CORES
+        self._patience = rng.uniform(0.0, PATIENCE) + (WEAK_PATIENCE if weak else 0.0)
+        self._end = 0
+        self._known = False
+        self._asked_to_lead = False
+        self._rest_until = 0.0
+        self._pause_until = 0.0
+
+    # -- Records -----------------------------------------------------------------------------
+
+    def listed(self, items: Sequence[PageItem], end: int) -> None:
+        """Take the newest records of the topic."""
+        self._known = True
+        self.told([item.record for item in items], end)
+
+    def told(self, records: Sequence[Record], end: int) -> None:
+        """Take records of the topic, and where it ends."""
+        self._end = end
+        for record in records:
+            self._seen(record)
+
+    def _seen(self, record: Record) -> None:
+        if record.key != LEADER_KEY or not record.value:
+            return
+        try:
+            seen = _DECODER.decode(record.value)
+        except msgspec.DecodeError:
+            _logger.warning("undecodable leader record")
+            return
+        self._on_leader(seen)
+
+    # -- Whether to claim --------------------------------------------------------------------
+
+    def asked(self) -> None:
+        """Take that the leader has asked this member to take over."""
+        self._asked_to_lead = True
+        self._pause_until = 0.0
+
+    def rest(self) -> None:
+        """Leave the lead to others for a while: this member has just led."""
+        self._rest_until = monotonic() + REST_AFTER_LEADING
+
+    async def consider(self) -> None:
+        """Claim if that is due, unless others still hear the leader."""
+        reason = self._reason()
+        if reason is None:
+            return
+        if not await self._confirmed(reason):
+            self._pause_until = monotonic() + CLAIM_PAUSE
+            return
+        self._asked_to_lead = False
+        await self._claim(reason)
+
+    def _reason(self) -> str | None:
+        now = monotonic()
+        if not self._known or now < self._pause_until:
+            return None
+        if self._asked_to_lead:
+            return ClaimReason.ASKED
+        record = self._link.record
+        if record is None:
+            waited = now - self._started_at > FIRST_CLAIM + self._patience
+            return ClaimReason.NO_LEADER if waited else None
+        resting = now < self._rest_until
+        if record.name == self._settings.name:
+            return None if resting else ClaimReason.OWN_FORMER_LIFE
+        suspicion = self._link.suspicion
+        if resting and not suspicion.alone_too_long(now):
+            return None
+        return suspicion.reason(now, self._patience)
+
+    async def _confirmed(self, reason: str) -> bool:
+        """Tell whether what this member can find out speaks for the claim."""
+        if reason in FROM_AFAR:
+            return await self._others_agree()
+        if reason == ClaimReason.STORE_LOST:
+            return await self._store_reached()
+        return True
+
+    async def _store_reached(self) -> bool:
+        """Tell whether the store answers here while the leader is still without it."""
+        page = await self._store.newest(Topic.LEADER, "", STORE_TRIAL)
+        if isinstance(page, Unavailable):
+            return False
+        self.listed(page.items, page.end)
+        # A store that has come back answers the leader too: its next answer tells.
+        await asyncio.sleep(STORE_SECOND_LOOK)
+        return self._link.suspicion.store_lost_since > 0
+
+    async def _others_agree(self) -> bool:
+        """Ask the other members whether they hear the leader."""
+        epoch = self._link.epoch
+        others = self._link.other_members()
+        views = await asyncio.gather(*(self._view(address) for address in others))
+        heard = [view for view in views if view is not None]
+        if any(_speaks_for(view, epoch) for view in heard):
+            return False
+        if heard or not others:
+            return True
+        return self._link.suspicion.alone_too_long(monotonic())
+
+    async def _view(self, address: str) -> LeaderView | None:
+        try:
+            view = await self._link.call_once(address, ViewCall(), VIEW_TIMEOUT)
+        except CallFailed:
+            return None
+        return view if isinstance(view, LeaderView) else None
+
+    # -- The claim ---------------------------------------------------------------------------
+
+    async def _claim(self, reason: str) -> None:
+        """Write the next leader record where the topic ends, which only one claim can do."""
+        epoch = self._link.epoch + 1
+        settings = self._settings
+        claim = LeaderRecord(epoch, settings.name, settings.rpc_address, self._incarnation)
+        record = Record(LEADER_KEY, _ENCODER.encode(claim))
+        heard_ago = round(self._link.suspicion.heard_age(monotonic()), 3)
+        result = await self._store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=self._end)
+        won = isinstance(result, Appended)
+        self._figures.count("claim", reason)
+        _logger.info(
+            "claim",
+            extra={
+                "epoch": epoch,
+                "why": reason,
+                "heard_ago": heard_ago,
+                "won": won,
+                "answer": repr(result),
+            },
+        )
+        self._pause_until = monotonic() + CLAIM_PAUSE * self._rng.uniform(0.5, 1.5)
+        if won:
+            # The record may have been read before the answer to the claim came.
+            self._on_leader(claim)
+        else:
+            # The topic's end may have moved, or the claim may be there though its answer is lost.
+            await self._look_again()
+        self._lead_if_mine(epoch)
+
+    async def _look_again(self) -> None:
+        page = await self._store.newest(Topic.LEADER, "", CLAIM_TIMEOUT)
+        if not isinstance(page, Unavailable):
+            self.listed(page.items, page.end)
+
+    def _lead_if_mine(self, epoch: int) -> None:
+        record = self._link.record
+        if record is not None and (record.epoch, record.incarnation) == (epoch, self._incarnation):
+            self._on_won(epoch)
+
+
+def _speaks_for(view: LeaderView, epoch: int) -> bool:
+    """Tell whether a member still hears the leader of an epoch, or knows a later one."""
+    if view.epoch > epoch:
+        return True
+    return view.epoch == epoch and view.linked and view.heard_age < VIEW_FRESH
--- /dev/null
+++ b/src/sablemount/control/leader_link.py
@@ -0,0 +1,137 @@
+"""A member's link to the leader: pings over it, and what they tell."""
+
+import asyncio
+import logging
+
+from sablemount.control.clock import monotonic
+from sablemount.control.member_settings import MemberSettings
+from sablemount.control.messages import LeaderRecord, Message, Ping, Pong, Reply
+from sablemount.control.network import CallFailed, Handler, Link, Network
+from sablemount.control.suspicion import Suspicion
+
+__all__ = ["LeaderLink"]
+
+PING_INTERVAL = 0.15
+PING_TIMEOUT = 0.5
+CONNECT_TIMEOUT = 0.3
+RECONNECT_PAUSE = 0.05
+
+_logger = logging.getLogger("sablemount.control.leader_link")
+
+
+class LeaderLink:
+    """Connects to whom the newest leader record names; ``handler`` takes the leader's calls."""
+
+    def __init__(self, settings: MemberSettings, network: Network, handler: Handler) -> None:
+        self._settings = settings
+        self._network = network
+        self._handler = handler
+        self._started_at = monotonic()
+        self._link: Link | None = None
+        self.record: LeaderRecord | None = None
+        self.suspicion = Suspicion(monotonic())
+        self.leads = False
+        """Whether the leader has said over this link that it leads."""
+        self.heard_leading_at = -1e9
+        self.addresses: dict[str, str] = {}
+        """Addresses of the members that the leader has heard, by name."""
+
+    @property
+    def epoch(self) -> int:
+        """Return the highest epoch known here; 0 without a leader."""
+        return 0 if self.record is None else self.record.epoch
+
+    @property
+    def linked(self) -> bool:
+        """Tell whether a connection to the leader stands."""
+        return self._link is not None
+
+    def follow(self, seen: LeaderRecord) -> bool:
+        """Take who leads; return whether it is news."""
+        if seen.epoch <= self.epoch:
+            return False
+        self.record = seen
+        self.suspicion = Suspicion(monotonic())
+        self.leads = False
+        _logger.info("leader known", extra={"leader": seen.name, "epoch": seen.epoch})
+        self.close()
+        return True
+
+    def other_members(self) -> list[str]:
+        """Return the addresses of the members that are neither this one nor the leader."""
+        apart = {self._settings.name, "" if self.record is None else self.record.name}
+        return [address for name, address in self.addresses.items() if name not in apart]
+
+    async def call(self, message: Message, timeout: float) -> Reply:
+        """Call the leader; raises ``CallFailed``."""
+        if self._link is None or not self.leads:
+            raise CallFailed("no leader is known here", sent=False)
+        return await self._link.call(message, timeout)
+
+    async def call_once(self, address: str, message: Message, timeout: float) -> Reply:
+        """Call some member over a connection of its own; raises ``CallFailed``."""
+        link = await self._network.connect(address, self._handler, timeout)
+        serving = asyncio.get_running_loop().create_task(link.serve())
+        try:
+            return await link.call(message, timeout)
+        finally:
+            link.close()
+            serving.cancel()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._link is not None:
+            self._link.close()
+
+    # -- The connection ----------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Keep a connection to the leader without end."""
+        while True:
+            record = self.record
+            if record is not None and record.name != self._settings.name:
+                await self._connect(record)
+            await asyncio.sleep(RECONNECT_PAUSE)
+
+    async def _connect(self, record: LeaderRecord) -> None:
+        try:
+            link = await self._network.connect(record.address, self._handler, CONNECT_TIMEOUT)
+        except CallFailed as failed:
+            if failed.refused:
+                self.suspicion.refused(monotonic())
+            return
+        await self._keep(link, record)
+
+    async def _keep(self, link: Link, record: LeaderRecord) -> None:
+        """Keep a link until it is over, or leads to a former leader."""
+        self._link = link
+        serving = asyncio.get_running_loop().create_task(link.serve())
+        try:
+            while not link.closed and self.record is record:
+                await self._ping(link)
+                await asyncio.sleep(PING_INTERVAL)
+        except CallFailed:
+            pass
+        finally:
+            self._link = None
+            self.leads = False
+            link.close()
+            serving.cancel()
+
+    async def _ping(self, link: Link) -> None:
+        epoch = self.epoch
+        settings = self._settings
+        uptime = monotonic() - self._started_at
+        ping = Ping(settings.name, settings.rpc_address, epoch, uptime, settings.cores)
+        pong = await link.call(ping, PING_TIMEOUT)
+        # If another leader has become known meanwhile, this answer tells nothing of it.
+        if isinstance(pong, Pong) and self.epoch == epoch:
+            self._heard(pong)
+
+    def _heard(self, pong: Pong) -> None:
+        now = monotonic()
+        self.suspicion.heard(pong, now)
+        self.leads = pong.leading and pong.epoch == self.epoch
+        self.addresses = pong.members
+        if self.leads:
+            self.heard_leading_at = now
--- /dev/null
+++ b/src/sablemount/control/member_settings.py
@@ -0,0 +1,17 @@
+"""What a member knows of itself."""
+
+import msgspec
+
+from sablemount.jobs.settings import JobSettings
+
+__all__ = ["MemberSettings"]
+
+
+class MemberSettings(msgspec.Struct, frozen=True):
+    """What a member knows of itself; ``rpc_address`` is where others reach it."""
+
+    name: str
+    rpc_address: str
+    jobs: JobSettings
+    cores: float = 1.0
+    """Share of a processor core that it may use: weak members leave the lead to others."""
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -13,7 +13,6 @@
     "AdviseCall",
     "CallerCall",
     "CallerReply",
-    "Hello",
     "LeaderRecord",
     "LeaderView",
     "Message",
@@ -71,13 +70,6 @@
     """Share of a processor core that the member may use."""
 
 
-class Hello(msgspec.Struct, frozen=True, tag=True):
-    """The first message of a member on a connection to the leader."""
-
-    name: str
-    address: str
-
-
 class ViewCall(msgspec.Struct, frozen=True, tag=True):
     """A member asks another whether it hears the leader."""
 
@@ -105,7 +97,7 @@
     epoch: int
 
 
-Message: TypeAlias = Ping | Hello | ViewCall | CallerCall | AdviseCall | TakeOver
+Message: TypeAlias = Ping | ViewCall | CallerCall | AdviseCall | TakeOver
 
 
 class Pong(msgspec.Struct, frozen=True, tag=True):
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from sablemount.control.member import MemberSettings
+from sablemount.control.member_settings import MemberSettings
 from sablemount.jobs.settings import JobSettings
 
 __all__ = ["BootSettings", "SettingsFault", "load", "member_settings"]
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from sablemount.control.leader import LeaderPorts
-from sablemount.control.member import Member, MemberSettings
+from sablemount.control.member import Member
+from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.store import Topic
 from sablemount.jobs.model import (
