What came too early goes as soon as the append before it is done

An append sent 55 ms behind one that pauses comes too early, pauses for a fixed time itself, and so keeps the next one too early: one late append kept all later ones late. Change: an append that came too early waits for the one before it instead of for a fixed time. Ruled out: dead kept connections (a cancelled try discards its connection).

--- /dev/null
+++ b/benchmarks/node_processes.py
@@ -0,0 +1,113 @@
+"""Real processes of the product, as the platform starts them, against the stand-in platform."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+
+from benchmarks.cellproc import free_port
+from tests.platform.standin import Standin
+
+__all__ = ["Node", "Nodes"]
+
+SOURCE = Path(__file__).parents[1] / "src" / "sablemount_node.py"
+LOOPBACK = "127.{}.0.{}"
+"""Each process of each soak has a loopback address of its own: the port of its metrics is fixed."""
+NETWORKS = 250
+
+
+class Node:
+    """One process, started again and again under the same name and addresses."""
+
+    def __init__(self, name: str, host: str, folder: Path, standin: Standin) -> None:
+        self.name = name
+        self.front = f"{host}:{free_port()}"
+        self.ready = f"{host}:{free_port()}"
+        self.process: asyncio.subprocess.Process | None = None
+        self.planned = False
+        """Whether its end was ordered here."""
+        self.exits: list[int] = []
+        """Exit codes of ends that nobody ordered."""
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        port = free_port()
+        self._boot = {
+            "nodeName": name,
+            "ip": host,
+            "listen": {"front": self.front, "ready": self.ready},
+            "portRange": [port, port + 1],
+            "platform": {"addr": standin.store_address},
+            "advice": standin.advice_address,
+            "bounds": {"graceS": 6},
+        }
+
+    async def start(self) -> None:
+        """Start the process with its settings file."""
+        self._settings.write_text(json.dumps(self._boot))
+        self.planned = False
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(SOURCE),
+                env={**os.environ, "SABLEMOUNT_BOOT": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+        asyncio.ensure_future(self._watch(self.process))
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        if not self.planned:
+            self.exits.append(code)
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process that was started here."""
+        if self.process is not None and self.running:
+            self.planned = self.planned or number in (signal.SIGKILL, signal.SIGTERM)
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def reload(self, valid: bool) -> None:
+        """Write the settings file anew, well-formed or not, and say so."""
+        self._settings.write_text(json.dumps(self._boot) if valid else '{"nodeName": 7')
+        self.signal(signal.SIGHUP)
+
+
+class Nodes:
+    """All processes of one system."""
+
+    def __init__(self, count: int, folder: Path, standin: Standin) -> None:
+        network = 1 + os.getpid() % NETWORKS
+        self.rows = [
+            Node(f"n{number}", LOOPBACK.format(network, number + 1), folder, standin)
+            for number in range(count)
+        ]
+
+    def running(self) -> list[Node]:
+        """Return those that have not ended."""
+        return [node for node in self.rows if node.running]
+
+    async def start(self, nodes: Iterable[Node] | None = None) -> None:
+        """Start processes; all of them unless some are named."""
+        for node in self.rows if nodes is None else nodes:
+            if not node.running:
+                await node.start()
+
+    async def close(self) -> None:
+        """Kill what still runs of the processes started here."""
+        for node in self.running():
+            node.signal(signal.SIGCONT)
+            await node.kill()
--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -125,6 +125,9 @@
                 )
                 if done in ended or any(self._done(call.result(), sequence) for call in ended):
                     break
+                if any(isinstance(call.result(), WrongSequence) for call in ended):
+                    await self._predecessor(sequence, min(pause, MAX_PAUSE))
+                    continue
                 if ended:
                     # Refused at once: as if its time had gone by.
                     await asyncio.sleep(min(pause, MAX_PAUSE))
@@ -134,6 +137,16 @@
                 call.cancel()
         return tries
 
+    async def _predecessor(self, sequence: int, timeout: float) -> None:
+        """Wait until the append before is done, for what came too early can then be sent at once.
+
+        With a fixed pause, one late append would keep all later ones late: each is sent while the
+        one before it pauses, and comes too early again.
+        """
+        before = [entry.done for entry in self._open if entry.sequence < sequence]
+        if before:
+            await asyncio.wait(before[-1:], timeout=timeout)
+
     async def _try(self, records: list[Record], producer: Producer) -> AppendResult:
         sent_at = monotonic()
         result = await self._store.append(Topic.JOBS, records, TRY_TIMEOUT, producer)
--- a/tests/jobs/test_commit.py
+++ b/tests/jobs/test_commit.py
@@ -104,3 +104,30 @@
         assert list(state.topics[Topic.JOBS].newest) == ["k1"]
 
     run(scenario())
+
+
+def test_appends_behind_a_late_one_catch_up() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = _committer(state)
+        await committer.open()
+        state.latency = 0.2
+        appends = [asyncio.create_task(committer.append([_record(0)]))]
+        await asyncio.sleep(0.04)
+        state.latency = 0.004
+        loop = asyncio.get_running_loop()
+        took = []
+
+        async def timed(number: int) -> None:
+            sent_at = loop.time()
+            await committer.append([_record(number)])
+            took.append(loop.time() - sent_at)
+
+        for number in range(1, 40):
+            appends.append(asyncio.create_task(timed(number)))
+            await asyncio.sleep(0.055)
+        await asyncio.gather(*appends)
+        # What was sent behind the late one was too early; what came after it need not wait.
+        assert max(took[10:]) < 0.02
+
+    run(scenario())
