--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench matrix soak job-soak slopes generate
+.PHONY: demo test lint format bench matrix soak job-soak slopes generate process-soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -41,5 +41,8 @@
 job-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.job_soak
 
+process-soak: $(STAMP)
+	$(BIN)/python -m benchmarks.process_soak
+
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --grpc_python_out=src --pyi_out=src src/sablemount/peer/peer.proto
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -173,7 +173,7 @@
             row.listed = False
             row.loaded = row.recorded = row.in_use = True
 
-    # -- Configuration and VMs -----------------------------------------------------------
+    # -- Configuration and VMs ---------------------------------------------------------------
 
     def configured(self, configuration: Configuration) -> bool:
         """Take a configuration and tell whether it is newer than the one in force."""
@@ -245,7 +245,7 @@
             if job.record.terms.name == queue and job.durable and not job.begun
         )
 
-    # -- VMs' answers --------------------------------------------------------------------
+    # -- VMs' answers ------------------------------------------------------------------------
 
     def heard(self, heard: Heard) -> bool:
         """Take a VM's word; tell whether ends are to be noted."""
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -82,7 +82,7 @@
         self._gangs: dict[tuple[str, int], set[str]] = {}
         self._lives = 0
 
-    # -- VMs -----------------------------------------------------------------------------
+    # -- VMs ---------------------------------------------------------------------------------
 
     def add(self, machine: str, rack: str, capacity: Shape) -> Vm:
         self._lives += 1
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -31,6 +31,8 @@
 SERVICE = "desk"
 HOST = "queues.example"
 PREFIX = "/lohu930/"
+NO_ANSWER = 0
+"""Stands for a status: the call was carried out, and its connection ends without an answer."""
 
 
 class Standin:
@@ -43,6 +45,7 @@
         self.cell.seconds = 0.1
         self.seen: list[str] = []
         self._servers: list[HTTPServer] = []
+        self._server_of: dict[str, HTTPServer] = {}
         self._tasks: set[asyncio.Future[None]] = set()
         self.store_address = self._listen(self._store)
         self.advice_address = self._listen(self._advice)
@@ -65,13 +68,22 @@
         self.seen.append(f"{request.method} {request.path}")
         status, body = await handler(request)
         payload = body if isinstance(body, bytes) else json.dumps(body).encode()
-        respond(request, HTTPStatus(status), payload, {})
+        if status == NO_ANSWER:
+            request.connection.detach().close()
+        else:
+            respond(request, HTTPStatus(status), payload, {})
 
     # -- The store ---------------------------------------------------------------------------
 
     async def _store(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         if self.store.down:
             return 503, {}
+        await asyncio.sleep(self.store.latency)
+        answer = await self._kept(request)
+        lost = self.store.rng.random() < self.store.lost
+        return (NO_ANSWER, {}) if lost else answer
+
+    async def _kept(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         query = {key: values[0] for key, values in parse_qs(urlsplit(request.uri).query).items()}
         topic = BY_NAME[query["topic"]]
         if request.path == "/api/log-append":
@@ -151,6 +163,7 @@
             return await self._worker(worker, request)
 
         address = self._listen(serve)
+        self._server_of[worker.info.name] = self._servers[-1]
         entry = {
             "service": SERVICE,
             "addr": address,
@@ -164,8 +177,16 @@
         self.store.topics[Topic.VMS].add([record])
         return worker
 
+    def crash_worker(self, worker: Vm) -> None:
+        """End a worker's life; its entry goes, and nothing listens at its address any more."""
+        self.cell.crash(worker)
+        self._server_of.pop(worker.info.name).stop()
+        self.store.topics[Topic.VMS].add([Record(worker.info.name)])
+
     async def _worker(self, worker: Vm, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         told = json.loads(request.body)
+        if not worker.up:
+            return NO_ANSWER, {}
         if request.headers["Expect-Instance"] != worker.info.name:
             return 421, {}
         clock = worker.clock_ms(asyncio.get_running_loop().time())
@@ -198,7 +219,10 @@
             waiting = asyncio.ensure_future(worker.news.wait())
             await asyncio.wait([waiting], timeout=told.get("waitMs", 0) / 1000)
         now = asyncio.get_running_loop().time()
-        running = [[run.task, run.number, "", 10, 3] for run in worker.runs.values()]
+        running = [
+            [run.task, run.number, "", min(99, 100 * (now - run.began) / run.length), 3]
+            for run in worker.runs.values()
+        ]
         ended = [[end.number, end.task, end.run, end.outcome, ""] for end in worker.ends]
         return 200, {"clockMs": worker.clock_ms(now), "running": running, "ended": ended}
 
