See the end of a store outage within 0.35 s

Change: control/hedge.py asks again every 0.35 s while older calls are still waited for; used for pages, the load, the claim (safe to repeat: it names where the topic ends) and the look after it. The append that all others wait for is sent up to six times at once, every 0.35 s; the others twice. Ruled out: shorter timeouts, which a store that is 80 times slower would never meet.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -23,11 +23,14 @@
 TRY_TIMEOUT = 2.0
 FIRST_INTERVAL = 0.15
 MAX_INTERVAL = 1.0
+FIRST_MAX_INTERVAL = 0.35
+"""The same for the append that all others wait for: the end of an outage is seen by it."""
 INTERVAL_FACTOR = 4.0
 """How many times the usual time of an answer is waited for before an append is sent once more.
 
 The former call goes on: a slow store answers it, and what is sent twice is done once."""
-MAX_TRIES_AT_ONCE = 3
+MAX_TRIES_AT_ONCE = 2
+FIRST_MAX_TRIES_AT_ONCE = 6
 MAX_PAUSE = 0.2
 SMOOTHING = 0.2
 
@@ -116,7 +119,7 @@
         tries = 0
         try:
             while not done.done():
-                if len(pending) <= MAX_TRIES_AT_ONCE:
+                if len(pending) <= self._tries_at_once(sequence):
                     tries += 1
                     pending.add(asyncio.ensure_future(self._try(records, producer)))
                 pause = interval * self._rng.uniform(0.8, 1.0)
@@ -131,12 +134,21 @@
                 if ended:
                     # Refused at once: as if its time had gone by.
                     await asyncio.sleep(min(pause, MAX_PAUSE))
-                interval = min(MAX_INTERVAL, interval * 2)
+                interval = max(interval, min(self._max_interval(sequence), interval * 2))
         finally:
             for call in pending - {done}:
                 call.cancel()
         return tries
 
+    def _is_first(self, sequence: int) -> bool:
+        return all(entry.sequence >= sequence for entry in self._open)
+
+    def _tries_at_once(self, sequence: int) -> int:
+        return FIRST_MAX_TRIES_AT_ONCE if self._is_first(sequence) else MAX_TRIES_AT_ONCE
+
+    def _max_interval(self, sequence: int) -> float:
+        return FIRST_MAX_INTERVAL if self._is_first(sequence) else MAX_INTERVAL
+
     async def _predecessor(self, sequence: int, timeout: float) -> None:
         """Wait until the append before is done, for what came too early can then be sent at once.
 
--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -10,11 +10,20 @@
 
 from sablemount.control.clock import monotonic
 from sablemount.control.figures import Figures
+from sablemount.control.hedge import hedged
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, LeaderView, ViewCall
 from sablemount.control.network import CallFailed
-from sablemount.control.store import Appended, PageItem, Store, Topic, Unavailable
+from sablemount.control.store import (
+    Appended,
+    AppendResult,
+    Page,
+    PageItem,
+    Store,
+    Topic,
+    Unavailable,
+)
 from sablemount.control.suspicion import ClaimReason
 from sablemount.jobs.records import Record
 
@@ -25,6 +34,9 @@
 VIEW_FRESH = 0.5
 """A member that has heard the leader within these seconds speaks against a claim."""
 CLAIM_TIMEOUT = 1.0
+CLAIM_INTERVAL = 0.35
+"""Seconds after which a claim, or a look, is made again while there is no answer."""
+CLAIM_LIMIT = 1.4
 CLAIM_PAUSE = 0.3
 PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
@@ -150,8 +162,8 @@
 
     async def _store_reached(self) -> bool:
         """Tell whether the store answers here while the leader is still without it."""
-        page = await self._store.newest(Topic.LEADER, "", STORE_TRIAL)
-        if isinstance(page, Unavailable):
+        page = await self._page(STORE_TRIAL)
+        if page is None:
             return False
         self.listed(page.items, page.end)
         # A store that has come back answers the leader too: its next answer tells.
@@ -186,7 +198,7 @@
         claim = LeaderRecord(epoch, settings.name, settings.rpc_address, self._incarnation)
         record = Record(LEADER_KEY, _ENCODER.encode(claim))
         heard_ago = round(self._link.suspicion.heard_age(monotonic()), 3)
-        result = await self._store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=self._end)
+        result = await hedged(lambda: self._append(record), CLAIM_INTERVAL, CLAIM_LIMIT)
         won = isinstance(result, Appended)
         self._figures.count("claim", reason)
         _logger.info(
@@ -208,11 +220,20 @@
             await self._look_again()
         self._lead_if_mine(epoch)
 
+    async def _append(self, record: Record) -> AppendResult | None:
+        """Append the claim; made twice, it is refused the second time and found by a look."""
+        result = await self._store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=self._end)
+        return None if isinstance(result, Unavailable) else result
+
     async def _look_again(self) -> None:
-        page = await self._store.newest(Topic.LEADER, "", CLAIM_TIMEOUT)
-        if not isinstance(page, Unavailable):
+        page = await hedged(lambda: self._page(CLAIM_TIMEOUT), CLAIM_INTERVAL, CLAIM_LIMIT)
+        if page is not None:
             self.listed(page.items, page.end)
 
+    async def _page(self, timeout: float) -> Page | None:
+        page = await self._store.newest(Topic.LEADER, "", timeout)
+        return None if isinstance(page, Unavailable) else page
+
     def _lead_if_mine(self, epoch: int) -> None:
         record = self._link.record
         if record is not None and (record.epoch, record.incarnation) == (epoch, self._incarnation):
--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -7,14 +7,18 @@
 import logging
 from collections.abc import Callable, Sequence
 
+from sablemount.control.hedge import hedged
 from sablemount.control.store import PageItem, Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
 
 __all__ = ["Follower", "read_newest"]
 
 PAGE_TIMEOUT = 1.5
+PAGE_INTERVAL = 0.35
+"""Seconds after which the pages are asked for again while there is no answer."""
+PAGE_LIMIT = 6.0
 RETRY_PAUSE = 0.15
-MAX_PAUSE = 0.8
+MAX_PAUSE = 0.5
 
 _logger = logging.getLogger("sablemount.control.follow")
 
@@ -64,7 +68,7 @@
             pause = min(MAX_PAUSE, pause * 1.5)
 
     async def _round(self) -> bool:
-        newest = await read_newest(self._store, self._topic, PAGE_TIMEOUT)
+        newest = await hedged(self._newest, PAGE_INTERVAL, PAGE_LIMIT)
         if newest is None:
             self._note(False)
             return False
@@ -73,6 +77,9 @@
         self._on_all(items, end)
         return await self._read(end)
 
+    async def _newest(self) -> tuple[list[PageItem], int] | None:
+        return await read_newest(self._store, self._topic, PAGE_TIMEOUT)
+
     async def _read(self, end: int) -> bool:
         """Wait once for what follows; then all is read anew."""
         result = await self._store.read(self._topic, end, self._wait)
--- /dev/null
+++ b/src/sablemount/control/hedge.py
@@ -0,0 +1,38 @@
+"""Calls that are made again while the first has no answer, so that an outage's end is seen soon."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+__all__ = ["hedged"]
+
+T = TypeVar("T")
+
+
+async def hedged(
+    attempt: Callable[[], Awaitable[T | None]], interval: float, limit: float
+) -> T | None:
+    """Return the first answer, or ``None`` if all attempts failed or the limit is over.
+
+    A further attempt is begun every ``interval`` seconds up to ``limit``; ``None`` is an attempt's
+    failure, and once all have failed none is begun any more: what is refused at once would be
+    again.
+    """
+    loop = asyncio.get_running_loop()
+    last = loop.time() + limit
+    pending: set[asyncio.Future[Any]] = set()
+    try:
+        while loop.time() < last:
+            pending.add(asyncio.ensure_future(attempt()))
+            ended, pending = await asyncio.wait(
+                pending, timeout=interval, return_when=asyncio.FIRST_COMPLETED
+            )
+            answers = [call.result() for call in ended if call.result() is not None]
+            if answers:
+                return answers[0]  # type: ignore[no-any-return]
+            if not pending:
+                return None
+        return None
+    finally:
+        for call in pending:
+            call.cancel()
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -14,6 +14,7 @@
 from sablemount.control.commit_loop import CommitLoop
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower, read_newest
+from sablemount.control.hedge import hedged
 from sablemount.control.members import Members
 from sablemount.control.messages import CallerCall, CallerReply
 from sablemount.control.ports import AdvicePort, DirectoryCodec, VmPort
@@ -30,7 +31,9 @@
 """Seconds between ticks when nothing happens."""
 COALESCE = 0.004
 """Seconds that an event waits for others before the systems run."""
-LOAD_TIMEOUT = 1.0
+LOAD_TIMEOUT = 1.5
+LOAD_INTERVAL = 0.4
+LOAD_LIMIT = 4.0
 LOAD_PAUSE = 0.1
 CONFIG_WAIT = 1.0
 VMS_WAIT = 1.0
@@ -149,13 +152,16 @@
     async def _load(self) -> None:
         await self.committer.open()
         while not self.over.is_set():
-            loaded = await read_newest(self.ports.store, Topic.JOBS, LOAD_TIMEOUT)
+            loaded = await hedged(self._newest, LOAD_INTERVAL, LOAD_LIMIT)
             if loaded is not None:
                 self.scheduler.now()
                 self.scheduler.load([item.record for item in loaded[0]])
                 return
             await asyncio.sleep(LOAD_PAUSE)
 
+    async def _newest(self) -> tuple[list[PageItem], int] | None:
+        return await read_newest(self.ports.store, Topic.JOBS, LOAD_TIMEOUT)
+
     def _follow(self) -> None:
         store = self.ports.store
         config = Follower(
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -26,7 +26,7 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
-CONNECTIONS = 16
+CONNECTIONS = 24
 """Connections to one address at most."""
 KEPT_SECONDS = 12.0
 """How long a connection may idle and still be used."""
