Slow down what fills beside what serves

Cause: HARM: a serving task may stay over its target for harmMs only if what fills beside it is not to blame. Change: systems/pacing.py halves the share of a VM's fillers at each figure while a serving task there is at 0.85 of its target or more (they stand still after four figures, 2.6 s), and gives back 10 % at a time below 0.6; a share that another leader may have set counts as unknown and is ordered anew; an order without an answer is given again. Order, port, translator, stand-in. Ruled out: pacing by the load of the VM, since what disturbs differs by image and changes in seconds.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -20,7 +20,7 @@
 from sablemount.control.ports import AdvicePort, DirectoryCodec, VmPort
 from sablemount.control.store import PageItem, Store, Topic
 from sablemount.control.vm_calls import VmCalls
-from sablemount.jobs.actions import Action, StartRun, StopRun
+from sablemount.jobs.actions import Action, PaceRun, StartRun, StopRun
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import JobScheduler
 from sablemount.jobs.settings import JobSettings
@@ -248,6 +248,9 @@
             _logger.info("stop", extra={"task": action.task, "run": action.run, "vm": action.vm})
             self.figures.count("stop")
             self.calls.stop(action)
+        elif isinstance(action, PaceRun):
+            self.figures.count("pace")
+            self.calls.pace(action)
         else:
             self._spawn(self._advice.ask(action))
 
--- a/src/sablemount/control/ports.py
+++ b/src/sablemount/control/ports.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sablemount.control.messages import AdviceReply
-from sablemount.jobs.actions import Heard, StartRun, StopRun
+from sablemount.jobs.actions import Heard, PaceRun, StartRun, StopRun
 from sablemount.jobs.model import Configuration, VmInfo
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import StartRefusal
@@ -80,6 +80,12 @@
         """Stop a run."""
         ...
 
+    async def pace(
+        self, action: PaceRun, address: str, fence: int, timeout: float
+    ) -> CallError | None:
+        """Let a run work at a share of its speed."""
+        ...
+
 
 class AdvicePort(Protocol):
     """The service that knows which VMs may run a step."""
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -6,7 +6,7 @@
 
 from sablemount.control.clock import monotonic
 from sablemount.control.ports import CallError, HoldCall, Started, VmPort
-from sablemount.jobs.actions import Heard, StartRun, StopRun
+from sablemount.jobs.actions import Heard, PaceRun, StartRun, StopRun
 from sablemount.jobs.scheduler import JobScheduler, StartRefusal
 from sablemount.jobs.tables import VmRow
 
@@ -31,6 +31,7 @@
 CALL_MARGIN = 0.05
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
 STOP_TIMEOUT = 0.5
+PACE_TIMEOUT = 0.5
 MS = 1000.0
 
 _logger = logging.getLogger("sablemount.control.vms")
@@ -202,6 +203,20 @@
         if result is CallError.FENCED:
             self._fenced(action.vm)
 
+    def pace(self, action: PaceRun) -> None:
+        """Give the order to pace a run."""
+        self._spawn(self._pace(action))
+
+    async def _pace(self, action: PaceRun) -> None:
+        row = self._scheduler.state.vms.get(action.vm)
+        if row is None or not self._authority():
+            return
+        result = await self._port.pace(action, row.info.address, self._fence, PACE_TIMEOUT)
+        if result is CallError.FENCED:
+            self._fenced(action.vm)
+        elif result is not None:
+            self._scheduler.pacing.failed(action.vm, action.task, action.run)
+
     def close(self) -> None:
         """Stop looking and ordering."""
         for task in [*self._followed.values(), *self._tasks]:
--- a/src/sablemount/jobs/actions.py
+++ b/src/sablemount/jobs/actions.py
@@ -4,7 +4,16 @@
 
 import msgspec
 
-__all__ = ["Action", "AskAdvice", "EndReport", "Heard", "RunReport", "StartRun", "StopRun"]
+__all__ = [
+    "Action",
+    "AskAdvice",
+    "EndReport",
+    "Heard",
+    "PaceRun",
+    "RunReport",
+    "StartRun",
+    "StopRun",
+]
 
 
 class StartRun(msgspec.Struct, frozen=True):
@@ -27,6 +36,15 @@
     run: int
 
 
+class PaceRun(msgspec.Struct, frozen=True):
+    """Let a run that fills work at a share of its speed."""
+
+    vm: str
+    task: str
+    run: int
+    percent: int
+
+
 class AskAdvice(msgspec.Struct, frozen=True):
     """Ask from a machine which VMs may run a step; ``cost`` is the expected seconds."""
 
@@ -36,11 +54,15 @@
     cost: float
 
 
-Action: TypeAlias = StartRun | StopRun | AskAdvice
+Action: TypeAlias = StartRun | StopRun | PaceRun | AskAdvice
 
 
 class RunReport(msgspec.Struct, frozen=True, array_like=True):
-    """A run that a VM holds; ``percent`` is how far it is."""
+    """A run that a VM holds; ``percent`` is how far it is.
+
+    ``figure`` is of the last half second: the tail of its answers' times in ms for a task that
+    serves, else the cores in use (thousandths).
+    """
 
     task: str
     run: int
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -29,6 +29,7 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.health import Health
 from sablemount.jobs.systems.lifecycle import Lifecycle
+from sablemount.jobs.systems.pacing import Pacing
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.preemption import Preemption
 from sablemount.jobs.systems.reconcile import Reconcile
@@ -91,6 +92,7 @@
         self.preemption = Preemption(self.state, self.placement, self.advice, self.reconcile)
         self.health = Health(self.state, self.reconcile)
         self.reconcile.on_end = self.health.ended
+        self.pacing = Pacing(self.state)
         self.journal = Journal(self.state, self.lifecycle)
         self._slow_at = now
 
@@ -116,6 +118,7 @@
         self.reconcile.stop_broken_gangs()
         self.placement.run()
         self.preemption.run()
+        self.pacing.run()
         self.advice.run()
         return state.take_actions()
 
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -147,6 +147,7 @@
         run = RunRow(report.task, report.run, vm.name, charge, state.now, RunState.RUNNING)
         run.started_at = state.now
         run.percent_at = state.now
+        run.share = None
         wanted = task is not None and task.state is TaskState.WAITING
         if task is not None and wanted:
             state.add_run(task, run)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -79,6 +79,9 @@
     percent_at: float = 0.0
     """When the percentage last rose."""
     figure: float = 0.0
+    """See ``RunReport``."""
+    share: int | None = 100
+    """Percent of its speed that it was last given; ``None`` if that is not known."""
     saved: str = ""
     mark_at: float = NEVER
     mark_percent: float = 0.0
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -8,7 +8,7 @@
 from sablemount.adapters.upstream import Answer, CutShort, NotSent, UpstreamPool
 from sablemount.control.messages import AdviceReply
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult
-from sablemount.jobs.actions import EndReport, Heard, RunReport, StartRun, StopRun
+from sablemount.jobs.actions import EndReport, Heard, PaceRun, RunReport, StartRun, StopRun
 from sablemount.jobs.scheduler import StartRefusal
 
 __all__ = ["PlatformAdvice", "PlatformWorkers"]
@@ -44,6 +44,13 @@
     fence: int
 
 
+class _Pace(msgspec.Struct, frozen=True):
+    task: str
+    run: int
+    percent: int
+    fence: int
+
+
 class _Hold(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
     fence: int
     acked_upto: int = msgspec.field(name="ackedUpto")
@@ -132,7 +139,19 @@
     ) -> CallError | None:
         """Stop a run."""
         body = _Stop(action.task, action.run, fence)
-        answer = await self._call(address, "/api/run-stop", body, action.vm, timeout)
+        return await self._order(address, "/api/run-stop", body, action.vm, timeout)
+
+    async def pace(
+        self, action: PaceRun, address: str, fence: int, timeout: float
+    ) -> CallError | None:
+        """Pace a run."""
+        body = _Pace(action.task, action.run, action.percent, fence)
+        return await self._order(address, "/api/pace", body, action.vm, timeout)
+
+    async def _order(
+        self, address: str, path: str, body: msgspec.Struct, life: str, timeout: float
+    ) -> CallError | None:
+        answer = await self._call(address, path, body, life, timeout)
         if isinstance(answer, CallError):
             return answer
         return None if answer.status == OK else _error(answer)
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -9,7 +9,7 @@
 
 from sablemount.control.messages import AdviceReply
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult
-from sablemount.jobs.actions import EndReport, Heard, RunReport, StartRun, StopRun
+from sablemount.jobs.actions import EndReport, Heard, PaceRun, RunReport, StartRun, StopRun
 from sablemount.jobs.model import JobSpec, Shape, VmInfo
 from sablemount.jobs.scheduler import StartRefusal
 
@@ -20,7 +20,9 @@
 
 
 @dataclass
-class _Run:
+class Run:
+    """A run on a VM."""
+
     task: str
     number: int
     charge: Shape
@@ -42,7 +44,7 @@
     slow: float = 1.0
     fence: int = 0
     until_ms: float = 0.0
-    runs: dict[str, _Run] = field(default_factory=dict)
+    runs: dict[str, Run] = field(default_factory=dict)
     ends: list[EndReport] = field(default_factory=list)
     ended_runs: Counter[str] = field(default_factory=Counter)
     next_end: int = 1
@@ -131,14 +133,14 @@
         self._check(vm, action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
         length = max(0.05, self.rng.expovariate(1.0 / self.seconds)) * vm.slow
-        run = _Run(action.task, action.run, spec.charge, now, length)
+        run = Run(action.task, action.run, spec.charge, now, length)
         vm.runs[action.task] = run
         if spec.gang:
             self._gang_joined(vm, run, spec.count)
             return
         run.timer = asyncio.get_running_loop().call_later(length, self._finish, vm, run)
 
-    def _gang_joined(self, vm: Vm, run: _Run, count: int) -> None:
+    def _gang_joined(self, vm: Vm, run: Run, count: int) -> None:
         key = (run.task.rpartition(".")[0], run.number)
         members = self._gangs.setdefault(key, set())
         members.add(run.task)
@@ -148,7 +150,7 @@
             return
         loop.call_later(run.length, self._gang_finish, key, run.number)
 
-    def _alone(self, vm: Vm, run: _Run, key: tuple[str, int], count: int) -> None:
+    def _alone(self, vm: Vm, run: Run, key: tuple[str, int], count: int) -> None:
         if len(self._gangs[key]) < count:
             self._end(vm, run, "alone")
 
@@ -182,7 +184,7 @@
                 if f"{job}.{repetition}.{earlier}.{index}" not in self.done:
                     self.violations.append(f"before its turn: {action.task}")
 
-    def _finish(self, vm: Vm, run: _Run) -> None:
+    def _finish(self, vm: Vm, run: Run) -> None:
         job = run.task.split(".")[0]
         failed = job in self.poison or self.rng.random() < self.fail_share
         if failed:
@@ -191,7 +193,7 @@
             self.done.add(run.task)
         self._end(vm, run, "failed" if failed else "done")
 
-    def _end(self, vm: Vm, run: _Run, how: str) -> None:
+    def _end(self, vm: Vm, run: Run, how: str) -> None:
         if vm.runs.get(run.task) is not run or not vm.up:
             return
         if run.timer is not None:
@@ -331,6 +333,14 @@
             return vm
         return self._cell.stop(vm, action.task, action.run, fence)
 
+    async def pace(
+        self, action: PaceRun, address: str, fence: int, timeout: float
+    ) -> CallError | None:
+        vm = await self._reach(action.vm, address, timeout)
+        if isinstance(vm, CallError):
+            return vm
+        return CallError.FENCED if fence < vm.fence else None
+
 
 class EmulatedAdvice:
     """Advice that lets every VM run every step."""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,7 +24,7 @@
 from sablemount.platform.front import respond
 from sablemount.platform.store import TOPICS, decode_records
 from tests.emulator.store import StoreState
-from tests.emulator.vms import Cell, Vm
+from tests.emulator.vms import Cell, Run, Vm
 
 Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
 BY_NAME = {name: topic for topic, name in TOPICS.items()}
@@ -44,6 +44,10 @@
         self.cell.fail_share = 0.0
         self.cell.seconds = 0.1
         self.seen: list[str] = []
+        self.tails: dict[str, float] = {}
+        """Tail in ms that a serving task of a job tells, by the job."""
+        self.paced: dict[str, int] = {}
+        """Percent that a task was last given."""
         self._servers: list[HTTPServer] = []
         self._server_of: dict[str, HTTPServer] = {}
         self._tasks: set[asyncio.Future[None]] = set()
@@ -192,6 +196,9 @@
         clock = worker.clock_ms(asyncio.get_running_loop().time())
         if request.path == "/api/hold":
             return await self._hold(worker, told)
+        if request.path == "/api/pace":
+            self.paced[told["task"]] = told["percent"]
+            return 200, {"clockMs": clock}
         if request.path == "/api/run-stop":
             fenced = self.cell.stop(worker, told["task"], told["run"], told["fence"])
             return (409, {"clockMs": clock, "reason": "fence"}) if fenced else (200, {})
@@ -220,7 +227,7 @@
             await asyncio.wait([waiting], timeout=told.get("waitMs", 0) / 1000)
         now = asyncio.get_running_loop().time()
         running = [
-            [run.task, run.number, "", min(99, 100 * (now - run.began) / run.length), 3]
+            [run.task, run.number, "", _percent(run, now), self.tails.get(run.task[:16], 3)]
             for run in worker.runs.values()
         ]
         ended = [[end.number, end.task, end.run, end.outcome, ""] for end in worker.ends]
@@ -231,3 +238,7 @@
     async def _advice(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         told = json.loads(request.body)
         return 200, {"good": [[name, "c81e"] for name in told["workers"]], "validMs": 2000}
+
+
+def _percent(run: Run, now: float) -> float:
+    return min(99.0, 100.0 * (now - run.began) / run.length)
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -22,6 +22,7 @@
     "log-read",
     "memMb",
     "nodeName",
+    "/api/pace",
     "pathPrefix",
     "run-start",
     "run-stop",
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -159,6 +159,32 @@
     play(scenario)
 
 
+def test_what_fills_is_paced_beside_what_serves() -> None:
+    async def scenario(front: Front) -> None:
+        front.standin.cell.seconds = 60.0
+        serves = {"count": 2, "cpu": 500, "memMb": 10, "daemon": True, "targetMs": 100}
+        fills = {"count": 2, "cpu": 500, "memMb": 10, "daemon": True, "fills": True}
+        for job, step in (("00000000000000c1", serves), ("00000000000000c2", fills)):
+            body = {"spec": "payload", "steps": [step]}
+            front.standin.cell.jobs[job] = decode_job(json.dumps(body).encode())
+            assert (await front.call(0, "POST", PREFIX + job, body)).code == 200
+        front.standin.tails["00000000000000c1"] = 130.0
+
+        async def slowed() -> bool:
+            return 0 in front.standin.paced.values()
+
+        await front.until(slowed)
+        front.standin.tails["00000000000000c1"] = 20.0
+
+        async def given_back() -> bool:
+            return any(percent >= 10 for percent in front.standin.paced.values())
+
+        await front.until(given_back)
+        assert all(task.startswith("00000000000000c2") for task in front.standin.paced)
+
+    play(scenario)
+
+
 def test_without_the_store_new_jobs_are_refused_with_a_time_to_come_back() -> None:
     async def scenario(front: Front) -> None:
         front.standin.store.down = True
