A VM that drains stays so, whatever an old list shows

Cause: lists may be some seconds old after the store's history went; one from before a VM declared that it drains made it usable again, and DRAIN would break. Change: draining is kept for the rest of a life. Test first in tests/jobs/test_vms.py.

--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from sablemount.jobs.model import VmInfo
 from sablemount.jobs.state import State
 from sablemount.jobs.tables import RunRow, VmRow
@@ -49,6 +51,9 @@
         return row
 
     def _changed(self, row: VmRow, info: VmInfo) -> None:
+        if row.info.draining and not info.draining:
+            # A list may be some seconds old; a life that drains never gets well again.
+            info = msgspec.structs.replace(info, draining=True)
         if info.capacity != row.info.capacity:
             # Known so far only from a record that does not tell its capacity.
             row.room = row.room.plus(info.capacity).plus(row.info.capacity, -1)
--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -1,5 +1,7 @@
 """VMs whose entries are gone from the list."""
 
+import msgspec
+
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.systems.vms import RELISTED_WITHIN
 from tests.jobs.rig import CORE, Rig, spec
@@ -61,3 +63,13 @@
     later.accept("job", spec(StepSpec(1, CORE)))
     later.tick()
     assert len(later.started()) == 1
+
+
+def test_a_vm_that_drains_gets_no_work_though_an_old_list_shows_it_well() -> None:
+    rig = Rig(vms=1)
+    well = rig.scheduler.state.vms["w0"].info
+    rig.scheduler.told(msgspec.structs.replace(well, draining=True))
+    rig.scheduler.listed([well])
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    assert rig.started() == []
