Read a list of VMs once a second, not with each change

Change: after a list the follower reads on from its end, 0.1 s apart, and lists anew every second, or when the history has gone. Ruled out: never listing anew, since a record may be dropped before it was read.

--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -1,12 +1,14 @@
-"""Follows a keyed topic: its newest records first, then each new one, with a fresh start at times.
+"""Follows a keyed topic: its newest records first, then what follows, with a fresh start at times.
 
-Records may go from the log at any time, so the newest of all keys are read again now and then.
+Records may go from the log at any time, so the newest of all keys are read again now and then, but
+not with each change: a list of all VMs for each heartbeat of one would cost with their square.
 """
 
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
 
+from sablemount.control.clock import monotonic
 from sablemount.control.hedge import hedged
 from sablemount.control.store import PageItem, Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
@@ -17,6 +19,8 @@
 PAGE_INTERVAL = 0.35
 """Seconds after which the pages are asked for again while there is no answer."""
 PAGE_LIMIT = 6.0
+GATHER_PAUSE = 0.1
+"""Seconds between two reads, so that changes that come one by one are read together."""
 RETRY_PAUSE = 0.15
 MAX_PAUSE = 0.5
 
@@ -40,7 +44,11 @@
 
 
 class Follower:
-    """Keeps a reader up to date with one topic."""
+    """Keeps a reader up to date with one topic.
+
+    ``on_all`` takes the newest records and ``on_records`` what follows, each with the offset at
+    which they end; all is read anew every ``fresh_start`` seconds.
+    """
 
     def __init__(
         self,
@@ -48,13 +56,13 @@
         topic: Topic,
         on_all: Callable[[Sequence[PageItem], int], None],
         on_records: Callable[[Sequence[Record], int], None],
-        wait: float,
+        fresh_start: float,
     ) -> None:
         self._store = store
         self._topic = topic
         self._on_all = on_all
         self._on_records = on_records
-        self._wait = wait
+        self._fresh_start = fresh_start
         self._reachable: bool | None = None
 
     async def run(self) -> None:
@@ -75,20 +83,25 @@
         self._note(True)
         items, end = newest
         self._on_all(items, end)
-        return await self._read(end)
+        return await self._read_on(end, monotonic() + self._fresh_start)
 
     async def _newest(self) -> tuple[list[PageItem], int] | None:
         return await read_newest(self._store, self._topic, PAGE_TIMEOUT)
 
-    async def _read(self, end: int) -> bool:
-        """Wait once for what follows; then all is read anew."""
-        result = await self._store.read(self._topic, end, self._wait)
-        if isinstance(result, Unavailable):
-            self._note(False)
-            return False
-        self._note(True)
-        if isinstance(result, Records) and result.records:
-            self._on_records(result.records, result.end)
+    async def _read_on(self, end: int, last: float) -> bool:
+        """Read what follows until all is to be read anew; return whether the store answered."""
+        while (left := last - monotonic()) > 0:
+            result = await self._store.read(self._topic, end, left)
+            if isinstance(result, Unavailable):
+                self._note(False)
+                return False
+            self._note(True)
+            if not isinstance(result, Records):
+                return True
+            if result.records:
+                end = result.end
+                self._on_records(result.records, end)
+                await asyncio.sleep(GATHER_PAUSE)
         return True
 
     def _note(self, reachable: bool) -> None:
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -35,8 +35,8 @@
 LOAD_INTERVAL = 0.4
 LOAD_LIMIT = 4.0
 LOAD_PAUSE = 0.1
-CONFIG_WAIT = 1.0
-VMS_WAIT = 1.0
+FRESH_START = 1.0
+"""Seconds after which lists are read anew: a record may be dropped before it was read."""
 CLOSE_TIME = 0.5
 CLOSE_POLL = 0.005
 
@@ -165,9 +165,9 @@
     def _follow(self) -> None:
         store = self.ports.store
         config = Follower(
-            store, Topic.CONFIGURATION, self._configured, self._configured_more, CONFIG_WAIT
+            store, Topic.CONFIGURATION, self._configured, self._configured_more, FRESH_START
         )
-        vms = Follower(store, Topic.VMS, self._vms_listed, self._vms_told, VMS_WAIT)
+        vms = Follower(store, Topic.VMS, self._vms_listed, self._vms_told, FRESH_START)
         self._spawn(config.run())
         self._spawn(vms.run())
 
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -34,7 +34,7 @@
 
 __all__ = ["Member"]
 
-WATCH_WAIT = 8.0
+WATCH_FRESH_START = 8.0
 WATCH_INTERVAL = 0.05
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
@@ -73,7 +73,7 @@
             settings, ports.store, self._link, rng, self.figures, self._follow, self._won
         )
         self._watch = Follower(
-            ports.store, Topic.LEADER, self._election.listed, self._election.told, WATCH_WAIT
+            ports.store, Topic.LEADER, self._election.listed, self._election.told, WATCH_FRESH_START
         )
         self._tasks: set[asyncio.Task[None]] = set()
 
