--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -198,7 +198,10 @@
         claim = LeaderRecord(epoch, settings.name, settings.rpc_address, self._incarnation)
         record = Record(LEADER_KEY, _ENCODER.encode(claim))
         heard_ago = round(self._link.suspicion.heard_age(monotonic()), 3)
-        result = await hedged(lambda: self._append(record), CLAIM_INTERVAL, CLAIM_LIMIT)
+        # The topic's end as it is now goes with each try: a later one would let a claim win after
+        # another member's.
+        end = self._end
+        result = await hedged(lambda: self._append(record, end), CLAIM_INTERVAL, CLAIM_LIMIT)
         won = isinstance(result, Appended)
         self._figures.count("claim", reason)
         _logger.info(
@@ -220,9 +223,9 @@
             await self._look_again()
         self._lead_if_mine(epoch)
 
-    async def _append(self, record: Record) -> AppendResult | None:
+    async def _append(self, record: Record, end: int) -> AppendResult | None:
         """Append the claim; made twice, it is refused the second time and found by a look."""
-        result = await self._store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=self._end)
+        result = await self._store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=end)
         return None if isinstance(result, Unavailable) else result
 
     async def _look_again(self) -> None:
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -4,6 +4,8 @@
 import random
 from dataclasses import dataclass, field
 
+import msgspec
+
 from sablemount.control.store import (
     Appended,
     AppendResult,
@@ -63,6 +65,8 @@
         self.lost = 0.0
         self.late = False
         self.appends = 0
+        self.claims: list[int] = []
+        """Epochs in the order in which they were claimed."""
 
     def forget_history(self) -> None:
         for topic in self.topics.values():
@@ -89,6 +93,8 @@
                 kept.answers[producer.sequence] = kept.end + len(records)
                 kept.answers.pop(producer.sequence - REMEMBERED, None)
         kept.add(records)
+        if topic is Topic.LEADER:
+            self.claims += [msgspec.msgpack.decode(record.value)["epoch"] for record in records]
         self.appends += 1
         return Appended(kept.end)
 
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from itertools import pairwise
 
 import msgspec
 
@@ -252,6 +253,8 @@
     async def faults(self) -> list[str]:
         """Return what is wrong once all has settled."""
         wrong = list(self.cell.violations)
+        if any(later <= earlier for earlier, later in pairwise(self.store.claims)):
+            wrong.append(f"epochs claimed twice: {self.store.claims}")
         wrong += await self.unfinished()
         for name in sorted(self.refused):
             if any(task.startswith(f"{name}.") for task in self.cell.starts):
--- /dev/null
+++ b/tests/jobs/test_election.py
@@ -0,0 +1,98 @@
+"""A claim that is sent again while its answer is lost wins only where the first would have won."""
+
+import asyncio
+import random
+
+import msgspec
+
+from sablemount.control.election import LEADER_KEY, Election
+from sablemount.control.figures import Figures
+from sablemount.control.leader_link import LeaderLink
+from sablemount.control.member_settings import MemberSettings
+from sablemount.control.messages import Accepted, LeaderRecord, Message, Reply
+from sablemount.control.network import Link
+from sablemount.control.store import AppendResult, Producer, Topic, Unavailable
+from sablemount.jobs.records import Record
+from sablemount.jobs.settings import JobSettings
+from tests.emulator.loop import run
+from tests.emulator.network import Wires
+from tests.emulator.store import EmulatedStore, StoreState
+
+
+class _LosesFirst(EmulatedStore):
+    """Carries out nothing of the first append, and does not answer it."""
+
+    appends = 0
+
+    async def append(
+        self,
+        topic: Topic,
+        records: list[Record],
+        timeout: float,
+        producer: Producer | None = None,
+        at: int | None = None,
+    ) -> AppendResult:
+        self.appends += 1
+        if self.appends == 1:
+            await asyncio.sleep(timeout)
+            return Unavailable("no answer")
+        return await super().append(topic, records, timeout, producer, at)
+
+
+async def _nothing(link: Link, message: Message) -> Reply:
+    return Accepted()
+
+
+class _Candidate:
+    def __init__(self) -> None:
+        self.state = StoreState(random.Random(1))
+        self.won: list[int] = []
+        settings = MemberSettings("mine", "mine", JobSettings())
+        self.link = LeaderLink(settings, Wires().port("mine"), _nothing)
+        self.election = Election(
+            settings,
+            _LosesFirst(self.state, "mine"),
+            self.link,
+            random.Random(2),
+            Figures(),
+            self._seen,
+            self.won.append,
+        )
+
+    def _seen(self, record: LeaderRecord) -> None:
+        self.link.follow(record)
+
+    async def claim(self) -> None:
+        """Claim the first leadership, whose first answer does not come."""
+        self.election.listed([], 0)
+        await asyncio.sleep(0.5)
+        await self.election.consider()
+
+    def other_claims(self) -> None:
+        """Let another member claim the same epoch, and this one hear of it."""
+        claim = LeaderRecord(1, "other", "other", "another life")
+        record = Record(LEADER_KEY, msgspec.msgpack.encode(claim))
+        self.state.topics[Topic.LEADER].add([record])
+        self.election.told([record], self.state.topics[Topic.LEADER].end)
+
+
+def test_a_claim_whose_answer_was_lost_is_won_by_the_next_try() -> None:
+    async def scenario() -> None:
+        candidate = _Candidate()
+        await candidate.claim()
+        assert candidate.won == [1]
+
+    run(scenario())
+
+
+def test_another_claim_in_between_is_not_written_over() -> None:
+    async def scenario() -> None:
+        candidate = _Candidate()
+        asyncio.get_running_loop().call_later(0.6, candidate.other_claims)
+        await candidate.claim()
+        assert candidate.won == []
+        assert candidate.link.record is not None
+        assert candidate.link.record.name == "other"
+        assert candidate.state.topics[Topic.LEADER].end == 1
+
+    run(scenario())
