Stop in time what can't end before its VM leaves

Change: systems/evacuation.py stops a run that can't end in time, judged by its own progress: at the last moment where a stop saves the work or the task lasts, at once where it is lost in any case. A VM's word of its end only gets nearer, and is no change of the VM. Ruled out: stopping all that drains (a release leaves 9 s, in which most tasks end).

--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -154,6 +154,8 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     machine: str = ""
+    leaves_in: float = 0.0
+    """Seconds that are left of a life that drains, at least; 0 if it has not told."""
 
     @property
     def rack(self) -> str:
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -27,6 +27,7 @@
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.evacuation import Evacuation
 from sablemount.jobs.systems.health import Health
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.systems.pacing import Pacing
@@ -92,6 +93,7 @@
         self.preemption = Preemption(self.state, self.placement, self.advice, self.reconcile)
         self.health = Health(self.state, self.reconcile)
         self.reconcile.on_end = self.health.ended
+        self.evacuation = Evacuation(self.state, self.reconcile)
         self.pacing = Pacing(self.state)
         self.journal = Journal(self.state, self.lifecycle)
         self._slow_at = now
@@ -115,6 +117,7 @@
             state.freed += 1
             state.logger.info("former runs settled", extra={"vms": len(state.vms)})
         self.health.run()
+        self.evacuation.run()
         self.reconcile.stop_broken_gangs()
         self.placement.run()
         self.preemption.run()
--- /dev/null
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -0,0 +1,73 @@
+"""What runs on a VM that leaves too soon for it is stopped in time and starts elsewhere.
+
+A VM that drains tells how long it stays. When it leaves, all that runs on it dies, and that is
+noticed late. So what can't end in time is stopped before: at the last moment where a stop saves the
+work, and at once where the work is lost in any case.
+"""
+
+from sablemount.jobs.state import State
+from sablemount.jobs.systems.reconcile import Reconcile
+from sablemount.jobs.tables import RunRow, RunState, TaskRow, VmRow
+
+__all__ = ["Evacuation"]
+
+INTERVAL = 0.1
+MARGIN = 0.3
+"""Seconds before a VM leaves, beside the time of a stop, by which a run is to be over."""
+LEAST_PERCENT = 5.0
+"""Progress (percent) from which a run's own pace tells more than the expected time."""
+WHOLE = 100.0
+MS = 1000.0
+
+
+class Evacuation:
+    """Judges what runs on the VMs that have told when they leave."""
+
+    def __init__(self, state: State, reconcile: Reconcile) -> None:
+        self._state = state
+        self._reconcile = reconcile
+        self._ran_at = -INTERVAL
+
+    def run(self) -> None:
+        """Stop what is due."""
+        now = self._state.now
+        if now - self._ran_at < INTERVAL:
+            return
+        self._ran_at = now
+        for row in self._state.vms.values():
+            if row.leaves_at is not None and row.runs and not row.gone:
+                self._judge(row, row.leaves_at)
+
+    def _judge(self, row: VmRow, leaves_at: float) -> None:
+        last = leaves_at - self._state.settings.stop_time - MARGIN
+        for run in list(row.runs.values()):
+            task = self._state.task(run.task)
+            if task is None or run.state is not RunState.RUNNING:
+                continue
+            if not self._due(run, task, last):
+                continue
+            self._state.logger.info(
+                "run leaves a VM that leaves",
+                extra={
+                    "task": run.task,
+                    "vm": row.name,
+                    "percent": run.percent,
+                    "seconds": round(leaves_at - self._state.now, 2),
+                },
+            )
+            self._reconcile.stop(run)
+
+    def _due(self, run: RunRow, task: TaskRow, last: float) -> bool:
+        """Tell whether a run is to be stopped now, if it can't end before ``last``."""
+        spec = task.step.spec
+        if not spec.lasting and self._ends_at(run, task) <= last:
+            return False
+        # Each member of a gang would have to be elsewhere; what is not saved is lost at any time.
+        keeps = spec.saves or spec.lasting
+        return not keeps or self._state.now >= last
+
+    def _ends_at(self, run: RunRow, task: TaskRow) -> float:
+        """Return when a run ends, by its own progress or else by what was expected of it."""
+        if run.percent >= LEAST_PERCENT:
+            return run.started_at + (run.percent_at - run.started_at) * WHOLE / run.percent
+        return run.started_at + task.step.spec.expected_ms / MS
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -40,11 +40,15 @@
 
     def told(self, info: VmInfo) -> VmRow | None:
         """Take what a VM says of itself; return its row if it is new."""
+        leaves_at = self._state.now + info.leaves_in if info.leaves_in > 0 else None
+        # Told anew with each heartbeat, it is no change of the VM.
+        info = msgspec.structs.replace(info, leaves_in=0.0)
         row = self._state.vms.get(info.name)
         if row is not None:
             self._changed(row, info)
+            row.leaves_at = _earlier(row.leaves_at, leaves_at)
             return None
-        row = VmRow(info, room=info.capacity)
+        row = VmRow(info, room=info.capacity, leaves_at=leaves_at)
         self._state.vms[info.name] = row
         self._state.vms_changed += 1
         self._log("VM listed", row)
@@ -191,3 +195,9 @@
             return True
         loaded = [row for row in state.vms.values() if row.loaded]
         return all(row.first_heard_at > 0 or row.gone for row in loaded)
+
+
+def _earlier(first: float | None, second: float | None) -> float | None:
+    """Return the earlier of two times: an old list tells of more time than is left."""
+    given = [time for time in (first, second) if time is not None]
+    return min(given, default=None)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -215,6 +215,8 @@
     """Last end that went with a batch."""
     acked_end: int = 0
     """Last end whose note is in the store, so that it may be acknowledged."""
+    leaves_at: float | None = None
+    """Until when a life that drains lasts at least, if it has told."""
     lease_end: float = NEVER
     """Local time after which nothing that was leased there can run."""
     gone: bool = False
--- a/src/sablemount/platform/directory.py
+++ b/src/sablemount/platform/directory.py
@@ -20,6 +20,7 @@
 OPERATOR_PREFIX = "op/"
 WORKERS_PREFIX = "servers/"
 DRAINING = "draining"
+MS = 1000.0
 
 _logger = logging.getLogger("sablemount.platform.directory")
 
@@ -99,6 +100,7 @@
             told.labels,
             told.state == DRAINING,
             told.machine,
+            told.remaining_ms / MS,
         )
 
     def configuration(self, record: Record) -> Configuration | None:
