--- a/src/sablemount/jobs/systems/evacuation.py
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -12,10 +12,15 @@
 __all__ = ["Evacuation"]
 
 INTERVAL = 0.1
-MARGIN = 0.3
-"""Seconds before a VM leaves, beside the time of a stop, by which a run is to be over."""
+STOP_MARGIN = 0.3
+"""Seconds before a VM leaves, beside the time of a stop, by which a stopped run is to be over."""
+END_MARGIN = 0.1
+"""Seconds before a VM leaves by which a run must end by itself, for its end to be heard."""
 LEAST_PERCENT = 5.0
 """Progress (percent) from which a run's own pace tells more than the expected time."""
+DOUBT = 0.4
+"""Share of its expected time that a run without progress may need: expectations are far off, and
+a run that is stopped for nothing costs as much as one that is lost."""
 WHOLE = 100.0
 MS = 1000.0
 
@@ -39,12 +44,11 @@
                 self._judge(row, row.leaves_at)
 
     def _judge(self, row: VmRow, leaves_at: float) -> None:
-        last = leaves_at - self._state.settings.stop_time - MARGIN
         for run in list(row.runs.values()):
             task = self._state.task(run.task)
             if task is None or run.state is not RunState.RUNNING:
                 continue
-            if not self._due(run, task, last):
+            if not self._due(run, task, leaves_at):
                 continue
             self._state.logger.info(
                 "run leaves a VM that leaves",
@@ -57,17 +61,17 @@
             )
             self._reconcile.stop(run)
 
-    def _due(self, run: RunRow, task: TaskRow, last: float) -> bool:
-        """Tell whether a run is to be stopped now, if it can't end before ``last``."""
+    def _due(self, run: RunRow, task: TaskRow, leaves_at: float) -> bool:
+        """Tell whether a run is to be stopped now."""
         spec = task.step.spec
-        if not spec.lasting and self._ends_at(run, task) <= last:
+        if not spec.lasting and self._ends_at(run, task) <= leaves_at - END_MARGIN:
             return False
-        # Each member of a gang would have to be elsewhere; what is not saved is lost at any time.
+        last_stop = leaves_at - self._state.settings.stop_time - STOP_MARGIN
         keeps = spec.saves or spec.lasting
-        return not keeps or self._state.now >= last
+        return not keeps or self._state.now >= last_stop
 
     def _ends_at(self, run: RunRow, task: TaskRow) -> float:
         """Return when a run ends, by its own progress or else by what was expected of it."""
         if run.percent >= LEAST_PERCENT:
             return run.started_at + (run.percent_at - run.started_at) * WHOLE / run.percent
-        return run.started_at + task.step.spec.expected_ms / MS
+        return run.started_at + DOUBT * task.step.spec.expected_ms / MS
