--- /dev/null
+++ b/src/sablemount/jobs/systems/choice.py
@@ -0,0 +1,116 @@
+"""Which of some VMs each waiting task of a step gets: pure over the tables."""
+
+from sablemount.jobs.model import Shape
+from sablemount.jobs.state import State
+from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.tables import StepRow, TaskRow, VmRow
+
+__all__ = ["Assignment", "Choice", "slots"]
+
+Assignment = list[tuple[TaskRow, VmRow]]
+FAR_PENALTY = 10.0
+FAILED_PENALTY = 5.0
+STALE_PENALTY = 3.0
+"""VMs with a valid ticket go first: otherwise steps whose bookings make each other's VMs
+the fullest ask for new tickets without end."""
+
+
+class Choice:
+    """Packs tasks onto VMs: the fullest that fits, with penalties for what would cost more."""
+
+    def __init__(self, state: State, advice: Advice) -> None:
+        self._state = state
+        self._advice = advice
+
+    def assign(self, step: StepRow, tasks: list[TaskRow], rows: list[VmRow]) -> Assignment:
+        """Choose a VM for as many tasks as there is room for."""
+        if step.spec.same_rack:
+            rows = self._one_rack(step, len(tasks), rows)
+        charge = step.spec.charge
+        fitting = [row for row in rows if charge.fits(row.room)]
+        if not fitting:
+            return []
+        room = {row.name: row.room for row in fitting}
+        counts = self._counts(step) if step.spec.spread else {}
+        chosen: Assignment = []
+        for task in tasks:
+            best = self._best(step, task, fitting, room, counts)
+            if best is None:
+                break
+            chosen.append((task, best))
+            counts[best.name] = counts.get(best.name, 0) + 1
+            room[best.name] = room[best.name].plus(charge, -1)
+            if not charge.fits(room[best.name]):
+                fitting.remove(best)
+        return chosen
+
+    def _best(
+        self,
+        step: StepRow,
+        task: TaskRow,
+        rows: list[VmRow],
+        room: dict[str, Shape],
+        counts: dict[str, int],
+    ) -> VmRow | None:
+        """Return the VM that is left with the least room, the wanted rack first."""
+        best: VmRow | None = None
+        best_score = 0.0
+        spec = step.spec
+        for row in rows:
+            if spec.spread and counts.get(row.name, 0) >= spec.spread:
+                continue
+            score = _leftover(room[row.name], row.info.capacity)
+            if spec.rack and spec.rack not in row.info.labels:
+                score += FAR_PENALTY
+            if task.failed_on == row.name:
+                score += FAILED_PENALTY
+            if not self._advice.valid(step, row):
+                score += STALE_PENALTY
+            if best is None or score < best_score:
+                best = row
+                best_score = score
+        return best
+
+    def _one_rack(self, step: StepRow, count: int, rows: list[VmRow]) -> list[VmRow]:
+        """Return the VMs of one rack that holds all tasks, or all if there is none."""
+        used = {
+            self._state.vms[run.vm].info.rack
+            for task in step.tasks
+            for run in task.runs
+            if run.vm in self._state.vms
+        }
+        racks: dict[str, list[VmRow]] = {}
+        for row in rows:
+            racks.setdefault(row.info.rack, []).append(row)
+        for rack in sorted(racks, key=lambda name: name not in used):
+            if sum(slots(step.spec.charge, row.room) for row in racks[rack]) >= count:
+                return racks[rack]
+        return rows
+
+    def _counts(self, step: StepRow) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for task in step.tasks:
+            for run in task.runs:
+                counts[run.vm] = counts.get(run.vm, 0) + 1
+        return counts
+
+
+def _leftover(room: Shape, capacity: Shape) -> float:
+    """Return the share of a VM that is free, cores and memory weighed alike."""
+    cores = room.cores / capacity.cores if capacity.cores else 0.0
+    memory = room.memory / capacity.memory if capacity.memory else 0.0
+    return cores + memory
+
+
+def slots(shape: Shape, room: Shape) -> int:
+    """Return how often a shape fits into some room."""
+    fits = [
+        have // need
+        for need, have in (
+            (shape.cores, room.cores),
+            (shape.memory, room.memory),
+            (shape.accelerators, room.accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(fits, default=1_000_000))
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -8,7 +8,8 @@
 
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
-from sablemount.jobs.systems.placement import Placement, slots
+from sablemount.jobs.systems.choice import slots
+from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.tables import RunRow, RunState, StepRow, VmRow
 
