A process that has just started waits up to 0.15 s for the leader

Change: the moment that a request waits for a new leader also counts from the process's start. Ruled out: calling itself ready later, since the platform then uses the processes that are not. Test first: test_a_member_that_has_just_started_waits_a_moment_for_the_leader.

--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -68,6 +68,7 @@
         self._network = network
         self._listener: Listener | None = None
         self._led_at = -1e9
+        self._started_at = monotonic()
         self._link = LeaderLink(settings, network, self._handle)
         self._election = Election(
             settings, ports.store, self._link, rng, self.figures, self._follow, self._won
@@ -260,10 +261,11 @@
         return reply
 
     async def _await_leader(self) -> None:
-        """Wait a moment while the lead changes hands."""
+        """Wait a moment while the lead changes hands, or while this process finds who leads."""
         last = monotonic() + HAND_OVER_WAIT
         while self._leading() is None and not self._link.leads and monotonic() < last:
-            if monotonic() - self._served_at() > HAND_OVER_TIME:
+            since = max(self._served_at(), self._started_at)
+            if monotonic() - since > HAND_OVER_TIME:
                 return
             await asyncio.sleep(HAND_OVER_POLL)
 
--- a/tests/jobs/test_emulated.py
+++ b/tests/jobs/test_emulated.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from sablemount.control.messages import CallerCall, Operation, Outcome
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
-from tests.emulator.system import System
+from tests.emulator.system import HOST, PREFIX, System
 
 SETTLE = 60.0
 
@@ -54,3 +55,20 @@
     rng = random.Random(seed)
     chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
     assert run(play(100 + seed, chosen, advice=seed % 2 == 0)) == []
+
+
+def test_a_member_that_has_just_started_waits_a_moment_for_the_leader() -> None:
+    async def scenario() -> None:
+        system = System(5)
+        system.start_all()
+        await asyncio.sleep(1.5)
+        for name in system.names:
+            system.kill(name, 0.4)
+        await asyncio.sleep(0.41)
+        spec = system.job()
+        system.cell.jobs["a1"] = spec
+        reply = await system.call(CallerCall(Operation.SUBMIT, HOST, PREFIX + "a1", spec))
+        assert reply is not None
+        assert reply.outcome is Outcome.DONE
+
+    run(scenario())
