Only tasks that last tell a tail; the report no longer needs the runtime

Cause: a trial that printed the parts of the traffic's jobs shows targetMs on every step; of a task that ends, the figure is its cores, and would have been read as a tail. Change: pacing looks at lasting tasks only. Beside it: burn_of takes the state, the counters and the history, so that report.py and runtime.py do not import each other any more.

--- a/src/sablemount/entry/application.py
+++ b/src/sablemount/entry/application.py
@@ -290,7 +290,8 @@
 
     def get(self) -> None:
         """Return the counts behind the burn report."""
-        self.reply(burn_of(self.runtime))
+        runtime = self.runtime
+        self.reply(burn_of(runtime.scheduler.state, runtime.meter.counters, runtime.burn))
 
 
 class HealthHandler(_Handler):
--- a/src/sablemount/jobs/systems/pacing.py
+++ b/src/sablemount/jobs/systems/pacing.py
@@ -87,7 +87,7 @@
         found = [
             run.figure / spec.target_ms
             for run in row.runs.values()
-            if (spec := self._spec(run)) is not None and spec.target_ms > 0 and not spec.fills
+            if (spec := self._spec(run)) is not None and _serves(spec)
         ]
         return max(found, default=None)
 
@@ -105,6 +105,11 @@
             run.share = None
 
 
+def _serves(spec: StepSpec) -> bool:
+    """Tell whether a step's tasks serve users: only those that last do, and tell a tail."""
+    return spec.lasting and spec.target_ms > 0 and not spec.fills
+
+
 def _next_share(share: int | None, pressure: float | None) -> int:
     """Return the share that a filler is to have under some pressure."""
     if pressure is None:
--- a/src/sablemount/report.py
+++ b/src/sablemount/report.py
@@ -7,16 +7,13 @@
 import time
 from collections import Counter, deque
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from sablemount.core.documents import Objective, TemplateDocument
+from sablemount.core.state import State
 from sablemount.core.verdict import Reason
 
-if TYPE_CHECKING:
-    from sablemount.runtime import Runtime
-
 __all__ = ["BurnCounts", "BurnHistory", "BurnPart", "BurnRow", "burn_of", "combine"]
 
 STEP = 60.0
@@ -122,11 +119,9 @@
     return found
 
 
-def burn_of(runtime: "Runtime") -> BurnPart:
+def burn_of(state: State, counters: Counter[tuple[str, str]], history: BurnHistory) -> BurnPart:
     """Return this scheduler's part of the report."""
-    state = runtime.scheduler.state
-    counters = runtime.meter.counters
-    runtime.burn.note(time.monotonic(), counters)
+    history.note(time.monotonic(), counters)
     objectives = {
         key: row.document.objective
         for key, row in state.ledger.documents.items()
@@ -134,8 +129,8 @@
     }
     return BurnPart(
         state.writer.name,
-        runtime.burn.window(SHORT_WINDOW, counters),
-        runtime.burn.window(LONG_WINDOW, counters),
+        history.window(SHORT_WINDOW, counters),
+        history.window(LONG_WINDOW, counters),
         objectives,
         sorted(state.ledger.members),
     )
--- a/tests/jobs/test_pacing.py
+++ b/tests/jobs/test_pacing.py
@@ -1,5 +1,7 @@
 """Tasks that fill are slowed down while a task that serves beside them is near its target."""
 
+import msgspec
+
 from sablemount.jobs.actions import PaceRun, RunReport, StartRun
 from sablemount.jobs.model import Shape, StepSpec
 from sablemount.jobs.systems.pacing import INTERVAL, UNKNOWN_SHARE, WHOLE
@@ -99,6 +101,20 @@
     assert len(beside.hear(0.7 * TARGET)) == 1
 
 
+def test_what_ends_tells_no_tail_whatever_its_target() -> None:
+    rig = Rig(vms=1)
+    rig.accept("ends", spec(msgspec.structs.replace(SERVES, lasting=False)))
+    rig.accept("fills", spec(FILLS))
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    rig.clock.time += 1.0
+    rig.running["w0"] = [_with_figure(report, 20 * TARGET) for report in rig.running["w0"]]
+    rig.hear_all()
+    assert [action for action in rig.tick() if isinstance(action, PaceRun)] == []
+
+
 def test_only_fillers_of_the_same_vm_are_slowed_down() -> None:
     rig = Rig(vms=2)
     rig.accept("serves", spec(SERVES))
@@ -107,6 +123,7 @@
     starts: list[StartRun] = rig.started()
     for start in starts:
         rig.run(start)
+    rig.hear_all()
     rig.clock.time += 1.0
     for rows in rig.running.values():
         rows[:] = [_with_figure(report, 2 * TARGET) for report in rows]
