--- a/src/sablemount/entry/application.py
+++ b/src/sablemount/entry/application.py
@@ -1,9 +1,5 @@
 """The HTTP interface beside the request path: jobs, documents, views, health and metrics."""
 
-import logging
-import time
-from typing import Any, TypeVar
-
 import msgspec
 from result import Err, Ok
 from tornado import httpserver, web
@@ -12,23 +8,14 @@
 from sablemount.core.documents import Document, Name, Scalar, document_key
 from sablemount.core.verdict import Failure, Reason, Verdict
 from sablemount.entry import views
-from sablemount.entry.answers import (
-    REQUEST_HEADER,
-    RETRY_HEADER,
-    VERDICT_HEADER,
-    FailureBody,
-    status_of,
-)
+from sablemount.entry.answers import VERDICT_HEADER, status_of
+from sablemount.entry.handler import Handler, Refused
 from sablemount.entry.requests import EntryDelegate
-from sablemount.logs import request_id
 from sablemount.report import burn_of
 from sablemount.runtime import Runtime
 
 __all__ = ["make_server"]
 
-_logger = logging.getLogger("sablemount.entry")
-_T = TypeVar("_T")
-MAX_ID = 128
 NOT_FOUND = 404
 CREATED = 201
 UNAVAILABLE = 503
@@ -75,73 +62,7 @@
     current: views.DocumentView | None
 
 
-class _Refused(Exception):
-    """A request that is answered with a failure."""
-
-    def __init__(self, failure: Failure) -> None:
-        super().__init__(failure.detail)
-        self.failure = failure
-
-
-class _Handler(web.RequestHandler):
-    """Base of the handlers: typed bodies in, typed bodies out."""
-
-    def initialize(self, runtime: Runtime) -> None:
-        self.runtime = runtime
-        given = self.request.headers.get(REQUEST_HEADER)
-        self.shown_id = given[:MAX_ID] if given else runtime.new_id()
-
-    def decode(self, kind: type[_T]) -> _T:
-        """Return the body as a typed value, or refuse it."""
-        try:
-            return msgspec.json.decode(self.request.body, type=kind)
-        except msgspec.DecodeError as error:
-            raise _Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, str(error))) from error
-
-    def reply(self, body: Any, status: int = 200) -> None:
-        """Answer with a typed body."""
-        self.set_status(status)
-        self.set_header("Content-Type", "application/json")
-        self.set_header(REQUEST_HEADER, self.shown_id)
-        self.finish(msgspec.json.encode(body))
-
-    def fail(self, failure: Failure) -> None:
-        """Answer with a failure."""
-        self.set_header(VERDICT_HEADER, failure.verdict.value)
-        if failure.retry_after is not None:
-            self.set_header(RETRY_HEADER, f"{failure.retry_after:.3f}")
-        body = FailureBody(failure.verdict, failure.reason, failure.detail, self.shown_id)
-        self.reply(body, status_of(failure))
-
-    def deadline(self, seconds: float | None) -> float:
-        """Return the monotonic deadline, or refuse one in the past."""
-        limits = self.runtime.settings.limits
-        wanted = limits.default_deadline if seconds is None else seconds
-        if not 0 < wanted <= limits.max_deadline:
-            detail = f"$.deadline_seconds: got {wanted}; expected 0 to {limits.max_deadline:g}"
-            raise _Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
-        return time.monotonic() + wanted
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answer an exception; the framework's own refusals have run nothing."""
-        error = kwargs.get("exc_info", (None, None, None))[1]
-        if isinstance(error, _Refused):
-            self.fail(error.failure)
-            return
-        inside = not isinstance(error, web.HTTPError)
-        verdict = Verdict.MAY_HAVE_RUN if inside else Verdict.NOT_RUN
-        self.set_header(VERDICT_HEADER, verdict.value)
-        body = FailureBody(verdict, Reason.BAD_REQUEST, self._reason, self.shown_id)
-        self.reply(body, status_code)
-
-    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
-        """Log only what is a fault of ours."""
-        if not isinstance(value, _Refused | web.HTTPError):
-            with request_id(self.shown_id):
-                _logger.error("internal error", exc_info=value)
-
-
-class JobsHandler(_Handler):
+class JobsHandler(Handler):
     """Submits jobs."""
 
     async def post(self) -> None:
@@ -164,7 +85,7 @@
             self.reply(JobView(job, body.count), CREATED)
 
 
-class TasksHandler(_Handler):
+class TasksHandler(Handler):
     """Lists the tasks of a job."""
 
     def get(self) -> None:
@@ -176,7 +97,7 @@
         self.reply([views.task_view(scheduler, row) for row in chosen])
 
 
-class TaskHandler(_Handler):
+class TaskHandler(Handler):
     """Shows and cancels a task."""
 
     def get(self, task: str) -> None:
@@ -198,7 +119,7 @@
             self.get(task)
 
 
-class DocumentsHandler(_Handler):
+class DocumentsHandler(Handler):
     """Lists documents."""
 
     def get(self) -> None:
@@ -206,7 +127,7 @@
         self.reply(views.documents_of(self.runtime.scheduler))
 
 
-class DocumentHandler(_Handler):
+class DocumentHandler(Handler):
     """Shows and publishes one document."""
 
     def get(self, key: str) -> None:
@@ -225,7 +146,7 @@
         body = self.decode(PublishBody)
         if document_key(body.document) != key:
             detail = f"$.document: is {document_key(body.document)!r}, the path says {key!r}"
-            raise _Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+            raise Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
         token = self.runtime.new_id()
         event = events.PublishRequested(
             token, body.document, body.expected, body.author, self.deadline(None)
@@ -246,7 +167,7 @@
         self.reply(body, status_of(failure))
 
 
-class VmsHandler(_Handler):
+class VmsHandler(Handler):
     """Lists VMs."""
 
     def get(self) -> None:
@@ -254,7 +175,7 @@
         self.reply(views.vms_of(self.runtime.scheduler))
 
 
-class DrainHandler(_Handler):
+class DrainHandler(Handler):
     """Drains a VM."""
 
     async def post(self, vm: str) -> None:
@@ -269,7 +190,7 @@
             self.reply(body)
 
 
-class ShardsHandler(_Handler):
+class ShardsHandler(Handler):
     """Lists shards."""
 
     def get(self) -> None:
@@ -277,7 +198,7 @@
         self.reply(views.shards_of(self.runtime.scheduler))
 
 
-class MembersHandler(_Handler):
+class MembersHandler(Handler):
     """Lists members."""
 
     def get(self) -> None:
@@ -285,7 +206,7 @@
         self.reply(views.members_of(self.runtime.scheduler))
 
 
-class BurnHandler(_Handler):
+class BurnHandler(Handler):
     """Reports this scheduler's part of the service levels."""
 
     def get(self) -> None:
@@ -294,7 +215,7 @@
         self.reply(burn_of(runtime.scheduler.state, runtime.meter.counters, runtime.burn))
 
 
-class HealthHandler(_Handler):
+class HealthHandler(Handler):
     """Tells that the process runs."""
 
     def get(self) -> None:
@@ -302,7 +223,7 @@
         self.reply({"status": "ok"})
 
 
-class ReadyHandler(_Handler):
+class ReadyHandler(Handler):
     """Tells whether the balancer may send callers here."""
 
     def get(self) -> None:
@@ -312,7 +233,7 @@
         self.reply({"ready": ready, "offset": state.ledger.offset}, 200 if ready else UNAVAILABLE)
 
 
-class MetricsHandler(_Handler):
+class MetricsHandler(Handler):
     """Publishes the metrics."""
 
     def get(self) -> None:
@@ -324,7 +245,7 @@
         self.finish(body)
 
 
-class UnknownHandler(_Handler):
+class UnknownHandler(Handler):
     """Answers paths that do not exist."""
 
     def prepare(self) -> None:
