One piece of code for what stood twice in the job systems and the calls to VMs

Found by reading the whole change: three systems counted their interval alike, four looked up what runs on a VM with its tasks, two orders to VMs and two decodings differed in one word, the share of a core from which a member may lead stood in two modules, and pacing kept by name what is a VM's own. No behaviour else; no test changed.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -12,7 +12,7 @@
 from sablemount.control.figures import Figures
 from sablemount.control.hedge import hedged
 from sablemount.control.leader_link import LeaderLink
-from sablemount.control.member_settings import MemberSettings
+from sablemount.control.member_settings import ENOUGH_CORES, MemberSettings
 from sablemount.control.messages import LeaderRecord, LeaderView, ViewCall
 from sablemount.control.network import CallFailed
 from sablemount.control.store import (
@@ -40,7 +40,6 @@
 CLAIM_PAUSE = 0.3
 PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
-ENOUGH_CORES = 0.9
 WEAK_PATIENCE = 0.4
 FIRST_CLAIM = 0.1
 """Seconds after its start before which a member does not claim the first leadership."""
--- a/src/sablemount/control/member_settings.py
+++ b/src/sablemount/control/member_settings.py
@@ -4,7 +4,10 @@
 
 from sablemount.jobs.settings import JobSettings
 
-__all__ = ["MemberSettings"]
+__all__ = ["ENOUGH_CORES", "MemberSettings"]
+
+ENOUGH_CORES = 0.9
+"""Share of a processor core below which a member leaves the lead to others if it can."""
 
 
 class MemberSettings(msgspec.Struct, frozen=True):
--- a/src/sablemount/control/members.py
+++ b/src/sablemount/control/members.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from sablemount.control.clock import monotonic
+from sablemount.control.member_settings import ENOUGH_CORES
 from sablemount.control.messages import Ping
 from sablemount.control.network import Link
 
@@ -10,8 +11,6 @@
 
 HEARD_WITHIN = 1.0
 """Seconds within which a member was heard that counts as there."""
-ENOUGH_CORES = 0.9
-"""Share of a processor core below which a member is asked last to take over."""
 SUCCESSOR_AGE = 0.5
 """Seconds since its start after which a member may be asked to take over."""
 
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
+from typing import TypeAlias
 
 from sablemount.control.clock import monotonic
 from sablemount.control.ports import CallError, HoldCall, Started, VmPort
@@ -30,12 +32,14 @@
 START_TRIES = 3
 CALL_MARGIN = 0.05
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
-STOP_TIMEOUT = 0.5
-PACE_TIMEOUT = 0.5
+ORDER_TIMEOUT = 0.5
 MS = 1000.0
 
 _logger = logging.getLogger("sablemount.control.vms")
 
+OrderCall: TypeAlias = Callable[[str, int, float], Awaitable[CallError | None]]
+"""Sends an order to an address, under a fence, within some seconds."""
+
 
 class VmCalls:
     """Talks to the VMs for one leadership.
@@ -196,26 +200,25 @@
         return action.not_after - monotonic()
 
     async def _stop(self, action: StopRun) -> None:
-        row = self._scheduler.state.vms.get(action.vm)
-        if row is None or not self._authority():
-            return
-        result = await self._port.stop(action, row.info.address, self._fence, STOP_TIMEOUT)
-        if result is CallError.FENCED:
-            self._fenced(action.vm)
+        await self._order(action.vm, partial(self._port.stop, action))
 
     def pace(self, action: PaceRun) -> None:
         """Give the order to pace a run."""
         self._spawn(self._pace(action))
 
     async def _pace(self, action: PaceRun) -> None:
-        row = self._scheduler.state.vms.get(action.vm)
+        if await self._order(action.vm, partial(self._port.pace, action)) is not None:
+            self._scheduler.pacing.failed(action.vm, action.task, action.run)
+
+    async def _order(self, vm: str, send: OrderCall) -> CallError | None:
+        """Give an order if that may be done now; return what went wrong at the VM."""
+        row = self._scheduler.state.vms.get(vm)
         if row is None or not self._authority():
-            return
-        result = await self._port.pace(action, row.info.address, self._fence, PACE_TIMEOUT)
+            return None
+        result = await send(row.info.address, self._fence, ORDER_TIMEOUT)
         if result is CallError.FENCED:
-            self._fenced(action.vm)
-        elif result is not None:
-            self._scheduler.pacing.failed(action.vm, action.task, action.run)
+            self._fenced(vm)
+        return result
 
     def close(self) -> None:
         """Stop looking and ordering."""
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -1,7 +1,7 @@
 """Group commit of what must last: accepted jobs, noted ends, states, VMs in use.
 
-Pure: it says what the next batch holds and what its success means. One batch is on its way at a
-time; what has no definite answer is sent again as it was.
+Pure: it says what the next batch holds and what its success means. Batches may be on their way
+together; each is sent again as it was until it has a definite answer.
 """
 
 import msgspec
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -122,6 +122,15 @@
 
     # -- Runs --------------------------------------------------------------------------------
 
+    def running_on(self, vm: VmRow) -> list[tuple[RunRow, TaskRow]]:
+        """Return what is known to run on a VM, with the open tasks that it is of."""
+        found = []
+        for run in vm.runs.values():
+            task = self.task(run.task) if run.state is RunState.RUNNING else None
+            if task is not None:
+                found.append((run, task))
+        return found
+
     def next_run(self, tasks: list[TaskRow]) -> int:
         """Return a run number above all that some tasks have had."""
         base = (self.epoch - 1) * RUNS_AN_EPOCH
--- a/src/sablemount/jobs/systems/evacuation.py
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -6,8 +6,9 @@
 """
 
 from sablemount.jobs.state import State
+from sablemount.jobs.systems.every import Every
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, RunState, TaskRow, VmRow
+from sablemount.jobs.tables import RunRow, TaskRow, VmRow
 
 __all__ = ["Evacuation"]
 
@@ -31,23 +32,18 @@
     def __init__(self, state: State, reconcile: Reconcile) -> None:
         self._state = state
         self._reconcile = reconcile
-        self._ran_at = -INTERVAL
+        self._every = Every(INTERVAL)
 
     def run(self) -> None:
         """Stop what is due."""
-        now = self._state.now
-        if now - self._ran_at < INTERVAL:
+        if not self._every.due(self._state.now):
             return
-        self._ran_at = now
         for row in self._state.vms.values():
             if row.leaves_at is not None and row.runs and not row.gone:
                 self._judge(row, row.leaves_at)
 
     def _judge(self, row: VmRow, leaves_at: float) -> None:
-        for run in list(row.runs.values()):
-            task = self._state.task(run.task)
-            if task is None or run.state is not RunState.RUNNING:
-                continue
+        for run, task in self._state.running_on(row):
             if not self._due(run, task, leaves_at):
                 continue
             self._state.logger.info(
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -7,8 +7,9 @@
 from statistics import median
 
 from sablemount.jobs.state import State
+from sablemount.jobs.systems.every import Every
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, RunState, VmRow
+from sablemount.jobs.tables import RunRow, VmRow
 
 __all__ = ["Health"]
 
@@ -43,14 +44,12 @@
     def __init__(self, state: State, reconcile: Reconcile) -> None:
         self._state = state
         self._reconcile = reconcile
-        self._ran_at = -INTERVAL
+        self._every = Every(INTERVAL)
 
     def run(self) -> None:
         """Judge every VM that is heard."""
-        now = self._state.now
-        if now - self._ran_at < INTERVAL:
+        if not self._every.due(self._state.now):
             return
-        self._ran_at = now
         rows = [row for row in self._state.vms.values() if row.runs and not row.gone]
         for row in rows:
             self._judge(row, self._countable(row))
@@ -104,13 +103,11 @@
     def _countable(self, row: VmRow) -> list[RunRow]:
         """Return the runs whose progress tells of their VM alone."""
         return [
-            run for run in row.runs.values() if run.state is RunState.RUNNING and self._tells(run)
+            run
+            for run, task in self._state.running_on(row)
+            if not task.step.spec.gang and not task.step.spec.lasting
         ]
 
-    def _tells(self, run: RunRow) -> bool:
-        task = self._state.task(run.task)
-        return task is not None and not task.step.spec.gang and not task.step.spec.lasting
-
     @staticmethod
     def _still(row: VmRow, runs: list[RunRow]) -> list[RunRow]:
         """Return the runs that made no progress, as far as the VM's last word tells."""
--- a/src/sablemount/jobs/systems/pacing.py
+++ b/src/sablemount/jobs/systems/pacing.py
@@ -8,7 +8,7 @@
 from sablemount.jobs.actions import PaceRun
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import NEVER, RunRow, RunState, VmRow
+from sablemount.jobs.tables import RunRow, VmRow
 
 __all__ = ["Pacing"]
 
@@ -32,16 +32,12 @@
 
     def __init__(self, state: State) -> None:
         self._state = state
-        self._changed_at: dict[str, float] = {}
 
     def run(self) -> None:
         """Judge the VMs whose last change shows in their figures."""
         for row in self._state.vms.values():
-            since = self._changed_at.get(row.name, NEVER) + INTERVAL
-            if row.runs and not row.gone and row.heard_at > since:
+            if row.runs and not row.gone and row.heard_at > row.paced_at + INTERVAL:
                 self._judge(row)
-        for name in self._changed_at.keys() - self._state.vms.keys():
-            del self._changed_at[name]
 
     def _judge(self, row: VmRow) -> None:
         fillers = self._fillers(row)
@@ -51,9 +47,9 @@
         for run in fillers:
             share = _next_share(run.share, pressure)
             if share != run.share:
-                self._pace(run, share, pressure)
+                self._pace(row, run, share, pressure)
 
-    def _pace(self, run: RunRow, share: int, pressure: float | None) -> None:
+    def _pace(self, row: VmRow, run: RunRow, share: int, pressure: float | None) -> None:
         state = self._state
         state.logger.info(
             "run paced",
@@ -65,7 +61,7 @@
             },
         )
         run.share = share
-        self._changed_at[run.vm] = state.now
+        row.paced_at = state.now
         state.emit(PaceRun(run.vm, run.task, run.number, share))
 
     # -- What runs ---------------------------------------------------------------------------
@@ -74,14 +70,10 @@
         since = self._state.now - FIRST_PACE
         return [
             run
-            for run in row.runs.values()
-            if run.state is RunState.RUNNING and run.started_at < since and self._fills(run)
+            for run, task in self._state.running_on(row)
+            if run.started_at < since and task.step.spec.fills
         ]
 
-    def _fills(self, run: RunRow) -> bool:
-        spec = self._spec(run)
-        return spec is not None and spec.fills
-
     def _pressure(self, row: VmRow) -> float | None:
         """Return the worst tail on a VM as a share of its target; ``None`` if nothing serves."""
         found = [
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -9,9 +9,10 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.choice import slots
+from sablemount.jobs.systems.every import Every
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, RunState, StepRow, VmRow
+from sablemount.jobs.tables import RunRow, StepRow, VmRow
 
 __all__ = ["Preemption"]
 
@@ -50,16 +51,15 @@
         self._placement = placement
         self._advice = advice
         self._reconcile = reconcile
-        self._ran_at = -INTERVAL
+        self._every = Every(INTERVAL)
         self._made: dict[str, float] = {}
         """Steps for which room is being made, until when."""
 
     def run(self) -> None:
         """Make room for the most urgent steps that wait."""
         now = self._state.now
-        if now - self._ran_at < INTERVAL:
+        if not self._every.due(now):
             return
-        self._ran_at = now
         self._made = {key: until for key, until in self._made.items() if until > now}
         usable: list[VmRow] | None = None
         for step in self._placement.in_order():
@@ -132,10 +132,7 @@
         """Return the runs of a VM that may yield, with the core seconds that are lost."""
         priority = self._state.terms_of(step.job).priority
         found = []
-        for run in row.runs.values():
-            task = self._state.task(run.task)
-            if task is None or run.state is not RunState.RUNNING:
-                continue
+        for run, task in self._state.running_on(row):
             spec = task.step.spec
             if spec.gang or spec.lasting or run.percent > 100 * WORTH_KEEPING:
                 continue
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -220,6 +220,8 @@
     lease_end: float = NEVER
     """Local time after which nothing that was leased there can run."""
     gone: bool = False
+    paced_at: float = NEVER
+    """When the share of some run there was last changed."""
     avoid_until: float = NEVER
     """No new work before this time: it refused, or its tasks fail or stand still."""
     failed_jobs: set[str] = field(default_factory=set)
--- a/src/sablemount/platform/directory.py
+++ b/src/sablemount/platform/directory.py
@@ -1,6 +1,7 @@
 """Entries that the operator and the workers write to the store."""
 
 import logging
+from typing import TypeVar
 
 import msgspec
 
@@ -22,6 +23,7 @@
 DRAINING = "draining"
 MS = 1000.0
 
+_T = TypeVar("_T")
 _logger = logging.getLogger("sablemount.platform.directory")
 
 
@@ -85,12 +87,8 @@
 
     def vm(self, record: Record) -> VmInfo | None:
         """Decode a worker's entry."""
-        if not record.value:
-            return None
-        try:
-            told = _WORKER.decode(record.value)
-        except msgspec.DecodeError as error:
-            _logger.warning("undecodable", extra={"key": record.key, "error": str(error)})
+        told = _decode(_WORKER, record)
+        if told is None:
             return None
         return VmInfo(
             record.key.removeprefix(WORKERS_PREFIX),
@@ -105,17 +103,26 @@
 
     def configuration(self, record: Record) -> Configuration | None:
         """Decode the configuration."""
-        if record.key.removeprefix(OPERATOR_PREFIX) != CONFIG_KEY or not record.value:
+        if record.key.removeprefix(OPERATOR_PREFIX) != CONFIG_KEY:
             return None
-        try:
-            told = _CONFIGURATION.decode(record.value)
-        except msgspec.DecodeError as error:
-            _logger.warning("undecodable", extra={"key": record.key, "error": str(error)})
+        told = _decode(_CONFIGURATION, record)
+        if told is None:
             return None
         guarded = frozenset(service.name for service in told.services if service.rejects_overload)
         return Configuration(told.version, tuple(map(_queue, told.routes)), guarded)
 
 
+def _decode(decoder: msgspec.json.Decoder[_T], record: Record) -> _T | None:
+    """Return what a record holds; ``None`` if it drops its key or does not decode."""
+    if not record.value:
+        return None
+    try:
+        return decoder.decode(record.value)
+    except msgspec.DecodeError as error:
+        _logger.warning("undecodable", extra={"key": record.key, "error": str(error)})
+        return None
+
+
 def _queue(route: _Route) -> Queue:
     advice = None
     if route.advice is not None:
