A call given up while it connects gives its place in the limit back

Hedged calls are cancelled while they connect into the cut, and _connect counted each as open for good; at 24 every call was refused with 'all connections to the upstream are in use'.

Test: three calls cancelled while they connect, with a limit of two; fails on the former code.

--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -174,6 +174,10 @@
         except (TimeoutError, OSError, iostream.StreamClosedError) as error:
             self._open[address] -= 1
             raise NotSent(type(error).__name__, _is_refusal(error)) from error
+        except BaseException:
+            # A caller that gives up while it connects: its place in the limit is free again.
+            self._open[address] -= 1
+            raise
         stream.set_nodelay(True)
         return stream
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -117,3 +117,16 @@
         pool.close()
 
     asyncio.run(run())
+
+
+def test_calls_given_up_while_they_connect_use_up_no_connection() -> None:
+    async def script(pool: UpstreamPool, server: RawServer) -> None:
+        for _ in range(3):
+            call = asyncio.ensure_future(post(pool, server))
+            await asyncio.sleep(0)
+            call.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await call
+        assert (await post(pool, server)).status == 200
+
+    play(lambda count: (OK, False), script)
