Planned hand-over without a refusal, and lost answers asked of the next leader

Change: the leader drains, asks successors that are not being stopped until one says that it takes over, and gives orders until that one has claimed. Members connect to a new leader at once and ping it each 20 ms until it leads. A request refused because the lead changes hands is asked again within the 0.15 s that were waited before; one whose answer was lost with the leader for 1.2 s, since a job keeps its name. After an uncertain try a refusal is told as uncertain.

Ruled out: slowness of claim and load (3 ms and 27 ms in the log).

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -38,10 +38,10 @@
     async def serve(self, call: CallerCall) -> CallerReply:
         """Answer a caller's request."""
         if not self._sure():
-            return not_taken("the leader is not sure that it leads")
+            return not_taken("the leader is not sure that it leads", changing=True)
         configuration = self._scheduler.state.configuration
         if configuration.version < 0:
-            return not_taken("no configuration yet")
+            return not_taken("no configuration yet", changing=True)
         queue = queue_for(configuration, call.host, call.path)
         if queue is None:
             return CallerReply(Outcome.NO_QUEUE, reason="no queue at this host and prefix")
@@ -86,7 +86,11 @@
         if self._scheduler.withdraw(name):
             return not_taken("the store does not answer")
         _logger.info("job uncertain", extra={"job": name, "queue": queue.terms.name})
-        return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT)
+        return self._unknown()
+
+    def _unknown(self) -> CallerReply:
+        """Return the answer to what may be in the store; a later leader can tell."""
+        return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT, changing=not self._sure())
 
     # -- Cancellations -----------------------------------------------------------------------
 
@@ -99,7 +103,7 @@
         if job.shown is not JobState.CANCELLED and not job.shown.final:
             await asyncio.wait([self._commits.noted()], timeout=ACCEPT_TIMEOUT)
         if not job.shown.final:
-            return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT)
+            return self._unknown()
         _logger.info("job cancelled", extra={"job": name, "state": job.shown.name.lower()})
         return CallerReply(Outcome.DONE, state=job.shown.name.lower())
 
--- a/src/sablemount/control/commit_loop.py
+++ b/src/sablemount/control/commit_loop.py
@@ -62,6 +62,10 @@
         since = self._committer.waiting_since
         return since > 0 and monotonic() - since > STORE_STUCK
 
+    def busy(self) -> bool:
+        """Tell whether something is being appended or somebody waits for that."""
+        return bool(self._waiting) or self._committer.in_flight > 0
+
     async def run(self) -> None:
         """Append without end."""
         while True:
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -37,8 +37,10 @@
 LOAD_PAUSE = 0.1
 FRESH_START = 1.0
 """Seconds after which lists are read anew: a record may be dropped before it was read."""
-CLOSE_TIME = 0.5
-CLOSE_POLL = 0.005
+DRAIN_TIME = 0.5
+"""Seconds that a planned hand-over waits for appends at most: 100 times a usual one."""
+DRAIN_POLL = 0.005
+"""Seconds between looks at whether these are done: about the time of an append."""
 
 _logger = logging.getLogger("sablemount.control.leader")
 
@@ -128,13 +130,12 @@
             self.leading = False
             self.over.set()
 
-    async def close(self) -> None:
-        """Take no more calls, wait a little for what is being appended, and end."""
+    async def drain(self) -> None:
+        """Take no more calls, and wait a little until those taken before are in the store."""
         self.closing = True
-        last = monotonic() + CLOSE_TIME
-        while self.committer.waiting_since > 0 and monotonic() < last:
-            await asyncio.sleep(CLOSE_POLL)
-        self.end("planned stop")
+        last = monotonic() + DRAIN_TIME
+        while self.commits.busy() and monotonic() < last:
+            await asyncio.sleep(DRAIN_POLL)
 
     def _close(self) -> None:
         self.calls.close()
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -1,6 +1,7 @@
 """A member's link to the leader: pings over it, and what they tell."""
 
 import asyncio
+import contextlib
 import logging
 
 from sablemount.control.clock import monotonic
@@ -12,9 +13,17 @@
 __all__ = ["LeaderLink"]
 
 PING_INTERVAL = 0.15
+"""Seconds between pings: four fit into the silence after which a leader is suspected."""
+NEW_PING_INTERVAL = 0.02
+"""Seconds between pings while a new leader loads, which takes some 30 ms: callers wait for it."""
+NEW_LEADER_TIME = 1.0
+"""Seconds for which a leader counts as new; loading is over by then unless the store is slow."""
 PING_TIMEOUT = 0.5
+"""Seconds that a ping waits for its answer, below the silence that makes a leader suspected."""
 CONNECT_TIMEOUT = 0.3
+"""Seconds that a connection to the leader may take: 100 times the way between two zones."""
 RECONNECT_PAUSE = 0.05
+"""Seconds between tries to connect; a new leader is connected to at once."""
 
 _logger = logging.getLogger("sablemount.control.leader_link")
 
@@ -28,8 +37,11 @@
         self._handler = handler
         self._started_at = monotonic()
         self._link: Link | None = None
+        self._leader_changed = asyncio.Event()
         self.record: LeaderRecord | None = None
         self.suspicion = Suspicion(monotonic())
+        self.stopping = False
+        """Whether this member is being stopped."""
         self.leads = False
         """Whether the leader has said over this link that it leads."""
         self.heard_leading_at = -1e9
@@ -55,6 +67,7 @@
         self.leads = False
         _logger.info("leader known", extra={"leader": seen.name, "epoch": seen.epoch})
         self.close()
+        self._leader_changed.set()
         return True
 
     def other_members(self) -> list[str]:
@@ -89,9 +102,16 @@
         """Keep a connection to the leader without end."""
         while True:
             record = self.record
+            self._leader_changed.clear()
             if record is not None and record.name != self._settings.name:
                 await self._connect(record)
-            await asyncio.sleep(RECONNECT_PAUSE)
+            await self._pause(RECONNECT_PAUSE)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but not beyond the moment when another leader becomes known."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._leader_changed.wait()
 
     async def _connect(self, record: LeaderRecord) -> None:
         try:
@@ -109,7 +129,7 @@
         try:
             while not link.closed and self.record is record:
                 await self._ping(link)
-                await asyncio.sleep(PING_INTERVAL)
+                await self._pause(self._ping_interval())
         except CallFailed:
             pass
         finally:
@@ -118,11 +138,17 @@
             link.close()
             serving.cancel()
 
+    def _ping_interval(self) -> float:
+        new = not self.leads and monotonic() - self.suspicion.since < NEW_LEADER_TIME
+        return NEW_PING_INTERVAL if new else PING_INTERVAL
+
     async def _ping(self, link: Link) -> None:
         epoch = self.epoch
         settings = self._settings
         uptime = monotonic() - self._started_at
-        ping = Ping(settings.name, settings.rpc_address, epoch, uptime, settings.cores)
+        ping = Ping(
+            settings.name, settings.rpc_address, epoch, uptime, settings.cores, self.stopping
+        )
         pong = await link.call(ping, PING_TIMEOUT)
         # If another leader has become known meanwhile, this answer tells nothing of it.
         if isinstance(pong, Pong) and self.epoch == epoch:
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -1,6 +1,7 @@
 """A process of the system: it follows the leader, or leads, and passes callers' requests on."""
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Coroutine
@@ -13,7 +14,6 @@
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import (
-    Accepted,
     AdviseCall,
     CallerCall,
     CallerReply,
@@ -26,6 +26,7 @@
     Pong,
     Reply,
     TakeOver,
+    TakeOverReply,
     ViewCall,
     not_taken,
 )
@@ -36,6 +37,7 @@
 
 WATCH_FRESH_START = 8.0
 WATCH_INTERVAL = 0.05
+"""Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
 CALL_TIMEOUT = 2.0
@@ -45,6 +47,13 @@
 HAND_OVER_TIME = 0.5
 """Seconds after which a change of leader counts as an outage, and requests are refused at once."""
 HAND_OVER_POLL = 0.01
+UNCERTAIN_WAIT = 1.2
+"""Seconds for which a request whose answer was lost with the leader is asked of the next one.
+
+Its caller can't repeat it after an answer that leaves open whether it took effect. A new leader is
+there within 1 s mostly, and callers wait 3 s."""
+REFUSALS = (Outcome.NOT_TAKEN, Outcome.NO_QUEUE)
+"""Answers that would be wrong if an earlier try took effect."""
 
 _logger = logging.getLogger("sablemount.control.member")
 
@@ -76,6 +85,8 @@
         self._watch = Follower(
             ports.store, Topic.LEADER, self._election.listed, self._election.told, WATCH_FRESH_START
         )
+        self._asked = asyncio.Event()
+        """Set when the leader has asked this member to take over."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     # -- Life --------------------------------------------------------------------------------
@@ -89,19 +100,33 @@
 
     async def stop(self) -> None:
         """Hand over what this member leads."""
-        self.stopping = True
-        if self.leader is None:
-            return
+        self.stopping = self._link.stopping = True
         leader = self.leader
-        successors = leader.members.successors()
-        await leader.close()
-        for name, link in successors:
+        if leader is None:
+            return
+        await leader.drain()
+        if await self._hand_over(leader):
+            # It goes on giving orders until its successor has claimed.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HAND_OVER_TIME):
+                    await leader.over.wait()
+        leader.end("planned stop")
+
+    async def _hand_over(self, leader: Leader) -> bool:
+        """Ask one member after the other to take over; return whether one does."""
+        for name, link in leader.members.successors():
             try:
-                await link.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
-            except CallFailed:
+                reply = await link.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
+            except CallFailed as failed:
+                _logger.info("successor not reached", extra={"to": name, "why": str(failed)})
                 continue
-            _logger.info("lead handed over", extra={"to": name, "epoch": leader.epoch})
-            return
+            taken = isinstance(reply, TakeOverReply) and reply.taken
+            _logger.info(
+                "successor asked", extra={"to": name, "epoch": leader.epoch, "taken": taken}
+            )
+            if taken:
+                return True
+        return False
 
     def close(self) -> None:
         """End all connections and tasks."""
@@ -160,7 +185,10 @@
 
     async def _judge_forever(self) -> None:
         while True:
-            await asyncio.sleep(WATCH_INTERVAL)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WATCH_INTERVAL):
+                    await self._asked.wait()
+            self._asked.clear()
             if self.leader is not None:
                 if self.leader.authority():
                     self._led_at = monotonic()
@@ -228,14 +256,16 @@
 
     def _take_over(self, message: TakeOver) -> Reply:
         record = self._link.record
-        if record is not None and message.epoch == record.epoch and not self.stopping:
+        taken = record is not None and message.epoch == record.epoch and not self.stopping
+        if taken:
             self._election.asked()
-        return Accepted()
+            self._asked.set()
+        return TakeOverReply(taken)
 
     async def _serve_locally(self, call: CallerCall) -> CallerReply:
         leader = self._leading()
         if leader is None:
-            return not_taken("this member does not lead")
+            return not_taken("this member does not lead", changing=True)
         return await leader.serve(call)
 
     # -- Callers -----------------------------------------------------------------------------
@@ -249,7 +279,25 @@
         return reply
 
     async def _serve(self, call: CallerCall, timeout: float) -> CallerReply:
-        await self._await_leader()
+        """Ask the leader, and its successor if the lead changes hands meanwhile.
+
+        A job keeps its name, so that it may be handed in again after a lost answer.
+        """
+        began = monotonic()
+        uncertain = False
+        while True:
+            await self._await_leader(began + HAND_OVER_WAIT)
+            reply = await self._ask_leader(call, timeout - (monotonic() - began))
+            uncertain = uncertain or reply.outcome is Outcome.UNKNOWN
+            limit = UNCERTAIN_WAIT if uncertain else HAND_OVER_WAIT
+            if not reply.changing or monotonic() - began > limit:
+                break
+            await asyncio.sleep(HAND_OVER_POLL)
+        if uncertain and reply.outcome in REFUSALS:
+            return CallerReply(Outcome.UNKNOWN, reason=reply.reason)
+        return reply
+
+    async def _ask_leader(self, call: CallerCall, timeout: float) -> CallerReply:
         leader = self._leading()
         if leader is not None:
             return await leader.serve(call)
@@ -260,9 +308,8 @@
         assert isinstance(reply, CallerReply)
         return reply
 
-    async def _await_leader(self) -> None:
+    async def _await_leader(self, last: float) -> None:
         """Wait a moment while the lead changes hands, or while this process finds who leads."""
-        last = monotonic() + HAND_OVER_WAIT
         while self._leading() is None and not self._link.leads and monotonic() < last:
             since = max(self._served_at(), self._started_at)
             if monotonic() - since > HAND_OVER_TIME:
@@ -272,5 +319,5 @@
 
 def _failed(call: CallerCall, failed: CallFailed) -> CallerReply:
     if failed.sent and call.operation is not Operation.STATE:
-        return CallerReply(Outcome.UNKNOWN, reason=str(failed))
-    return not_taken(str(failed))
+        return CallerReply(Outcome.UNKNOWN, reason=str(failed), changing=failed.closed)
+    return not_taken(str(failed), changing=not failed.sent or failed.closed)
--- a/src/sablemount/control/members.py
+++ b/src/sablemount/control/members.py
@@ -23,6 +23,7 @@
     heard_at: float
     uptime: float
     cores: float
+    stopping: bool
 
 
 class Members:
@@ -34,7 +35,7 @@
     def pinged(self, link: Link, ping: Ping) -> None:
         """Take a member's sign of life."""
         link.peer = ping.name
-        self._rows[ping.name] = _Member(link, monotonic(), ping.uptime, ping.cores)
+        self._rows[ping.name] = _Member(link, monotonic(), ping.uptime, ping.cores, ping.stopping)
 
     def link_closed(self, link: Link) -> None:
         """Forget the member at the other end, unless it has a newer link."""
@@ -56,9 +57,13 @@
         """Return the members and links in the order in which they are asked to take over.
 
         Of those that are strong enough, the one that started last goes first: when all are stopped
-        in turn, it has had its turn.
+        in turn, it has had its turn. One that is being stopped itself is left out.
         """
-        grown = [(name, row) for name, row in self._rows.items() if row.uptime > SUCCESSOR_AGE]
+        grown = [
+            (name, row)
+            for name, row in self._rows.items()
+            if row.uptime > SUCCESSOR_AGE and not row.stopping
+        ]
         grown.sort(key=lambda pair: (pair[1].cores < ENOUGH_CORES, pair[1].uptime))
         return [(name, row.link) for name, row in grown]
 
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -8,7 +8,6 @@
 from sablemount.jobs.model import JobSpec
 
 __all__ = [
-    "Accepted",
     "AdviceReply",
     "AdviseCall",
     "CallerCall",
@@ -22,6 +21,7 @@
     "Pong",
     "Reply",
     "TakeOver",
+    "TakeOverReply",
     "ViewCall",
     "not_taken",
 ]
@@ -68,6 +68,8 @@
     """Seconds since the member's process started."""
     cores: float = 1.0
     """Share of a processor core that the member may use."""
+    stopping: bool = False
+    """Whether the member is being stopped, so that it can't take over."""
 
 
 class ViewCall(msgspec.Struct, frozen=True, tag=True):
@@ -132,11 +134,13 @@
     path: str = ""
     reason: str = ""
     retry_after: float = 0.0
+    changing: bool = False
+    """Whether the leader is changing, so that the member that asked may ask again at once."""
 
 
-def not_taken(reason: str) -> CallerReply:
+def not_taken(reason: str, changing: bool = False) -> CallerReply:
     """Return the answer to what has certainly not run, with a time to come back."""
-    return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER)
+    return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER, changing=changing)
 
 
 class AdviceReply(msgspec.Struct, frozen=True, tag=True):
@@ -147,8 +151,10 @@
     valid_ms: float = 0.0
 
 
-class Accepted(msgspec.Struct, frozen=True, tag=True):
-    """A message was taken; there is nothing to say."""
+class TakeOverReply(msgspec.Struct, frozen=True, tag=True):
+    """Whether a member that was asked to take over is about to claim the leadership."""
 
+    taken: bool
 
-Reply: TypeAlias = Pong | LeaderView | CallerReply | AdviceReply | Accepted
+
+Reply: TypeAlias = Pong | LeaderView | CallerReply | AdviceReply | TakeOverReply
--- a/src/sablemount/control/network.py
+++ b/src/sablemount/control/network.py
@@ -11,13 +11,16 @@
 class CallFailed(Exception):
     """No answer to a call; it may have been carried out unless ``sent`` is false.
 
-    ``refused`` tells that nothing listens at the address.
+    ``refused`` tells that nothing listens at the address, ``closed`` that the connection ended.
     """
 
-    def __init__(self, reason: str, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self, reason: str, sent: bool, refused: bool = False, closed: bool = False
+    ) -> None:
         super().__init__(reason)
         self.sent = sent
         self.refused = refused
+        self.closed = closed
 
 
 class Link(Protocol):
--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -68,7 +68,7 @@
         except TimeoutError as error:
             raise CallFailed("no answer in time", True) from error
         except iostream.StreamClosedError as error:
-            raise CallFailed("the connection closed", True) from error
+            raise CallFailed("the connection closed", True, closed=True) from error
         finally:
             self._calls.pop(number, None)
 
@@ -115,7 +115,7 @@
         self._stream.close()
         for future in self._calls.values():
             if not future.done():
-                future.set_exception(CallFailed("the connection closed", True))
+                future.set_exception(CallFailed("the connection closed", True, closed=True))
 
 
 def _retrieve(future: "asyncio.Future[None]") -> None:
--- a/tests/emulator/network.py
+++ b/tests/emulator/network.py
@@ -39,7 +39,7 @@
                 task.cancel()
         if task.done() and not task.cancelled() and task.exception() is None:
             return task.result()
-        raise CallFailed("no answer", True)
+        raise CallFailed("no answer", True, closed=self.closed)
 
     async def _exchange(self, message: Message) -> Reply:
         await self._travel()
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -9,7 +9,7 @@
 from sablemount.control.figures import Figures
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
-from sablemount.control.messages import Accepted, LeaderRecord, Message, Reply
+from sablemount.control.messages import LeaderRecord, Message, Reply, TakeOverReply
 from sablemount.control.network import Link
 from sablemount.control.store import AppendResult, Producer, Topic, Unavailable
 from sablemount.jobs.records import Record
@@ -40,7 +40,7 @@
 
 
 async def _nothing(link: Link, message: Message) -> Reply:
-    return Accepted()
+    return TakeOverReply(False)
 
 
 class _Candidate:
