--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -22,6 +22,7 @@
 __all__ = ["Batch", "Journal"]
 
 MAX_BATCH_BYTES = 1_000_000
+MS = 1000.0
 
 
 class Batch(msgspec.Struct):
@@ -135,7 +136,28 @@
             return
         job.shown = noted
         if noted.final:
+            self._log_end(job)
             # Its payload and tasks are not needed any more, its shapes are for late runs.
             spec = JobSpec("", job.record.spec.steps)
             job.record = msgspec.structs.replace(job.record, spec=spec)
             job.steps = {}
+
+    def _log_end(self, job: JobRow) -> None:
+        """Log that callers are told from now on that a job has ended."""
+        terms = job.record.terms
+        steps = job.record.spec.steps
+        self._state.logger.info(
+            "job ended",
+            extra={
+                "job": job.name,
+                "state": job.shown.name.lower(),
+                "seconds": round((self._state.wall_ms - job.record.accepted_ms) / MS, 3),
+                "priority": terms.priority,
+                "stretch": terms.stretch,
+                "target_ms": terms.target_latency_ms,
+                "gang": any(step.gang for step in steps),
+                "lasting": job.record.spec.lasts(),
+                "accelerators": max((step.shape.accelerators for step in steps), default=0),
+                "after": [list(step.after) for step in steps],
+            },
+        )
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -59,6 +59,7 @@
         if step is not None and step.advice is not None:
             step.advice.asking = False
             step.advice.failures += 1
+            step.advice.asked_for += self._state.now - step.advice.asked_at
             step.advice.asked_at = self._state.now
             self._state.touch(step)
 
@@ -157,6 +158,7 @@
         row = step.advice
         row.asking = False
         row.failures = 0
+        row.asked_for += self._state.now - row.asked_at
         until = self._state.now + valid_ms / MS
         for vm in asked:
             if vm in good:
@@ -176,6 +178,7 @@
             row = step.advice
             row.asking = False
             row.failures += 1
+            row.asked_for += self._state.now - row.asked_at
             self._state.touch(step)
 
     def _free(self, lane_name: str, step_key: str) -> StepRow | None:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -124,6 +124,8 @@
     bad: set[str] = field(default_factory=set)
     asking: bool = False
     asked_at: float = NEVER
+    asked_for: float = 0.0
+    """Seconds that answers were waited for so far."""
     failures: int = 0
     known_at: int = -1
     """Count of changes of the VMs at which all of them were known."""
@@ -148,6 +150,8 @@
     """Tasks by VM whose room is kept while tickets are asked for."""
     told_at: float = NEVER
     """When it was last logged that it waits."""
+    placed: bool = False
+    """Whether some task of it has been given a VM, as it is logged once."""
     tried_at_freed: int = -1
     """Count of freed room at which its placement was last tried."""
 
