A slow store is not taken as silent, and is not sent each append several times

Cause: the age of the oldest append counted as silence, though the store takes appends in turn; and each append in flight was sent again up to five times, each copy taking a turn of 0.18 s.

Change: silence is counted from the last answer. Only the oldest append is sent again, once while the store answers others, often only while it is silent; one that came too early waits for the one before it. While an answer is late beside those before, no further batch goes out, so that what came since can be refused truthfully, and is as soon as the store counts as silent. The emulated store can take appends in turn.

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 
+from sablemount.control.clock import monotonic
 from sablemount.control.commit_loop import CommitLoop
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome, not_taken
 from sablemount.jobs.model import JobSpec, Queue, SpecError, check_spec, queue_for
@@ -14,6 +15,8 @@
 
 ACCEPT_TIMEOUT = 1.5
 """Seconds after which a caller is told that its job may have been accepted."""
+STUCK_POLL = 0.1
+"""Seconds between looks at whether a job that was not sent yet has to be refused."""
 MAX_NAME = 64
 STORE_SILENT = "the store has not answered"
 
@@ -78,7 +81,12 @@
         return await self._accepted(name, queue)
 
     async def _accepted(self, name: str, queue: Queue) -> CallerReply:
-        await asyncio.wait([self._commits.noted()], timeout=ACCEPT_TIMEOUT)
+        noted = self._commits.noted()
+        last = monotonic() + ACCEPT_TIMEOUT
+        while not noted.done() and monotonic() < last:
+            await asyncio.wait([noted], timeout=STUCK_POLL)
+            if self._commits.stuck() and self._scheduler.withdraw(name):
+                return not_taken("the store does not answer")
         job = self._scheduler.state.jobs.get(name)
         if job is not None and job.durable:
             _logger.info("job accepted", extra={"job": name, "queue": queue.terms.name})
--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -21,18 +21,34 @@
 
 PRODUCER = "leader"
 TRY_TIMEOUT = 2.0
+"""Seconds that one try waits for its answer: the store refuses what would wait longer."""
 FIRST_INTERVAL = 0.15
+"""Seconds after which an append is sent again at the earliest: 40 times a usual answer's time."""
 MAX_INTERVAL = 1.0
+"""Seconds between two tries at most."""
 FIRST_MAX_INTERVAL = 0.35
 """The same for the append that all others wait for: the end of an outage is seen by it."""
+SILENT_AFTER = 0.6
+"""Seconds without any answer after which the store counts as silent, and not as slow. A store that
+is 100 times slower than usual (4 ms) still answers one append after the other in less."""
+UNUSUAL_FACTOR = 3.0
+UNUSUAL_LEAST = 0.1
+"""An answer is unusually late after this many times the usual time, and these seconds at least: a
+second one in flight then tells no more, and what is in it could not be taken back."""
 INTERVAL_FACTOR = 4.0
 """How many times the usual time of an answer is waited for before an append is sent once more.
 
 The former call goes on: a slow store answers it, and what is sent twice is done once."""
 MAX_TRIES_AT_ONCE = 2
-FIRST_MAX_TRIES_AT_ONCE = 6
+"""Tries of one append in flight: the store takes them in turn, so that more make it slower."""
+SILENT_TRIES_AT_ONCE = 6
+"""The same for the append that all others wait for, while the store is silent."""
+LEAST_JITTER = 0.8
+"""Least share of an interval that is waited for, drawn anew each time."""
 MAX_PAUSE = 0.2
+"""Seconds after a refusal until the next try at most."""
 SMOOTHING = 0.2
+"""Share of the newest answer's time in the usual one."""
 
 _logger = logging.getLogger("sablemount.control.commit")
 
@@ -66,6 +82,19 @@
         """Return when the oldest append without an answer was sent; before all times if none."""
         return min((entry.since for entry in self._open), default=-1e9)
 
+    def silent(self) -> bool:
+        """Tell whether the store has answered nothing for some time though it was asked."""
+        return self._unanswered_for() > SILENT_AFTER
+
+    def unusual(self) -> bool:
+        """Tell whether the next answer is late beside those before."""
+        return self._unanswered_for() > max(UNUSUAL_LEAST, UNUSUAL_FACTOR * self._usual)
+
+    def _unanswered_for(self) -> float:
+        """Return since when (seconds) an answer is due and none has come."""
+        since = self.waiting_since
+        return monotonic() - max(since, self.good_at) if since > 0 else 0.0
+
     @property
     def in_flight(self) -> int:
         """Return how many appends have no answer yet."""
@@ -113,38 +142,55 @@
         self, records: list[Record], sequence: int, done: "asyncio.Future[None]"
     ) -> int:
         """Return after how many tries the append is done."""
-        interval = max(FIRST_INTERVAL, INTERVAL_FACTOR * self._usual)
+        interval = self._patience()
         producer = Producer(PRODUCER, self._epoch, sequence)
         pending: set[asyncio.Future[Any]] = {done}
         tries = 0
         try:
             while not done.done():
-                if len(pending) <= self._tries_at_once(sequence):
+                if self._may_send(sequence, len(pending) - 1, interval):
                     tries += 1
                     pending.add(asyncio.ensure_future(self._try(records, producer)))
-                pause = interval * self._rng.uniform(0.8, 1.0)
+                pause = interval * self._rng.uniform(LEAST_JITTER, 1.0)
                 ended, pending = await asyncio.wait(
                     pending, timeout=pause, return_when=asyncio.FIRST_COMPLETED
                 )
                 if done in ended or any(self._done(call.result(), sequence) for call in ended):
                     break
                 if any(isinstance(call.result(), WrongSequence) for call in ended):
-                    await self._predecessor(sequence, min(pause, MAX_PAUSE))
+                    await self._predecessor(sequence, MAX_INTERVAL)
                     continue
                 if ended:
                     # Refused at once: as if its time had gone by.
                     await asyncio.sleep(min(pause, MAX_PAUSE))
-                interval = max(interval, min(self._max_interval(sequence), interval * 2))
+                longer = min(self._max_interval(sequence), interval * 2)
+                interval = max(interval, longer, self._patience())
         finally:
             for call in pending - {done}:
                 call.cancel()
         return tries
 
+    def _patience(self) -> float:
+        """Return the seconds after which an answer is overdue, by those before."""
+        return max(FIRST_INTERVAL, INTERVAL_FACTOR * self._usual)
+
     def _is_first(self, sequence: int) -> bool:
         return all(entry.sequence >= sequence for entry in self._open)
 
-    def _tries_at_once(self, sequence: int) -> int:
-        return FIRST_MAX_TRIES_AT_ONCE if self._is_first(sequence) else MAX_TRIES_AT_ONCE
+    def _may_send(self, sequence: int, in_flight: int, interval: float) -> bool:
+        """Tell whether an append may be sent, or sent again while tries of it are in flight.
+
+        Only the oldest append is sent again: the store takes them in turn, so that its answer
+        settles what the others wait for. While the store answers others it is only slow.
+        """
+        if not in_flight:
+            return True
+        if not self._is_first(sequence):
+            return False
+        if self.silent():
+            return in_flight < SILENT_TRIES_AT_ONCE
+        overdue = self._unanswered_for() > interval * LEAST_JITTER
+        return overdue and in_flight < MAX_TRIES_AT_ONCE
 
     def _max_interval(self, sequence: int) -> float:
         return FIRST_MAX_INTERVAL if self._is_first(sequence) else MAX_INTERVAL
--- a/src/sablemount/control/commit_loop.py
+++ b/src/sablemount/control/commit_loop.py
@@ -19,8 +19,6 @@
 PIPELINE_DEPTH = 4
 """Appends in flight at most: the store remembers the answers to the last five."""
 PIPELINE_POLL = 0.01
-STORE_STUCK = 0.6
-"""Seconds without an answer after which the store counts as not answering, for new work."""
 
 
 class CommitLoop:
@@ -58,9 +56,8 @@
         return future
 
     def stuck(self) -> bool:
-        """Tell whether the store has not answered for some time."""
-        since = self._committer.waiting_since
-        return since > 0 and monotonic() - since > STORE_STUCK
+        """Tell whether the store has not answered for some time, so that no new work is taken."""
+        return self._committer.silent()
 
     def busy(self) -> bool:
         """Tell whether something is being appended or somebody waits for that."""
@@ -77,7 +74,7 @@
             self._keep(commit)
             # Behind a slow answer the next batch is sent without waiting for it.
             await asyncio.wait([commit], timeout=PIPELINE_AFTER)
-            while self._committer.in_flight >= PIPELINE_DEPTH:
+            while self._committer.in_flight >= PIPELINE_DEPTH or self._committer.unusual():
                 await asyncio.sleep(PIPELINE_POLL)
             # What comes meanwhile goes together: each call of the store costs.
             await asyncio.sleep(COMMIT_PAUSE)
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -62,12 +62,23 @@
         self.down = False
         self.turned_away: set[str] = set()
         self.latency = 0.004
+        self.append_time = 0.0
+        """Seconds that one append takes; appends of one topic are carried out in turn."""
+        self._free_at: dict[Topic, float] = {}
+        self.turns = 0
+        """Appends that arrived while they take time, with those that are sent again."""
         self.lost = 0.0
         self.late = False
         self.appends = 0
         self.claims: list[int] = []
         """Epochs in the order in which they were claimed."""
 
+    def turn(self, topic: Topic, now: float) -> float:
+        """Return when an append that arrives now is carried out."""
+        self.turns += 1
+        self._free_at[topic] = max(now, self._free_at.get(topic, now)) + self.append_time
+        return self._free_at[topic]
+
     def forget_history(self) -> None:
         for topic in self.topics.values():
             topic.first = topic.end
@@ -137,8 +148,26 @@
                 state.append(topic, records, producer, at)
             await asyncio.sleep(timeout)
             return Unavailable("the answer was lost")
+        if state.append_time:
+            return await self._in_turn(topic, records, producer, at)
         return state.append(topic, records, producer, at)
 
+    async def _in_turn(
+        self, topic: Topic, records: list[Record], producer: Producer | None, at: int | None
+    ) -> AppendResult:
+        """Carry an append out after those before it, also if its caller has left by then."""
+        state = self._state
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[AppendResult] = loop.create_future()
+
+        def carry_out() -> None:
+            result = state.append(topic, records, producer, at)
+            if not answer.done():
+                answer.set_result(result)
+
+        loop.call_at(state.turn(topic, loop.time()), carry_out)
+        return await answer
+
     async def newest(self, topic: Topic, after: str, timeout: float) -> Page | Unavailable:
         if not await self._reach(timeout):
             return Unavailable("no answer")
--- /dev/null
+++ b/tests/jobs/test_slow_store.py
@@ -0,0 +1,80 @@
+"""A store that is slow is not taken as silent, and one that is silent is told from it soon."""
+
+import asyncio
+import random
+
+from sablemount.control.commit import Committer
+from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.store import Topic
+from sablemount.jobs.records import Record
+from tests.emulator.loop import run
+from tests.emulator.store import EmulatedStore, StoreState
+from tests.emulator.system import HOST, PREFIX, System
+
+SLOW = 0.18
+"""Seconds for the way and for each append: 90 times as long as usual."""
+
+
+async def _submit(system: System, name: str) -> CallerReply:
+    spec = system.job()
+    system.cell.jobs[name] = spec
+    call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
+    leader = system.leader()
+    assert leader is not None
+    return await system.members[leader].serve(call, 2.7)
+
+
+async def _submit_many(system: System, seconds: float) -> list[CallerReply]:
+    calls = []
+    for number in range(int(seconds / 0.05)):
+        calls.append(asyncio.create_task(_submit(system, f"a{number:04x}")))
+        await asyncio.sleep(0.05)
+    return list(await asyncio.gather(*calls))
+
+
+def test_a_slow_store_refuses_nobody() -> None:
+    async def scenario() -> None:
+        system = System(21, vms=12)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        system.store.latency = system.store.append_time = SLOW
+        replies = await _submit_many(system, 5.0)
+        assert {reply.outcome for reply in replies} == {Outcome.DONE}
+
+    run(scenario())
+
+
+def test_appends_are_not_sent_again_and_again_to_a_slow_store() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = Committer(EmulatedStore(state, "m"), 1, random.Random(3))
+        await committer.open()
+        state.latency = state.append_time = SLOW
+        appends = [committer.append([Record(f"k{n}", b"value")]) for n in range(4)]
+        await asyncio.gather(*appends)
+        await asyncio.sleep(3.0)
+        # Four, those that the way has put before their predecessor, and one sent again.
+        assert state.turns <= 8
+        assert len(state.topics[Topic.JOBS].records) == 4
+
+    run(scenario())
+
+
+def test_what_a_silent_store_has_not_been_sent_is_refused_and_has_not_run() -> None:
+    async def scenario() -> None:
+        system = System(22, vms=12)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        system.store.down = True
+        replies = await _submit_many(system, 2.0)
+        outcomes = [reply.outcome for reply in replies]
+        # What was on its way as the store fell silent may be there; it is two batches at most.
+        assert outcomes.count(Outcome.UNKNOWN) <= 3
+        assert outcomes.count(Outcome.NOT_TAKEN) == len(outcomes) - outcomes.count(Outcome.UNKNOWN)
+        system.store.down = False
+        await asyncio.sleep(5.0)
+        refused = [f"a{n:04x}" for n, o in enumerate(outcomes) if o is Outcome.NOT_TAKEN]
+        starts = {task.partition(".")[0] for task in system.cell.starts}
+        assert not starts & set(refused)
+
+    run(scenario())
