--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -18,6 +18,7 @@
 STUCK_POLL = 0.1
 """Seconds between looks at whether a job that was not sent yet has to be refused."""
 MAX_NAME = 64
+"""Characters of a job's name at most; the platform's have 16."""
 STORE_SILENT = "the store has not answered"
 
 _logger = logging.getLogger("sablemount.control.callers")
--- a/src/sablemount/control/commit_loop.py
+++ b/src/sablemount/control/commit_loop.py
@@ -14,11 +14,13 @@
 CONFIRM_INTERVAL = 0.5
 """Seconds after which the store is asked to confirm the leadership when there is nothing to add."""
 COMMIT_PAUSE = 0.015
+"""Seconds between two batches: a call of the store costs, and 15 ms are little beside a task."""
 PIPELINE_AFTER = 0.04
 """Seconds that a batch waits for the answer to the one before."""
 PIPELINE_DEPTH = 4
 """Appends in flight at most: the store remembers the answers to the last five."""
 PIPELINE_POLL = 0.01
+"""Seconds between looks at whether the next batch may be sent."""
 
 
 class CommitLoop:
--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -31,20 +31,27 @@
 
 LEADER_KEY = "leader"
 VIEW_TIMEOUT = 0.2
+"""Seconds that another member has to tell its view: 100 times the way between two zones."""
 VIEW_FRESH = 0.5
 """A member that has heard the leader within these seconds speaks against a claim."""
 CLAIM_TIMEOUT = 1.0
+"""Seconds that one try of a claim, or a look, waits for its answer."""
 CLAIM_INTERVAL = 0.35
 """Seconds after which a claim, or a look, is made again while there is no answer."""
 CLAIM_LIMIT = 1.4
+"""Seconds after which a claim without an answer is given up and begun anew."""
 CLAIM_PAUSE = 0.3
+"""Seconds between two claims of one member, on average."""
 PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
 WEAK_PATIENCE = 0.4
+"""Seconds for which a member with few cores leaves a claim to stronger ones."""
 FIRST_CLAIM = 0.1
 """Seconds after its start before which a member does not claim the first leadership."""
 STORE_TRIAL = 0.4
+"""Seconds that the store has to answer a member that finds the leader without it."""
 STORE_SECOND_LOOK = 0.16
+"""Seconds after which the leader is looked at once more: a ping and its answer."""
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 FROM_AFAR = (ClaimReason.SILENT, ClaimReason.REFUSED)
--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -16,13 +16,17 @@
 __all__ = ["Follower", "read_newest"]
 
 PAGE_TIMEOUT = 1.5
+"""Seconds that one page may take."""
 PAGE_INTERVAL = 0.35
 """Seconds after which the pages are asked for again while there is no answer."""
 PAGE_LIMIT = 6.0
+"""Seconds after which a list without an answer is given up and begun anew."""
 GATHER_PAUSE = 0.1
 """Seconds between two reads, so that changes that come one by one are read together."""
 RETRY_PAUSE = 0.15
+"""Seconds after a failure until the next try; half as long again after each further one."""
 MAX_PAUSE = 0.5
+"""Seconds between two tries at most, so that the end of an outage is seen soon."""
 
 _logger = logging.getLogger("sablemount.control.follow")
 
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -32,9 +32,13 @@
 COALESCE = 0.004
 """Seconds that an event waits for others before the systems run."""
 LOAD_TIMEOUT = 1.5
+"""Seconds that one page of what lasts may take when a leadership begins."""
 LOAD_INTERVAL = 0.4
+"""Seconds after which the pages are asked for once more: ten times a usual load."""
 LOAD_LIMIT = 4.0
+"""Seconds after which a load without an answer is given up and begun anew."""
 LOAD_PAUSE = 0.1
+"""Seconds after a failed load until the next one."""
 FRESH_START = 1.0
 """Seconds after which lists are read anew: a record may be dropped before it was read."""
 DRAIN_TIME = 0.5
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -36,17 +36,21 @@
 __all__ = ["Member"]
 
 WATCH_FRESH_START = 8.0
+"""Seconds after which who leads is listed anew: its record may be dropped before it was read."""
 WATCH_INTERVAL = 0.05
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
 CALL_TIMEOUT = 2.0
+"""Seconds that the leader has to answer a caller's request, below the 3 s that callers wait."""
 YIELD_TIMEOUT = 0.5
+"""Seconds that a member has to say whether it takes over."""
 HAND_OVER_WAIT = 0.15
 """Seconds that a request waits for a new leader: a hand-over takes some 50 ms."""
 HAND_OVER_TIME = 0.5
 """Seconds after which a change of leader counts as an outage, and requests are refused at once."""
 HAND_OVER_POLL = 0.01
+"""Seconds between looks at whether somebody leads."""
 UNCERTAIN_WAIT = 1.2
 """Seconds for which a request whose answer was lost with the leader is asked of the next one.
 
--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -19,6 +19,7 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME = 16 * 1024 * 1024
+"""Bytes of a frame at most: far above a job's 256 KB, and little beside a process's memory."""
 USER_TIMEOUT_MS = 3_000
 """How long sent bytes may stay unacknowledged before the connection is given up."""
 
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -19,20 +19,30 @@
 SHORT_WAIT = 0.1
 """The same while a start has no answer yet."""
 HOLD_SLACK = 0.35
+"""Seconds beyond its wait that a look may take, before its VM counts as not answering."""
 FIRST_HOLD_TIMEOUT = 0.5
+"""Seconds that the first look at a VM may take; it does not wait for an end."""
 SILENT_HOLD_TIMEOUT = 0.8
+"""Seconds that a look at a silent VM may take."""
 RETRY_PAUSE = 0.1
+"""Seconds after a failed look until the next one; half as long again after each further one."""
 MAX_PAUSE = 0.6
+"""Seconds between looks at a VM that does not answer at most."""
 NO_AUTHORITY_PAUSE = 0.1
+"""Seconds between looks at whether orders may be given again."""
 STOP_EXTENDING = 2.0
 """Seconds of silence after which leases are not extended, so that what runs there ends in time."""
 UNNOTED_PAUSE = 0.3
 """Seconds between looks while listed ends can't be noted."""
 START_TIMEOUT = 0.3
+"""Seconds that a VM has to answer a start: 100 times a usual answer."""
 START_TRIES = 3
+"""How often a start without an answer is ordered within its validity of 1.5 s."""
 CALL_MARGIN = 0.05
+"""Seconds of a start's validity below which it is not worth another try."""
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
 ORDER_TIMEOUT = 0.5
+"""Seconds that a VM has to answer a stop, which takes 0.4 s at most, or a pace."""
 MS = 1000.0
 
 _logger = logging.getLogger("sablemount.control.vms")
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -22,6 +22,7 @@
 __all__ = ["Batch", "Journal"]
 
 MAX_BATCH_BYTES = 1_000_000
+"""Bytes of accepted jobs in one batch at most, half of what the store takes in a call."""
 MS = 1000.0
 
 
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -25,8 +25,11 @@
 ]
 
 MAX_PAYLOAD_BYTES = 4_000
+"""Bytes of a job's payload at most, as the platform's pages say."""
 MAX_STEPS = 1_000
+"""Steps of a job at most: far above the five that were played."""
 MAX_TASKS = 20_000
+"""Tasks of a job at most: far above the 84 that were played."""
 
 
 class Shape(msgspec.Struct, frozen=True, array_like=True):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -42,6 +42,7 @@
 UNHEALTHY_PAUSE = 1.5
 """Seconds without new work after a VM has said that it is not well."""
 FULL_PAUSE = 0.5
+"""Seconds without new work after a VM has said that it is full: until its next word is in."""
 SLOW_SYSTEMS_INTERVAL = 0.5
 """Seconds between runs of the systems that need not run at each tick."""
 
--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -9,7 +9,9 @@
 
 Assignment = list[tuple[TaskRow, VmRow]]
 FAR_PENALTY = 10.0
+"""Weight of a VM away from the data, where a task takes twice as long; a free VM weighs 2."""
 FAILED_PENALTY = 5.0
+"""Weight of the VM on which the task failed: above any free room, below far data."""
 STALE_PENALTY = 3.0
 """VMs with a valid ticket go first: otherwise steps whose bookings make each other's VMs
 the fullest ask for new tickets without end."""
--- a/src/sablemount/jobs/systems/evacuation.py
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -13,6 +13,7 @@
 __all__ = ["Evacuation"]
 
 INTERVAL = 0.1
+"""Seconds between two judgements, small beside the 2 s of the shortest notice."""
 STOP_MARGIN = 0.3
 """Seconds before a VM leaves, beside the time of a stop, by which a stopped run is to be over."""
 END_MARGIN = 0.1
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -14,13 +14,17 @@
 __all__ = ["Health"]
 
 INTERVAL = 0.25
+"""Seconds between two judgements."""
 FIRST_PAUSE = 1.5
+"""Seconds without new work the first time; the shortest faults that were played last 4 s."""
 MAX_PAUSE = 6.0
+"""Seconds without new work at most."""
 FAILURES_IN_A_ROW = 2
 """Failures of different jobs, with nothing done in between, that put a VM out."""
 STILL_AFTER = 1.2
 """Seconds without progress after which a run stands still."""
 STILL_SHARE = 0.5
+"""Share of a VM's runs that has to stand still for the VM to be at fault."""
 MIN_STILL = 2
 """A VM is put out if so many of its runs, and this share of them, stand still."""
 WINDOW = 0.8
@@ -31,6 +35,7 @@
 Expected times are off by a factor of two and more, so that they can't tell a slow VM from a
 long task; that all tasks of a VM slow down at once can."""
 MIN_PACES = 2
+"""Paces that have to be known of a VM, for one slow task may be its own fault."""
 MOVE_MARGIN = 0.6
 """A task is moved if elsewhere it needs less than this share of the time that is left here."""
 WHOLE = 100.0
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -237,6 +237,7 @@
 
 
 FORGET_FACTOR = 1.5
+"""How much longer an ended job is kept than it has to be: clocks differ."""
 
 
 def _noted(step: StepRow) -> StepProgress | None:
--- a/src/sablemount/jobs/systems/pacing.py
+++ b/src/sablemount/jobs/systems/pacing.py
@@ -19,8 +19,10 @@
 NEAR_TARGET = 0.85
 """Share of its target at which a serving task's tail is too near."""
 WELL_BELOW = 0.6
+"""Share of its target below which a tail lets fillers have some speed back."""
 WHOLE = 100
 STEP_UP = 10
+"""Percent of its speed that a filler is given back at once."""
 LEAST = 10
 """Below this share a filler stands still."""
 UNKNOWN_SHARE = 30
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -17,16 +17,20 @@
 __all__ = ["Preemption"]
 
 INTERVAL = 0.1
+"""Seconds between two rounds."""
 MS = 1000.0
 PATIENCE_SHARE = 0.2
 """Share of its expected time that a step waits before others yield to it."""
 LEAST_PATIENCE = 0.1
+"""Seconds that the shortest work waits: a task that ends by itself throws nothing away."""
 MOST_PATIENCE = 1.5
+"""Seconds that the longest work waits."""
 LOSS_SHARE = 0.25
 """Work thrown away at most, as a share of the work that gets the room."""
 MAX_AT_ONCE = 2
 """Steps that have room made for them at once."""
 KEEP_MARGIN = 1.0
+"""Seconds for which room is kept beyond a stop and two calls for advice."""
 WORTH_KEEPING = 0.85
 """A run that is further than this yields to nobody: it ends soon."""
 
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -17,10 +17,13 @@
 
 DEADLINE_HEADER = "Deadline-Ms"
 DEFAULT_DEADLINE_MS = 3000.0
+"""Time of a caller that names none (ms), as the routes of all sites have it."""
 DEADLINE_SHARE = 0.9
 """Share of a caller's time after which it is told that there is no answer."""
 MAX_BODY = 256 * 1024
+"""Bytes of a request at most, as the configuration of all sites has it."""
 IDLE_SECONDS = 30.0
+"""Seconds after which an idle connection of a caller is closed."""
 OPERATIONS = {"POST": Operation.SUBMIT, "GET": Operation.STATE, "DELETE": Operation.CANCEL}
 STATUS = {
     Outcome.DONE: HTTPStatus.OK,
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -36,6 +36,7 @@
 STOP_MARGIN = 0.8
 """Seconds before the end of the grace at which the process ends in any case."""
 STOP_POLL = 0.05
+"""Seconds between looks at whether what is in flight has ended."""
 
 _logger = logging.getLogger("sablemount.platform.main")
 
--- a/src/sablemount/platform/store.py
+++ b/src/sablemount/platform/store.py
@@ -35,6 +35,7 @@
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 READ_SLACK = 0.8
+"""Seconds beyond its wait that a read may take."""
 OK = 200
 CONFLICT = 409
 GONE = 410
