Configuration and VMs are read while a leader loads, and a long load is no pause

Change: the authority ticks during the load; directory and configuration are followed from the start, and what is told of VMs is taken once the records of use are loaded. Test: tests/jobs/test_take_over.py fails on the former code.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -4,7 +4,8 @@
 import contextlib
 import logging
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from functools import partial
 
 from sablemount.control.advice_calls import AdviceCalls
 from sablemount.control.authority import Authority
@@ -105,6 +106,8 @@
         self.why = ""
         self.closing = False
         self._kicked = asyncio.Event()
+        self._early: list[Callable[[], None]] | None = []
+        """What was read of the VMs before the load, whose records say which were in use."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     # -- Life --------------------------------------------------------------------------------
@@ -112,12 +115,16 @@
     async def run(self) -> str:
         """Lead until it is over; return why it ended."""
         try:
+            # The store may take a while, and all that is read does not depend on each other.
+            self._follow()
+            alive = self._spawn(self._tick_while_loading())
             await self._load()
+            alive.cancel()
+            self._take_early()
             self.leading = True
             _logger.info("leading", extra={"epoch": self.epoch, **self._sizes()})
             self._spawn(self.commits.run())
             self._spawn(self._tick_forever())
-            self._follow()
             await self.over.wait()
         except LostLeadership as lost:
             self.end(str(lost))
@@ -176,8 +183,10 @@
         self._spawn(config.run())
         self._spawn(vms.run())
 
-    def _spawn(self, work: Coroutine[object, object, None]) -> None:
-        self._keep(asyncio.get_running_loop().create_task(work))
+    def _spawn(self, work: Coroutine[object, object, None]) -> "asyncio.Task[None]":
+        task = asyncio.get_running_loop().create_task(work)
+        self._keep(task)
+        return task
 
     def _keep(self, task: "asyncio.Task[None]") -> None:
         self._tasks.add(task)
@@ -233,6 +242,12 @@
             self._kicked.clear()
             self._tick()
 
+    async def _tick_while_loading(self) -> None:
+        """Let the time that a load takes not be taken as a pause of the process."""
+        while True:
+            self._authority.tick()
+            await asyncio.sleep(TICK)
+
     def _tick(self) -> None:
         self._authority.tick()
         self.scheduler.now()
@@ -261,6 +276,13 @@
 
     # -- The directory -----------------------------------------------------------------------
 
+    def _take_early(self) -> None:
+        """Take what was read of the VMs while the records of a former leader were loaded."""
+        early = self._early or []
+        self._early = None
+        for take in early:
+            take()
+
     def _configured(self, items: Sequence[PageItem], end: int) -> None:
         self._configured_more([item.record for item in items], end)
 
@@ -272,12 +294,18 @@
                 self.kick()
 
     def _vms_listed(self, items: Sequence[PageItem], end: int) -> None:
+        if self._early is not None:
+            self._early.append(partial(self._vms_listed, items, end))
+            return
         self.scheduler.now()
         infos = [self.ports.codec.vm(item.record) for item in items]
         self.scheduler.listed([info for info in infos if info is not None])
         self.kick()
 
     def _vms_told(self, records: Sequence[Record], end: int) -> None:
+        if self._early is not None:
+            self._early.append(partial(self._vms_told, records, end))
+            return
         self.scheduler.now()
         for record in records:
             info = self.ports.codec.vm(record)
--- /dev/null
+++ b/tests/jobs/test_take_over.py
@@ -0,0 +1,41 @@
+"""A new leader in a slow store serves as soon as it has loaded."""
+
+import asyncio
+
+from sablemount.control.messages import CallerCall, Operation, Outcome
+from tests.emulator.loop import run
+from tests.emulator.system import HOST, PREFIX, System
+
+SLOW = 0.45
+"""Seconds that the store takes for an answer: a load takes more than one second."""
+LIMIT = 10.0
+
+
+async def _next_leader(system: System) -> str:
+    last = asyncio.get_running_loop().time() + LIMIT
+    while asyncio.get_running_loop().time() < last:
+        leader = system.leader()
+        if leader is not None:
+            return leader
+        await asyncio.sleep(0.01)
+    raise AssertionError("nobody leads")
+
+
+def test_a_leader_that_took_long_to_load_serves_at_once() -> None:
+    async def scenario() -> None:
+        system = System(31, vms=4)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        first = system.leader()
+        assert first is not None
+        system.store.latency = SLOW
+        system.kill(first, None)
+        await asyncio.sleep(0.01)
+        second = await _next_leader(system)
+        spec = system.job()
+        system.cell.jobs["a1"] = spec
+        call = CallerCall(Operation.SUBMIT, HOST, PREFIX + "a1", spec)
+        reply = await system.members[second].serve(call, 2.7)
+        assert reply.outcome is Outcome.DONE
+
+    run(scenario())
