A healthy leader leads on as the store comes back for all

Change: a member whose own trial failed in the last 0.8 s does not claim for that reason. Ruled out: a longer second look for all, which would keep a leader that alone is without the store.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -24,7 +24,7 @@
     Topic,
     Unavailable,
 )
-from sablemount.control.suspicion import ClaimReason
+from sablemount.control.suspicion import NEVER, ClaimReason
 from sablemount.jobs.records import Record
 
 __all__ = ["Election"]
@@ -52,6 +52,9 @@
 """Seconds that the store has to answer a member that finds the leader without it."""
 STORE_SECOND_LOOK = 0.16
 """Seconds after which the leader is looked at once more: a ping and its answer."""
+STORE_BACK_GRACE = 0.8
+"""Seconds after the store last failed to answer this member for which a leader without it is not
+to blame: it asks each 0.35 s, and its next pong tells a member within 0.15 s."""
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 FROM_AFAR = (ClaimReason.SILENT, ClaimReason.REFUSED)
@@ -92,6 +95,8 @@
         self._end = 0
         self._known = False
         self._asked_to_lead = False
+        self._store_failed_at = NEVER
+        """When the store last gave no answer to this member's own trial."""
         self._rest_until = 0.0
         self._pause_until = 0.0
 
@@ -170,8 +175,11 @@
         """Tell whether the store answers here while the leader is still without it."""
         page = await self._page(STORE_TRIAL)
         if page is None:
+            self._store_failed_at = monotonic()
             return False
         self.listed(page.items, page.end)
+        if monotonic() - self._store_failed_at < STORE_BACK_GRACE:
+            return False
         # A store that has come back answers the leader too: its next answer tells.
         await asyncio.sleep(STORE_SECOND_LOOK)
         return self._link.suspicion.store_lost_since > 0
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -8,7 +8,7 @@
 
 from sablemount.control.messages import Pong
 
-__all__ = ["Suspicion", "ClaimReason"]
+__all__ = ["NEVER", "ClaimReason", "Suspicion"]
 
 NEVER = -1e9
 SILENT_AFTER = 0.6
