A VM that drains and is empty is no longer recorded as in use

Change: the record of use of a VM that drains goes as soon as nothing runs there, as nothing is started there again. Test: tests/jobs/test_vms.py, the first of the two new ones fails on the former code.

--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -119,20 +119,29 @@
         return out
 
     def idle(self) -> list[VmRow]:
-        """Return the VMs in use on which nothing can run any more, silent as they are."""
-        now = self._state.now
+        """Return the VMs in use on which nothing can run any more.
+
+        They are silent and what was leased there is over, or they drain, so that nothing is started
+        there again. A later leader then need not wait for them.
+        """
         return [
             row
             for row in self._state.vms.values()
-            if row.recorded and not row.runs and not self.fresh(row) and now > self._over_at(row)
+            if row.recorded and not row.runs and (self._drained(row) or self._over(row))
         ]
 
+    def _drained(self, row: VmRow) -> bool:
+        return row.info.draining and row.first_heard_at > 0 and not row.gone
+
+    def _over(self, row: VmRow) -> bool:
+        return not self.fresh(row) and self._state.now > self._over_at(row)
+
     def unrecorded(self) -> list[VmRow]:
         """Return the VMs that are heard, and that no record says to be in use."""
         return [
             row
             for row in self._state.vms.values()
-            if not row.recorded and not row.gone and self.fresh(row)
+            if not row.recorded and not row.gone and not row.info.draining and self.fresh(row)
         ]
 
     def _over_at(self, row: VmRow) -> float:
--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -73,3 +73,29 @@
     rig.accept("job", spec(StepSpec(1, CORE)))
     rig.tick()
     assert rig.started() == []
+
+
+def test_a_later_leader_does_not_wait_for_a_vm_that_was_drained_and_empty() -> None:
+    rig = Rig(vms=2)
+    info = msgspec.structs.replace(rig.scheduler.state.vms["w1"].info, draining=True)
+    rig.scheduler.told(info)
+    rig.tick(0.6)
+    rig.commit()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    later = rig.successor()
+    later.scheduler.vms.left_list("w1")
+    later.hear("w0")
+    later.tick()
+    assert [start.vm for start in later.started()] == ["w0"]
+
+
+def test_a_later_leader_waits_for_a_drained_vm_on_which_something_ran() -> None:
+    rig = Rig(vms=1)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    rig.run(rig.started()[0])
+    rig.hear_all()
+    rig.scheduler.told(msgspec.structs.replace(rig.scheduler.state.vms["w0"].info, draining=True))
+    rig.tick(0.6)
+    rig.commit()
+    assert "w/w0" in rig.store
