Members that can't read the store learn from others who leads

One piece of code for both questions about views. Test: tests/jobs/test_discovery.py fails on the former code.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -13,8 +13,7 @@
 from sablemount.control.hedge import hedged
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import ENOUGH_CORES, MemberSettings
-from sablemount.control.messages import LeaderRecord, LeaderView, ViewCall
-from sablemount.control.network import CallFailed
+from sablemount.control.messages import LeaderRecord, LeaderView
 from sablemount.control.store import (
     Appended,
     AppendResult,
@@ -30,8 +29,6 @@
 __all__ = ["Election"]
 
 LEADER_KEY = "leader"
-VIEW_TIMEOUT = 0.2
-"""Seconds that another member has to tell its view: 100 times the way between two zones."""
 VIEW_FRESH = 0.5
 """A member that has heard the leader within these seconds speaks against a claim."""
 CLAIM_TIMEOUT = 1.0
@@ -188,7 +185,7 @@
         """Ask the other members whether they hear the leader."""
         epoch = self._link.epoch
         others = self._link.other_members()
-        views = await asyncio.gather(*(self._view(address) for address in others))
+        views = await asyncio.gather(*(self._link.view(address) for address in others))
         heard = [view for view in views if view is not None]
         if any(_speaks_for(view, epoch) for view in heard):
             return False
@@ -196,13 +193,6 @@
             return True
         return self._link.suspicion.alone_too_long(monotonic())
 
-    async def _view(self, address: str) -> LeaderView | None:
-        try:
-            view = await self._link.call_once(address, ViewCall(), VIEW_TIMEOUT)
-        except CallFailed:
-            return None
-        return view if isinstance(view, LeaderView) else None
-
     # -- The claim ---------------------------------------------------------------------------
 
     async def _claim(self, reason: str) -> None:
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -3,10 +3,19 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 
 from sablemount.control.clock import monotonic
 from sablemount.control.member_settings import MemberSettings
-from sablemount.control.messages import LeaderRecord, Message, Ping, Pong, Reply
+from sablemount.control.messages import (
+    LeaderRecord,
+    LeaderView,
+    Message,
+    Ping,
+    Pong,
+    Reply,
+    ViewCall,
+)
 from sablemount.control.network import CallFailed, Handler, Link, Network
 from sablemount.control.suspicion import Suspicion
 
@@ -22,9 +31,16 @@
 """Seconds that a ping waits for its answer, below the silence that makes a leader suspected."""
 CONNECT_TIMEOUT = 0.3
 """Seconds that a connection to the leader may take: 100 times the way between two zones."""
+VIEW_TIMEOUT = 0.2
+"""Seconds that another member has to tell its view: 100 times the way between two zones."""
 RECONNECT_PAUSE = 0.05
 """Seconds between tries to connect; a new leader is connected to at once."""
 
+
+def _ignore(record: LeaderRecord) -> None:
+    """Take who leads, and do nothing."""
+
+
 _logger = logging.getLogger("sablemount.control.leader_link")
 
 
@@ -45,6 +61,8 @@
         self.leads = False
         """Whether the leader has said over this link that it leads."""
         self.heard_leading_at = -1e9
+        self.on_leader: Callable[[LeaderRecord], None] = _ignore
+        """Takes a later leader that the named one tells of."""
         self.addresses: dict[str, str] = {}
         """Addresses of the members that the leader has heard, by name."""
 
@@ -91,6 +109,14 @@
             link.close()
             serving.cancel()
 
+    async def view(self, address: str) -> LeaderView | None:
+        """Ask another member for its view of the leader; ``None`` without an answer."""
+        try:
+            view = await self.call_once(address, ViewCall(), VIEW_TIMEOUT)
+        except CallFailed:
+            return None
+        return view if isinstance(view, LeaderView) else None
+
     def close(self) -> None:
         """Close the connection."""
         if self._link is not None:
@@ -156,6 +182,9 @@
 
     def _heard(self, pong: Pong) -> None:
         now = monotonic()
+        if pong.leader is not None and pong.leader.epoch > self.epoch:
+            self.on_leader(pong.leader)
+            return
         self.suspicion.heard(pong, now)
         self.leads = pong.leading and pong.epoch == self.epoch
         self.addresses = pong.members
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -7,6 +7,7 @@
 from collections.abc import Coroutine
 
 from sablemount.control.clock import monotonic
+from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
@@ -86,6 +87,8 @@
         self._election = Election(
             settings, ports.store, self._link, rng, self.figures, self._follow, self._won
         )
+        self._link.on_leader = self._follow
+        self._discovery = Discovery(self._link, rng, self._leads_or_knows, self._follow)
         self._watch = Follower(
             ports.store, Topic.LEADER, self._election.listed, self._election.told, WATCH_FRESH_START
         )
@@ -99,7 +102,12 @@
         """Listen and begin to follow."""
         address = self.settings.rpc_address
         self._listener = self._network.listen(address, self._handle, self._link_closed)
-        for work in (self._watch.run(), self._link.run(), self._judge_forever()):
+        for work in (
+            self._watch.run(),
+            self._link.run(),
+            self._judge_forever(),
+            self._discovery.run(),
+        ):
             self._spawn(work)
 
     async def stop(self) -> None:
@@ -165,6 +173,10 @@
         leader = self.leader
         return leader if leader is not None and leader.leading else None
 
+    def _leads_or_knows(self) -> bool:
+        """Tell whether this member leads, or is linked to one that does."""
+        return self.leader is not None or self._link.leads
+
     def gauges(self) -> dict[str, float]:
         """Return the figures of the present state."""
         figures = {"epoch": float(self._link.epoch), "ready": float(self.ready), "leading": 0.0}
@@ -237,15 +249,15 @@
     def _own_view(self) -> LeaderView:
         leader = self._leading()
         if leader is not None:
-            return LeaderView(leader.epoch, 0.0, True)
+            return LeaderView(leader.epoch, 0.0, True, self._link.record)
         age = self._link.suspicion.heard_age(monotonic())
-        return LeaderView(self._link.epoch, age, self._link.linked)
+        return LeaderView(self._link.epoch, age, self._link.linked, self._link.record)
 
     def _pinged(self, link: Link, ping: Ping) -> Pong:
         leader = self.leader
         if leader is None or not leader.leading:
             loading = leader is not None and not leader.over.is_set()
-            return Pong(self._link.epoch, False, 0.0, loading)
+            return Pong(self._link.epoch, False, 0.0, loading, leader=self._link.record)
         if ping.epoch > leader.epoch:
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -112,6 +112,8 @@
     """Whether it is about to lead and reads what lasts."""
     members: dict[str, str] = {}
     """Addresses of the members that the leader hears, by name."""
+    leader: LeaderRecord | None = None
+    """Who leads as far as a member knows that does not lead itself."""
 
 
 class LeaderView(msgspec.Struct, frozen=True, tag=True):
@@ -123,6 +125,7 @@
     epoch: int
     heard_age: float
     linked: bool
+    leader: LeaderRecord | None = None
 
 
 class CallerReply(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
--- /dev/null
+++ b/tests/jobs/test_discovery.py
@@ -0,0 +1,29 @@
+"""A member that the store turns away learns from others who leads, and serves on."""
+
+import asyncio
+
+from sablemount.control.messages import CallerCall, Operation, Outcome
+from tests.emulator.loop import run
+from tests.emulator.system import HOST, PREFIX, System
+
+
+def test_members_without_the_store_follow_a_new_leader() -> None:
+    async def scenario() -> None:
+        system = System(70)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        former = system.leader()
+        assert former is not None
+        away = next(name for name in system.names if name != former)
+        # The leader is replaced, as it alone is without the store; one more can't read by whom.
+        system.store.turned_away |= {former, away}
+        await asyncio.sleep(3.5)
+        assert system.leader() not in (None, former, away)
+        for number, name in enumerate((former, away)):
+            spec = system.job()
+            system.cell.jobs[f"a{number}"] = spec
+            call = CallerCall(Operation.SUBMIT, HOST, PREFIX + f"a{number}", spec)
+            reply = await system.members[name].serve(call, 2.7)
+            assert reply.outcome is Outcome.DONE
+
+    run(scenario())
