Room that was made and taken does not keep others from having room made

Hypothesis: at most two steps have room made at once, and each counted for 3 s though its room was taken after one; late renders wait for room mostly. Test: tests/jobs/test_preemption.py, the new one fails on the former code.

--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -64,7 +64,7 @@
         now = self._state.now
         if not self._every.due(now):
             return
-        self._made = {key: until for key, until in self._made.items() if until > now}
+        self._made = {key: until for key, until in self._made.items() if self._making(key, until)}
         usable: list[VmRow] | None = None
         for step in self._placement.in_order():
             if len(self._made) >= MAX_AT_ONCE:
@@ -75,6 +75,11 @@
                 usable = self._placement.usable_rows()
             self._make_room(step, self._placement.allowed(step, usable))
 
+    def _making(self, key: str, until: float) -> bool:
+        """Tell whether room that is being made for a step has not been taken yet."""
+        step = self._state.open_steps.get(key)
+        return step is not None and step.waiting > 0 and until > self._state.now
+
     def _due(self, step: StepRow) -> bool:
         """Tell whether a step has waited long enough; what waits for tickets does not count."""
         if not step.waiting or step.booked or not self._placement.ready(step):
--- a/tests/jobs/test_preemption.py
+++ b/tests/jobs/test_preemption.py
@@ -104,3 +104,22 @@
     rig.hear_all()
     rig.tick()
     assert [s.task.split(".")[0] for s in rig.started()[4:]] == ["gang"] * 4
+
+
+def test_room_is_made_for_the_next_step_once_others_have_taken_theirs() -> None:
+    rig = _full(StepSpec(6, HALF, expected_ms=5000.0, saves=True), vms=3)
+    for number in range(3):
+        rig.accept(f"quote{number}", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
+    rig.clock.time += 0.7
+    rig.hear_all()
+    rig.tick()
+    first = rig.stopped()
+    assert len(first) == 2
+    for stop in first:
+        stopped = next(start for start in rig.started() if start.task == stop.task)
+        rig.end(stopped, "stopped", "saved-1")
+    rig.clock.time += 0.1
+    rig.hear_all()
+    rig.tick()
+    rig.tick(0.1)
+    assert len(rig.stopped()) == 3
