--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -25,8 +25,9 @@
 """Seconds that the shortest work waits: a task that ends by itself throws nothing away."""
 MOST_PATIENCE = 1.5
 """Seconds that the longest work waits."""
-LOSS_SHARE = 0.25
-"""Work thrown away at most, as a share of the work that gets the room."""
+LOSS_SHARE = 0.6
+"""Work thrown away at most, as a share of the work that gets the room. A render that comes in time
+earns ten times what the work thrown away for it costs; 0.25 left a third more of them late."""
 MAX_AT_ONCE = 2
 """Steps that have room made for them at once."""
 KEEP_MARGIN = 1.0
