--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -46,8 +46,9 @@
 """Seconds that the leader has to answer a caller's request, below the 3 s that callers wait."""
 YIELD_TIMEOUT = 0.5
 """Seconds that a member has to say whether it takes over."""
-HAND_OVER_WAIT = 0.15
-"""Seconds that a request waits for a new leader: a hand-over takes some 50 ms."""
+HAND_OVER_WAIT = 0.4
+"""Seconds that a request waits for a new leader: one that was killed is replaced in 0.3 to 0.4 s, and
+a caller that is refused comes back a second later."""
 HAND_OVER_TIME = 0.5
 """Seconds after which a change of leader counts as an outage, and requests are refused at once."""
 HAND_OVER_POLL = 0.01
