--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -52,8 +52,8 @@
 HAND_OVER_TIME = 0.5
 """Seconds after which a change of leader counts as an outage, and requests are refused at once."""
 TAKE_OVER_TIME = 2.0
-"""Seconds that a leader that is being stopped waits for its successor's claim, which is an append; in
-the slowest store that was played it took 0.5 s."""
+"""Seconds that a leader that is being stopped waits for its successor to claim, by an append; that
+took 0.5 s in the slowest store that was played."""
 HAND_OVER_POLL = 0.01
 """Seconds between looks at whether somebody leads."""
 UNCERTAIN_WAIT = 1.2
