A leader without the store is told by owed answers, and a slow store costs no leader

Change: pongs tell for how long an answer has been due to the leader; 0.35 s of that make a member try the store, and it claims only if the store answers it within 0.15 s, or the leader has been owed an answer for 2 s. Tests: tests/jobs/test_store_outage.py, the new one fails on the former code.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -84,14 +84,14 @@
 
     def silent(self) -> bool:
         """Tell whether the store has answered nothing for some time though it was asked."""
-        return self._unanswered_for() > SILENT_AFTER
+        return self.unanswered_for() > SILENT_AFTER
 
     def unusual(self) -> bool:
         """Tell whether the next answer is late beside those before."""
-        return self._unanswered_for() > max(UNUSUAL_LEAST, UNUSUAL_FACTOR * self._usual)
+        return self.unanswered_for() > max(UNUSUAL_LEAST, UNUSUAL_FACTOR * self._usual)
 
-    def _unanswered_for(self) -> float:
-        """Return since when (seconds) an answer is due and none has come."""
+    def unanswered_for(self) -> float:
+        """Return for how many seconds an answer has been due and none has come."""
         since = self.waiting_since
         return monotonic() - max(since, self.good_at) if since > 0 else 0.0
 
@@ -189,7 +189,7 @@
             return False
         if self.silent():
             return in_flight < SILENT_TRIES_AT_ONCE
-        overdue = self._unanswered_for() > interval * LEAST_JITTER
+        overdue = self.unanswered_for() > interval * LEAST_JITTER
         return overdue and in_flight < MAX_TRIES_AT_ONCE
 
     def _max_interval(self, sequence: int) -> float:
--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -47,6 +47,10 @@
 """Seconds after its start before which a member does not claim the first leadership."""
 STORE_TRIAL = 0.4
 """Seconds that the store has to answer a member that finds the leader without it."""
+QUICK_ANSWER = 0.15
+"""Seconds within which the store answers a member, if it is well: 40 times a usual answer."""
+SLOW_STORE_SILENT = 2.0
+"""Seconds for which a store that is slow for this member too may owe the leader an answer."""
 STORE_SECOND_LOOK = 0.16
 """Seconds after which the leader is looked at once more: a ping and its answer."""
 STORE_BACK_GRACE = 0.8
@@ -170,12 +174,16 @@
 
     async def _store_reached(self) -> bool:
         """Tell whether the store answers here while the leader is still without it."""
+        began = monotonic()
         page = await self._page(STORE_TRIAL)
         if page is None:
             self._store_failed_at = monotonic()
             return False
         self.listed(page.items, page.end)
-        if monotonic() - self._store_failed_at < STORE_BACK_GRACE:
+        now = monotonic()
+        if now - self._store_failed_at < STORE_BACK_GRACE:
+            return False
+        if now - began > QUICK_ANSWER and self._link.suspicion.store_silent < SLOW_STORE_SILENT:
             return False
         # A store that has come back answers the leader too: its next answer tells.
         await asyncio.sleep(STORE_SECOND_LOOK)
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -269,7 +269,7 @@
         leader.members.pinged(link, ping)
         addresses = self._link.addresses
         addresses[ping.name] = ping.address
-        return Pong(leader.epoch, True, leader.store_age(), members=addresses)
+        return Pong(leader.epoch, True, leader.committer.unanswered_for(), members=addresses)
 
     def _link_closed(self, link: Link) -> None:
         if self.leader is not None:
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -107,7 +107,8 @@
 
     epoch: int
     leading: bool
-    store_age: float
+    store_silent: float
+    """For how long an answer of the store has been due to the leader."""
     loading: bool = False
     """Whether it is about to lead and reads what lasts."""
     members: dict[str, str] = {}
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -17,9 +17,9 @@
 """Seconds for which nothing listens at the leader's address until it is suspected."""
 IDLE_AFTER = 0.4
 """Seconds for which the named leader may say that it does not lead."""
-STORE_LOST_AFTER = 0.7
-"""Seconds for which the leader may be without the store; a claim is due only if this member
-reaches it, which is tried first."""
+STORE_LOST_AFTER = 0.35
+"""Seconds for which the store may owe the leader an answer, 90 times a usual one; a claim is due
+only if the store answers this member, which is tried first."""
 ALONE_AFTER = 4.0
 """Seconds of suspicion after which a member that hears nobody else claims all the same."""
 
@@ -46,6 +46,8 @@
     refused_since: float = NEVER
     idle_since: float = NEVER
     store_lost_since: float = NEVER
+    store_silent: float = 0.0
+    """For how long the store owed the leader an answer when it was last heard."""
 
     def heard(self, pong: Pong, now: float) -> None:
         """Take an answer of the leader."""
@@ -53,7 +55,8 @@
         self.refused_since = NEVER
         busy = pong.leading or pong.loading
         self.idle_since = NEVER if busy else self._first(self.idle_since, now)
-        lost = pong.leading and pong.store_age > STORE_LOST_AFTER
+        self.store_silent = pong.store_silent
+        lost = pong.leading and pong.store_silent > STORE_LOST_AFTER
         self.store_lost_since = self._first(self.store_lost_since, now) if lost else NEVER
 
     def refused(self, now: float) -> None:
--- a/tests/jobs/test_store_outage.py
+++ b/tests/jobs/test_store_outage.py
@@ -44,7 +44,20 @@
         leader = system.leader()
         assert leader is not None
         system.store.turned_away.add(leader)
-        await asyncio.sleep(1.8)
+        await asyncio.sleep(0.9)
         assert system.leader() not in (None, leader)
 
     run(scenario())
+
+
+def test_a_store_that_is_slow_for_all_costs_no_leader() -> None:
+    async def scenario() -> None:
+        system = System(61)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        before = _record(system)
+        system.store.latency = system.store.append_time = 0.3
+        await asyncio.sleep(6.0)
+        assert _record(system) == before
+
+    run(scenario())
