Two batches in flight in place of four

Hypothesis: in a store that takes appends in turn, 0.18 s each, four in flight make a batch wait for three others.

--- a/src/sablemount/control/commit_loop.py
+++ b/src/sablemount/control/commit_loop.py
@@ -17,8 +17,9 @@
 """Seconds between two batches: a call of the store costs, and 15 ms are little beside a task."""
 PIPELINE_AFTER = 0.04
 """Seconds that a batch waits for the answer to the one before."""
-PIPELINE_DEPTH = 4
-"""Appends in flight at most: the store remembers the answers to the last five."""
+PIPELINE_DEPTH = 2
+"""Appends in flight at most: the store takes them in turn, so that more only wait there, and what
+comes meanwhile goes together with the next one."""
 PIPELINE_POLL = 0.01
 """Seconds between looks at whether the next batch may be sent."""
 
