Stops respect how many tasks of a step may be away

mayMiss was decoded and nothing read it. Preemption, moves off VMs that are not well and evacuation now ask State.may_be_stopped; off a VM that drains, such tasks move a few at a time from its notice on, and what is left goes at the last moment, since it would die with the VM.

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -20,6 +20,8 @@
 __all__ = ["State"]
 
 TASK_KEY_PARTS = 4
+AT_WORK = 100.0
+"""Percent that a lasting task shows once it is at work."""
 LEASE_SLACK = 0.1
 """Seconds beyond a lease until what ran under it counts as over."""
 RUNS_AN_EPOCH = 10_000
@@ -131,6 +133,17 @@
                 found.append((run, task))
         return found
 
+    def may_be_stopped(self, task: TaskRow) -> bool:
+        """Tell whether a stop of a task leaves enough tasks of its step at work.
+
+        ``may_miss`` of a step bounds how many may be away at once by our doing; 0 is no bound.
+        """
+        step = task.step
+        if not step.spec.may_miss:
+            return True
+        away = sum(1 for other in step.tasks if other is not task and not _at_work(other))
+        return away < step.spec.may_miss
+
     def next_run(self, tasks: list[TaskRow]) -> int:
         """Return a run number above all that some tasks have had."""
         base = (self.epoch - 1) * RUNS_AN_EPOCH
@@ -186,3 +199,7 @@
         """Charge a VM for a run that is to be stopped."""
         run.state = RunState.STOPPING
         self.orphans[(run.vm, run.task, run.number)] = run
+
+
+def _at_work(task: TaskRow) -> bool:
+    return any(run.state is RunState.RUNNING and run.percent >= AT_WORK for run in task.runs)
--- a/src/sablemount/jobs/systems/evacuation.py
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -1,8 +1,9 @@
 """What runs on a VM that leaves too soon for it is stopped in time and starts elsewhere.
 
 A VM that drains tells how long it stays. When it leaves, all that runs on it dies, and that is
-noticed late. So what can't end in time is stopped before: at the last moment where a stop saves the
-work, and at once where the work is lost in any case.
+noticed late. So what can't end in time is stopped before: at the last moment where a stop saves
+the work, and at once where the work is lost in any case. Of a step that bounds how many of its
+tasks may be away, they are moved a few at a time.
 """
 
 from sablemount.jobs.state import State
@@ -64,8 +65,13 @@
         if not spec.lasting and self._ends_at(run, task) <= leaves_at - END_MARGIN:
             return False
         last_stop = leaves_at - self._state.settings.stop_time - STOP_MARGIN
-        keeps = spec.saves or spec.lasting
-        return not keeps or self._state.now >= last_stop
+        if self._state.now >= last_stop:
+            # What is left there then dies with the VM.
+            return True
+        if spec.may_miss:
+            # Moved a few at a time, so that the others stay at work.
+            return self._state.may_be_stopped(task)
+        return not (spec.saves or spec.lasting)
 
     def _ends_at(self, run: RunRow, task: TaskRow) -> float:
         """Return when a run ends, by its own progress or else by what was expected of it."""
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -166,6 +166,9 @@
 
     def _move(self, row: VmRow, runs: list[RunRow]) -> None:
         for run in runs:
+            task = self._state.task(run.task)
+            if task is None or not self._state.may_be_stopped(task):
+                continue
             self._state.logger.info(
                 "run moved",
                 extra={
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -148,6 +148,8 @@
                 continue
             if self._state.terms_of(task.step.job).priority <= priority:
                 continue
+            if not self._state.may_be_stopped(task):
+                continue
             found.append((self._loss(run, spec.saves), run))
         return found
 
