--- a/benchmarks/lost_worth.py
+++ b/benchmarks/lost_worth.py
@@ -2,24 +2,20 @@
 
     python -m benchmarks.lost_worth DAY.txt [DAY.txt ...]
 
-Reads the structured lines of all processes, each behind its simulated time and the machine's name.
 A job that ends late, or is never accepted, counts as one; it is divided among the reasons by the
 seconds that each held up its last chain of steps.
 """
 
-import re
 from collections import Counter, defaultdict
 from pathlib import Path
 from statistics import median
 from typing import Annotated
 
-import msgspec
 import typer
 
-from benchmarks.lost_time import Span, overlap, spans
+from benchmarks.lost_time import Span, overlap
+from benchmarks.played_day import DONE, FAILED, Day, Job, Line, Run, read
 
-LINE = re.compile(r"^\s*(-?\d+\.\d+) (\S+) (\{\"time\".*)$")
-WORK = "work"
 NO_LEADER = "no leader"
 STORE = "store down"
 ROOM = "room"
@@ -29,113 +25,9 @@
 FAULT = "own fault"
 ANSWER = "lost answer"
 UNSETTLED = "VMs unheard"
-REASONS = (ROOM, ADVICE, NO_LEADER, UNSETTLED, STORE, SLOW, LOST, FAULT, ANSWER)
 USUAL_FACTOR = 2.0
 """A run longer than this many times its step's median counts as held up by its VM: works of one
 step differ by a third or so."""
-FAILED = "failed"
-DONE = "done"
-
-
-class Line(msgspec.Struct, frozen=True):
-    """One structured line and when and where it was written (simulated seconds)."""
-
-    at: float
-    machine: str
-    fields: dict[str, object]
-
-    @property
-    def message(self) -> str:
-        """Return what the line says."""
-        return str(self.fields.get("message", ""))
-
-    def text(self, key: str) -> str:
-        """Return a field as text; empty if it is not there."""
-        return str(self.fields.get(key, ""))
-
-    def number(self, key: str) -> float:
-        """Return a field as a number; 0 if it is not there."""
-        value = self.fields.get(key, 0.0)
-        return float(value) if isinstance(value, int | float) else 0.0
-
-
-class Run(msgspec.Struct):
-    """One run of a task."""
-
-    task: str
-    began: float
-    ended: float = -1.0
-    how: str = ""
-
-
-class Job(msgspec.Struct):
-    """What the lines tell of one job."""
-
-    name: str
-    seen: float | None = None
-    """When it was first refused or accepted."""
-    refusals: list[tuple[float, str, int]] = []
-    accepted: float | None = None
-    ended: Line | None = None
-    runs: dict[str, list[Run]] = {}
-    placed: dict[str, Line] = {}
-
-
-class Day:
-    """The jobs of one day, and the spans in which nobody led or the store did not answer."""
-
-    def __init__(self, lines: list[Line]) -> None:
-        self.jobs: dict[str, Job] = {}
-        self._runs: dict[tuple[str, float], Run] = {}
-        for line in lines:
-            self._take(line)
-        self.no_leader = _no_leader(lines)
-        self.unsettled = spans(_times(lines, "leading"), _times(lines, "former runs settled"))
-        leaders = _leaders_lines(lines)
-        self.store_down = spans(
-            _times(leaders, "store does not answer"), _times(leaders, "store answers")
-        )
-
-    def _job(self, name: str, at: float) -> Job:
-        job = self.jobs.get(name)
-        if job is None:
-            job = self.jobs[name] = Job(name)
-        if job.seen is None:
-            job.seen = at
-        return job
-
-    def _take(self, line: Line) -> None:
-        message = line.message
-        if message == "refused" and line.text("method") == "POST":
-            job = self._job(line.text("request"), line.at)
-            job.refusals.append((line.at, line.text("why"), int(line.number("status"))))
-        elif message == "job accepted":
-            job = self._job(line.text("job"), line.at)
-            job.accepted = line.at if job.accepted is None else job.accepted
-        elif message == "job ended":
-            job = self._job(line.text("job"), line.at)
-            job.ended = job.ended or line
-        elif message == "step placed":
-            step = line.text("step")
-            self._job(step.partition(".")[0], line.at).placed.setdefault(step, line)
-        elif message == "start":
-            self._started(line)
-        elif message == "run ended":
-            self._run_ended(line)
-
-    def _started(self, line: Line) -> None:
-        task = line.text("task")
-        run = Run(task, line.at)
-        key = (task, line.number("run"))
-        if key not in self._runs:
-            self._runs[key] = run
-            self._job(task.partition(".")[0], line.at).runs.setdefault(task, []).append(run)
-
-    def _run_ended(self, line: Line) -> None:
-        run = self._runs.get((line.text("task"), line.number("run")))
-        if run is not None and not run.how:
-            run.ended = line.at
-            run.how = line.text("how")
 
 
 class Lateness:
@@ -239,34 +131,6 @@
         self.delays[otherwise] += left
 
 
-def _times(lines: list[Line], message: str) -> list[float]:
-    return [line.at for line in lines if line.message == message]
-
-
-def _leaders_lines(lines: list[Line]) -> list[Line]:
-    """Return what each leader wrote while no later one led."""
-    leader = ""
-    found = []
-    for line in lines:
-        leader = line.machine if line.message == "leading" else leader
-        if line.machine == leader:
-            found.append(line)
-    return found
-
-
-def _no_leader(lines: list[Line]) -> list[Span]:
-    """Return the spans between the last sign of a leader and the next one that leads."""
-    orders = ("start", "run ended", "job accepted", "job ended", "leads no more")
-    found = []
-    last = 0.0
-    for line in lines:
-        if line.message == "leading" and line.at > last > 0.0:
-            found.append(Span(last, line.at))
-        if line.message in (*orders, "leading"):
-            last = line.at
-    return found
-
-
 def kind_of(ended: Line) -> str:
     """Return a name for a kind of request that holds over days: names of queues change."""
     kind = f"priority {int(ended.number('priority'))}"
@@ -277,18 +141,6 @@
     return kind
 
 
-def read(path: Path) -> Day:
-    """Read the lines of one played day."""
-    lines = []
-    with path.open(errors="replace") as file:
-        for text in file:
-            found = LINE.match(text)
-            if found is not None:
-                fields = msgspec.json.decode(found[3], type=dict[str, object])
-                lines.append(Line(float(found[1]), found[2], fields))
-    return Day(lines)
-
-
 class Table:
     """Late jobs by kind and reason."""
 
