A task that has failed is not tried again at once where it failed

Change: a task waits up to 2 s for room on a VM where it has not failed, and a second if there is no other VM for it. The penalty goes. Tests: tests/jobs/test_scheduling.py, the two new ones fail on the former code.

--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -10,8 +10,12 @@
 Assignment = list[tuple[TaskRow, VmRow]]
 FAR_PENALTY = 10.0
 """Weight of a VM away from the data, where a task takes twice as long; a free VM weighs 2."""
-FAILED_PENALTY = 5.0
-"""Weight of the VM on which the task failed: above any free room, below far data."""
+FAILED_PAUSE = 1.0
+"""Seconds until a task is tried again where it failed, if there is no other VM for it: a VM that
+fails all that it starts would use up its attempts in a few ms; its tasks tell in less."""
+FAILED_WAIT = 2.0
+"""Seconds for which a task that failed waits for room on another VM; below the 3 s for which
+nothing of a job may run while there is room for it."""
 STALE_PENALTY = 3.0
 """VMs with a valid ticket go first: otherwise steps whose bookings make each other's VMs
 the fullest ask for new tickets without end."""
@@ -36,7 +40,9 @@
         counts = self._counts(step) if step.spec.spread else {}
         chosen: Assignment = []
         for task in tasks:
-            best = self._best(step, task, fitting, room, counts)
+            best = self._best(step, task, self._untried(task, rows, fitting), room, counts)
+            if best is None and task.failed_on:
+                continue
             if best is None:
                 break
             chosen.append((task, best))
@@ -46,6 +52,20 @@
                 fitting.remove(best)
         return chosen
 
+    def _untried(self, task: TaskRow, rows: list[VmRow], fitting: list[VmRow]) -> list[VmRow]:
+        """Return the VMs with room where a task has not failed.
+
+        Where it has failed it is tried again only if no other VM has room for it in a while.
+        """
+        if not task.failed_on:
+            return fitting
+        untried = [row for row in fitting if row.name not in task.failed_on]
+        others = any(row.name not in task.failed_on for row in rows)
+        wait = FAILED_WAIT if others else FAILED_PAUSE
+        if untried or self._state.now - task.failed_at < wait:
+            return untried
+        return fitting
+
     def _best(
         self,
         step: StepRow,
@@ -64,8 +84,6 @@
             score = _leftover(room[row.name], row.info.capacity)
             if spec.rack and spec.rack not in row.info.labels:
                 score += FAR_PENALTY
-            if task.failed_on == row.name:
-                score += FAILED_PENALTY
             if not self._advice.valid(step, row):
                 score += STALE_PENALTY
             if best is None or score < best_score:
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -97,12 +97,13 @@
             self._done(task, end.run)
         elif end.outcome == FAILED:
             self.on_end(vm.name, task.step.job.name, True, self._failed_elsewhere(task, vm))
-            task.failed_on = vm.name
+            task.failed_on.add(vm.name)
+            task.failed_at = self._state.now
             self._failed(task, end.run)
 
     @staticmethod
     def _failed_elsewhere(task: TaskRow, vm: VmRow) -> bool:
-        return any(other.failed_on not in ("", vm.name) for other in task.step.tasks)
+        return any(other.failed_on - {vm.name} for other in task.step.tasks)
 
     def _done(self, task: TaskRow, number: int) -> None:
         """One member's end stands for all of its gang's run."""
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -104,8 +104,10 @@
     saved: str = ""
     last_run: int = 0
     runs: list[RunRow] = field(default_factory=list)
-    failed_on: str = ""
-    """VM on which the task last failed."""
+    failed_on: set[str] = field(default_factory=set)
+    """VMs on which the task has failed."""
+    failed_at: float = NEVER
+    """When it last failed."""
 
 
 @dataclass(slots=True)
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -275,3 +275,37 @@
     rig.commit()
     rig.tick()
     assert [start.vm for start in rig.started()] == ["w1"]
+
+
+def test_a_vm_that_fails_all_it_starts_does_not_use_up_a_tasks_attempts() -> None:
+    rig = Rig(vms=2)
+    rig.accept("full", spec(StepSpec(1, Shape(16_000, 1_000))))
+    rig.tick()
+    (full,) = rig.started()
+    rig.run(full)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    first = rig.started()[-1]
+    rig.end(first, "failed")
+    rig.hear_all()
+    rig.tick(0.3)
+    assert rig.started()[-1] is first
+    rig.end(full, "done")
+    rig.hear_all()
+    rig.tick()
+    again = rig.started()[-1]
+    assert (again.task, again.vm) == (first.task, full.vm)
+
+
+def test_a_task_that_has_failed_is_tried_again_there_if_nothing_else_has_room() -> None:
+    rig = Rig(vms=1)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    rig.end(rig.started()[-1], "failed")
+    rig.hear_all()
+    rig.tick(0.5)
+    assert len(rig.started()) == 1
+    rig.clock.time += 0.6
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 2
