A leader that reaches nobody stops in time, and pages are not brought up to an unknown end

By reading the diff: a leader that is stopped while it is cut off asked one member after the other for 0.5 s each, so that with many members its grace could go by; it stops asking after 1.5 s. If the answer to the setting of the epoch named no end, pages read before would have been taken as up to date; then all is read anew. Tests: tests/jobs/test_hand_over.py (fails on the former code), tests/jobs/test_preload.py (one of three fails on the former code).

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -76,7 +76,7 @@
         self._usual = 0.02
         self._open: list[_Open] = []
         self.good_at = -1e9
-        self.end = 0
+        self.end: int | None = None
         """Where the topic ended after the newest append that was answered."""
 
     @property
@@ -211,7 +211,7 @@
         sent_at = monotonic()
         result = await self._store.append(Topic.JOBS, records, TRY_TIMEOUT, producer)
         if isinstance(result, Appended):
-            self.end = max(self.end, result.end)
+            self.end = result.end if self.end is None else max(self.end, result.end)
             self._usual += SMOOTHING * (monotonic() - sent_at - self._usual)
         return result
 
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -47,6 +47,9 @@
 """Seconds that the leader has to answer a caller's request, below the 3 s that callers wait."""
 YIELD_TIMEOUT = 0.5
 """Seconds that a member has to say whether it takes over."""
+HAND_OVER_LIMIT = 1.5
+"""Seconds after which no further member is asked: a leader that is cut off reaches none, and has to
+end within its grace, 6 s in all sites."""
 HAND_OVER_WAIT = 0.4
 """Seconds that a request waits for a new leader: one that was killed is replaced in 0.3 to 0.4 s,
 and a caller that is refused comes back a second later."""
@@ -143,7 +146,10 @@
 
     async def _hand_over(self, leader: Leader) -> bool:
         """Ask one member after the other to take over; return whether one does."""
+        last = monotonic() + HAND_OVER_LIMIT
         for name, link in leader.members.successors():
+            if monotonic() > last:
+                break
             try:
                 reply = await link.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
             except CallFailed as failed:
--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -58,14 +58,14 @@
 async def load_records(
     store: Store,
     reading: "asyncio.Task[Reading | None] | None",
-    end: int,
+    end: int | None,
 ) -> list[Record] | None:
-    """Return the newest records up to an end after which nobody else writes.
+    """Return the newest records up to an end after which nobody else writes, if it is known.
 
     ``reading`` may have begun before. ``None`` if the store does not answer.
     """
     read = await reading if reading is not None else None
-    if read is not None:
+    if read is not None and end is not None:
         newest = {record.key: record for record in read.records}
         if await _catch_up(store, newest, read.end, end):
             return list(newest.values())
--- a/tests/jobs/test_hand_over.py
+++ b/tests/jobs/test_hand_over.py
@@ -95,3 +95,22 @@
         assert {reply.outcome for reply in replies} == {Outcome.DONE}
 
     run(scenario())
+
+
+def test_a_leader_that_reaches_nobody_stops_in_time() -> None:
+    async def scenario() -> None:
+        system = System(15, members=9)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        leader = system.leader()
+        assert leader is not None
+        for name in system.names:
+            if name != leader:
+                system.wires.cuts.add(frozenset((leader, name)))
+        # Nobody can claim, so that nothing else ends its leadership.
+        system.store.down = True
+        began = asyncio.get_running_loop().time()
+        await system.members[leader].stop()
+        assert asyncio.get_running_loop().time() - began < 3.0
+
+    run(scenario())
--- /dev/null
+++ b/tests/jobs/test_preload.py
@@ -0,0 +1,63 @@
+"""What lasts is the same whether its pages were read before or after the epoch was set."""
+
+import asyncio
+import random
+
+import pytest
+
+from sablemount.control.preload import Preload, load_records
+from sablemount.control.store import Topic
+from sablemount.jobs.records import Record
+from tests.emulator.loop import run
+from tests.emulator.store import EmulatedStore, StoreState
+
+PAGES = 1_200
+"""Keys, which take three pages."""
+
+
+def _filled() -> StoreState:
+    state = StoreState(random.Random(1))
+    topic = state.topics[Topic.JOBS]
+    topic.add([Record(f"k{number:04d}", b"first") for number in range(PAGES)])
+    return state
+
+
+def _values(records: list[Record] | None) -> dict[str, bytes]:
+    assert records is not None
+    return {record.key: record.value for record in records}
+
+
+@pytest.mark.parametrize("forgotten", [False, True])
+def test_what_changes_after_the_first_page_is_there(forgotten: bool) -> None:
+    async def scenario() -> None:
+        state = _filled()
+        store = EmulatedStore(state, "m")
+        state.latency = 0.1
+        preload = Preload(store)
+        preload.begin()
+        # The first page is read by then; it has the first two of these keys.
+        await asyncio.sleep(0.15)
+        topic = state.topics[Topic.JOBS]
+        topic.add([Record("k0001", b"second"), Record("k0002"), Record("new", b"first")])
+        await asyncio.sleep(0.5)
+        if forgotten:
+            state.forget_history()
+        loaded = _values(await load_records(store, preload.take(), topic.end))
+        assert loaded == {key: item.record.value for key, item in topic.newest.items()}
+        assert loaded["k0001"] == b"second"
+        assert "k0002" not in loaded
+
+    run(scenario())
+
+
+def test_without_a_known_end_all_is_read_anew() -> None:
+    async def scenario() -> None:
+        state = _filled()
+        store = EmulatedStore(state, "m")
+        preload = Preload(store)
+        await preload.begin()
+        state.topics[Topic.JOBS].add([Record("k0001", b"second")])
+        loaded = _values(await load_records(store, preload.take(), None))
+        assert loaded["k0001"] == b"second"
+
+    run(scenario())
