A signal that settings have changed does not end a process that is starting

The handler is set after the imports, which take a second on a busy machine. Change: the signal is blocked before the imports and let through once its handler is there, so that one that came meanwhile is taken then (platform/hangup.py). Ruled out: ignoring it until then, which would lose a change that comes between reading the settings and setting the handler.

--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -16,6 +16,7 @@
 from sablemount.control.leader import LeaderPorts
 from sablemount.control.member import Member
 from sablemount.control.rpc import TcpNetwork
+from sablemount.platform import hangup
 from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.front import Front, metrics_server, ready_server
 from sablemount.platform.settings import METRICS_PORT, BootSettings, load, member_settings
@@ -71,6 +72,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        hangup.release()
         self.member.start()
         _listen(self._ready, self.boot.listen.ready)
         _listen(self.front.server, self.boot.listen.front)
