One way for tests to hand in a job at a member

Four test files built the same job, call and request; System.hand_in does it for all. Assertions and random numbers stay as they are, source unchanged.

--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -180,6 +180,13 @@
         finally:
             self.open_calls -= 1
 
+    async def hand_in(self, member: str, name: str) -> CallerReply:
+        """Hand in a job of a random kind, once and at one member."""
+        spec = self.job()
+        self.cell.jobs[name] = spec
+        call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
+        return await self.members[member].serve(call, TIMEOUT)
+
     async def cancel(self, name: str) -> None:
         # Without an answer the job may be cancelled or not.
         self.cancelled.add(name)
--- a/tests/jobs/test_discovery.py
+++ b/tests/jobs/test_discovery.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from sablemount.control.messages import CallerCall, Operation, Outcome
+from sablemount.control.messages import Outcome
 from tests.emulator.loop import run
-from tests.emulator.system import HOST, PREFIX, System
+from tests.emulator.system import System
 
 
 def test_members_without_the_store_follow_a_new_leader() -> None:
@@ -20,10 +20,7 @@
         await asyncio.sleep(3.5)
         assert system.leader() not in (None, former, away)
         for number, name in enumerate((former, away)):
-            spec = system.job()
-            system.cell.jobs[f"a{number}"] = spec
-            call = CallerCall(Operation.SUBMIT, HOST, PREFIX + f"a{number}", spec)
-            reply = await system.members[name].serve(call, 2.7)
+            reply = await system.hand_in(name, f"a{number}")
             assert reply.outcome is Outcome.DONE
 
     run(scenario())
--- a/tests/jobs/test_hand_over.py
+++ b/tests/jobs/test_hand_over.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.messages import CallerReply, Outcome
 from tests.emulator.loop import run
-from tests.emulator.system import HOST, PREFIX, System
+from tests.emulator.system import System
 
 EVERY = 0.01
 
@@ -19,20 +19,13 @@
     return system, leader
 
 
-async def _submit(system: System, entry: str, name: str) -> CallerReply:
-    spec = system.job()
-    system.cell.jobs[name] = spec
-    call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
-    return await system.members[entry].serve(call, 2.7)
-
-
 async def _submit_all_the_while(
     system: System, entries: list[str], seconds: float
 ) -> list[CallerReply]:
     calls = []
     for number in range(int(seconds / EVERY)):
         entry = entries[number % len(entries)]
-        calls.append(asyncio.create_task(_submit(system, entry, f"b{number:04x}")))
+        calls.append(asyncio.create_task(system.hand_in(entry, f"b{number:04x}")))
         await asyncio.sleep(EVERY)
     return list(await asyncio.gather(*calls))
 
@@ -75,7 +68,7 @@
         entry = next(name for name in system.names if name != leader)
         # Its answers don't reach the leader for as long as it lives.
         system.store.lost = 1.0
-        submitting = asyncio.create_task(_submit(system, entry, "c1"))
+        submitting = asyncio.create_task(system.hand_in(entry, "c1"))
         await asyncio.sleep(0.02)
         system.kill(leader, None)
         system.store.lost = 0.0
--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -4,24 +4,21 @@
 import random
 
 from sablemount.control.commit import Committer
-from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.messages import CallerReply, Outcome
 from sablemount.control.store import Topic
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
 from tests.emulator.store import EmulatedStore, StoreState
-from tests.emulator.system import HOST, PREFIX, System
+from tests.emulator.system import System
 
 SLOW = 0.18
 """Seconds for the way and for each append: 90 times as long as usual."""
 
 
 async def _submit(system: System, name: str) -> CallerReply:
-    spec = system.job()
-    system.cell.jobs[name] = spec
-    call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
     leader = system.leader()
     assert leader is not None
-    return await system.members[leader].serve(call, 2.7)
+    return await system.hand_in(leader, name)
 
 
 async def _submit_many(system: System, seconds: float) -> list[CallerReply]:
--- a/tests/jobs/test_take_over.py
+++ b/tests/jobs/test_take_over.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from sablemount.control.messages import CallerCall, Operation, Outcome
+from sablemount.control.messages import Outcome
 from tests.emulator.loop import run
-from tests.emulator.system import HOST, PREFIX, System
+from tests.emulator.system import System
 
 SLOW = 0.45
 """Seconds that the store takes for an answer: a load takes more than one second."""
@@ -32,10 +32,7 @@
         system.kill(first, None)
         await asyncio.sleep(0.01)
         second = await _next_leader(system)
-        spec = system.job()
-        system.cell.jobs["a1"] = spec
-        call = CallerCall(Operation.SUBMIT, HOST, PREFIX + "a1", spec)
-        reply = await system.members[second].serve(call, 2.7)
+        reply = await system.hand_in(second, "a1")
         assert reply.outcome is Outcome.DONE
 
     run(scenario())
