One line for each decision, and budgets for lines by class

Budgets are in bytes. What was dropped is told by class in the next line, at the metrics address and by lost_worth. Ruled out: a higher bound for all lines alike, which still loses them by chance.

--- a/benchmarks/lost_worth.py
+++ b/benchmarks/lost_worth.py
@@ -148,9 +148,11 @@
         self.jobs: Counter[str] = Counter()
         self.late: Counter[str] = Counter()
         self.shares: dict[str, Counter[str]] = defaultdict(Counter)
+        self.dropped: Counter[str] = Counter()
 
     def add(self, day: Day) -> None:
         """Add the jobs of one day."""
+        self.dropped += day.dropped
         for job in day.jobs.values():
             if job.ended is not None and not job.ended.fields.get("lasting"):
                 self._add_ended(day, job)
@@ -185,6 +187,7 @@
             rows += [
                 f"    {share:6.1f}  {reason}" for reason, share in self.shares[kind].most_common()
             ]
+        rows += [f"lines lost: {count} {name}" for name, count in sorted(self.dropped.items())]
         return "\n".join(rows)
 
 
--- a/benchmarks/played_day.py
+++ b/benchmarks/played_day.py
@@ -4,17 +4,21 @@
 """
 
 import re
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from benchmarks.lost_time import Span, spans
+from sablemount.jobs.job_lines import RunCells
 
 __all__ = ["DONE", "FAILED", "Day", "Job", "Line", "Run", "parse", "read"]
 
 LINE = re.compile(r"^\s*(-?\d+\.\d+) (\S+) (\{\"time\".*)$")
 FAILED = "failed"
 DONE = "done"
+DROPPED = ("dropped_decisions", "dropped_runs")
 
 
 class Line(msgspec.Struct, frozen=True):
@@ -38,6 +42,10 @@
         value = self.fields.get(key, 0.0)
         return float(value) if isinstance(value, int | float) else 0.0
 
+    def rows(self, key: str, row: Any) -> list[Any]:
+        """Return a field's rows, each of the type given; none if the field is not there."""
+        return msgspec.convert(self.fields.get(key, []), list[row])
+
 
 class Run(msgspec.Struct):
     """One run of a task."""
@@ -66,7 +74,9 @@
 
     def __init__(self, lines: list[Line]) -> None:
         self.jobs: dict[str, Job] = {}
-        self._runs: dict[tuple[str, float], Run] = {}
+        self._runs: dict[tuple[str, int], Run] = {}
+        self.dropped: Counter[str] = Counter()
+        """Lines that were not written, by class."""
         for line in lines:
             self._take(line)
         self.no_leader = _no_leader(lines)
@@ -94,28 +104,43 @@
             job.accepted = line.at if job.accepted is None else job.accepted
         elif message == "job ended":
             job = self._job(line.text("job"), line.at)
-            job.ended = job.ended or line
+            if job.ended is None:
+                self._job_ended(job, line)
         elif message == "step placed":
             step = line.text("step")
             self._job(step.partition(".")[0], line.at).placed.setdefault(step, line)
-        elif message == "start":
-            self._started(line)
+            self._placed(step, line)
         elif message == "run ended":
-            self._run_ended(line)
-
-    def _started(self, line: Line) -> None:
-        task = line.text("task")
-        run = Run(task, line.at)
-        key = (task, line.number("run"))
-        if key not in self._runs:
-            self._runs[key] = run
-            self._job(task.partition(".")[0], line.at).runs.setdefault(task, []).append(run)
-
-    def _run_ended(self, line: Line) -> None:
-        run = self._runs.get((line.text("task"), line.number("run")))
+            run = self._runs.get((line.text("task"), line.number("run")))
+            self._ended(run, line.at, line.text("how"))
+        for name in DROPPED:
+            self.dropped[name] += int(line.number(name))
+
+    def _placed(self, step: str, line: Line) -> None:
+        """Take the runs of a step that are started at once."""
+        for index, number, _vm in line.rows("runs", tuple[int, int, str]):
+            self._run(f"{step}.{index}", number, line.at)
+
+    def _run(self, task: str, number: int, began: float) -> Run:
+        run = self._runs.get((task, number))
+        if run is None:
+            run = self._runs[(task, number)] = Run(task, began)
+            self._job(task.partition(".")[0], began).runs.setdefault(task, []).append(run)
+        return run
+
+    @staticmethod
+    def _ended(run: Run | None, at: float, how: str) -> None:
         if run is not None and not run.how:
-            run.ended = line.at
-            run.how = line.text("how")
+            run.ended = at
+            run.how = how
+
+    def _job_ended(self, job: Job, line: Line) -> None:
+        """Take a job's end, and the ends of its runs: seconds since its leader knew it."""
+        job.ended = line
+        known_at = line.at - line.number("known")
+        for task, number, _vm, began, ended, how in line.rows("runs", RunCells):
+            run = self._run(f"{job.name}.{task}", number, known_at + began)
+            self._ended(run, known_at + ended, how)
 
 
 def _times(lines: list[Line], message: str) -> list[float]:
@@ -135,7 +160,7 @@
 
 def _no_leader(lines: list[Line]) -> list[Span]:
     """Return the spans between the last sign of a leader and the next one that leads."""
-    orders = ("start", "run ended", "job accepted", "job ended", "leads no more")
+    orders = ("step placed", "job accepted", "job ended", "leads no more")
     found = []
     last = 0.0
     for line in lines:
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -25,6 +25,7 @@
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import JobScheduler
 from sablemount.jobs.settings import JobSettings
+from sablemount.structured_logs import RUN_LOGGER
 
 __all__ = ["Leader", "LeaderPorts"]
 
@@ -42,6 +43,7 @@
 """Seconds between looks at whether these are done: about the time of an append."""
 
 _logger = logging.getLogger("sablemount.control.leader")
+_run_logger = logging.getLogger(RUN_LOGGER)
 
 
 class LeaderPorts:
@@ -256,11 +258,11 @@
 
     def _perform(self, action: Action) -> None:
         if isinstance(action, StartRun):
-            _logger.info("start", extra={"task": action.task, "run": action.run, "vm": action.vm})
             self.figures.count("start")
             self.calls.start(action)
         elif isinstance(action, StopRun):
-            _logger.info("stop", extra={"task": action.task, "run": action.run, "vm": action.vm})
+            extra = {"task": action.task, "run": action.run, "vm": action.vm}
+            _run_logger.info("stop", extra=extra)
             self.figures.count("stop")
             self.calls.stop(action)
         elif isinstance(action, PaceRun):
--- /dev/null
+++ b/src/sablemount/jobs/job_lines.py
@@ -0,0 +1,64 @@
+"""Log lines that tell all that was done for a step or a job in one.
+
+A line for each run would be hundreds a second in a large cell; these are one for each decision,
+with its runs as rows.
+"""
+
+import logging
+
+from sablemount.jobs.tables import JobRow, RunEnd, StepRow, TaskRow, VmRow
+
+__all__ = ["RunCells", "job_ended", "runs_placed"]
+
+MS = 1000.0
+
+RunCells = tuple[str, int, str, float, float, str]
+"""Task within the job, run, VM, when it began and ended (seconds since ``known``), and how."""
+
+
+def runs_placed(
+    logger: logging.Logger, step: StepRow, chosen: list[tuple[TaskRow, VmRow]], now: float
+) -> None:
+    """Log which tasks of a step are started where; call it once their runs are entered."""
+    since = max(step.opened_at, step.job.accepted_at)
+    logger.info(
+        "step placed",
+        extra={
+            "step": step.key,
+            "tasks": len(chosen),
+            "of": step.open_tasks,
+            "waited": round(now - since, 3),
+            "asked_for": round(0.0 if step.advice is None else step.advice.asked_for, 3),
+            "runs": [(task.index, task.last_run, row.name) for task, row in chosen],
+        },
+    )
+
+
+def job_ended(logger: logging.Logger, job: JobRow, now: float, wall_ms: float) -> None:
+    """Log that callers are told from now on that a job has ended, with all that ran for it."""
+    terms = job.record.terms
+    steps = job.record.spec.steps
+    logger.info(
+        "job ended",
+        extra={
+            "job": job.name,
+            "state": job.shown.name.lower(),
+            "seconds": round((wall_ms - job.record.accepted_ms) / MS, 3),
+            "known": round(now - job.accepted_at, 3),
+            "priority": terms.priority,
+            "stretch": terms.stretch,
+            "target_ms": terms.target_latency_ms,
+            "gang": any(step.gang for step in steps),
+            "lasting": job.record.spec.lasts(),
+            "accelerators": max((step.shape.accelerators for step in steps), default=0),
+            "after": [list(step.after) for step in steps],
+            "runs": [_cells(end, job.accepted_at) for end in job.run_ends],
+            "more_runs": job.more_runs,
+        },
+    )
+
+
+def _cells(end: RunEnd, since: float) -> RunCells:
+    task = end.task.partition(".")[2]
+    began, ended = round(end.began - since, 3), round(end.ended - since, 3)
+    return (task, end.number, end.vm, began, ended, end.how)
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sablemount.jobs.job_lines import job_ended
 from sablemount.jobs.model import JobSpec
 from sablemount.jobs.records import (
     JOB_PREFIX,
@@ -23,7 +24,6 @@
 
 MAX_BATCH_BYTES = 1_000_000
 """Bytes of accepted jobs in one batch at most, half of what the store takes in a call."""
-MS = 1000.0
 
 
 class Batch(msgspec.Struct):
@@ -137,28 +137,9 @@
             return
         job.shown = noted
         if noted.final:
-            self._log_end(job)
+            job_ended(self._state.logger, job, self._state.now, self._state.wall_ms)
+            job.run_ends.clear()
             # Its payload and tasks are not needed any more, its shapes are for late runs.
             spec = JobSpec("", job.record.spec.steps)
             job.record = msgspec.structs.replace(job.record, spec=spec)
             job.steps = {}
-
-    def _log_end(self, job: JobRow) -> None:
-        """Log that callers are told from now on that a job has ended."""
-        terms = job.record.terms
-        steps = job.record.spec.steps
-        self._state.logger.info(
-            "job ended",
-            extra={
-                "job": job.name,
-                "state": job.shown.name.lower(),
-                "seconds": round((self._state.wall_ms - job.record.accepted_ms) / MS, 3),
-                "priority": terms.priority,
-                "stretch": terms.stretch,
-                "target_ms": terms.target_latency_ms,
-                "gang": any(step.gang for step in steps),
-                "lasting": job.record.spec.lasts(),
-                "accelerators": max((step.shape.accelerators for step in steps), default=0),
-                "after": [list(step.after) for step in steps],
-            },
-        )
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -268,7 +268,7 @@
         row = self.state.vms.get(vm)
         if row is None:
             return
-        self.state.logger.info(
+        self.state.run_logger.info(
             "start refused",
             extra={"task": task, "run": number, "vm": vm, "why": why.value},
         )
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -6,9 +6,11 @@
 from sablemount.jobs.model import Configuration, QueueTerms, Shape
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
+    MAX_RUN_ENDS,
     NEVER,
     SLOW_CLOCK,
     JobRow,
+    RunEnd,
     RunRow,
     RunState,
     StepRow,
@@ -16,6 +18,7 @@
     TaskState,
     VmRow,
 )
+from sablemount.structured_logs import RUN_LOGGER
 
 __all__ = ["State"]
 
@@ -64,6 +67,7 @@
         self.actions: list[Action] = []
         self.unheard_until = NEVER
         self.logger = logging.getLogger("sablemount.jobs")
+        self.run_logger = logging.getLogger(RUN_LOGGER)
 
     # -- Output ------------------------------------------------------------------------------
 
@@ -164,8 +168,21 @@
         vm.runs[(run.task, run.number)] = run
         vm.room = vm.room.plus(run.charge, -1)
 
-    def drop_run(self, run: RunRow) -> None:
-        """Take a run out and give back what was charged for it."""
+    def note_end(self, run: RunRow, how: str) -> None:
+        """Keep how a run ended for the line that tells of its job's end."""
+        job = self.jobs.get(run.task.partition(".")[0])
+        if job is None or job.shown.final or run.told:
+            return
+        run.told = True
+        if len(job.run_ends) >= MAX_RUN_ENDS:
+            job.more_runs += 1
+            return
+        began = run.started_at or run.sent_at
+        job.run_ends.append(RunEnd(run.task, run.number, run.vm, began, self.now, how))
+
+    def drop_run(self, run: RunRow, how: str) -> None:
+        """Take a run out, which ended in some way, and give back what was charged for it."""
+        self.note_end(run, how)
         vm = self.vms.get(run.vm)
         if vm is not None and vm.runs.pop((run.task, run.number), None) is not None:
             vm.room = vm.room.plus(run.charge)
--- a/src/sablemount/jobs/systems/evacuation.py
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -48,7 +48,7 @@
         for run, task in self._state.running_on(row):
             if not self._due(run, task, leaves_at):
                 continue
-            self._state.logger.info(
+            self._state.run_logger.info(
                 "run leaves a VM that leaves",
                 extra={
                     "task": run.task,
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -169,7 +169,7 @@
             task = self._state.task(run.task)
             if task is None or not self._state.may_be_stopped(task):
                 continue
-            self._state.logger.info(
+            self._state.run_logger.info(
                 "run moved",
                 extra={
                     "task": run.task,
--- a/src/sablemount/jobs/systems/pacing.py
+++ b/src/sablemount/jobs/systems/pacing.py
@@ -53,7 +53,7 @@
 
     def _pace(self, row: VmRow, run: RunRow, share: int, pressure: float | None) -> None:
         state = self._state
-        state.logger.info(
+        state.run_logger.info(
             "run paced",
             extra={
                 "task": run.task,
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -5,6 +5,7 @@
 """
 
 from sablemount.jobs.actions import StartRun
+from sablemount.jobs.job_lines import runs_placed
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.choice import Assignment, Choice
@@ -190,28 +191,12 @@
         if not chosen:
             return
         state = self._state
-        if not step.placed:
-            self._log_placed(step, len(chosen))
         gang_run = state.next_run([task for task, _ in chosen]) if step.spec.gang else 0
         gang_saved = _common_saved(chosen) if step.spec.gang else ""
         for task, row in chosen:
             number = gang_run or state.next_run([task])
             self._send(step, task, row, number, gang_saved if gang_run else task.saved)
-
-    def _log_placed(self, step: StepRow, count: int) -> None:
-        step.placed = True
-        since = max(step.opened_at, step.job.accepted_at)
-        asked_for = 0.0 if step.advice is None else step.advice.asked_for
-        self._state.logger.info(
-            "step placed",
-            extra={
-                "step": step.key,
-                "tasks": count,
-                "of": step.open_tasks,
-                "waited": round(self._state.now - since, 3),
-                "asked_for": round(asked_for, 3),
-            },
-        )
+        runs_placed(state.logger, step, chosen, state.now)
 
     def _send(self, step: StepRow, task: TaskRow, row: VmRow, number: int, saved: str) -> None:
         state = self._state
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -168,13 +168,12 @@
         until = state.now + state.settings.stop_time + 2 * cost + KEEP_MARGIN
         self._made[step.key] = until
         priority = state.terms_of(step.job).priority
-        stopped = 0
+        stopped = [run for offer in offers for run in offer.victims]
         for offer in offers:
             offer.row.kept_priority = priority
             offer.row.kept_until = until
-            for run in offer.victims:
-                self._reconcile.stop(run)
-                stopped += 1
+        for run in stopped:
+            self._reconcile.stop(run)
         if step.advice is not None:
             self._advice.want(step, names)
         state.logger.info(
@@ -182,7 +181,7 @@
             extra={
                 "step": step.key,
                 "waits": step.waiting,
-                "stopped": stopped,
+                "stopped": [(run.task, run.number, run.vm) for run in stopped],
                 "vms": len(names),
                 "lost_core_seconds": round(loss, 2),
             },
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -20,6 +20,9 @@
 
 DONE = "done"
 FAILED = "failed"
+NOT_THERE = "not there"
+"""Its VM does not list it and can't come to."""
+NOT_STARTED = "not started"
 ENDS_AT_ONCE = 500
 """A VM lists this many ends at once; with more, a run's end may not be listed yet."""
 STOP_AGAIN = 0.5
@@ -77,14 +80,15 @@
         run = vm.runs.get((end.task, end.run))
         task = self._state.task(end.task)
         self.on_outcome(end.outcome)
-        self._state.logger.info(
-            "run ended",
-            extra={"task": end.task, "run": end.run, "vm": vm.name, "how": end.outcome},
-        )
+        if end.outcome != DONE:
+            self._state.run_logger.info(
+                "run ended",
+                extra={"task": end.task, "run": end.run, "vm": vm.name, "how": end.outcome},
+            )
         if task is not None and task.state is not TaskState.DONE:
             self._apply(vm, task, run, end)
         if run is not None:
-            self._state.drop_run(run)
+            self._state.drop_run(run, end.outcome)
 
     def _apply(self, vm: VmRow, task: TaskRow, run: RunRow | None, end: EndReport) -> None:
         task.last_run = max(task.last_run, end.run)
@@ -113,6 +117,7 @@
             # What still runs of it is a copy, or a member whose end is on its way.
             for run in member.runs:
                 if run.number == number and member is not task:
+                    self._state.note_end(run, DONE)
                     self._state.orphans[(run.vm, run.task, run.number)] = run
                 elif run.number != number:
                     self._state.orphan(run)
@@ -156,7 +161,7 @@
         else:
             state.charge(run)
             state.orphan(run)
-        state.logger.info(
+        state.run_logger.info(
             "run found",
             extra={"task": run.task, "run": run.number, "vm": vm.name, "kept": wanted},
         )
@@ -199,11 +204,11 @@
         for key, run in list(vm.runs.items()):
             if key in listed or heard.clock_ms <= run.settle_clock:
                 continue
-            self._state.logger.info(
+            self._state.run_logger.info(
                 "run not there",
                 extra={"task": run.task, "run": run.number, "vm": vm.name},
             )
-            self._state.drop_run(run)
+            self._state.drop_run(run, NOT_THERE)
 
     # -- Starts ------------------------------------------------------------------------------
 
@@ -236,7 +241,7 @@
         vm = self._state.vms.get(vm_name)
         run = None if vm is None else vm.runs.get((task, number))
         if run is not None and run.state is not RunState.RUNNING:
-            self._state.drop_run(run)
+            self._state.drop_run(run, NOT_STARTED)
 
     def stop_broken_gangs(self) -> None:
         """Stop what is left of the gangs of which a member has gone: alone it does no work."""
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -18,6 +18,8 @@
 The platform says about two; a VM that is still missing then is taken as gone."""
 LEFT_AFTER = 1.5
 """Seconds for which nothing listens where a VM was that has no entry any more."""
+LOST = "lost"
+"""How a run ended of which nothing can be heard any more."""
 MS = 1000.0
 
 
@@ -187,7 +189,7 @@
         if runs:
             self._log("runs lost with VM", row)
         for run in runs:
-            self._state.drop_run(run)
+            self._state.drop_run(run, LOST)
 
     def _log(self, text: str, row: VmRow) -> None:
         age = round(self._state.now - row.heard_at, 3) if row.heard_at > 0 else None
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -11,10 +11,12 @@
 from sablemount.jobs.records import JobRecord
 
 __all__ = [
+    "MAX_RUN_ENDS",
     "NEVER",
     "AdviceRow",
     "JobRow",
     "JobState",
+    "RunEnd",
     "RunRow",
     "RunState",
     "StepRow",
@@ -25,6 +27,8 @@
 ]
 
 NEVER = -1e9
+MAX_RUN_ENDS = 400
+"""Ended runs that are kept of a job: three times its tasks at most, but for jobs that last."""
 SLOW_CLOCK = 0.98
 """Rate of the slowest clock of a VM against true time."""
 
@@ -89,6 +93,20 @@
     pace: float | None = None
     """Share of it that was done in a second, when last measured."""
     best_pace: float = 0.0
+    told: bool = False
+    """Whether its end is kept for the line of its job's end."""
+
+
+@dataclass(slots=True, frozen=True)
+class RunEnd:
+    """How a run ended, kept until its job's end is logged; times are local seconds."""
+
+    task: str
+    number: int
+    vm: str
+    began: float
+    ended: float
+    how: str
 
 
 @dataclass(slots=True, eq=False)
@@ -152,8 +170,6 @@
     """Tasks by VM whose room is kept while tickets are asked for."""
     told_at: float = NEVER
     """When it was last logged that it waits."""
-    placed: bool = False
-    """Whether some task of it has been given a VM, as it is logged once."""
     tried_at_freed: int = -1
     """Count of freed room at which its placement was last tried."""
 
@@ -195,6 +211,9 @@
     ended_ms: float = 0.0
     objective_at: float = 0.0
     """Until when its end earns the whole credit."""
+    run_ends: list[RunEnd] = field(default_factory=list)
+    more_runs: int = 0
+    """Ended runs that are not kept."""
 
 
 @dataclass(slots=True, eq=False)
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -217,12 +217,12 @@
     return HTTPServer(answer)
 
 
-def metrics_server(member: Member) -> HTTPServer:
-    """Return the server that tells the process's own figures."""
+def metrics_server(member: Member, more: Callable[[], dict[str, float]]) -> HTTPServer:
+    """Return the server that tells the process's own figures, with those that ``more`` gives."""
 
     def answer(request: httputil.HTTPServerRequest) -> None:
         accepts = request.headers.get_list("Accept")
-        text = member.figures.render(member.gauges(), accepts)
+        text = member.figures.render(member.gauges() | more(), accepts)
         respond(request, HTTPStatus.OK, text, {"Content-Type": "text/plain; version=0.0.4"})
 
     return HTTPServer(answer)
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -45,8 +45,14 @@
 class Process:
     """Wires the product to the platform."""
 
-    def __init__(self, boot: BootSettings, metrics_port: int = METRICS_PORT) -> None:
+    def __init__(
+        self,
+        boot: BootSettings,
+        metrics_port: int = METRICS_PORT,
+        log: structured_logs.BoundedHandler | None = None,
+    ) -> None:
         self.boot = boot
+        self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
         self._pool = UpstreamPool(CONNECTIONS, KEPT_SECONDS)
         ports = LeaderPorts(
@@ -58,7 +64,7 @@
         self.member = Member(member_settings(boot), ports, TcpNetwork(), random.Random())
         self.front = Front(self.member, self._spawn)
         self._ready = ready_server(lambda: self.member.ready)
-        self._metrics = metrics_server(self.member)
+        self._metrics = metrics_server(self.member, self._log_figures)
         self.metrics_port = metrics_port
         self._stop = asyncio.Event()
 
@@ -67,6 +73,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _log_figures(self) -> dict[str, float]:
+        if self._log is None:
+            return {}
+        return {
+            "dropped_decision_lines": float(self._log.decisions.dropped),
+            "dropped_run_lines": float(self._log.runs.dropped),
+        }
+
     async def run(self) -> int:
         """Serve until the signal to stop."""
         loop = asyncio.get_running_loop()
@@ -119,14 +133,14 @@
     server.listen(int(port), host)  # type: ignore[attr-defined]
 
 
-async def serve(boot: BootSettings) -> int:
+async def serve(boot: BootSettings, log: structured_logs.BoundedHandler | None = None) -> int:
     """Run a process with its settings and return its exit code."""
-    return await Process(boot).run()
+    return await Process(boot, log=log).run()
 
 
 def main() -> int:
     """Run the process that the platform has placed settings for."""
-    structured_logs.configure()
+    log = structured_logs.configure()
     loaded = load()
     if isinstance(loaded, Err):
         fault = loaded.err_value
@@ -134,7 +148,7 @@
         return EXIT_SETTINGS
     # What the imports made lives as long as the process; collections need not look at it.
     gc.freeze()
-    return asyncio.run(serve(loaded.ok_value))
+    return asyncio.run(serve(loaded.ok_value, log))
 
 
 if __name__ == "__main__":
--- a/tests/test_lost_worth.py
+++ b/tests/test_lost_worth.py
@@ -18,14 +18,20 @@
 
 
 def _job(name: str, accepted: float, began: float, ended: float) -> list[tuple[float, str, dict]]:  # type: ignore[type-arg]
-    task = f"{name}.0.0.0"
-    placed = {"step": f"{name}.0.0", "waited": began - accepted, "asked_for": 0.0}
+    placed = {
+        "step": f"{name}.0.0",
+        "waited": began - accepted,
+        "asked_for": 0.0,
+        "runs": [[0, 1, "w0"]],
+    }
+    ends = {
+        "known": ended - accepted,
+        "runs": [["0.0.0", 1, "w0", began - accepted, ended - accepted, "done"]],
+    }
     return [
         (accepted, "job accepted", {"job": name}),
         (began, "step placed", placed),
-        (began, "start", {"task": task, "run": 1}),
-        (ended, "run ended", {"task": task, "run": 1, "how": "done"}),
-        (ended, "job ended", {"job": name, "state": "succeeded", **TERMS}),
+        (ended, "job ended", {"job": name, "state": "succeeded", **TERMS, **ends}),
     ]
 
 
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -1,14 +1,28 @@
 """Log lines are JSON, bounded, and never block."""
 
+import contextlib
 import json
 import logging
 import os
+from typing import Any
 
-from sablemount.structured_logs import BURST, BoundedHandler, StructuredFormatter
+import pytest
 
+from sablemount.jobs.job_lines import job_ended, runs_placed
+from sablemount.jobs.model import JobSpec, QueueTerms, Shape, StepSpec, VmInfo
+from sablemount.jobs.records import JobRecord
+from sablemount.jobs.tables import JobRow, RunEnd, StepRow, VmRow
+from sablemount.structured_logs import (
+    DECISION_BURST,
+    RUN_BURST,
+    RUN_LOGGER,
+    BoundedHandler,
+    StructuredFormatter,
+)
 
-def _logger(handler: logging.Handler) -> logging.Logger:
-    logger = logging.Logger("sablemount.test")
+
+def _logger(handler: logging.Handler, name: str = "sablemount.test") -> logging.Logger:
+    logger = logging.Logger(name)
     handler.setFormatter(StructuredFormatter())
     logger.addHandler(handler)
     return logger
@@ -21,26 +35,114 @@
     assert (line["message"], line["job"], line["age"]) == ("job accepted", "5c0e", 0.25)
 
 
-def test_lines_beyond_the_rate_are_dropped_and_counted() -> None:
-    now = [0.0]
+def _pipe() -> tuple[int, int]:
     reading, writing = os.pipe()
     os.set_blocking(writing, False)
+    os.set_blocking(reading, False)
+    return reading, writing
+
+
+class _Reader:
+    """Reads whole lines; a line that has come in part is kept until the rest is there."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._rest = b""
+
+    def lines(self) -> list[dict[str, Any]]:
+        with contextlib.suppress(BlockingIOError):
+            while chunk := os.read(self._descriptor, 65_536):
+                self._rest += chunk
+        *whole, self._rest = self._rest.split(b"\n")
+        return [json.loads(line) for line in whole]
+
+
+@pytest.mark.parametrize(
+    ("name", "burst", "field"),
+    [
+        ("sablemount.jobs", DECISION_BURST, "dropped_decisions"),
+        (RUN_LOGGER, RUN_BURST, "dropped_runs"),
+    ],
+)
+def test_lines_beyond_a_budget_are_dropped_and_counted(name: str, burst: float, field: str) -> None:
+    now = [0.0]
+    reading, writing = _pipe()
     handler = BoundedHandler(writing, lambda: now[0])
-    logger = _logger(handler)
-    for _ in range(int(BURST) + 50):
-        logger.info("x")
-        os.read(reading, 65_536) if handler.dropped == 0 else None
-    assert handler.dropped == 50
+    logger = _logger(handler, name)
+    payload = "x" * 10_000
+    written = 0
+    for _ in range(int(burst / 10_000) + 50):
+        logger.info(payload)
+        written += sum(len(line["message"]) for line in _Reader(reading).lines())
+    budget = handler.runs if name == RUN_LOGGER else handler.decisions
+    assert 45 <= budget.dropped <= 60
+    assert written <= burst + 20_000
     now[0] = 1.0
     logger.info("after")
-    assert json.loads(os.read(reading, 65_536))["dropped"] == 50
+    (line,) = _Reader(reading).lines()
+    assert line[field] == budget.dropped
 
 
 def test_nobody_who_reads_is_waited_for() -> None:
-    _, writing = os.pipe()
-    os.set_blocking(writing, False)
-    handler = BoundedHandler(writing)
-    logger = _logger(handler)
-    for _ in range(500):
-        logger.info("x" * 1_000)
-    assert handler.dropped > 0
+    _, writing = _pipe()
+    handler = BoundedHandler(writing, lambda: 0.0)
+    for name in ("sablemount.jobs", RUN_LOGGER):
+        logger = _logger(handler, name)
+        for _ in range(2_000):
+            logger.info("x" * 1_000)
+    assert handler.decisions.dropped > 0
+    assert handler.runs.dropped == 2_000
+
+
+def test_lines_of_decisions_wait_for_a_reader_whole_and_in_order() -> None:
+    reading, writing = _pipe()
+    logger = _logger(BoundedHandler(writing, lambda: 0.0))
+    for number in range(300):
+        logger.info("x" * 1_000, extra={"number": number})
+    lines = []
+    reader = _Reader(reading)
+    while found := reader.lines():
+        lines += found
+        logger.info("flushed", extra={"number": -1})
+    assert [line["number"] for line in lines if line["number"] >= 0] == list(range(300))
+
+
+SECONDS = 30
+JOBS = 40
+STARTS = 400
+
+
+def test_no_line_of_a_request_is_lost_at_40_jobs_and_400_starts_a_second() -> None:
+    now = [0.0]
+    reading, writing = _pipe()
+    handler = BoundedHandler(writing, lambda: now[0])
+    requests, runs = _logger(handler, "sablemount.jobs"), _logger(handler, RUN_LOGGER)
+    lines: list[dict[str, Any]] = []
+    size = 0
+    for number in range(SECONDS * JOBS):
+        now[0] = number / JOBS
+        for index in range(STARTS // JOBS):
+            for message in ("run ended", "stop", "run found"):
+                runs.info(message, extra={"task": f"{number:016x}.0.0.{index}", "vm": "w" * 12})
+        _one_job(requests, f"{number:016x}", STARTS // JOBS, now[0])
+        found = _Reader(reading).lines()
+        size += sum(len(json.dumps(line)) for line in found)
+        lines += found
+    for message in ("step placed", "job ended"):
+        assert sum(1 for line in lines if line["message"] == message) == SECONDS * JOBS
+    assert handler.decisions.dropped == 0
+    assert handler.runs.dropped > 0
+    assert size / SECONDS < 200_000
+
+
+def _one_job(logger: logging.Logger, name: str, tasks: int, now: float) -> None:
+    """Log what a job's placement and end say."""
+    step = StepSpec(tasks, Shape(4_000, 10_000), expected_ms=1000.0)
+    record = JobRecord(QueueTerms("queue", "pool"), JobSpec("", (step,)), 0.0, 1)
+    job = JobRow(name, record, now)
+    row = StepRow(job, 0, 0, step)
+    row.make_tasks()
+    vm = VmRow(VmInfo("w" * 12, "address", "pool", Shape(16_000, 64_000)))
+    runs_placed(logger, row, [(task, vm) for task in row.tasks], now)
+    job.run_ends = [RunEnd(task.key, 1, vm.name, now, now + 1.0, "done") for task in row.tasks]
+    job_ended(logger, job, now + 1.0, 0.0)
