Connections that fall silent without a reset are given up, also idle ones

Cause: a call without an answer was tried again over the next idle connection, which may have fallen silent with the first; a ping waited 0.5 s, so that a leader all of whose links fell silent was replaced; a link that another member had opened, and a caller's connection in the midst of a request, were held for good if nothing was written to them. Change: what idled before an overdue call was sent is not used any more (a call that is asked to wait is overdue that much later); a ping waits 0.3 s, and a new connection is tried before the leader is suspected; links on which nothing comes for 5 s are closed; a request's body has 10 s, and answers to callers that nobody acknowledges 3 s. Ruled out: keep-alive probes: they are answered by the other side's kernel.

--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 from tornado import http1connection, httputil, iostream, tcpclient
@@ -17,6 +17,10 @@
 
 IDLE_SECONDS = 4.0
 """How long a connection may idle and still be used; upstreams commonly close idle ones later."""
+SUSPECT_AFTER = 0.1
+"""Seconds without an answer, 25 times a usual one, after which other idle connections to the same
+address are not used: open connections may fall silent together, without a reset, while new ones
+work."""
 PARAMETERS = http1connection.HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024)
 NO_STATUS = 0
 
@@ -79,6 +83,16 @@
         """Leave the answer incomplete."""
 
 
+class _Awaited:
+    """A call without an answer: when it was sent, and from when on it is overdue."""
+
+    __slots__ = ("due_at", "sent_at")
+
+    def __init__(self, sent_at: float, due_at: float) -> None:
+        self.sent_at = sent_at
+        self.due_at = due_at
+
+
 class UpstreamPool:
     """Connections to upstreams by address, a limited number to each."""
 
@@ -88,6 +102,10 @@
         self._client = tcpclient.TCPClient()
         self._idle: dict[str, list[tuple[float, iostream.IOStream]]] = {}
         self._open: dict[str, int] = {}
+        self._awaited: dict[str, set[_Awaited]] = {}
+        """Calls without an answer, by address."""
+        self._distrusted: dict[str, float] = {}
+        """Time up to which connections that were put back are not used any more, by address."""
 
     async def fetch(
         self,
@@ -98,11 +116,13 @@
         timeout: float,
         not_after: float = float("inf"),
         method: str = "POST",
+        waits: float = 0.0,
     ) -> Answer:
         """Send a request once and return the whole answer.
 
         ``timeout`` is in seconds; ``not_after`` is the last monotonic time at which the bytes
-        may be handed to the network. Raises ``NotSent`` or ``CutShort``.
+        may be handed to the network, and ``waits`` the seconds for which the upstream is asked to
+        hold its answer back. Raises ``NotSent`` or ``CutShort``.
         """
         deadline = time.monotonic() + timeout
         stream = await self._take(address, deadline)
@@ -110,14 +130,27 @@
         if time.monotonic() > not_after:
             self._put_back(address, stream)
             raise NotSent("the lease is over")
+        now = time.monotonic()
+        awaited = _Awaited(now, now + waits + SUSPECT_AFTER)
+        self._awaited.setdefault(address, set()).add(awaited)
         try:
             answer = await self._exchange(stream, address, method, path, body, headers, deadline)
         except BaseException:
             self._discard(address, stream)
+            self._distrust_before(address, [awaited])
             raise
+        finally:
+            self._awaited[address].discard(awaited)
         self._put_back(address, stream)
         return answer
 
+    def _distrust_before(self, address: str, calls: Iterable["_Awaited"]) -> None:
+        """Take that what idled before an overdue call was sent may have fallen silent with it."""
+        now = time.monotonic()
+        overdue = [call.sent_at for call in calls if now > call.due_at]
+        if overdue:
+            self._distrusted[address] = max(self._distrusted.get(address, 0.0), *overdue)
+
     async def _exchange(
         self,
         stream: iostream.IOStream,
@@ -155,10 +188,12 @@
 
     async def _take(self, address: str, deadline: float) -> iostream.IOStream:
         now = time.monotonic()
+        self._distrust_before(address, self._awaited.get(address, ()))
+        trusted_from = max(now - self._idle_seconds, self._distrusted.get(address, 0.0))
         idle = self._idle.get(address, [])
         while idle:
             since, stream = idle.pop()
-            if not stream.closed() and now - since < self._idle_seconds:
+            if not stream.closed() and since > trusted_from:
                 return stream
             self._discard(address, stream)
         if self._open.get(address, 0) >= self._per_address:
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -27,8 +27,9 @@
 """Seconds between pings while a new leader loads, which takes some 30 ms: callers wait for it."""
 NEW_LEADER_TIME = 1.0
 """Seconds for which a leader counts as new; loading is over by then unless the store is slow."""
-PING_TIMEOUT = 0.5
-"""Seconds that a ping waits for its answer, below the silence that makes a leader suspected."""
+PING_TIMEOUT = 0.3
+"""Seconds that a ping waits for its answer: after that there is time for one over a new connection
+before the leader is suspected, for the old one may have fallen silent without a reset."""
 CONNECT_TIMEOUT = 0.3
 """Seconds that a connection to the leader may take: 100 times the way between two zones."""
 VIEW_TIMEOUT = 0.2
--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -6,22 +6,32 @@
 """
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable
 
 import msgspec
 from tornado import iostream, tcpclient, tcpserver
 
+from sablemount.control.clock import monotonic
 from sablemount.control.messages import Message, Reply
 from sablemount.control.network import CallFailed, Handler, Link
 
-__all__ = ["Connection", "RpcServer", "TcpNetwork"]
+__all__ = ["Connection", "RpcServer", "TcpNetwork", "set_user_timeout"]
 
 LENGTH_BYTES = 4
 MAX_FRAME = 16 * 1024 * 1024
 """Bytes of a frame at most: far above a job's 256 KB, and little beside a process's memory."""
 USER_TIMEOUT_MS = 3_000
 """How long sent bytes may stay unacknowledged before the connection is given up."""
+QUIET_LIMIT = 5.0
+"""Seconds without a frame after which a connection that a member opened is closed: that member
+pings each 0.15 s. One that has fallen silent in its direction alone would never show it here."""
+SWEEP_INTERVAL = 1.0
+"""Seconds between looks for such connections."""
+
+
+_logger = logging.getLogger("sablemount.control.rpc")
 
 
 class _Frame(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -41,13 +51,15 @@
 
     def __init__(self, stream: iostream.IOStream, handler: Handler) -> None:
         self.peer = ""
+        self.heard_at = monotonic()
+        """When a frame last came."""
         self._stream = stream
         self._handler = handler
         self._calls: dict[int, asyncio.Future[Reply]] = {}
         self._next = 0
         self._tasks: set[asyncio.Task[None]] = set()
         stream.set_nodelay(True)
-        _set_user_timeout(stream)
+        set_user_timeout(stream)
 
     @property
     def closed(self) -> bool:
@@ -89,6 +101,7 @@
         if length > MAX_FRAME:
             raise iostream.StreamClosedError()
         frame = _DECODER.decode(await self._stream.read_bytes(length))
+        self.heard_at = monotonic()
         if frame.message is not None:
             task = asyncio.get_running_loop().create_task(self._answer(frame))
             self._tasks.add(task)
@@ -124,7 +137,8 @@
         future.exception()
 
 
-def _set_user_timeout(stream: iostream.IOStream) -> None:
+def set_user_timeout(stream: iostream.IOStream) -> None:
+    """Have a connection given up whose sent bytes stay unacknowledged for some seconds."""
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
     if option is not None and stream.socket is not None:
         stream.socket.setsockopt(socket.IPPROTO_TCP, option, USER_TIMEOUT_MS)
@@ -138,11 +152,22 @@
         self._handler = handler
         self._closed = closed
         self._open: set[Connection] = set()
+        self._sweeping: asyncio.TimerHandle | None = None
+
+    def _sweep(self) -> None:
+        """Close the connections on which nothing comes any more, now and again and again."""
+        last = monotonic() - QUIET_LIMIT
+        for connection in [each for each in self._open if each.heard_at < last]:
+            _logger.info("link closed", extra={"peer": connection.peer, "why": "quiet"})
+            connection.close()
+        self._sweeping = asyncio.get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
 
     async def handle_stream(self, stream: iostream.IOStream, address: object) -> None:
         """Serve one connection until it is over."""
         connection = Connection(stream, self._handler)
         self._open.add(connection)
+        if self._sweeping is None:
+            self._sweep()
         try:
             await connection.serve()
         finally:
@@ -152,6 +177,8 @@
     def close_all(self) -> None:
         """Close the listening socket and all connections."""
         self.stop()
+        if self._sweeping is not None:
+            self._sweeping.cancel()
         for connection in list(self._open):
             connection.close()
 
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -6,11 +6,12 @@
 from http import HTTPStatus
 
 import msgspec
-from tornado import httputil
+from tornado import httputil, iostream
 from tornado.httpserver import HTTPServer
 
 from sablemount.control.member import Member
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.rpc import set_user_timeout
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 
 __all__ = ["Front", "decode_job", "metrics_server", "ready_server"]
@@ -24,6 +25,9 @@
 """Bytes of a request at most, as the configuration of all sites has it."""
 IDLE_SECONDS = 30.0
 """Seconds after which an idle connection of a caller is closed."""
+BODY_SECONDS = 10.0
+"""Seconds in which a request's body has to be there: a connection that falls silent in the midst
+of one would be held for good."""
 OPERATIONS = {"POST": Operation.SUBMIT, "GET": Operation.STATE, "DELETE": Operation.CANCEL}
 STATUS = {
     Outcome.DONE: HTTPStatus.OK,
@@ -109,6 +113,14 @@
 Respond = Callable[[httputil.HTTPServerRequest, HTTPStatus, bytes, dict[str, str]], None]
 
 
+class _CallerServer(HTTPServer):
+    """Gives up callers' connections whose answers nobody acknowledges."""
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple[str, int]) -> None:
+        set_user_timeout(stream)
+        super().handle_stream(stream, address)
+
+
 class Front:
     """Serves callers."""
 
@@ -117,8 +129,11 @@
         self._spawn = spawn
         self.closing = False
         self.in_flight = 0
-        self.server = HTTPServer(
-            self._take, max_body_size=MAX_BODY, idle_connection_timeout=IDLE_SECONDS
+        self.server = _CallerServer(
+            self._take,
+            max_body_size=MAX_BODY,
+            idle_connection_timeout=IDLE_SECONDS,
+            body_timeout=BODY_SECONDS,
         )
 
     def _take(self, request: httputil.HTTPServerRequest) -> None:
--- a/src/sablemount/platform/store.py
+++ b/src/sablemount/platform/store.py
@@ -140,7 +140,7 @@
         """Return what follows an offset."""
         path = f"/api/log-read?topic={TOPICS[topic]}&part={PART}&from={offset}"
         path += f"&waitMs={int(wait * MS)}"
-        answer = await self._call("GET", path, b"", wait + READ_SLACK)
+        answer = await self._call("GET", path, b"", wait + READ_SLACK, wait)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status == GONE:
@@ -154,10 +154,13 @@
         return Records(records, offset + len(records))
 
     async def _call(
-        self, method: str, path: str, body: bytes, timeout: float
+        self, method: str, path: str, body: bytes, timeout: float, waits: float = 0.0
     ) -> Answer | Unavailable:
+        """Call the store, which is asked to hold its answer back for some seconds."""
         try:
-            return await self._pool.fetch(self._address, path, body, {}, timeout, method=method)
+            return await self._pool.fetch(
+                self._address, path, body, {}, timeout, method=method, waits=waits
+            )
         except NotSent as error:
             return Unavailable(str(error), certain=True)
         except CutShort as error:
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -95,7 +95,7 @@
         """Hold and look."""
         body = _Hold(call.fence, call.acked_end, call.until_ms, int(call.wait * MS))
         sent_at = time.monotonic()
-        answer = await self._call(call.address, "/api/hold", body, call.vm, timeout)
+        answer = await self._call(call.address, "/api/hold", body, call.vm, timeout, call.wait)
         if isinstance(answer, CallError):
             return answer
         if answer.status != OK:
@@ -157,11 +157,18 @@
         return None if answer.status == OK else _error(answer)
 
     async def _call(
-        self, address: str, path: str, body: msgspec.Struct, life: str, timeout: float
+        self,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        life: str,
+        timeout: float,
+        waits: float = 0.0,
     ) -> Answer | CallError:
         headers = {INSTANCE_HEADER: life, "Content-Type": "application/json"}
+        encoded = _ENCODER.encode(body)
         try:
-            return await self._pool.fetch(address, path, _ENCODER.encode(body), headers, timeout)
+            return await self._pool.fetch(address, path, encoded, headers, timeout, waits=waits)
         except NotSent as error:
             return CallError.REFUSED if error.refused else CallError.NOT_SENT
         except CutShort:
@@ -193,7 +200,10 @@
         body = _ENCODER.encode(_Advise(step, workers))
         headers = {"Content-Type": "application/json"}
         try:
-            answer = await self._pool.fetch(self._address, "/api/advise", body, headers, timeout)
+            # The service works on one call at a time and takes long for some.
+            answer = await self._pool.fetch(
+                self._address, "/api/advise", body, headers, timeout, waits=timeout
+            )
             if answer.status != OK:
                 return AdviceReply(False)
             told = _ADVISED.decode(answer.body)
--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -93,6 +93,13 @@
     system.store.turned_away.discard(name)
 
 
+async def links_fall_silent(system: System, rng: random.Random) -> None:
+    """Let some open connections say nothing more, in one direction or both, for good."""
+    share = rng.choice((0.3, 1.0))
+    for link in system.wires.links():
+        link.mute = link.mute or rng.random() < share
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_member,
     power_off,
@@ -107,4 +114,5 @@
     vm_cut,
     late_orders,
     member_cut,
+    links_fall_silent,
 )
--- a/tests/emulator/network.py
+++ b/tests/emulator/network.py
@@ -21,6 +21,8 @@
         self._handler = handler
         self._closed = asyncio.Event()
         self.on_closed: Callable[[Link], None] | None = None
+        self.mute = False
+        """Whether nothing that this side sends arrives any more, without a word."""
 
     @property
     def closed(self) -> bool:
@@ -49,11 +51,13 @@
             self.close()
             await asyncio.Event().wait()
         reply = await other._handler(other, message)
-        await self._travel()
+        await other._travel()
         return reply
 
     async def _travel(self) -> None:
         await asyncio.sleep(DELAY)
+        if self.mute:
+            await asyncio.Event().wait()
         while self._network.parted(self.here, self.there):
             await asyncio.sleep(0.05)
 
@@ -67,7 +71,7 @@
         if self.on_closed is not None:
             self.on_closed(self)
         other = self.other
-        if other is not None and not self._network.parted(self.here, self.there):
+        if other is not None and not self.mute and not self._network.parted(self.here, self.there):
             asyncio.get_running_loop().call_later(DELAY, other.close)
 
 
@@ -105,6 +109,11 @@
             return True
         return frozenset((one, other)) in self.cuts
 
+    def links(self) -> list[MemoryLink]:
+        """Return both sides of all open connections."""
+        far = [link for place in self.listening.values() for link in place.links if not link.closed]
+        return far + [link.other for link in far if link.other is not None]
+
     def port(self, name: str) -> "Port":
         return Port(self, name)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,12 +1,19 @@
 """The workers' connections: nothing is repeated, and what may have left is told apart."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 
-from sablemount.adapters.upstream import Answer, CutShort, NotSent, UpstreamPool
+from sablemount.adapters.upstream import (
+    SUSPECT_AFTER,
+    Answer,
+    CutShort,
+    NotSent,
+    UpstreamPool,
+)
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 Reply = Callable[[int], tuple[bytes, bool]]
@@ -130,3 +137,80 @@
         assert (await post(pool, server)).status == 200
 
     play(lambda count: (OK, False), script)
+
+
+class FallsSilent(RawServer):
+    """Says nothing more on the connections that were open when it fell silent."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda seen: (OK, False))
+        self.silent: set[int] = set()
+        self.opened = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        number = self.opened
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(2)
+                if number in self.silent:
+                    continue
+                writer.write(OK)
+        writer.close()
+
+    def fall_silent(self) -> None:
+        self.silent = set(range(1, self.opened + 1))
+
+
+def _play_silent(script: Callable[[UpstreamPool, FallsSilent], Awaitable[None]]) -> None:
+    async def run() -> None:
+        server = FallsSilent()
+        listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        host, port = listening.sockets[0].getsockname()[:2]
+        server.address = f"{host}:{port}"
+        pool = UpstreamPool(8)
+        try:
+            await asyncio.gather(*(post(pool, server) for _ in range(4)))
+            assert server.opened == 4
+            server.fall_silent()
+            await script(pool, server)
+        finally:
+            pool.close()
+            listening.close()
+
+    asyncio.run(run())
+
+
+def test_after_a_call_without_an_answer_no_other_idle_connection_is_trusted() -> None:
+    async def script(pool: UpstreamPool, server: FallsSilent) -> None:
+        with pytest.raises(CutShort):
+            await pool.fetch(server.address, "/serve", b"hi", {}, 0.2)
+        assert (await post(pool, server)).status == 200
+        assert server.opened == 5
+
+    _play_silent(script)
+
+
+def test_while_a_call_is_overdue_the_next_one_takes_a_new_connection() -> None:
+    async def script(pool: UpstreamPool, server: FallsSilent) -> None:
+        stuck = asyncio.create_task(pool.fetch(server.address, "/serve", b"hi", {}, 5.0))
+        await asyncio.sleep(SUSPECT_AFTER + 0.05)
+        assert (await post(pool, server)).status == 200
+        # What has answered since is trusted again.
+        assert (await post(pool, server)).status == 200
+        assert server.opened == 5
+        stuck.cancel()
+
+    _play_silent(script)
+
+
+def test_a_call_that_is_expected_to_wait_says_nothing_of_other_connections() -> None:
+    async def script(pool: UpstreamPool, server: FallsSilent) -> None:
+        server.silent = {4}
+        waits = asyncio.create_task(pool.fetch(server.address, "/w", b"hi", {}, 5.0, waits=4.0))
+        await asyncio.sleep(SUSPECT_AFTER + 0.05)
+        assert (await post(pool, server)).status == 200
+        assert server.opened == 4
+        waits.cancel()
+
+    _play_silent(script)
