--- a/benchmarks/played_day.py
+++ b/benchmarks/played_day.py
@@ -104,8 +104,10 @@
             job.accepted = line.at if job.accepted is None else job.accepted
         elif message == "job ended":
             job = self._job(line.text("job"), line.at)
-            if job.ended is None:
-                self._job_ended(job, line)
+            job.ended = job.ended or line
+            self._job_runs(job, line)
+        elif message == "job runs":
+            self._job_runs(self._job(line.text("job"), line.at), line)
         elif message == "step placed":
             step = line.text("step")
             self._job(step.partition(".")[0], line.at).placed.setdefault(step, line)
@@ -134,9 +136,8 @@
             run.ended = at
             run.how = how
 
-    def _job_ended(self, job: Job, line: Line) -> None:
-        """Take a job's end, and the ends of its runs: seconds since its leader knew it."""
-        job.ended = line
+    def _job_runs(self, job: Job, line: Line) -> None:
+        """Take the ends of a job's runs, which are told in seconds since its leader knew it."""
         known_at = line.at - line.number("known")
         for task, number, _vm, began, ended, how in line.rows("runs", RunCells):
             run = self._run(f"{job.name}.{task}", number, known_at + began)
--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -11,6 +11,9 @@
 __all__ = ["RunCells", "job_ended", "runs_placed"]
 
 MS = 1000.0
+ROWS_A_LINE = 60
+"""Runs told of in one line at most: with some 60 bytes each, a line stays below 4 KB, which readers
+of logs commonly take whole."""
 
 RunCells = tuple[str, int, str, float, float, str]
 """Task within the job, run, VM, when it began and ended (seconds since ``known``), and how."""
@@ -21,30 +24,37 @@
 ) -> None:
     """Log which tasks of a step are started where; call it once their runs are entered."""
     since = max(step.opened_at, step.job.accepted_at)
-    logger.info(
-        "step placed",
-        extra={
-            "step": step.key,
-            "tasks": len(chosen),
-            "of": step.open_tasks,
-            "waited": round(now - since, 3),
-            "asked_for": round(0.0 if step.advice is None else step.advice.asked_for, 3),
-            "runs": [(task.index, task.last_run, row.name) for task, row in chosen],
-        },
-    )
+    rows = [(task.index, task.last_run, row.name) for task, row in chosen]
+    for first in range(0, len(rows), ROWS_A_LINE):
+        logger.info(
+            "step placed",
+            extra={
+                "step": step.key,
+                "tasks": len(chosen),
+                "of": step.open_tasks,
+                "waited": round(now - since, 3),
+                "asked_for": round(0.0 if step.advice is None else step.advice.asked_for, 3),
+                "runs": rows[first : first + ROWS_A_LINE],
+            },
+        )
 
 
 def job_ended(logger: logging.Logger, job: JobRow, now: float, wall_ms: float) -> None:
     """Log that callers are told from now on that a job has ended, with all that ran for it."""
     terms = job.record.terms
     steps = job.record.spec.steps
+    known = round(now - job.accepted_at, 3)
+    rows = [_cells(end, job.accepted_at) for end in job.run_ends]
+    for first in range(ROWS_A_LINE, len(rows), ROWS_A_LINE):
+        part = rows[first : first + ROWS_A_LINE]
+        logger.info("job runs", extra={"job": job.name, "known": known, "runs": part})
     logger.info(
         "job ended",
         extra={
             "job": job.name,
             "state": job.shown.name.lower(),
             "seconds": round((wall_ms - job.record.accepted_ms) / MS, 3),
-            "known": round(now - job.accepted_at, 3),
+            "known": known,
             "priority": terms.priority,
             "stretch": terms.stretch,
             "target_ms": terms.target_latency_ms,
@@ -52,7 +62,7 @@
             "lasting": job.record.spec.lasts(),
             "accelerators": max((step.shape.accelerators for step in steps), default=0),
             "after": [list(step.after) for step in steps],
-            "runs": [_cells(end, job.accepted_at) for end in job.run_ends],
+            "runs": rows[:ROWS_A_LINE],
             "more_runs": job.more_runs,
         },
     )
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -146,3 +146,15 @@
     runs_placed(logger, row, [(task, vm) for task in row.tasks], now)
     job.run_ends = [RunEnd(task.key, 1, vm.name, now, now + 1.0, "done") for task in row.tasks]
     job_ended(logger, job, now + 1.0, 0.0)
+
+
+def test_no_line_of_a_wide_job_is_longer_than_readers_take() -> None:
+    reading, writing = _pipe()
+    logger = _logger(BoundedHandler(writing, lambda: 0.0))
+    _one_job(logger, "f" * 16, 300, 0.0)
+    lines = _Reader(reading).lines()
+    assert max(len(json.dumps(line)) for line in lines) < 4_096
+    for message, parts in (("step placed", 5), ("job runs", 4), ("job ended", 1)):
+        assert [line["message"] for line in lines].count(message) == parts
+    ended = [line["runs"] for line in lines if line["message"] in ("job runs", "job ended")]
+    assert sum(len(rows) for rows in ended) == 300
