--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -52,7 +52,7 @@
 SLOW_STORE_SILENT = 2.0
 """Seconds for which a store that is slow for this member too may owe the leader an answer."""
 STORE_SECOND_LOOK = 0.16
-"""Seconds after which the leader is looked at once more: a ping and its answer."""
+"""Seconds that the leader has to answer once more, before a claim is made for its store."""
 STORE_BACK_GRACE = 0.8
 """Seconds after the store last failed to answer this member for which a leader without it is not
 to blame: it asks each 0.35 s, and its next pong tells a member within 0.15 s."""
@@ -211,7 +211,7 @@
         if now - began > QUICK_ANSWER and self._link.suspicion.store_silent < SLOW_STORE_SILENT:
             return False
         # A store that has come back answers the leader too: its next answer tells.
-        await asyncio.sleep(STORE_SECOND_LOOK)
+        await self._link.look(STORE_SECOND_LOOK)
         return self._link.suspicion.store_lost_since > 0
 
     async def _others_agree(self) -> bool:
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -81,6 +81,9 @@
         """Take who leads; return whether it is news."""
         if seen.epoch <= self.epoch:
             return False
+        if self.record is not None:
+            # It pings nobody, and no later leader would hear of it.
+            self.addresses[self.record.name] = self.record.address
         self.record = seen
         self.suspicion = Suspicion(monotonic())
         self.leads = False
@@ -169,6 +172,15 @@
         new = not self.leads and monotonic() - self.suspicion.since < NEW_LEADER_TIME
         return NEW_PING_INTERVAL if new else PING_INTERVAL
 
+    async def look(self, timeout: float) -> None:
+        """Ask the leader at once how it is, for some seconds at most."""
+        link = self._link
+        if link is None:
+            return
+        with contextlib.suppress(CallFailed, TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._ping(link)
+
     async def _ping(self, link: Link) -> None:
         epoch = self.epoch
         settings = self._settings
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Coroutine
 
+from sablemount.control.announcer import announce
 from sablemount.control.clock import monotonic
 from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
@@ -16,6 +17,7 @@
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import (
     AdviseCall,
+    Announce,
     CallerCall,
     CallerReply,
     LeaderRecord,
@@ -250,9 +252,15 @@
             self._preload.take(),
         )
         self.leader = leader
+        record = self._link.record
+        assert record is not None
+        announcing = asyncio.get_running_loop().create_task(
+            announce(record, self._link, leader.members.heard)
+        )
         try:
             await leader.run()
         finally:
+            announcing.cancel()
             self.leader = None
             self._election.rest()
             leader.members.close_links()
@@ -264,6 +272,9 @@
             return self._pinged(link, message)
         if isinstance(message, ViewCall):
             return self._own_view()
+        if isinstance(message, Announce):
+            self._follow(message.leader)
+            return self._own_view()
         if isinstance(message, CallerCall):
             return await self._serve_locally(message)
         if isinstance(message, AdviseCall):
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -10,6 +10,7 @@
 __all__ = [
     "AdviceReply",
     "AdviseCall",
+    "Announce",
     "CallerCall",
     "CallerReply",
     "LeaderRecord",
@@ -99,7 +100,13 @@
     epoch: int
 
 
-Message: TypeAlias = Ping | ViewCall | CallerCall | AdviseCall | TakeOver
+class Announce(msgspec.Struct, frozen=True, tag=True):
+    """A new leader tells a member that has not come to it, and may not reach the store."""
+
+    leader: LeaderRecord
+
+
+Message: TypeAlias = Ping | ViewCall | CallerCall | AdviseCall | TakeOver | Announce
 
 
 class Pong(msgspec.Struct, frozen=True, tag=True):
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -17,9 +17,9 @@
 """Seconds for which nothing listens at the leader's address until it is suspected."""
 IDLE_AFTER = 0.4
 """Seconds for which the named leader may say that it does not lead."""
-STORE_LOST_AFTER = 0.35
-"""Seconds for which the store may owe the leader an answer, 90 times a usual one; a claim is due
-only if the store answers this member, which is tried first."""
+STORE_LOST_AFTER = 0.2
+"""Seconds for which the store may owe the leader an answer, 50 times a usual one; a claim is due
+only if the store answers this member in its usual time, which is tried first."""
 ALONE_AFTER = 4.0
 """Seconds of suspicion after which a member that hears nobody else claims all the same."""
 
