Addresses of the members go only to those that miss a change

Cause: each answer to a ping carried the addresses of all members, so that the bytes that a leader sends grow with the square of the members. Ruled out: lists by another call, which costs a call a member at each change of leader.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -19,6 +19,7 @@
 from sablemount.control.messages import CallerCall, CallerReply
 from sablemount.control.ports import AdvicePort, DirectoryCodec, VmPort
 from sablemount.control.preload import Reading, load_records
+from sablemount.control.roster import Roster
 from sablemount.control.store import PageItem, Store, Topic
 from sablemount.control.vm_calls import VmCalls
 from sablemount.jobs.actions import Action, PaceRun, StartRun, StopRun
@@ -70,6 +71,7 @@
         rng: random.Random,
         figures: Figures,
         reading: "asyncio.Task[Reading | None] | None" = None,
+        roster: Roster | None = None,
     ) -> None:
         self.name = name
         self._reading = reading
@@ -77,6 +79,7 @@
         self.ports = ports
         self.figures = figures
         self.members = Members()
+        self.roster = roster or Roster({})
         self.scheduler = JobScheduler(settings, epoch, LoopClock())
         self.scheduler.reconcile.on_outcome = self._count_end
         self.committer = Committer(ports.store, epoch, rng)
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -66,6 +66,8 @@
         """Takes a later leader that the named one tells of."""
         self.addresses: dict[str, str] = {}
         """Addresses of the members that the leader has heard, by name."""
+        self._roster = 0
+        """Version of them that the leader has given."""
 
     @property
     def epoch(self) -> int:
@@ -85,6 +87,7 @@
             # It pings nobody, and no later leader would hear of it.
             self.addresses[self.record.name] = self.record.address
         self.record = seen
+        self._roster = 0
         self.suspicion = Suspicion(monotonic())
         self.leads = False
         _logger.info("leader known", extra={"leader": seen.name, "epoch": seen.epoch})
@@ -186,7 +189,13 @@
         settings = self._settings
         uptime = monotonic() - self._started_at
         ping = Ping(
-            settings.name, settings.rpc_address, epoch, uptime, settings.cores, self.stopping
+            settings.name,
+            settings.rpc_address,
+            epoch,
+            uptime,
+            settings.cores,
+            self.stopping,
+            self._roster,
         )
         pong = await link.call(ping, PING_TIMEOUT)
         # If another leader has become known meanwhile, this answer tells nothing of it.
@@ -200,6 +209,8 @@
             return
         self.suspicion.heard(pong, now)
         self.leads = pong.leading and pong.epoch == self.epoch
-        self.addresses = pong.members
+        if pong.members is not None:
+            self.addresses = pong.members
+        self._roster = pong.roster
         if self.leads:
             self.heard_leading_at = now
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -35,6 +35,7 @@
 )
 from sablemount.control.network import CallFailed, Link, Listener, Network
 from sablemount.control.preload import Preload
+from sablemount.control.roster import Roster
 from sablemount.control.store import Topic
 
 __all__ = ["Member"]
@@ -250,6 +251,7 @@
             self._rng,
             self.figures,
             self._preload.take(),
+            Roster(self._link.addresses),
         )
         self.leader = leader
         record = self._link.record
@@ -297,9 +299,15 @@
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
         leader.members.pinged(link, ping)
-        addresses = self._link.addresses
-        addresses[ping.name] = ping.address
-        return Pong(leader.epoch, True, leader.committer.owed_for(), members=addresses)
+        roster = leader.roster
+        roster.note(ping.name, ping.address)
+        return Pong(
+            leader.epoch,
+            True,
+            leader.committer.owed_for(),
+            members=roster.since(ping.roster),
+            roster=roster.version,
+        )
 
     def _link_closed(self, link: Link) -> None:
         if self.leader is not None:
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -71,6 +71,8 @@
     """Share of a processor core that the member may use."""
     stopping: bool = False
     """Whether the member is being stopped, so that it can't take over."""
+    roster: int = 0
+    """Version of the addresses that this leader has given to the member."""
 
 
 class ViewCall(msgspec.Struct, frozen=True, tag=True):
@@ -118,8 +120,10 @@
     """For how long an answer of the store has been due to the leader."""
     loading: bool = False
     """Whether it is about to lead and reads what lasts."""
-    members: dict[str, str] = {}
-    """Addresses of the members that the leader hears, by name."""
+    members: dict[str, str] | None = None
+    """Addresses of the members that the leader has heard, by name, if there is a newer version."""
+    roster: int = 0
+    """Version of these addresses."""
     leader: LeaderRecord | None = None
     """Who leads as far as a member knows that does not lead itself."""
 
--- /dev/null
+++ b/tests/jobs/test_roster.py
@@ -0,0 +1,79 @@
+"""The addresses of all members go only to those that miss a change, and all get them."""
+
+import asyncio
+
+import msgspec
+
+from sablemount.control.messages import Ping, Pong
+from tests.emulator.loop import run
+from tests.emulator.system import System
+
+MEMBERS = 40
+
+
+async def _pongs(system: System, seconds: float) -> list[Pong]:
+    """Return the answers to all members' pings in some seconds."""
+    pongs: list[Pong] = []
+    for name, place in system.wires.listening.items():
+        handler = place.handler
+
+        async def noting(link, message, handler=handler):  # type: ignore[no-untyped-def]
+            reply = await handler(link, message)
+            if isinstance(message, Ping):
+                pongs.append(reply)
+            return reply
+
+        for link in place.links:
+            link._handler = noting
+        assert name
+    await asyncio.sleep(seconds)
+    return pongs
+
+
+def test_answers_to_pings_do_not_grow_with_the_members() -> None:
+    async def scenario() -> None:
+        system = System(1, members=MEMBERS, vms=2)
+        system.start_all()
+        await asyncio.sleep(3.0)
+        pongs = await _pongs(system, 1.0)
+        assert len(pongs) > 3 * MEMBERS
+        assert max(len(msgspec.msgpack.encode(pong)) for pong in pongs) < 100
+
+    run(scenario())
+
+
+def test_all_members_know_all_others_also_those_that_came_later() -> None:
+    async def scenario() -> None:
+        system = System(2, members=MEMBERS, vms=2)
+        system.start_all()
+        await asyncio.sleep(3.0)
+        system.names.append("late")
+        system.start("late")
+        await asyncio.sleep(2.0)
+        for name, member in system.members.items():
+            leads = member.leader is not None
+            others = set(system.names) - {name, system.leader()}
+            known = set(member._link.addresses)
+            assert others <= known, (name, leads, others - known)
+
+    run(scenario())
+
+
+def test_members_of_a_new_leader_know_one_another() -> None:
+    async def scenario() -> None:
+        system = System(3, members=MEMBERS, vms=2)
+        system.start_all()
+        await asyncio.sleep(3.0)
+        former = system.leader()
+        assert former is not None
+        system.kill(former, None)
+        system.names.remove(former)
+        await asyncio.sleep(2.0)
+        system.names.append("late")
+        system.start("late")
+        await asyncio.sleep(2.0)
+        for name, member in system.members.items():
+            others = set(system.names) - {name, system.leader()}
+            assert others <= set(member._link.addresses)
+
+    run(scenario())
