--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -26,7 +26,7 @@
 STILL_SHARE = 0.5
 """Share of a VM's runs that has to stand still for the VM to be at fault."""
 MIN_STILL = 2
-"""A VM is put out if so many of its runs, and this share of them, stand still."""
+"""A VM is quarantined if so many of its runs, and this share of them, stand still."""
 WINDOW = 0.8
 """Seconds over which the pace of a run is measured."""
 SLOW_RATIO = 0.4
@@ -63,10 +63,10 @@
         self._measure(row, runs)
         still = self._still(row, runs)
         if self._stands(runs, still):
-            self._put_out(row, "its tasks stand still")
+            self._quarantine(row, "its tasks stand still")
             self._move(row, still)
         elif self._slow(runs):
-            self._put_out(row, "its tasks are slow")
+            self._quarantine(row, "its tasks are slow")
             self._move(row, [run for run in runs if self._worth(run)])
 
     # -- Failures ----------------------------------------------------------------------------
@@ -89,9 +89,9 @@
         row.failed_jobs.add(job)
         if len(row.failed_jobs) >= FAILURES_IN_A_ROW and row.avoid_until < self._state.now:
             row.failed_jobs.clear()
-            self._put_out(row, "its tasks fail")
+            self._quarantine(row, "its tasks fail")
 
-    def _put_out(self, row: VmRow, why: str) -> None:
+    def _quarantine(self, row: VmRow, why: str) -> None:
         now = self._state.now
         if row.avoid_until > now:
             return
@@ -99,7 +99,7 @@
         row.strikes += 1
         row.avoid_until = now + pause
         self._state.logger.info(
-            "VM put out",
+            "VM quarantined",
             extra={"vm": row.name, "why": why, "seconds": pause, "runs": len(row.runs)},
         )
 
--- a/tests/jobs/test_health.py
+++ b/tests/jobs/test_health.py
@@ -26,7 +26,7 @@
     rig.tick()
 
 
-def test_a_vm_whose_tasks_fail_is_put_out() -> None:
+def test_a_vm_whose_tasks_fail_is_quarantined() -> None:
     rig = Rig(vms=1)
     for number in range(2):
         rig.accept(f"job{number}", spec(StepSpec(1, CORE)))
