--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -52,7 +52,7 @@
 """Seconds that a member has to say whether it takes over."""
 HAND_OVER_LIMIT = 1.5
 """Seconds after which no further member is asked: a leader that is cut off reaches none, and has to
-end within its grace, 6 s in all sites."""
+end within its grace, 6 s by default."""
 HAND_OVER_WAIT = 0.4
 """Seconds that a request waits for a new leader: one that was killed is replaced in 0.3 to 0.4 s,
 and a caller that is refused comes back a second later."""
@@ -60,17 +60,17 @@
 """Seconds after which a change of leader counts as an outage, and requests are refused at once."""
 PREPARE_TIME = 1.0
 """Seconds for which a member that is to take over reads what lasts before it claims; two pages took
-0.8 s in the slowest store that was played."""
+0.8 s in a store 91 times slower than usual, in virtual time."""
 TAKE_OVER_TIME = 2.5
 """Seconds that a leader that is being stopped waits for its successor to claim, by an append; that
-took 0.5 s in the slowest store that was played."""
+took 0.5 s in a store 91 times slower than usual, in virtual time."""
 HAND_OVER_POLL = 0.01
 """Seconds between looks at whether somebody leads."""
 UNCERTAIN_WAIT = 2.0
 """Seconds for which a request whose answer was lost with the leader is asked of the next one.
 
 It may have taken effect, which only the next leader can tell. That one is there within 1 s mostly,
-within 2 s in the slowest store that was played, and callers wait 3 s."""
+within 2 s in a store 91 times slower than usual, and callers wait 3 s."""
 REFUSALS = (Outcome.NOT_TAKEN, Outcome.NO_QUEUE)
 """Answers that would be wrong if an earlier try took effect."""
 
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -27,9 +27,9 @@
 MAX_PAYLOAD_BYTES = 4_000
 """Bytes of a job's payload at most, as the platform's pages say."""
 MAX_STEPS = 1_000
-"""Steps of a job at most: far above the five that were played."""
+"""Steps of a job at most: each costs rows of tables for as long as the job lives."""
 MAX_TASKS = 20_000
-"""Tasks of a job at most: far above the 84 that were played."""
+"""Tasks of a job at most, so that no single job takes a large part of a process's memory."""
 
 
 class Shape(msgspec.Struct, frozen=True, array_like=True):
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -16,11 +16,11 @@
 INTERVAL = 0.25
 """Seconds between two judgements."""
 FIRST_PAUSE = 1.5
-"""Seconds without new work the first time; the shortest faults that were played last 4 s."""
+"""Seconds without new work the first time; what ails a VM commonly lasts for some seconds."""
 MAX_PAUSE = 6.0
 """Seconds without new work at most."""
 FAILURES_IN_A_ROW = 2
-"""Failures of different jobs, with nothing done in between, that put a VM out."""
+"""Failures of different jobs, with nothing done in between, that quarantine a VM."""
 STILL_AFTER = 1.2
 """Seconds without progress after which a run stands still."""
 STILL_SHARE = 0.5
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -18,11 +18,11 @@
 
 DEADLINE_HEADER = "Deadline-Ms"
 DEFAULT_DEADLINE_MS = 3000.0
-"""Time of a caller that names none (ms), as the routes of all sites have it."""
+"""Time of a caller that names none (ms), which is the usual time-out of a route."""
 DEADLINE_SHARE = 0.9
 """Share of a caller's time after which it is told that there is no answer."""
 MAX_BODY = 256 * 1024
-"""Bytes of a request at most, as the configuration of all sites has it."""
+"""Bytes of a request at most: 60 times the longest payload, for jobs of many steps."""
 IDLE_SECONDS = 30.0
 """Seconds after which an idle connection of a caller is closed."""
 BODY_SECONDS = 10.0
