--- a/tests/jobs/test_store_lost.py
+++ b/tests/jobs/test_store_lost.py
@@ -70,3 +70,24 @@
         await pressing
 
     run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_leader_that_is_cut_off_is_replaced_soon(seed: int) -> None:
+    async def scenario() -> None:
+        system = System(seed, members=MEMBERS)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        former = system.leader()
+        assert former is not None
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        system.wires.cuts |= {frozenset((former, name)) for name in system.names if name != former}
+        system.store.turned_away.add(former)
+        while not _successor_leads(system, former) and loop.time() - began < 3.0:
+            await asyncio.sleep(0.005)
+        assert loop.time() - began < 0.6
+        await asyncio.sleep(2.0)
+        assert system.store.claims == [1, 2]
+
+    run(scenario())
