--- a/src/sablemount/control/announcer.py
+++ b/src/sablemount/control/announcer.py
@@ -11,8 +11,8 @@
 __all__ = ["announce"]
 
 FIRST_AFTER = 0.05
-"""Seconds after which a member that reads the store has come by itself: it learns of a claim within
-10 ms and pings a new leader each 20 ms."""
+"""Seconds after it leads by which members that read the store have come by themselves: they learn
+of a claim within 10 ms and ping a new leader each 20 ms."""
 ROUNDS = 4
 ROUND_INTERVAL = 0.2
 """Seconds between two rounds: a member may be starting, or cut off for a moment."""
@@ -24,8 +24,16 @@
 _logger = logging.getLogger("sablemount.control.announcer")
 
 
-async def announce(record: LeaderRecord, link: LeaderLink, heard: Callable[[], set[str]]) -> None:
-    """Tell the members that are known and not heard of a new leader, in a few rounds."""
+async def announce(
+    record: LeaderRecord,
+    link: LeaderLink,
+    leading: Callable[[], bool],
+    heard: Callable[[], set[str]],
+) -> None:
+    """Tell the members that are known and not heard of a new leader, in a few rounds.
+
+    ``leading`` tells whether it has loaded: only then members are heard.
+    """
     limit = asyncio.Semaphore(AT_ONCE)
 
     async def tell(address: str) -> bool:
@@ -36,6 +44,8 @@
                 return False
         return True
 
+    while not leading():
+        await asyncio.sleep(FIRST_AFTER)
     await asyncio.sleep(FIRST_AFTER)
     for _ in range(ROUNDS):
         known = heard() | {record.name}
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -137,7 +137,10 @@
             record = self.record
             self._leader_changed.clear()
             if record is not None and record.name != self._settings.name:
-                await self._connect(record)
+                served = await self._connect(record)
+                if served:
+                    # A process that has gone shows at the next try, and the sooner the better.
+                    continue
             await self._pause(RECONNECT_PAUSE)
 
     async def _pause(self, seconds: float) -> None:
@@ -146,22 +149,25 @@
             async with asyncio.timeout(seconds):
                 await self._leader_changed.wait()
 
-    async def _connect(self, record: LeaderRecord) -> None:
+    async def _connect(self, record: LeaderRecord) -> bool:
+        """Keep a connection while it lasts, and tell whether the leader has answered over it."""
         try:
             link = await self._network.connect(record.address, self._handler, CONNECT_TIMEOUT)
         except CallFailed as failed:
             if failed.refused:
                 self.suspicion.refused(monotonic())
-            return
-        await self._keep(link, record)
+            return False
+        return await self._keep(link, record)
 
-    async def _keep(self, link: Link, record: LeaderRecord) -> None:
-        """Keep a link until it is over, or leads to a former leader."""
+    async def _keep(self, link: Link, record: LeaderRecord) -> bool:
+        """Keep a link until it is over, or leads to a former leader; tell whether it answered."""
+        answered = False
         self._link = link
         serving = asyncio.get_running_loop().create_task(link.serve())
         try:
             while not link.closed and self.record is record:
                 await self._ping(link)
+                answered = True
                 await self._pause(self._ping_interval())
         except CallFailed:
             pass
@@ -170,6 +176,7 @@
             self.leads = False
             link.close()
             serving.cancel()
+        return answered
 
     def _ping_interval(self) -> float:
         new = not self.leads and monotonic() - self.suspicion.since < NEW_LEADER_TIME
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -257,7 +257,7 @@
         record = self._link.record
         assert record is not None
         announcing = asyncio.get_running_loop().create_task(
-            announce(record, self._link, leader.members.heard)
+            announce(record, self._link, lambda: leader.leading, leader.members.heard)
         )
         try:
             await leader.run()
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -13,8 +13,9 @@
 NEVER = -1e9
 SILENT_AFTER = 0.6
 """Seconds without an answer of the leader after which it is suspected."""
-REFUSED_AFTER = 0.1
-"""Seconds for which nothing listens at the leader's address until it is suspected."""
+REFUSED_AFTER = 0.02
+"""Seconds for which nothing listens at the leader's address until it is suspected: a process that
+has gone leads no more, also if another one starts in its place."""
 IDLE_AFTER = 0.4
 """Seconds for which the named leader may say that it does not lead."""
 STORE_LOST_AFTER = 0.2
--- a/tests/jobs/test_store_lost.py
+++ b/tests/jobs/test_store_lost.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sablemount.control.messages import Outcome
+from sablemount.control.messages import Announce, Outcome
 from tests.emulator.loop import run
 from tests.emulator.system import System
 
@@ -91,3 +91,49 @@
         assert system.store.claims == [1, 2]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_leader_that_is_killed_is_replaced_at_once(seed: int) -> None:
+    async def scenario() -> None:
+        system = System(seed, members=MEMBERS)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        former = system.leader()
+        assert former is not None
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        system.kill(former, 0.6)
+        while not _successor_leads(system, former) and loop.time() - began < 3.0:
+            await asyncio.sleep(0.005)
+        assert loop.time() - began < 0.2
+        await asyncio.sleep(2.0)
+        assert system.store.claims == [1, 2]
+
+    run(scenario())
+
+
+def test_members_that_come_by_themselves_are_not_called() -> None:
+    async def scenario() -> None:
+        system = System(1, members=MEMBERS)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        former = system.leader()
+        assert former is not None
+        told: list[str] = []
+        for name, place in system.wires.listening.items():
+            handler = place.handler
+
+            async def noting(link, message, name=name, handler=handler):  # type: ignore[no-untyped-def]
+                if isinstance(message, Announce):
+                    told.append(name)
+                return await handler(link, message)
+
+            place.handler = noting
+        # A load takes longer than a member needs to come.
+        system.store.latency = 0.05
+        system.kill(former, None)
+        await asyncio.sleep(2.0)
+        assert told == []
+
+    run(scenario())
