As many VMs are named as a step is likely to need; short calls are not divided

Change: the VMs with most room are named, enough for twice the tasks by the share that answers of the queue have allowed so far, 30 at least; a call below 0.15 s is not divided; renewals go over one lane each and only while half of the lanes are free. The time asked for counts calls on their way. Tests: 30 VMs for a step of 4 tasks, and the others once these have no room; more for a queue of which few VMs may run steps.

--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -33,7 +33,7 @@
                 "tasks": len(chosen),
                 "of": step.open_tasks,
                 "waited": round(now - since, 3),
-                "asked_for": round(0.0 if step.advice is None else step.advice.asked_for, 3),
+                "asked_for": round(0.0 if step.advice is None else step.advice.asked(now), 3),
                 "runs": rows[first : first + ROWS_A_LINE],
             },
         )
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -26,6 +26,16 @@
 """A call is divided where naming its VMs takes more than this share of the time that it takes to
 decide: about 100 VMs were answered in 1.2 s in one call, in 0.7 s in four. Smaller parts cost lanes
 and win little."""
+SPLIT_LEAST = 0.15
+"""Seconds below which a call is not divided: calls cost processor time too."""
+LEAST_NAMED = 30
+"""VMs that are asked for at first at least, of which the most urgent work finds room on some."""
+PLACES_A_TASK = 2.0
+"""Places for each waiting task that the first question is expected to find."""
+FIRST_GOOD = 0.5
+"""Share of VMs that may run a step of a queue, before an answer has told."""
+GOOD_SMOOTHING = 0.1
+"""Share of the newest answer in the usual one."""
 TICKET_MARGIN = 0.15
 """Seconds before its end in which a ticket is not used any more."""
 CALL_SLACK = 1.0
@@ -36,6 +46,9 @@
 """Seconds after a failed call until the step is asked for again, times its failures."""
 RENEW_INTERVAL = 0.1
 """Seconds between looks at the tickets of steps that wait for room."""
+RENEW_LANES = 0.5
+"""Share of the lanes that has to be free for tickets to be renewed ahead of need: new questions, on
+which a start waits, are divided over the others."""
 RENEW_COST = 0.1
 """Seconds that a call takes at least for its tickets to be renewed ahead of need: room that is kept
 through a shorter call is hardly missed."""
@@ -60,6 +73,8 @@
         self._state = state
         self._lanes: dict[str, _Lane] = {}
         self._wanted: dict[str, tuple[StepRow, tuple[str, ...]]] = {}
+        self._good: dict[str, float] = {}
+        """Share of the VMs that may run a step, by queue, as answers have told."""
         self._renewing = Every(RENEW_INTERVAL)
 
     # -- Lanes -------------------------------------------------------------------------------
@@ -120,6 +135,16 @@
         terms = self._state.terms_of(step.job).advice
         return 0.0 if terms is None else (terms.decide_ms + terms.each_ms * count) / MS
 
+    def enough(self, step: StepRow) -> int:
+        """Return how many VMs to ask for, so that some may run a step and have room for it."""
+        share = self._good.get(step.job.record.terms.name, FIRST_GOOD)
+        return max(LEAST_NAMED, math.ceil(PLACES_A_TASK * step.waiting / share))
+
+    def _learn(self, step: StepRow, good: int, asked: int) -> None:
+        queue = step.job.record.terms.name
+        usual = self._good.get(queue, FIRST_GOOD)
+        self._good[queue] = max(0.05, usual + GOOD_SMOOTHING * (good / asked - usual))
+
     # -- Running -----------------------------------------------------------------------------
 
     def run(self) -> None:
@@ -154,10 +179,10 @@
         steps = [step for step in self._state.open_steps.values() if self._lapses(step)]
         for step in sorted(steps, key=self._step_urgency):
             free = self._free_lanes()
-            if len(free) <= len(self._lanes) // KEPT_SHARE + 1:
+            if len(free) <= max(1.0, RENEW_LANES * len(self._lanes)):
                 return
             assert step.advice is not None
-            self._ask(step, tuple(step.advice.good))
+            self._send(free[0], step, tuple(step.advice.good)[:MAX_NAMED])
 
     def _lapses(self, step: StepRow) -> bool:
         """Tell whether a step waits for room with tickets that end before new ones could come."""
@@ -196,7 +221,7 @@
     def _parts(self, step: StepRow, count: int) -> int:
         """Return over how many lanes a question about some VMs is best divided."""
         terms = self._state.terms_of(step.job).advice
-        if terms is None or not terms.each_ms:
+        if terms is None or not terms.each_ms or self.cost(step, count) < SPLIT_LEAST:
             return 1
         return max(1, math.ceil(count * terms.each_ms / (SPLIT_SHARE * terms.decide_ms + 1.0)))
 
@@ -225,7 +250,11 @@
     ) -> None:
         """Take an answer: tickets by VM, valid for some milliseconds from now."""
         lane = self._asking(lane_name, step_key)
-        row = None if lane is None else self._over(lane)
+        if lane is None or lane.step is None:
+            return
+        if asked:
+            self._learn(lane.step, len(good), len(asked))
+        row = self._over(lane)
         if row is None:
             return
         row.failures = 0
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -138,7 +138,7 @@
                     "waits": step.waiting,
                     "of": step.open_tasks,
                     "ready": self.ready(step),
-                    "asking": advice is not None and advice.asking,
+                    "asking": 0 if advice is None else advice.asking,
                     "good": -1 if advice is None else len(advice.good),
                     "bad": -1 if advice is None else len(advice.bad),
                 },
@@ -163,7 +163,7 @@
                 advice.known_at = self._state.vms_changed
             return
         unknown.sort(key=lambda row: -row.room.cores)
-        self._advice.want(step, [row.name for row in unknown])
+        self._advice.want(step, [row.name for row in unknown[: self._advice.enough(step)]])
 
     def _start_or_ask(self, step: StepRow, chosen: Assignment) -> None:
         if not chosen:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -151,6 +151,10 @@
     known_at: int = -1
     """Count of changes of the VMs at which all of them were known."""
 
+    def asked(self, now: float) -> float:
+        """Return the seconds that answers were waited for, with calls that are on their way."""
+        return self.asked_for + (now - self.asked_at if self.asking else 0.0)
+
 
 @dataclass(slots=True, eq=False)
 class StepRow:
--- a/tests/jobs/test_advice.py
+++ b/tests/jobs/test_advice.py
@@ -9,11 +9,13 @@
 HALF = Shape(8_000, 1_000)
 
 
-def _asked(terms: AdviceTerms, lanes: int, vms: int = 60) -> tuple[Rig, list[AskAdvice]]:
+def _asked(
+    terms: AdviceTerms, lanes: int, vms: int = 60, tasks: int = 16
+) -> tuple[Rig, list[AskAdvice]]:
     advised = queue("q", advice=terms)
     rig = Rig(vms=vms, queues=(advised,))
     rig.scheduler.advice.set_lanes({f"l{number}" for number in range(lanes)})
-    rig.accept("wide", spec(StepSpec(8, HALF, expected_ms=4000.0, gang=True)), advised)
+    rig.accept("wide", spec(StepSpec(tasks, HALF, expected_ms=4000.0, gang=True)), advised)
     rig.tick()
     return rig, rig.asked()
 
@@ -40,12 +42,12 @@
 
 
 def test_no_more_vms_are_named_in_a_call_than_it_takes() -> None:
-    _, calls = _asked(QUICK, lanes=2, vms=130)
+    _, calls = _asked(QUICK, lanes=2, vms=130, tasks=33)
     assert [len(call.vms) for call in calls] == [100]
 
 
 def test_a_gang_starts_as_soon_as_the_answers_so_far_have_room_for_it() -> None:
-    rig, calls = _asked(SLOW, lanes=20)
+    rig, calls = _asked(SLOW, lanes=20, tasks=8)
     _answer(rig, calls[0], good=2)
     assert rig.started() == []
     _answer(rig, calls[1], good=2)
@@ -62,3 +64,21 @@
     rig.tick()
     again = [call for call in rig.asked() if call not in calls]
     assert sorted(vm for call in again for vm in call.vms) == sorted(calls[0].vms)
+
+
+def test_as_many_vms_are_named_as_a_step_is_likely_to_need_and_then_the_others() -> None:
+    rig, calls = _asked(QUICK, lanes=20, vms=60, tasks=4)
+    (call,) = calls
+    assert len(call.vms) == 30
+    _answer(rig, call, good=1)
+    (again,) = [other for other in rig.asked() if other is not call]
+    assert not set(call.vms) & set(again.vms)
+
+
+def test_more_vms_are_named_for_a_queue_of_which_few_vms_may_run_steps() -> None:
+    rig, calls = _asked(SLOW, lanes=20, vms=200, tasks=16)
+    assert sum(len(call.vms) for call in calls) == 64
+    for call in calls:
+        _answer(rig, call, good=0)
+    again = [call for call in rig.asked() if call not in calls]
+    assert sum(len(call.vms) for call in again) > 70
