Room is made by the slack of what waits, for as many steps as the cell bears

Cause: a step waited a fifth of its length before cheaper work yielded, whatever its objective left, so that an urgent job of a second was late by construction; two steps at once had room made, in a cell of 24 VMs and of 270; a gang's room was taken by others of its priority before the last of it was free; work yielded for jobs whose end could not be noted. Change: patience is a tenth of the slack beyond the time that making room takes; one step for each eight VMs may have room made; what may be thrown away rises to its whole share as half of the slack goes by; a victim without which there is room all the same is spared; a gang's room is kept for it alone until it has started; nothing yields while the store is silent. Rounds each 30 ms.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -253,7 +253,7 @@
         self.scheduler.now()
         self.scheduler.advice.set_lanes({self.name} | self.members.heard())
         if self.authority():
-            for action in self.scheduler.tick():
+            for action in self.scheduler.tick(noting=not self.commits.stuck()):
                 self._perform(action)
             self.calls.follow_new()
         if self.scheduler.journal.pending():
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -106,9 +106,13 @@
         self.state.now = max(self.state.now, self._clock.monotonic())
         self.state.wall_ms = self._clock.wall_ms()
 
-    def tick(self) -> list[Action]:
-        """Run the systems and return what is to be done."""
+    def tick(self, noting: bool = True) -> list[Action]:
+        """Run the systems and return what is to be done.
+
+        ``noting`` tells whether the store answers, so that ends can be noted.
+        """
         state = self.state
+        state.noting = noting
         self.lifecycle.open_due()
         if state.now - self._slow_at >= SLOW_SYSTEMS_INTERVAL:
             self._slow_at = state.now
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -62,6 +62,8 @@
         """Steps to be looked at again, though no room was freed."""
         self.former_settled = False
         """Whether no run of a former leader can be unseen any more."""
+        self.noting = True
+        """Whether the store answers, so that ends can be noted."""
         self.actions: list[Action] = []
         self.unheard_until = NEVER
         self.logger = logging.getLogger("sablemount.jobs")
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -12,20 +12,26 @@
     TaskState,
 )
 
-__all__ = ["Lifecycle", "chain_seconds"]
+__all__ = ["Lifecycle", "chains"]
 
 MS = 1000.0
 DUE_MARGIN_MS = 20.0
 """How much later than its due time a repetition starts, for clocks that differ."""
 
 
-def chain_seconds(spec: JobSpec) -> float:
-    """Return the longest chain of expected work of a job, in seconds."""
-    ends: list[float] = []
-    for step in spec.steps:
-        before = max((ends[number] for number in step.after), default=0.0)
-        ends.append(before + step.expected_ms / MS)
-    return max(ends, default=0.0)
+def chains(spec: JobSpec) -> list[float]:
+    """Return the expected seconds from each step's start to its job's end.
+
+    Steps come after those that they wait for.
+    """
+    after = [0.0] * len(spec.steps)
+    found = [0.0] * len(spec.steps)
+    for number in reversed(range(len(spec.steps))):
+        step = spec.steps[number]
+        found[number] = after[number] + step.expected_ms / MS
+        for earlier in step.after:
+            after[earlier] = max(after[earlier], found[number])
+    return found
 
 
 class Lifecycle:
@@ -41,7 +47,7 @@
     def create(self, name: str, record: JobRecord) -> JobRow:
         """Enter a job whose acceptance is about to be recorded."""
         state = self._state
-        chain = chain_seconds(record.spec)
+        chain = max(chains(record.spec), default=0.0)
         job = JobRow(name, record, state.now)
         terms = record.terms
         job.objective_at = state.now + terms.stretch * chain + terms.target_latency_ms / MS
@@ -124,8 +130,9 @@
     def _open_repetition(self, job: JobRow, repetition: int) -> None:
         job.next_repetition = repetition + 1
         rows = []
+        left = chains(job.record.spec)
         for number, spec in enumerate(job.record.spec.steps):
-            row = StepRow(job, repetition, number, spec)
+            row = StepRow(job, repetition, number, spec, left[number])
             if job.record.terms.advice is not None:
                 row.advice = AdviceRow()
             row.make_tasks()
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -107,8 +107,7 @@
         return [
             row
             for row in self._candidates(step, usable)
-            if (good is None or row.name in good)
-            and (row.kept_until <= now or priority <= row.kept_priority)
+            if (good is None or row.name in good) and not row.kept_from(step, priority, now)
         ]
 
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -6,30 +6,35 @@
 
 from dataclasses import dataclass
 
+from sablemount.jobs.model import Shape
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.choice import slots
 from sablemount.jobs.systems.every import Every
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, StepRow, VmRow
+from sablemount.jobs.systems.urgency import Urgency
+from sablemount.jobs.tables import NEVER, RunRow, StepRow, VmRow
 
 __all__ = ["Preemption"]
 
-INTERVAL = 0.1
+INTERVAL = 0.03
 """Seconds between two rounds."""
 MS = 1000.0
-PATIENCE_SHARE = 0.2
-"""Share of its expected time that a step waits before others yield to it."""
-LEAST_PATIENCE = 0.1
-"""Seconds that the shortest work waits: a task that ends by itself throws nothing away."""
+PATIENCE_SHARE = 0.1
+"""Share of its spare time that a step waits before others yield to it."""
 MOST_PATIENCE = 1.5
-"""Seconds that the longest work waits."""
+"""Seconds that a step waits at most."""
 LOSS_SHARE = 0.6
 """Work thrown away at most, as a share of the work that gets the room. A render that comes in time
 earns ten times what the work thrown away for it costs; 0.25 left a third more of them late."""
-MAX_AT_ONCE = 2
-"""Steps that have room made for them at once."""
+LEAST_AT_ONCE = 2
+"""Steps that have room made for them at once in the smallest cell."""
+FULL_LOSS_AT = 0.5
+"""Share of its spare time that a step waits until the whole loss may be taken for it."""
+VMS_A_STEP = 8
+"""VMs for each further such step: with 135 VMs and 40 urgent jobs a second, two at once kept others
+waiting for a second and more."""
 KEEP_MARGIN = 1.0
 """Seconds for which room is kept beyond a stop and two calls for advice."""
 WORTH_KEEPING = 0.85
@@ -56,6 +61,7 @@
         self._placement = placement
         self._advice = advice
         self._reconcile = reconcile
+        self._urgency = Urgency(state)
         self._every = Every(INTERVAL)
         self._made: dict[str, float] = {}
         """Steps for which room is being made, until when."""
@@ -63,12 +69,12 @@
     def run(self) -> None:
         """Make room for the most urgent steps that wait."""
         now = self._state.now
-        if not self._every.due(now):
+        if not self._every.due(now) or not self._state.noting:
             return
-        self._made = {key: until for key, until in self._made.items() if self._making(key, until)}
+        self._forget_made()
         usable: list[VmRow] | None = None
         for step in self._placement.in_order():
-            if len(self._made) >= MAX_AT_ONCE:
+            if len(self._made) >= self._at_once():
                 return
             if step.key in self._made or not self._due(step):
                 continue
@@ -76,6 +82,22 @@
                 usable = self._placement.usable_rows()
             self._make_room(step, self._placement.allowed(step, usable))
 
+    def _at_once(self) -> int:
+        """Return for how many steps room may be made at once."""
+        return max(LEAST_AT_ONCE, len(self._state.vms) // VMS_A_STEP)
+
+    def _forget_made(self) -> None:
+        """Give free what is kept for steps that have taken their room, or have not in time."""
+        over = {key for key, until in self._made.items() if not self._making(key, until)}
+        if not over:
+            return
+        for key in over:
+            del self._made[key]
+        for row in self._state.vms.values():
+            if row.kept_for in over:
+                row.kept_for = ""
+                row.kept_until = NEVER
+
     def _making(self, key: str, until: float) -> bool:
         """Tell whether room that is being made for a step has not been taken yet."""
         step = self._state.open_steps.get(key)
@@ -87,9 +109,8 @@
             return False
         if step.spec.lasting:
             return False
-        expected = step.spec.expected_ms / MS
-        patience = min(MOST_PATIENCE, max(LEAST_PATIENCE, PATIENCE_SHARE * expected))
-        return self._state.now - max(step.opened_at, step.job.accepted_at) > patience
+        patience = min(MOST_PATIENCE, PATIENCE_SHARE * self._urgency.spare(step))
+        return self._urgency.waited(step) > patience
 
     # -- Offers ------------------------------------------------------------------------------
 
@@ -111,7 +132,7 @@
             return
         loss = sum(offer.loss for offer in chosen)
         work = wanted * step.spec.shape.cores / MS * step.spec.expected_ms / MS
-        if loss <= LOSS_SHARE * work:
+        if loss <= LOSS_SHARE * self._pressing(step) * work:
             self._take(step, chosen, loss)
 
     def _offers(self, step: StepRow, row: VmRow) -> list[_Offer]:
@@ -131,6 +152,8 @@
             loss += cost
             made = slots(charge, room) - have
             if made > 0:
+                room = self._spare_needless(room, charge, have + made, victims)
+                loss = sum(self._loss_of(run) for run in victims)
                 highest = max(highest, loss)
                 offers.append(_Offer(row, made, victims, highest))
                 have += made
@@ -138,6 +161,17 @@
                 loss = 0.0
         return offers
 
+    def _spare_needless(
+        self, room: Shape, charge: Shape, wanted: int, victims: list[RunRow]
+    ) -> Shape:
+        """Take out the victims without which there is room all the same, the dearest first."""
+        for run in sorted(victims, key=self._loss_of, reverse=True):
+            left = room.plus(run.charge, -1)
+            if slots(charge, left) >= wanted:
+                victims.remove(run)
+                room = left
+        return room
+
     def _victims(self, row: VmRow, step: StepRow) -> list[tuple[float, RunRow]]:
         """Return the runs of a VM that may yield, with the core seconds that are lost."""
         priority = self._state.terms_of(step.job).priority
@@ -153,12 +187,23 @@
             found.append((self._loss(run, spec.saves), run))
         return found
 
+    def _loss_of(self, run: RunRow) -> float:
+        task = self._state.task(run.task)
+        return self._loss(run, task is not None and task.step.spec.saves)
+
     def _loss(self, run: RunRow, saves: bool) -> float:
         """Return the core seconds that a stop throws away: a stop saves what can be saved."""
         elapsed = max(0.0, self._state.now - run.started_at)
         lost = self._state.settings.restore if saves else elapsed
         return run.charge.cores / MS * (lost + self._state.settings.stop_time)
 
+    def _pressing(self, step: StepRow) -> float:
+        """Return by how much of the usual share a loss is worth it now: it rises as time goes by.
+
+        A small loss pays at once; a larger one waits, for room may come by itself.
+        """
+        return min(1.0, self._urgency.share_gone(step) / FULL_LOSS_AT)
+
     # -- Taking ------------------------------------------------------------------------------
 
     def _take(self, step: StepRow, offers: list[_Offer], loss: float) -> None:
@@ -172,6 +217,8 @@
         for offer in offers:
             offer.row.kept_priority = priority
             offer.row.kept_until = until
+            # A part of a gang's room is of no use to it: others of its kind would take turns.
+            offer.row.kept_for = step.key if step.spec.gang else ""
         for run in stopped:
             self._reconcile.stop(run)
         if step.advice is not None:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -164,6 +164,8 @@
     repetition: int
     number: int
     spec: StepSpec
+    chain: float = 0.0
+    """Expected seconds from its start to its job's end."""
     tasks: list[TaskRow] = field(default_factory=list)
     open_tasks: int = 0
     """How many of its tasks are not done."""
@@ -257,8 +259,10 @@
     failed_jobs: set[str] = field(default_factory=set)
     """Jobs of which a task has failed there since one was last done."""
     kept_priority: int = 0
+    kept_for: str = ""
+    """Step for which alone its room is kept; empty if any of that priority may take it."""
     kept_until: float = NEVER
-    """Until when its room is kept for work of that priority or a more urgent one."""
+    """Until when its room is kept for that step or for work of that priority, or more urgent."""
     strikes: int = 0
     recorded: bool = False
     """Whether its record says, or is about to say, that it may run something."""
@@ -270,6 +274,12 @@
     def __post_init__(self) -> None:
         self.name = self.info.name
 
+    def kept_from(self, step: "StepRow", priority: int, now: float) -> bool:
+        """Tell whether its room is kept for others than a step of some priority."""
+        if self.kept_until <= now or priority < self.kept_priority:
+            return False
+        return priority > self.kept_priority or self.kept_for not in ("", step.key)
+
     def clock_after(self, now: float) -> float:
         """Return the least that the VM's clock can show now, in ms."""
         return self.clock_ms + max(0.0, now - self.clock_at) * 1000.0 * SLOW_CLOCK
--- /dev/null
+++ b/tests/jobs/test_making_room.py
@@ -0,0 +1,74 @@
+"""Room is made by the slack of what waits, and no more of it than is needed."""
+
+from sablemount.jobs.actions import StopRun
+from sablemount.jobs.model import Queue, QueueTerms, Shape, StepSpec
+from sablemount.jobs.systems.urgency import Urgency
+from tests.jobs.rig import Rig, queue, spec
+
+HALF = Shape(8_000, 1_000)
+URGENT = queue("fast", 0)
+GANGS = queue("gangs", 1)
+CHEAP = queue("slow", 2)
+QUEUES = (URGENT, GANGS, CHEAP)
+
+
+def test_the_slack_is_what_the_objective_leaves_beyond_the_chain() -> None:
+    rig = Rig(vms=2, queues=QUEUES)
+    first = StepSpec(1, HALF, expected_ms=2000.0)
+    job = rig.accept("a", spec(first, StepSpec(1, HALF, expected_ms=1000.0, after=(0,))), URGENT)
+    urgency = Urgency(rig.scheduler.state)
+    assert [step.chain for step in job.steps.values()] == [3.0, 1.0]
+    # The stretch is 2 and the target 1 s.
+    assert round(urgency.slack(job.steps[(0, 0)]), 6) == 4.0
+
+
+def test_work_without_slack_has_room_made_for_it_at_once() -> None:
+    rig = Rig(vms=2, queues=QUEUES)
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    rig.accept("batch", spec(StepSpec(4, HALF, expected_ms=5000.0, saves=True)), CHEAP)
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    terms = QueueTerms("fast", "pool", 0, 3, stretch=1.1, target_latency_ms=100.0)
+    tight = Queue(URGENT.host, URGENT.prefix, terms)
+    rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), tight)
+    rig.tick(0.05)
+    assert len(rig.stopped()) == 1
+
+
+def test_no_room_is_made_while_the_store_is_silent() -> None:
+    rig = Rig(vms=2, queues=QUEUES)
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    rig.accept("batch", spec(StepSpec(4, HALF, expected_ms=5000.0, saves=True)), CHEAP)
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
+    rig.clock.time += 1.0
+    rig.hear_all()
+    rig.scheduler.now()
+    actions = rig.scheduler.tick(noting=False)
+    assert not any(isinstance(action, StopRun) for action in actions)
+    rig.tick(0.05)
+    assert len(rig.stopped()) == 1
+
+
+def test_a_victim_that_turns_out_needless_is_spared() -> None:
+    rig = Rig(vms=1, queues=QUEUES)
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    small, large = Shape(2_000, 1_000), Shape(12_000, 1_000)
+    rig.accept("small", spec(StepSpec(2, small, expected_ms=9000.0, saves=True)), CHEAP)
+    rig.accept("large", spec(StepSpec(1, large, expected_ms=9000.0, saves=True)), CHEAP)
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    rig.tick(1.0)
+    rig.accept("quote", spec(StepSpec(1, large, expected_ms=30_000.0)), URGENT)
+    for _ in range(40):
+        rig.clock.time += 0.1
+        rig.hear_all()
+        rig.tick()
+    assert {stop.task.partition(".")[0] for stop in rig.stopped()} == {"large"}
