--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -32,6 +32,8 @@
 """VMs that are asked for at first at least, of which the most urgent work finds room on some."""
 PLACES_A_TASK = 2.0
 """Places for each waiting task that the first question is expected to find."""
+SMALL_GANG = 4
+"""Tasks of a gang up to which it finds its places as other steps do."""
 FIRST_GOOD = 0.5
 """Share of VMs that may run a step of a queue, before an answer has told."""
 GOOD_SMOOTHING = 0.1
@@ -136,7 +138,12 @@
         return 0.0 if terms is None else (terms.decide_ms + terms.each_ms * count) / MS
 
     def enough(self, step: StepRow) -> int:
-        """Return how many VMs to ask for, so that some may run a step and have room for it."""
+        """Return how many VMs to ask for, so that some may run a step and have room for it.
+
+        A gang that waits looks for its places on all VMs: there are none too many for it.
+        """
+        if step.spec.gang and step.waiting > SMALL_GANG:
+            return len(self._state.vms)
         share = self._good.get(step.job.record.terms.name, FIRST_GOOD)
         return max(LEAST_NAMED, math.ceil(PLACES_A_TASK * step.waiting / share))
 
