--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import random
+from collections.abc import Coroutine
+from typing import Any
 
 from sablemount.control.clock import monotonic
 from sablemount.control.lost_writes import Answer, LostWrites
@@ -151,43 +153,32 @@
 
     async def _send(self, records: list[Record], entry: "_Open") -> int:
         """Return after how many tries the append is done."""
-        sequence = entry.sequence
         interval = self._patience()
-        producer = Producer(PRODUCER, self._epoch, sequence)
-        probe = asyncio.ensure_future(self._losses.probe())
-        calls: dict[asyncio.Future[Answer], float] = {}
-        tries = 0
+        producer = Producer(PRODUCER, self._epoch, entry.sequence)
+        tries = _Tries(entry.done, asyncio.ensure_future(self._losses.probe()))
         try:
             while not entry.done.done():
-                if self._may_send(sequence, len(calls), interval):
-                    tries += 1
+                if self._may_send(entry.sequence, tries.in_flight, interval):
                     entry.tried_at = monotonic()
-                    calls[asyncio.ensure_future(self._try(records, producer))] = entry.tried_at
+                    tries.add(self._try(records, producer), entry.tried_at)
                 if self._losses.happen():
                     interval = self._patience()
                 pause = interval * self._rng.uniform(LEAST_JITTER, 1.0)
-                waited_for = {entry.done, *calls, *(() if probe.done() else (probe,))}
-                await asyncio.wait(waited_for, timeout=pause, return_when=asyncio.FIRST_COMPLETED)
-                answers = [call.result() for call in calls if call.done()]
-                calls = {call: sent_at for call, sent_at in calls.items() if not call.done()}
-                if any(self._done(answer, sequence) for answer in answers):
-                    self._losses.done(answers, calls.values())
+                answers = await tries.answers(pause)
+                if any(self._done(answer, entry.sequence) for answer in answers):
+                    self._losses.done(answers, tries.sent_at())
                     break
                 if any(isinstance(answer.result, WrongSequence) for answer in answers):
-                    self._too_early(sequence, answers)
-                    lossy = self._losses.happen()
-                    await self._predecessor(sequence, interval if lossy else MAX_INTERVAL)
+                    await self._too_early(entry.sequence, answers, interval)
                     continue
                 if answers:
                     # Refused at once: as if its time had gone by.
                     await asyncio.sleep(min(pause, MAX_PAUSE))
-                longer = min(self._max_interval(sequence), interval * 2)
+                longer = min(self._max_interval(entry.sequence), interval * 2)
                 interval = max(interval, longer, self._patience())
         finally:
-            probe.cancel()
-            for call in calls:
-                call.cancel()
-        return tries
+            tries.cancel()
+        return tries.count
 
     def _patience(self) -> float:
         """Return the seconds after which an append is sent again, by the answers before.
@@ -197,10 +188,13 @@
         least = LOSSY_INTERVAL if self._losses.happen() else FIRST_INTERVAL
         return max(least, self._losses.overdue())
 
-    def _too_early(self, sequence: int, answers: list[Answer]) -> None:
+    async def _too_early(self, sequence: int, answers: list[Answer], interval: float) -> None:
+        """Wait for the append before, which may be lost: then this one is tried again soon."""
         before = min(self._open, key=lambda entry: entry.sequence)
         if before.sequence < sequence:
             self._losses.too_early(answers, before.tried_at)
+        lossy = self._losses.happen()
+        await self._predecessor(sequence, interval if lossy else MAX_INTERVAL)
 
     def _is_first(self, sequence: int) -> bool:
         return all(entry.sequence >= sequence for entry in self._open)
@@ -284,3 +278,44 @@
         self.sequence = sequence
         self.since = self.tried_at = since
         self.done = done
+
+
+class _Tries:
+    """The tries of one append that are on their way, beside what else may end the wait for them."""
+
+    def __init__(self, done: "asyncio.Future[None]", probe: "asyncio.Future[None]") -> None:
+        self._done = done
+        self._probe = probe
+        self._sent: dict[asyncio.Future[Answer], float] = {}
+        self.count = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many have no answer."""
+        return len(self._sent)
+
+    def sent_at(self) -> list[float]:
+        """Return when those without an answer were sent."""
+        return list(self._sent.values())
+
+    def add(self, attempt: Coroutine[Any, Any, Answer], sent_at: float) -> None:
+        """Begin a try."""
+        self.count += 1
+        self._sent[asyncio.ensure_future(attempt)] = sent_at
+
+    async def answers(self, timeout: float) -> list[Answer]:
+        """Return the answers that come first, or none if something else ends the wait."""
+        waited_for: set[asyncio.Future[Any]] = {self._done, *self._sent}
+        if not self._probe.done():
+            waited_for.add(self._probe)
+        await asyncio.wait(waited_for, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        ended = [call for call in self._sent if call.done()]
+        for call in ended:
+            del self._sent[call]
+        return [call.result() for call in ended]
+
+    def cancel(self) -> None:
+        """Give up what is on its way."""
+        self._probe.cancel()
+        for call in self._sent:
+            call.cancel()
