Long questions name all VMs at once, and renewals are divided again

Change: only a question that is short for all VMs names those likely to be enough; renewals are divided over the lanes that short questions no longer take.

--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -32,8 +32,6 @@
 """VMs that are asked for at first at least, of which the most urgent work finds room on some."""
 PLACES_A_TASK = 2.0
 """Places for each waiting task that the first question is expected to find."""
-SMALL_GANG = 4
-"""Tasks of a gang up to which it finds its places as other steps do."""
 FIRST_GOOD = 0.5
 """Share of VMs that may run a step of a queue, before an answer has told."""
 GOOD_SMOOTHING = 0.1
@@ -48,9 +46,6 @@
 """Seconds after a failed call until the step is asked for again, times its failures."""
 RENEW_INTERVAL = 0.1
 """Seconds between looks at the tickets of steps that wait for room."""
-RENEW_LANES = 0.5
-"""Share of the lanes that has to be free for tickets to be renewed ahead of need: new questions, on
-which a start waits, are divided over the others."""
 RENEW_COST = 0.1
 """Seconds that a call takes at least for its tickets to be renewed ahead of need: room that is kept
 through a shorter call is hardly missed."""
@@ -140,10 +135,12 @@
     def enough(self, step: StepRow) -> int:
         """Return how many VMs to ask for, so that some may run a step and have room for it.
 
-        A gang that waits looks for its places on all VMs: there are none too many for it.
+        A step whose questions take long asks for all at once, over several lanes: it looks for many
+        places, and another question would keep it waiting as long again.
         """
-        if step.spec.gang and step.waiting > SMALL_GANG:
-            return len(self._state.vms)
+        every = len(self._state.vms)
+        if self.cost(step, every) >= SPLIT_LEAST:
+            return every
         share = self._good.get(step.job.record.terms.name, FIRST_GOOD)
         return max(LEAST_NAMED, math.ceil(PLACES_A_TASK * step.waiting / share))
 
@@ -186,10 +183,10 @@
         steps = [step for step in self._state.open_steps.values() if self._lapses(step)]
         for step in sorted(steps, key=self._step_urgency):
             free = self._free_lanes()
-            if len(free) <= max(1.0, RENEW_LANES * len(self._lanes)):
+            if len(free) <= len(self._lanes) // KEPT_SHARE + 1:
                 return
             assert step.advice is not None
-            self._send(free[0], step, tuple(step.advice.good)[:MAX_NAMED])
+            self._ask(step, tuple(step.advice.good))
 
     def _lapses(self, step: StepRow) -> bool:
         """Tell whether a step waits for room with tickets that end before new ones could come."""
