--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -33,9 +33,9 @@
 FULL_LOSS_AT = 0.5
 """Share of its spare time that a step waits until the whole loss may be taken for it."""
 VMS_A_STEP = 64
-"""VMs for each such step in a larger cell. With 270 VMs, 33 at once served no more jobs in time than
-two, and gangs waited 10.3 s at the 99th percentile in place of 5.1 s: each takes what another could
-have had by waiting a little (one simulated day with bursts of both kinds)."""
+"""VMs for each such step in a larger cell. With 270 VMs, 33 at once served no more jobs in time
+than two, and gangs waited 10.3 s at the 99th percentile in place of 5.1 s: each takes what another
+would have had by waiting a little (one simulated day with bursts of both kinds)."""
 KEEP_MARGIN = 1.0
 """Seconds for which room is kept beyond a stop and two calls for advice."""
 WORTH_KEEPING = 0.85
