A VM that has left as it told is gone once it refuses connections

Cause, traced from the lines of one late job (docs/OPERATIONS.md): a VM that drained left, and its entry went 4.5 s later. Until then what ran there counted as one that may go on; a gang with a member there, whose others had broken, could not start again. Polls of such a VM showed 'no answer' up to eight times, once for each kept connection that had ended with it, and then 'refused'. Change: one that drains, is past the time that it told and refuses connections for 0.3 s is gone; after a call that was cut short, what idled before it is not used. Ruled out: taking silence alone, or a refusal before the told time, as gone: such a VM may still run things, and a task would run twice (tests).

--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -135,9 +135,13 @@
         self._awaited.setdefault(address, set()).add(awaited)
         try:
             answer = await self._exchange(stream, address, method, path, body, headers, deadline)
+        except CutShort:
+            self._discard(address, stream)
+            # What idled before the call was sent may have ended, or fallen silent, with it.
+            self._distrust(address, awaited.sent_at)
+            raise
         except BaseException:
             self._discard(address, stream)
-            self._distrust_before(address, [awaited])
             raise
         finally:
             self._awaited[address].discard(awaited)
@@ -147,9 +151,12 @@
     def _distrust_before(self, address: str, calls: Iterable["_Awaited"]) -> None:
         """Take that what idled before an overdue call was sent may have fallen silent with it."""
         now = time.monotonic()
-        overdue = [call.sent_at for call in calls if now > call.due_at]
-        if overdue:
-            self._distrusted[address] = max(self._distrusted.get(address, 0.0), *overdue)
+        for call in calls:
+            if now > call.due_at:
+                self._distrust(address, call.sent_at)
+
+    def _distrust(self, address: str, before: float) -> None:
+        self._distrusted[address] = max(self._distrusted.get(address, 0.0), before)
 
     async def _exchange(
         self,
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -18,6 +18,9 @@
 The platform says about two; a VM that is still missing then is taken as gone."""
 LEFT_AFTER = 1.5
 """Seconds for which nothing listens where a VM was that has no entry any more."""
+LEFT_AS_TOLD_AFTER = 0.3
+"""The same for one that drained and is past the time that it told: two tries at its address. Its
+entry goes up to 4.5 s later, and a gang with a member there can't start again before."""
 LOST = "lost"
 """How a run ended of which nothing can be heard any more."""
 MS = 1000.0
@@ -157,14 +160,22 @@
     def refused(self, row: VmRow) -> None:
         """Take that nothing listens at a VM's address.
 
-        That, and that its entry is gone, for a while: then it has left, and what ran there is over.
+        That, and that its entry is gone or that it has told of its leave, for a while: then it has
+        left, and what ran there is over.
         """
         now = self._state.now
         if row.refused_since < row.heard_at:
             row.refused_since = now
-        if not row.listed and now - row.refused_since > LEFT_AFTER:
+        refused_for = now - row.refused_since
+        as_told = self._past_its_time(row) and refused_for > LEFT_AS_TOLD_AFTER
+        if as_told or (not row.listed and refused_for > LEFT_AFTER):
             self.died(row.name)
 
+    def _past_its_time(self, row: VmRow) -> bool:
+        """Tell whether a VM that drains need not be there any more, by what it has told itself."""
+        leaves_at = row.leaves_at
+        return row.info.draining and leaves_at is not None and self._state.now > leaves_at
+
     def unanswered(self, row: VmRow) -> None:
         """Take that a look got no answer.
 
--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -99,3 +99,52 @@
     rig.tick(0.6)
     rig.commit()
     assert "w/w0" in rig.store
+
+
+def _drained(notice: float, draining: bool = True) -> Rig:
+    """Return a rig one of whose two VMs drains, with a run, and will leave after some seconds."""
+    rig = Rig(vms=2)
+    rig.accept("job", spec(StepSpec(1, CORE, expected_ms=9000.0, lasting=False)))
+    rig.tick()
+    (start,) = rig.started()
+    rig.run(start)
+    rig.hear_all()
+    info = rig.scheduler.state.vms[start.vm].info
+    if draining:
+        rig.scheduler.told(msgspec.structs.replace(info, draining=True, leaves_in=notice))
+    rig.listed.remove(start.vm)
+    return rig
+
+
+def _refuses(rig: Rig, seconds: float) -> int:
+    """Let a VM refuse connections for some seconds; return how many starts there have been."""
+    vm = rig.started()[0].vm
+    for _ in range(int(seconds / 0.1)):
+        rig.hear_all()
+        rig.tick(0.1)
+        rig.scheduler.vms.refused(rig.scheduler.state.vms.get(vm) or rig.scheduler.state.vms["w0"])
+    rig.tick(0.6)
+    return len(rig.started())
+
+
+def test_what_ran_on_a_vm_that_has_left_as_it_said_starts_elsewhere_at_once() -> None:
+    rig = _drained(notice=0.2)
+    assert _refuses(rig, 0.8) == 2
+    first, second = rig.started()
+    assert (first.task, first.vm) == (second.task, "w0" if second.vm == "w1" else "w1")
+
+
+def test_a_vm_that_refuses_before_its_time_or_without_having_drained_may_still_run_things() -> None:
+    assert _refuses(_drained(notice=5.0), 0.8) == 1
+    assert _refuses(_drained(notice=0.0, draining=False), 0.8) == 1
+
+
+def test_a_vm_past_its_time_that_is_only_silent_may_still_run_things() -> None:
+    rig = _drained(notice=0.2)
+    vm = rig.started()[0].vm
+    for _ in range(8):
+        rig.hear_all()
+        rig.tick(0.1)
+        rig.scheduler.vms.unanswered(rig.scheduler.state.vms[vm])
+    rig.tick(0.6)
+    assert len(rig.started()) == 1
