--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -104,7 +104,7 @@
 def _drained(notice: float, draining: bool = True) -> Rig:
     """Return a rig one of whose two VMs drains, with a run, and will leave after some seconds."""
     rig = Rig(vms=2)
-    rig.accept("job", spec(StepSpec(1, CORE, expected_ms=9000.0, lasting=False)))
+    rig.accept("job", spec(StepSpec(1, CORE, expected_ms=9000.0)))
     rig.tick()
     (start,) = rig.started()
     rig.run(start)
@@ -122,7 +122,9 @@
     for _ in range(int(seconds / 0.1)):
         rig.hear_all()
         rig.tick(0.1)
-        rig.scheduler.vms.refused(rig.scheduler.state.vms.get(vm) or rig.scheduler.state.vms["w0"])
+        row = rig.scheduler.state.vms.get(vm)
+        if row is not None:
+            rig.scheduler.vms.refused(row)
     rig.tick(0.6)
     return len(rig.started())
 
