A part of a gang that a former leader left is stopped, once nothing of it can be unseen

Cause: a leader that loses the lead in the midst of a gang's starts leaves members on some VMs and none on others. The next leader kept those that it found, and they waited for the others until they ended alone, gang-timeout later; where leaders change often, as over links of 2 Mbit/s, this broke the rule on gangs. Change: once no run of a former leader can be unseen any more, gangs of which only some members run are stopped and started whole. Ruled out: stopping them as they are found: the missing members may be on VMs that are not heard yet.

--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -141,6 +141,7 @@
         for row in self.vms.unrecorded():
             self.journal.use(row)
         self.reconcile.stop_orphans()
+        self.reconcile.find_partial_gangs()
         for job in self.lifecycle.forget_old():
             self.journal.forget(job.name)
 
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -243,6 +243,22 @@
         if run is not None and run.state is not RunState.RUNNING:
             self._state.drop_run(run, NOT_STARTED)
 
+    def find_partial_gangs(self) -> None:
+        """Find gangs of which a former leader has started some members only.
+
+        Once no run of a former leader can be unseen any more, the members that are missing will not
+        come; those that are there would wait for them until they end alone.
+        """
+        if not self._state.former_settled:
+            return
+        for job in self._state.live.values():
+            if not job.former:
+                continue
+            for step in job.steps.values():
+                if step.spec.gang and 0 < step.waiting < step.open_tasks:
+                    numbers = {run.number for task in step.tasks for run in task.runs}
+                    self._state.broken_gangs += [(step, number) for number in numbers]
+
     def stop_broken_gangs(self) -> None:
         """Stop what is left of the gangs of which a member has gone: alone it does no work."""
         for step, number in self._state.broken_gangs:
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -261,3 +261,36 @@
     later.hear("w0")
     later.tick()
     assert [start.vm for start in later.started()] == ["w0"]
+
+
+def _gang_of_a_former_leader(started: int) -> Rig:
+    """Return a later leader's rig; only some of a gang's four members were started before."""
+    first = Rig(vms=4)
+    first.accept("gang", spec(StepSpec(4, CORE, expected_ms=9000.0, gang=True)))
+    first.tick()
+    for start in first.started()[:started]:
+        first.run(start)
+    first.hear_all()
+    later = first.successor()
+    later.hear_all()
+    for _ in range(3):
+        later.tick(0.6)
+        later.hear_all()
+    return later
+
+
+def test_a_part_of_a_gang_that_a_former_leader_started_is_stopped_and_started_whole() -> None:
+    rig = _gang_of_a_former_leader(2)
+    assert len(rig.stopped()) == 2
+    for stop in list(rig.stopped()):
+        rows = rig.running[stop.vm]
+        rows[:] = [row for row in rows if row.task != stop.task]
+    rig.clock.time += 0.2
+    rig.hear_all()
+    rig.tick(0.2)
+    assert len(rig.started()) == 4
+
+
+def test_a_whole_gang_that_a_former_leader_started_is_left_alone() -> None:
+    rig = _gang_of_a_former_leader(4)
+    assert rig.stopped() == []
