--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -118,7 +118,7 @@
         self._asked_by: int | None = None
         """Epoch of the leader that has asked this member to take over."""
         self._store_failed_at = NEVER
-        """When the store last gave no answer to this member's own trial."""
+        """When the store last gave no answer, or a slow one, to this member's own trial."""
         self._rest_until = 0.0
         self._pause_until = 0.0
 
@@ -206,9 +206,11 @@
             return False
         self.listed(page.items, page.end)
         now = monotonic()
-        if now - self._store_failed_at < STORE_BACK_GRACE:
-            return False
         if now - began > QUICK_ANSWER and self._link.suspicion.store_silent < SLOW_STORE_SILENT:
+            # What the leader has sent to a slow store is still due as the store gets well.
+            self._store_failed_at = now
+            return False
+        if now - self._store_failed_at < STORE_BACK_GRACE:
             return False
         # A store that has come back answers the leader too: its next answer tells.
         await self._link.look(STORE_SECOND_LOOK)
--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from sablemount.control.commit import Committer
 from sablemount.control.messages import CallerReply, Outcome
 from sablemount.control.store import Topic
@@ -75,3 +77,19 @@
         assert not starts & set(refused)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_leader_goes_on_as_a_slow_store_gets_well(seed: int) -> None:
+    async def scenario() -> None:
+        system = System(seed, members=12)
+        system.start_all()
+        await asyncio.sleep(2.0)
+        for _ in range(3):
+            system.store.latency = system.store.append_time = 0.24
+            await _submit_many(system, 1.5 + 0.07 * seed)
+            system.store.latency, system.store.append_time = 0.004, 0.0
+            await _submit_many(system, 1.5)
+        assert system.store.claims == [1]
+
+    run(scenario())
