--- a/tests/jobs/test_making_room.py
+++ b/tests/jobs/test_making_room.py
@@ -12,6 +12,18 @@
 QUEUES = (URGENT, GANGS, CHEAP)
 
 
+def _full() -> Rig:
+    """Return a rig whose VMs are full of cheap work."""
+    rig = Rig(vms=2, queues=QUEUES)
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    rig.accept("batch", spec(StepSpec(4, HALF, expected_ms=5000.0, saves=True)), CHEAP)
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    rig.hear_all()
+    return rig
+
+
 def test_the_slack_is_what_the_objective_leaves_beyond_the_chain() -> None:
     rig = Rig(vms=2, queues=QUEUES)
     first = StepSpec(1, HALF, expected_ms=2000.0)
@@ -23,13 +35,7 @@
 
 
 def test_work_without_slack_has_room_made_for_it_at_once() -> None:
-    rig = Rig(vms=2, queues=QUEUES)
-    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
-    rig.accept("batch", spec(StepSpec(4, HALF, expected_ms=5000.0, saves=True)), CHEAP)
-    rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig = _full()
     terms = QueueTerms("fast", "pool", 0, 3, stretch=1.1, target_latency_ms=100.0)
     tight = Queue(URGENT.host, URGENT.prefix, terms)
     rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), tight)
@@ -38,13 +44,7 @@
 
 
 def test_no_room_is_made_while_the_store_is_silent() -> None:
-    rig = Rig(vms=2, queues=QUEUES)
-    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
-    rig.accept("batch", spec(StepSpec(4, HALF, expected_ms=5000.0, saves=True)), CHEAP)
-    rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig = _full()
     rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
     rig.clock.time += 1.0
     rig.hear_all()
--- a/tests/jobs/test_store_lost.py
+++ b/tests/jobs/test_store_lost.py
@@ -1,6 +1,7 @@
 """A leader that the store turns away, with some members, is replaced soon for all of them."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -72,45 +73,41 @@
     run(scenario())
 
 
+async def _replaced_within(seed: int, lose: Callable[[System, str], None]) -> float:
+    """Lose the leader; return after how many seconds another one leads, which is the only one."""
+    system = System(seed, members=MEMBERS)
+    system.start_all()
+    await asyncio.sleep(2.0)
+    former = system.leader()
+    assert former is not None
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    lose(system, former)
+    while not _successor_leads(system, former) and loop.time() - began < 3.0:
+        await asyncio.sleep(0.005)
+    took = loop.time() - began
+    await asyncio.sleep(2.0)
+    assert system.store.claims == [1, 2]
+    return took
+
+
+def _cut_off(system: System, leader: str) -> None:
+    system.wires.cuts |= {frozenset((leader, name)) for name in system.names if name != leader}
+    system.store.turned_away.add(leader)
+
+
+def _kill(system: System, leader: str) -> None:
+    system.kill(leader, 0.6)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_leader_that_is_cut_off_is_replaced_soon(seed: int) -> None:
-    async def scenario() -> None:
-        system = System(seed, members=MEMBERS)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        former = system.leader()
-        assert former is not None
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        system.wires.cuts |= {frozenset((former, name)) for name in system.names if name != former}
-        system.store.turned_away.add(former)
-        while not _successor_leads(system, former) and loop.time() - began < 3.0:
-            await asyncio.sleep(0.005)
-        assert loop.time() - began < 0.6
-        await asyncio.sleep(2.0)
-        assert system.store.claims == [1, 2]
-
-    run(scenario())
+    assert run(_replaced_within(seed, _cut_off)) < 0.6
 
 
 @pytest.mark.parametrize("seed", range(6))
 def test_a_leader_that_is_killed_is_replaced_at_once(seed: int) -> None:
-    async def scenario() -> None:
-        system = System(seed, members=MEMBERS)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        former = system.leader()
-        assert former is not None
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        system.kill(former, 0.6)
-        while not _successor_leads(system, former) and loop.time() - began < 3.0:
-            await asyncio.sleep(0.005)
-        assert loop.time() - began < 0.2
-        await asyncio.sleep(2.0)
-        assert system.store.claims == [1, 2]
-
-    run(scenario())
+    assert run(_replaced_within(seed, _kill)) < 0.2
 
 
 def test_members_that_come_by_themselves_are_not_called() -> None:
