Losses of victims are worked out once; one place for when a step's turn came

No behaviour changes. The cost of each run that may yield was worked out when it was listed and again, by looking its task up, for each slot that was found; it now goes along with the run. When a step's turn came stood in two places. Overdue calls are looked for by address alone.

--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import msgspec
 from tornado import http1connection, httputil, iostream, tcpclient
@@ -148,10 +148,9 @@
         self._put_back(address, stream)
         return answer
 
-    def _distrust_before(self, address: str, calls: Iterable["_Awaited"]) -> None:
+    def _distrust_overdue(self, address: str, now: float) -> None:
         """Take that what idled before an overdue call was sent may have fallen silent with it."""
-        now = time.monotonic()
-        for call in calls:
+        for call in self._awaited.get(address, ()):
             if now > call.due_at:
                 self._distrust(address, call.sent_at)
 
@@ -195,7 +194,7 @@
 
     async def _take(self, address: str, deadline: float) -> iostream.IOStream:
         now = time.monotonic()
-        self._distrust_before(address, self._awaited.get(address, ()))
+        self._distrust_overdue(address, now)
         trusted_from = max(now - self._idle_seconds, self._distrusted.get(address, 0.0))
         idle = self._idle.get(address, [])
         while idle:
--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -23,7 +23,6 @@
     logger: logging.Logger, step: StepRow, chosen: list[tuple[TaskRow, VmRow]], now: float
 ) -> None:
     """Log which tasks of a step are started where; call it once their runs are entered."""
-    since = max(step.opened_at, step.job.accepted_at)
     rows = [(task.index, task.last_run, row.name) for task, row in chosen]
     for first in range(0, len(rows), ROWS_A_LINE):
         logger.info(
@@ -32,7 +31,7 @@
                 "step": step.key,
                 "tasks": len(chosen),
                 "of": step.open_tasks,
-                "waited": round(now - since, 3),
+                "waited": round(now - step.turn_at, 3),
                 "asked_for": round(0.0 if step.advice is None else step.advice.asked(now), 3),
                 "runs": rows[first : first + ROWS_A_LINE],
             },
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -145,34 +145,20 @@
         room = row.room
         have = slots(charge, room)
         offers = [_Offer(row, have, [], 0.0)] if have else []
-        victims: list[RunRow] = []
-        loss = highest = 0.0
-        for cost, run in sorted(self._victims(row, step), key=lambda pair: pair[0]):
-            room = room.plus(run.charge)
-            victims.append(run)
-            loss += cost
+        victims: list[tuple[float, RunRow]] = []
+        highest = 0.0
+        for victim in sorted(self._victims(row, step), key=_cost):
+            room = room.plus(victim[1].charge)
+            victims.append(victim)
             made = slots(charge, room) - have
             if made > 0:
-                room = self._spare_needless(room, charge, have + made, victims)
-                loss = sum(self._loss_of(run) for run in victims)
-                highest = max(highest, loss)
-                offers.append(_Offer(row, made, victims, highest))
+                room = _spare_needless(room, charge, have + made, victims)
+                highest = max(highest, sum(cost for cost, _ in victims))
+                offers.append(_Offer(row, made, [run for _, run in victims], highest))
                 have += made
                 victims = []
-                loss = 0.0
         return offers
 
-    def _spare_needless(
-        self, room: Shape, charge: Shape, wanted: int, victims: list[RunRow]
-    ) -> Shape:
-        """Take out the victims without which there is room all the same, the dearest first."""
-        for run in sorted(victims, key=self._loss_of, reverse=True):
-            left = room.plus(run.charge, -1)
-            if slots(charge, left) >= wanted:
-                victims.remove(run)
-                room = left
-        return room
-
     def _victims(self, row: VmRow, step: StepRow) -> list[tuple[float, RunRow]]:
         """Return the runs of a VM that may yield, with the core seconds that are lost."""
         priority = self._state.terms_of(step.job).priority
@@ -188,10 +174,6 @@
             found.append((self._loss(run, spec.saves), run))
         return found
 
-    def _loss_of(self, run: RunRow) -> float:
-        task = self._state.task(run.task)
-        return self._loss(run, task is not None and task.step.spec.saves)
-
     def _loss(self, run: RunRow, saves: bool) -> float:
         """Return the core seconds that a stop throws away: a stop saves what can be saved."""
         elapsed = max(0.0, self._state.now - run.started_at)
@@ -234,3 +216,19 @@
                 "lost_core_seconds": round(loss, 2),
             },
         )
+
+
+def _cost(victim: tuple[float, RunRow]) -> float:
+    return victim[0]
+
+
+def _spare_needless(
+    room: Shape, charge: Shape, wanted: int, victims: list[tuple[float, RunRow]]
+) -> Shape:
+    """Take out the victims without which there is room all the same, the dearest first."""
+    for victim in sorted(victims, key=_cost, reverse=True):
+        left = room.plus(victim[1].charge, -1)
+        if slots(charge, left) >= wanted:
+            victims.remove(victim)
+            room = left
+    return room
--- a/src/sablemount/jobs/systems/urgency.py
+++ b/src/sablemount/jobs/systems/urgency.py
@@ -20,17 +20,13 @@
     def __init__(self, state: State) -> None:
         self._state = state
 
-    def turn_came(self, step: StepRow) -> float:
-        """Return since when a step could have been placed."""
-        return max(step.opened_at, step.job.accepted_at)
-
     def waited(self, step: StepRow) -> float:
         """Return for how many seconds a step has waited for room."""
-        return self._state.now - self.turn_came(step)
+        return self._state.now - step.turn_at
 
     def slack(self, step: StepRow) -> float:
         """Return the slack that a step had when its turn came."""
-        return step.job.objective_at - self.turn_came(step) - step.chain
+        return step.job.objective_at - step.turn_at - step.chain
 
     def room_time(self, step: StepRow) -> float:
         """Return the seconds from a decision to make room until a step can start there."""
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -185,6 +185,11 @@
         """Return the name that its tasks share."""
         return step_key(self.job.name, self.repetition, self.number)
 
+    @property
+    def turn_at(self) -> float:
+        """Return since when it could have been placed."""
+        return max(self.opened_at, self.job.accepted_at)
+
     def make_tasks(self) -> None:
         """Create the tasks, all of them waiting."""
         count = self.spec.count
