A run whose job is forgotten takes all of its VM also before the VM's entry was read

Cause: a new leader hears VMs by their records of use, which hold no capacity. Change: such runs are marked and charged anew once the capacity is known. Ruled out: the former leader's unseen start, whose order the fence refuses. Test: fails on the former code (two starts beside a run of unknown size).

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -3,7 +3,7 @@
 import logging
 
 from sablemount.jobs.actions import Action
-from sablemount.jobs.model import Configuration, QueueTerms, Shape
+from sablemount.jobs.model import Configuration, QueueTerms, Shape, StepSpec
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
     MAX_RUN_ENDS,
@@ -112,15 +112,15 @@
         """Return the terms in force for a job: its queue's, or those that it was accepted under."""
         return self.terms.get(job.record.terms.name, job.record.terms)
 
-    def charge_of(self, task_name: str, vm: VmRow) -> Shape:
-        """Return what a run takes; all of its VM, if its job is not known any more."""
+    def step_of(self, task_name: str) -> StepSpec | None:
+        """Return the step that a task is of; ``None`` if its job is not known any more."""
         parts = task_name.split(".")
         job = self.jobs.get(parts[0])
         if job is None or len(parts) != TASK_KEY_PARTS or not parts[2].isdigit():
-            return vm.info.capacity
+            return None
         steps = job.record.spec.steps
         number = int(parts[2])
-        return steps[number].charge if number < len(steps) else vm.info.capacity
+        return steps[number] if number < len(steps) else None
 
     def longest_lease_end(self) -> float:
         """Return until when a lease that a VM grants at this moment can last."""
@@ -180,6 +180,14 @@
         began = run.started_at or run.sent_at
         job.run_ends.append(RunEnd(run.task, run.number, run.vm, began, self.now, how))
 
+    def resize(self, vm: VmRow, capacity: Shape) -> None:
+        """Take a VM's capacity, which is not known before its entry was read."""
+        vm.room = vm.room.plus(capacity).plus(vm.info.capacity, -1)
+        for run in vm.runs.values():
+            if run.whole:
+                vm.room = vm.room.plus(run.charge).plus(capacity, -1)
+                run.charge = capacity
+
     def drop_run(self, run: RunRow, how: str) -> None:
         """Take a run out, which ended in some way, and give back what was charged for it."""
         self.note_end(run, how)
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -149,8 +149,10 @@
         """Charge a VM for a run that a former leader, or a late order, started."""
         state = self._state
         task = state.task(report.task)
-        charge = state.charge_of(report.task, vm)
+        step = state.step_of(report.task)
+        charge = vm.info.capacity if step is None else step.charge
         run = RunRow(report.task, report.run, vm.name, charge, state.now, RunState.RUNNING)
+        run.whole = step is None
         run.started_at = state.now
         run.percent_at = state.now
         run.share = None
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -65,7 +65,7 @@
             info = msgspec.structs.replace(info, draining=True)
         if info.capacity != row.info.capacity:
             # Known so far only from a record that does not tell its capacity.
-            row.room = row.room.plus(info.capacity).plus(row.info.capacity, -1)
+            self._state.resize(row, info.capacity)
         if info.draining and not row.info.draining:
             self._log("VM drains", row)
         if info != row.info:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -75,6 +75,8 @@
     charge: Shape
     sent_at: float
     state: RunState = RunState.SENT
+    whole: bool = False
+    """Whether all of its VM is charged for it, since its job is not known any more."""
     settle_clock: float = 0.0
     """VM's clock (ms) after which a run that it does not list will never be there."""
     started_at: float = 0.0
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -1,6 +1,7 @@
 """What a later leader makes of what is recorded and of what the VMs say."""
 
 from sablemount.jobs.model import JobSpec, Shape, StepSpec, VmInfo
+from sablemount.jobs.records import Record
 from sablemount.jobs.tables import JobState
 from tests.jobs.rig import CAPACITY, CORE, Rig, spec
 
@@ -294,3 +295,26 @@
 def test_a_whole_gang_that_a_former_leader_started_is_left_alone() -> None:
     rig = _gang_of_a_former_leader(4)
     assert rig.stopped() == []
+
+
+def test_a_run_of_a_forgotten_job_takes_all_of_a_vm_whose_entry_comes_later() -> None:
+    first = Rig(vms=1)
+    first.accept("gone", spec(StepSpec(1, HALF)))
+    first.tick()
+    first.run(first.started()[0])
+    first.scheduler.cancel("gone")
+    first.commit()
+    later = Rig(0, 2)
+    later.running = first.running
+    later.scheduler.load([Record(key, value) for key, value in first.store.items()])
+    later.hear("w0")
+    later.scheduler.told(first.scheduler.state.vms["w0"].info)
+    later.accept("new", spec(StepSpec(2, HALF)))
+    later.tick()
+    assert later.started() == []
+    later.running["w0"] = []
+    later.clock.time += 1.0
+    later.hear("w0")
+    later.tick()
+    assert len(later.started()) == 2
+    assert later.scheduler.state.vms["w0"].room == Shape(0, 62_000, 2)
