Test processes listen on a loopback address of their own

Change: the processes listen on another loopback address. Ruled out: a fault of the process (it never got to listen).

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -17,8 +18,13 @@
 WAIT = 30.0
 
 
+HOST_ADDRESS = f"127.{1 + os.getpid() % 250}.0.1"
+"""Where the processes listen. Connections that are opened meanwhile take free ports of 127.0.0.1, so
+that a port of another loopback address stays free between its choice and its use."""
+
+
 def _free_port() -> int:
-    socket, port = bind_unused_port()
+    socket, port = bind_unused_port(address=HOST_ADDRESS)
     socket.close()
     return port
 
@@ -33,11 +39,11 @@
         self._client = AsyncHTTPClient()
 
     def _boot(self, name: str) -> BootSettings:
-        listen = Listen(f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}")
+        listen = Listen(f"{HOST_ADDRESS}:{_free_port()}", f"{HOST_ADDRESS}:{_free_port()}")
         ports = (_free_port(), _free_port())
         store = Service(self.standin.store_address)
         return BootSettings(
-            name, "127.0.0.1", listen, ports, store, self.standin.advice_address, Bounds()
+            name, HOST_ADDRESS, listen, ports, store, self.standin.advice_address, Bounds()
         )
 
     async def start(self) -> None:
@@ -66,7 +72,7 @@
         return True
 
     async def figures(self, number: int) -> str:
-        url = f"http://127.0.0.1:{self.processes[number].metrics_port}/metrics"
+        url = f"http://{HOST_ADDRESS}:{self.processes[number].metrics_port}/metrics"
         return (await self._client.fetch(url)).body.decode()
 
     async def state(self, number: int, job: str) -> str:
