What is due for a usual time of a slow store is not owed to the leader

Cause: as a slow store gets well, an append that was sent before is still due, and a member whose own call is answered at once takes that for a leader that has lost the store. The eight seeds of the test passed by luck of the draw: reads that members make besides shifted it. Change: an answer counts as owed after twice the usual time. The test plays 16 in place of 8.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -33,6 +33,10 @@
 """Seconds without any answer after which the store counts as silent, and not as slow. A store that
 is 100 times slower than usual (4 ms) still answers one append after the other in less."""
 UNUSUAL_FACTOR = 3.0
+SLOW_FACTOR = 2.0
+"""An answer that is due for less than this many times the usual time is not owed yet. What was sent
+to a slow store is due for a while as it gets well: without this, 4 of 33 emulated leaders were
+replaced then."""
 UNUSUAL_LEAST = 0.1
 """An answer is unusually late after this many times the usual time, and these seconds at least: a
 second one in flight then tells no more, and what is in it could not be taken back."""
@@ -104,9 +108,11 @@
     def owed_for(self) -> float:
         """Return for how many seconds the store has owed an answer, as members are told.
 
-        A store that loses writes is there: another leader would have it no better.
+        A store that loses writes, or is slow, is there: another leader would have it no better.
         """
-        return 0.0 if self._losses.happen() else self.unanswered_for()
+        owed = self.unanswered_for()
+        slow = owed < SLOW_FACTOR * self._losses.usual
+        return 0.0 if slow or self._losses.happen() else owed
 
     @property
     def in_flight(self) -> int:
--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -79,7 +79,7 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("seed", range(16))
 def test_a_leader_goes_on_as_a_slow_store_gets_well(seed: int) -> None:
     async def scenario() -> None:
         system = System(seed, members=12)
