Organisations run within their caps at every start

Cause: no cap was known to the scheduler. Change: each run counts for its organisation from before its start is sent until its end is certain; a start needs room under the cap; a later leader counts the VMs that it has not heard with all of their room. What a cap can never hold is refused at the door. Capped work makes no room and holds no VMs; a gang keeps what ends from lesser work of its own organisation. A cap that falls lets what runs end.

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -9,6 +9,7 @@
 from sablemount.control.clock import monotonic
 from sablemount.control.commit_loop import CommitLoop
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome, not_taken
+from sablemount.jobs.caps import cap_fault
 from sablemount.jobs.model import JobSpec, Queue, SpecError, check_spec, queue_for
 from sablemount.jobs.scheduler import JobScheduler, Submission
 from sablemount.jobs.tables import JobRow, JobState
@@ -87,8 +88,13 @@
             return CallerReply(Outcome.INVALID, path=fault.path, reason=fault.reason)
         if self._hidden(name, queue, call):
             return CallerReply(Outcome.NAME_TAKEN, reason="the name is not available")
+        known = self._scheduler.state.jobs.get(name)
+        if known is None:
+            fault = self._beyond_cap(call.organisation, spec)
+            if fault is not None:
+                return CallerReply(Outcome.INVALID, path=fault.path, reason=fault.reason)
         if self._commits.stuck():
-            refusal = _refusal(self._scheduler.state.jobs.get(name))
+            refusal = _refusal(known)
             if refusal is not None:
                 return refusal
         self._scheduler.now()
@@ -97,6 +103,11 @@
         self._kick()
         return await self._accepted(name, queue)
 
+    def _beyond_cap(self, name: str, spec: JobSpec) -> SpecError | None:
+        """Return what of a job its organisation's cap can never hold."""
+        organisation = self._scheduler.state.organisations.get(name)
+        return None if organisation is None else cap_fault(spec, organisation.cap)
+
     async def _accepted(self, name: str, queue: Queue) -> CallerReply:
         noted = self._commits.noted()
         last = monotonic() + ACCEPT_TIMEOUT
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -27,6 +27,7 @@
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.evacuation import Evacuation
 from sablemount.jobs.systems.health import Health
 from sablemount.jobs.systems.lifecycle import Lifecycle
@@ -92,8 +93,11 @@
         self.reconcile = Reconcile(self.state, self.lifecycle)
         self.advice = Advice(self.state)
         self.reservation = Reservation(self.state)
-        self.placement = Placement(self.state, self.vms, self.advice, self.reservation)
-        self.preemption = Preemption(self.state, self.placement, self.advice, self.reconcile)
+        self.caps = Caps(self.state)
+        self.placement = Placement(self.state, self.vms, self.advice, self.reservation, self.caps)
+        self.preemption = Preemption(
+            self.state, self.placement, self.advice, self.reconcile, self.caps
+        )
         self.health = Health(self.state, self.reconcile)
         self.reconcile.on_end = self.health.ended
         self.evacuation = Evacuation(self.state, self.reconcile)
@@ -197,6 +201,8 @@
         state.configuration = configuration
         for queue in configuration.queues:
             state.terms[queue.terms.name] = queue.terms
+        for organisation in configuration.organisations:
+            state.organisations[organisation.name] = organisation
         state.freed += 1
         state.logger.info(
             "configuration in force",
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -3,7 +3,8 @@
 import logging
 
 from sablemount.jobs.actions import Action
-from sablemount.jobs.model import Configuration, QueueTerms, Shape, StepSpec
+from sablemount.jobs.caps import Usage
+from sablemount.jobs.model import Configuration, Organisation, QueueTerms, Shape, StepSpec
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
     MAX_RUN_ENDS,
@@ -42,6 +43,9 @@
         self.elected_at = now
         self.configuration = Configuration()
         self.terms: dict[str, QueueTerms] = {}
+        self.organisations: dict[str, Organisation] = {}
+        """As last configured, by name; one that is named no more keeps its cap for what it runs."""
+        self.usage = Usage()
         self.jobs: dict[str, JobRow] = {}
         self.live: dict[str, JobRow] = {}
         """Jobs that have not ended."""
@@ -167,6 +171,11 @@
         vm = self.vms[run.vm]
         vm.runs[(run.task, run.number)] = run
         vm.room = vm.room.plus(run.charge, -1)
+        step = self.step_of(run.task)
+        job = self.jobs.get(run.task.partition(".")[0])
+        run.organisation = "" if job is None else job.organisation
+        run.counted = run.charge if step is None else step.shape
+        self.usage.take(run.organisation, run.counted)
 
     def note_end(self, run: RunRow, how: str) -> None:
         """Keep how a run ended for the line that tells of its job's end."""
@@ -186,7 +195,9 @@
         for run in vm.runs.values():
             if run.whole:
                 vm.room = vm.room.plus(run.charge).plus(capacity, -1)
-                run.charge = capacity
+                self.usage.take(run.organisation, run.counted, -1)
+                self.usage.take(run.organisation, capacity)
+                run.charge = run.counted = capacity
 
     def drop_run(self, run: RunRow, how: str) -> None:
         """Take a run out, which ended in some way, and give back what was charged for it."""
@@ -194,6 +205,7 @@
         vm = self.vms.get(run.vm)
         if vm is not None and vm.runs.pop((run.task, run.number), None) is not None:
             vm.room = vm.room.plus(run.charge)
+            self.usage.take(run.organisation, run.counted, -1)
             self.freed += 1
         self.orphans.pop((run.vm, run.task, run.number), None)
         task = self.task(run.task)
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -8,6 +8,7 @@
 from sablemount.jobs.job_lines import runs_placed
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.choice import Assignment, Choice
 from sablemount.jobs.systems.reservation import Reservation
 from sablemount.jobs.systems.vms import Vms
@@ -25,8 +26,11 @@
 class Placement:
     """Places waiting tasks."""
 
-    def __init__(self, state: State, vms: Vms, advice: Advice, reservation: Reservation) -> None:
+    def __init__(
+        self, state: State, vms: Vms, advice: Advice, reservation: Reservation, caps: Caps
+    ) -> None:
         self._state = state
+        self._caps = caps
         self._reservation = reservation
         self._vms = vms
         self._advice = advice
@@ -49,6 +53,7 @@
         freed = state.freed
         usable = self.usable_rows()
         self._reservation.begin()
+        self._caps.begin()
         for step in self.in_order():
             if not step.waiting:
                 state.open_steps.pop(step.key, None)
@@ -94,8 +99,14 @@
         if not self.ready(step):
             self._ask_unknown(step, usable)
             return
-        tasks = [task for task in step.tasks if task.state is TaskState.WAITING]
         self._reservation.release(step)
+        self._caps.release(step)
+        places = self._caps.places(step)
+        if places < step.waiting:
+            self._caps.short(step)
+            if step.spec.gang or not places:
+                return
+        tasks = [task for task in step.tasks if task.state is TaskState.WAITING][:places]
         rows = self.allowed(step, usable)
         chosen = self._choice.assign(step, tasks, self._reservation.left_to(step, rows))
         if len(chosen) < len(tasks):
@@ -136,9 +147,15 @@
                 continue
             step.told_at = state.now
             advice = step.advice
+            organisation = self._caps.organisation(step)
+            capped = organisation is not None and self._caps.places(step) < step.waiting
             state.logger.info(
                 "step waits",
                 extra={
+                    "organisation": step.job.organisation,
+                    "cap": organisation.cap if organisation is not None and capped else None,
+                    "in_use": state.usage.of(step.job.organisation) if capped else None,
+                    "version": state.configuration.version,
                     "step": step.key,
                     "waits": step.waiting,
                     "of": step.open_tasks,
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -9,6 +9,7 @@
 from sablemount.jobs.model import Shape
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.choice import slots
 from sablemount.jobs.systems.every import Every
 from sablemount.jobs.systems.placement import Placement
@@ -56,9 +57,15 @@
     """Makes room for steps that are worth it."""
 
     def __init__(
-        self, state: State, placement: Placement, advice: Advice, reconcile: Reconcile
+        self,
+        state: State,
+        placement: Placement,
+        advice: Advice,
+        reconcile: Reconcile,
+        caps: Caps,
     ) -> None:
         self._state = state
+        self._caps = caps
         self._placement = placement
         self._advice = advice
         self._reconcile = reconcile
@@ -116,7 +123,10 @@
     # -- Offers ------------------------------------------------------------------------------
 
     def _make_room(self, step: StepRow, rows: list[VmRow]) -> None:
-        wanted = step.waiting
+        wanted = min(step.waiting, self._caps.places(step))
+        if not wanted or (step.spec.gang and wanted < step.waiting):
+            # Room that its organisation may not use is of no use to it.
+            return
         offers = [offer for row in rows for offer in self._offers(step, row)]
         # Sorting keeps the order of one VM's offers, each of which builds on those before.
         offers.sort(key=lambda offer: offer.loss)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -77,6 +77,10 @@
     state: RunState = RunState.SENT
     whole: bool = False
     """Whether all of its VM is charged for it, since its job is not known any more."""
+    organisation: str = ""
+    """Whose run it is; empty if that is not known."""
+    counted: Shape = Shape()
+    """What it takes of its organisation's cap."""
     settle_clock: float = 0.0
     """VM's clock (ms) after which a run that it does not list will never be there."""
     started_at: float = 0.0
--- /dev/null
+++ b/tests/jobs/test_caps.py
@@ -0,0 +1,345 @@
+"""An organisation's cap holds at every start, whatever else is going on."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sablemount.jobs.actions import RunReport
+from sablemount.jobs.caps import NO_LIMIT, cap_fault, places_within
+from sablemount.jobs.model import Organisation, Queue, Shape, StepSpec
+from sablemount.jobs.records import Record
+from sablemount.jobs.scheduler import StartRefusal
+from tests.jobs.rig import CORE, Rig, queue, spec
+
+MINE = "rueda"
+OTHER = "yard"
+FOUR = Shape(4_000, 1_000)
+
+
+def _rig(cores: int, vms: int = 4, queues: tuple[Queue, ...] = ()) -> Rig:
+    mine = Organisation(MINE, cap=Shape(cores=cores))
+    return Rig(vms, queues=queues, organisations=(mine, Organisation(OTHER)))
+
+
+def _cap(rig: Rig, cores: int) -> None:
+    """Publish another cap."""
+    mine = Organisation(MINE, cap=Shape(cores=cores))
+    rig.configuration = msgspec.structs.replace(
+        rig.configuration,
+        version=rig.configuration.version + 1,
+        organisations=(mine, Organisation(OTHER)),
+    )
+    rig.scheduler.configured(rig.configuration)
+
+
+def test_no_more_starts_than_the_cap_has_room_for() -> None:
+    rig = _rig(10_000)
+    rig.accept("job", spec(StepSpec(9, FOUR)), organisation=MINE)
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+def test_another_organisation_goes_on() -> None:
+    rig = _rig(4_000)
+    rig.accept("mine", spec(StepSpec(3, FOUR)), organisation=MINE)
+    rig.accept("other", spec(StepSpec(3, FOUR)), organisation=OTHER)
+    rig.tick()
+    assert (
+        sorted(start.task.partition(".")[0] for start in rig.started()) == ["mine"] + ["other"] * 3
+    )
+
+
+def test_what_ends_makes_room_for_the_next() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(2, FOUR)), organisation=MINE)
+    rig.tick()
+    rig.end(rig.started()[0], "done")
+    rig.tick()
+    assert len(rig.started()) == 1
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+def test_a_run_counts_until_its_stop_is_certain() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(1, FOUR)), organisation=MINE)
+    rig.tick()
+    first = rig.started()[0]
+    rig.run(first)
+    rig.hear_all()
+    rig.scheduler.cancel("job")
+    rig.accept("next", spec(StepSpec(1, FOUR)), organisation=MINE)
+    rig.tick()
+    assert len(rig.started()) == 1
+    rig.end(first, "stopped")
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+def test_a_start_without_an_answer_counts_until_its_vm_shows_that_it_is_not_there() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(2, FOUR)), organisation=MINE)
+    rig.tick()
+    rig.clock.time += 1.0
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 1
+    rig.clock.time += 1.5
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+def test_a_refused_start_counts_no_more() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(2, FOUR)), organisation=MINE)
+    rig.tick()
+    first = rig.started()[0]
+    rig.scheduler.start_refused(first.vm, first.task, first.run, StartRefusal.ROOM, certain=True)
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+def test_the_cores_of_what_fills_count_for_the_cap_and_not_for_the_vm() -> None:
+    rig = _rig(8_000, vms=1)
+    rig.accept("job", spec(StepSpec(9, FOUR, fills=True, lasting=True)), organisation=MINE)
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+# -- After a change of leader ----------------------------------------------------------------
+
+
+def test_a_later_leader_counts_what_already_runs() -> None:
+    rig = _rig(8_000)
+    rig.accept("job", spec(StepSpec(2, FOUR)), organisation=MINE)
+    rig.tick()
+    for start in rig.started():
+        rig.run(start)
+    later = rig.successor()
+    later.hear_all()
+    later.accept("next", spec(StepSpec(1, FOUR)), organisation=MINE)
+    later.tick()
+    assert later.started() == []
+
+
+def test_a_later_leader_starts_nothing_beside_what_it_may_not_see() -> None:
+    rig = _rig(20_000)
+    later = rig.successor()
+    later.hear("w0")
+    later.hear("w1")
+    later.hear("w2")
+    # The fourth VM may run 16 cores; with another 4, the cap of 20 is full.
+    later.accept("next", spec(StepSpec(3, FOUR)), organisation=MINE)
+    later.tick()
+    assert len(later.started()) == 1
+    later.hear("w3")
+    later.tick()
+    assert len(later.started()) == 3
+
+
+def test_a_vm_of_unknown_size_that_may_run_something_counts_as_the_largest() -> None:
+    rig = _rig(20_000)
+    later = Rig(0, 2, organisations=rig.configuration.organisations)
+    later.scheduler.load([Record(key, value) for key, value in rig.store.items()])
+    for name in ("w0", "w1", "w2"):
+        later.scheduler.told(rig.scheduler.state.vms[name].info)
+        later.hear(name)
+    later.accept("next", spec(StepSpec(3, FOUR)), organisation=MINE)
+    later.tick()
+    assert len(later.started()) == 1
+
+
+def test_a_run_of_a_forgotten_job_counts_with_all_of_its_vm() -> None:
+    rig = _rig(17_000, vms=2)
+    rig.accept("gone", spec(StepSpec(1, CORE)), organisation=MINE)
+    rig.tick()
+    rig.run(rig.started()[0])
+    rig.scheduler.cancel("gone")
+    rig.commit()
+    later = rig.successor()
+    later.hear_all()
+    later.accept("next", spec(StepSpec(2, CORE)), organisation=MINE)
+    later.tick()
+    assert len(later.started()) == 1
+
+
+def test_a_lost_vms_runs_count_no_more_once_they_are_over() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(1, FOUR)), organisation=MINE)
+    rig.tick()
+    rig.scheduler.vms.died(rig.started()[0].vm)
+    rig.tick()
+    assert len(rig.started()) == 2
+
+
+# -- Changes of caps -------------------------------------------------------------------------
+
+
+def test_a_cap_that_falls_below_what_runs_lets_it_end() -> None:
+    rig = _rig(8_000)
+    rig.accept("job", spec(StepSpec(3, FOUR)), organisation=MINE)
+    rig.tick()
+    _cap(rig, 4_000)
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 2
+    assert rig.stopped() == []
+    rig.end(rig.started()[1], "done")
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 3
+
+
+def test_a_cap_that_rises_applies_to_what_waits() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(3, FOUR)), organisation=MINE)
+    rig.tick()
+    _cap(rig, 12_000)
+    rig.tick()
+    assert len(rig.started()) == 3
+
+
+def test_an_organisation_that_is_named_no_more_keeps_its_cap() -> None:
+    rig = _rig(4_000)
+    rig.accept("job", spec(StepSpec(2, FOUR)), organisation=MINE)
+    rig.configuration = msgspec.structs.replace(rig.configuration, version=7, organisations=())
+    rig.scheduler.configured(rig.configuration)
+    rig.tick()
+    assert len(rig.started()) == 1
+
+
+# -- Gangs and urgent work -------------------------------------------------------------------
+
+URGENT = queue("urgent", 0)
+CHEAP = queue("cheap", 2)
+
+
+def test_a_gang_starts_whole_or_not_at_all_under_its_cap() -> None:
+    rig = _rig(12_000)
+    rig.accept("small", spec(StepSpec(1, CORE)), organisation=MINE)
+    rig.tick()
+    rig.accept("gang", spec(StepSpec(3, FOUR, gang=True)), organisation=MINE)
+    rig.tick()
+    assert len(rig.started()) == 1
+    rig.end(rig.started()[0], "done")
+    rig.hear_all()
+    rig.tick()
+    assert len(rig.started()) == 4
+
+
+def test_lesser_work_leaves_what_ends_to_a_gang_of_its_organisation() -> None:
+    rig = _rig(12_000, queues=(URGENT, CHEAP))
+    rig.accept("first", spec(StepSpec(3, FOUR)), CHEAP, MINE)
+    rig.tick()
+    rig.accept("gang", spec(StepSpec(3, FOUR, gang=True)), URGENT, MINE)
+    rig.accept("second", spec(StepSpec(3, FOUR)), CHEAP, MINE)
+    for start in list(rig.started()):
+        rig.end(start, "done")
+        rig.hear_all()
+        rig.tick()
+    started = [start.task.partition(".")[0] for start in rig.started()]
+    assert started == ["first"] * 3 + ["gang"] * 3
+
+
+def test_a_gang_wider_than_half_of_its_cap_does_not_idle_it() -> None:
+    rig = _rig(16_000, queues=(URGENT, CHEAP))
+    rig.accept("first", spec(StepSpec(1, FOUR)), CHEAP, MINE)
+    rig.tick()
+    rig.run(rig.started()[0])
+    rig.accept("gang", spec(StepSpec(4, FOUR, gang=True)), URGENT, MINE)
+    rig.accept("second", spec(StepSpec(1, FOUR)), CHEAP, MINE)
+    rig.tick()
+    assert [start.task for start in rig.started()] == ["first.0.0.0"]
+    rig.clock.time += 2.0
+    rig.hear_all()
+    rig.tick()
+    assert [start.task for start in rig.started()] == ["first.0.0.0", "second.0.0.0"]
+
+
+def test_urgent_work_at_its_cap_makes_no_room_and_holds_no_vms() -> None:
+    rig = _rig(4_000, vms=2, queues=(URGENT, CHEAP))
+    rig.accept("mine", spec(StepSpec(1, FOUR)), URGENT, MINE)
+    rig.tick()
+    rig.accept("others", spec(StepSpec(8, FOUR, expected_ms=60_000.0)), CHEAP, OTHER)
+    rig.tick()
+    rig.accept("more", spec(StepSpec(2, FOUR, expected_ms=60_000.0)), URGENT, MINE)
+    for percent in range(40):
+        for start in rig.started():
+            rig.run(start, percent)
+        rig.hear_all()
+        rig.tick(0.1)
+    assert rig.stopped() == []
+    rows = rig.scheduler.state.vms.values()
+    assert all(row.kept_until < rig.clock.time for row in rows)
+
+
+# -- What no cap can hold --------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("step", "path"),
+    [
+        (StepSpec(1, Shape(5_000, 1)), "$.steps[1].shape.cores"),
+        (StepSpec(1, Shape(1, 3_000)), "$.steps[1].shape.memory"),
+        (StepSpec(1, Shape(1, 1, 2)), "$.steps[1].shape.accelerators"),
+        (StepSpec(3, Shape(2_000), gang=True), "$.steps[1].count"),
+    ],
+)
+def test_what_a_cap_can_never_hold_is_told_with_its_field(step: StepSpec, path: str) -> None:
+    fault = cap_fault(spec(StepSpec(9, CORE), step), Shape(4_000, 2_000, 1))
+    assert fault is not None
+    assert fault.path == path
+
+
+def test_a_step_wider_than_its_cap_runs_in_waves() -> None:
+    assert cap_fault(spec(StepSpec(100, CORE)), Shape(4_000, 2_000, 1)) is None
+
+
+def test_a_cap_of_nothing_is_no_limit() -> None:
+    assert cap_fault(spec(StepSpec(100, Shape(10**9), gang=True)), Shape()) is None
+    assert places_within(Shape(10**9), Shape(), Shape(10**9), Shape(), 0.0) == NO_LIMIT
+
+
+SIZES = st.integers(0, 50)
+SHAPES = st.builds(Shape, SIZES, SIZES, SIZES)
+
+
+@given(SHAPES, SHAPES, SHAPES, SHAPES, st.sampled_from((0.0, 0.1)))
+def test_places_keep_to_the_cap_and_leave_none_unused(
+    shape: Shape, cap: Shape, taken: Shape, unseen: Shape, overage: float
+) -> None:
+    places = places_within(shape, cap, taken, unseen, overage)
+    if places == NO_LIMIT:
+        return
+
+    def fits(count: int) -> bool:
+        known = taken.plus(shape, count)
+        allowed = Shape(*(int(size * (1 + overage)) for size in msgspec.structs.astuple(cap)))
+        return all(
+            not limit or not need or (now <= limit and (not hid or now + hid <= most))
+            for need, limit, now, hid, most in zip(
+                msgspec.structs.astuple(shape),
+                msgspec.structs.astuple(cap),
+                msgspec.structs.astuple(known),
+                msgspec.structs.astuple(unseen),
+                msgspec.structs.astuple(allowed),
+                strict=True,
+            )
+        )
+
+    assert places == 0 or fits(places)
+    assert not fits(places + 1)
+
+
+def test_a_run_that_is_found_counts_for_the_organisation_of_its_job() -> None:
+    rig = _rig(8_000)
+    rig.accept("job", spec(StepSpec(3, FOUR)), organisation=MINE)
+    rig.running["w3"] = [RunReport("job.0.0.2", 7)]
+    rig.hear("w3")
+    rig.tick()
+    assert len(rig.started()) == 1
--- a/tests/platform/test_organisations.py
+++ b/tests/platform/test_organisations.py
@@ -244,3 +244,17 @@
     assert frames and written and bodies
     for key in (*KEYS.values(), SPARE_KEY, "nobodys-key"):
         assert not any(key.encode() in text for text in frames + written + bodies)
+
+
+def test_what_a_cap_can_never_hold_is_refused_with_its_field() -> None:
+    async def scenario(front: Front) -> None:
+        _hand_out(front)
+
+        async def refused() -> bool:
+            job = {"spec": "x", "steps": [{"count": 1, "cpu": 9_000}]}
+            answer = await front.call(0, "POST", PREFIX + "00000000000000ad", job, KEYS["kaje80"])
+            return answer.code == 400 and json.loads(answer.body)["path"] == "$.steps[0].cpu"
+
+        await front.until(refused)
+
+    play(scenario)
