Bounds of a request come from the configuration and change at run time

Cause: sizes and times of callers' requests were constants; what was too large got 400 or a closed connection. Change: a server over tornado's with 431, 413 and time-outs of its own for headers (from their first byte) and for idle connections, set anew with each configuration for the next request of open connections. Ruled out: tornado's own bounds alone (one time-out for both, no 431, 413). Tests: floods, trickled headers, chunked and announced bodies, 20 calls at once; another caller is served after each.

--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -160,7 +160,7 @@
     header_bytes: int = 0
     body_bytes: int = 0
     header_seconds: float = 0.0
-    """Time in which a request's headers and its body have to be there, each."""
+    """Time in which a request's headers have to be there, from their first byte."""
     idle_seconds: float = 0.0
     """Time after which a connection without a request is closed."""
 
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -6,13 +6,13 @@
 from http import HTTPStatus
 
 import msgspec
-from tornado import httputil, iostream
+from tornado import httputil
 from tornado.httpserver import HTTPServer
 
+from sablemount.adapters.caller_server import BODY_SECONDS, DEFAULT_LIMITS, CallerServer
 from sablemount.control.gate import key_digest
 from sablemount.control.member import Member
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
-from sablemount.control.rpc import set_user_timeout
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 
 __all__ = ["Front", "decode_job", "digest_of", "metrics_server", "ready_server"]
@@ -24,13 +24,6 @@
 """Time of a caller that names none (ms), which is the usual time-out of a route."""
 DEADLINE_SHARE = 0.9
 """Share of a caller's time after which it is told that there is no answer."""
-MAX_BODY = 256 * 1024
-"""Bytes of a request at most: 60 times the longest payload, for jobs of many steps."""
-IDLE_SECONDS = 30.0
-"""Seconds after which an idle connection of a caller is closed."""
-BODY_SECONDS = 10.0
-"""Seconds in which a request's body has to be there: a connection that falls silent in the midst
-of one would be held for good."""
 OPERATIONS = {"POST": Operation.SUBMIT, "GET": Operation.STATE, "DELETE": Operation.CANCEL}
 STATUS = {
     Outcome.DONE: HTTPStatus.OK,
@@ -124,14 +117,6 @@
 Respond = Callable[[httputil.HTTPServerRequest, HTTPStatus, bytes, dict[str, str]], None]
 
 
-class _CallerServer(HTTPServer):
-    """Gives up callers' connections whose answers nobody acknowledges."""
-
-    def handle_stream(self, stream: iostream.IOStream, address: tuple[str, int]) -> None:
-        set_user_timeout(stream)
-        super().handle_stream(stream, address)
-
-
 class Front:
     """Serves callers."""
 
@@ -140,12 +125,16 @@
         self._spawn = spawn
         self.closing = False
         self.in_flight = 0
-        self.server = _CallerServer(
-            self._take,
-            max_body_size=MAX_BODY,
-            idle_connection_timeout=IDLE_SECONDS,
-            body_timeout=BODY_SECONDS,
-        )
+        self.server = CallerServer(self._take, body_timeout=BODY_SECONDS)
+        self.server.refuse = self._refuse
+        self.server.set_limits(DEFAULT_LIMITS)
+        member.feed.listen(lambda configuration: self.server.set_limits(configuration.limits))
+
+    def _refuse(self, connection: httputil.HTTPConnection, status: HTTPStatus, reason: str) -> None:
+        """Answer a request that is over a bound, of which no more is read."""
+        self._member.figures.count("refused", reason)
+        _logger.info("refused", extra={"status": int(status), "why": reason})
+        _write(connection, status, _ENCODER.encode(_Fault(reason)), {"Connection": "close"})
 
     def _take(self, request: httputil.HTTPServerRequest) -> None:
         self.in_flight += 1
@@ -236,9 +225,16 @@
     headers: dict[str, str],
 ) -> None:
     """Write a whole answer."""
-    connection = request.connection
-    if connection is None:
-        return
+    if request.connection is not None:
+        _write(request.connection, status, body, headers)
+
+
+def _write(
+    connection: httputil.HTTPConnection,
+    status: HTTPStatus,
+    body: bytes,
+    headers: dict[str, str],
+) -> None:
     fields = httputil.HTTPHeaders(headers)
     fields["Content-Length"] = str(len(body))
     line = httputil.ResponseStartLine("HTTP/1.1", status.value, status.phrase)
