--- a/benchmarks/lost_worth.py
+++ b/benchmarks/lost_worth.py
@@ -19,6 +19,7 @@
 NO_LEADER = "no leader"
 STORE = "store down"
 ROOM = "room"
+CAP = "cap"
 ADVICE = "advice"
 SLOW = "slow or standing VM"
 LOST = "lost run"
@@ -114,8 +115,10 @@
             return first
         ready = placed.at - placed.number("waited")
         asked = min(placed.number("asked_for"), placed.number("waited"))
+        capped = min(placed.number("capped"), placed.number("waited") - asked)
         self.delays[ADVICE] += asked
-        self._held_by_others(Span(min(ready + asked, first), first), ROOM)
+        self.delays[CAP] += capped
+        self._held_by_others(Span(min(ready + asked + capped, first), first), ROOM)
         return ready
 
     def _held_by_others(self, span: Span, otherwise: str) -> None:
@@ -142,9 +145,10 @@
 
 
 class Table:
-    """Late jobs by kind and reason."""
+    """Late jobs by kind, or by organisation, and reason."""
 
-    def __init__(self) -> None:
+    def __init__(self, by_organisation: bool = False) -> None:
+        self._by_organisation = by_organisation
         self.jobs: Counter[str] = Counter()
         self.late: Counter[str] = Counter()
         self.shares: dict[str, Counter[str]] = defaultdict(Counter)
@@ -163,6 +167,8 @@
     def _add_ended(self, day: Day, job: Job) -> None:
         assert job.ended is not None
         kind = kind_of(job.ended)
+        if self._by_organisation:
+            kind = job.ended.text("organisation")
         self.jobs[kind] += 1
         lateness = Lateness(day, job)
         if job.ended.text("state") != "succeeded" or not lateness.late():
@@ -191,9 +197,12 @@
         return "\n".join(rows)
 
 
-def main(days: Annotated[list[Path], typer.Argument(help="Output of played days.")]) -> None:
+def main(
+    days: Annotated[list[Path], typer.Argument(help="Output of played days.")],
+    organisations: Annotated[bool, typer.Option(help="By organisation, not by kind.")] = False,
+) -> None:
     """Print which jobs were late and why, summed over some days."""
-    table = Table()
+    table = Table(organisations)
     for path in days:
         table.add(read(path))
     typer.echo(table.render())
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Coroutine
 
+import msgspec
+
 from sablemount.control.announcer import announce
 from sablemount.control.clock import monotonic
 from sablemount.control.configuration_feed import ConfigurationFeed
@@ -38,6 +40,7 @@
     not_taken,
 )
 from sablemount.control.network import CallFailed, Link, Listener, Network
+from sablemount.control.organisation_figures import organisation_gauges
 from sablemount.control.preload import Preload
 from sablemount.control.roster import Roster
 from sablemount.control.store import Topic
@@ -228,6 +231,8 @@
     def gauges(self) -> dict[str, float]:
         """Return the figures of the present state."""
         figures = {"epoch": float(self._link.epoch), "ready": float(self.ready), "leading": 0.0}
+        figures["configuration_version"] = float(self.feed.version)
+        figures["configuration_age_seconds"] = self.feed.age
         leader = self._leading()
         if leader is not None:
             state = leader.scheduler.state
@@ -237,6 +242,7 @@
             figures["open_steps"] = float(len(state.open_steps))
             figures["vms"] = float(len(state.vms))
             figures["runs"] = float(sum(len(row.runs) for row in state.vms.values()))
+            figures |= organisation_gauges(state)
         return figures
 
     # -- Who leads ---------------------------------------------------------------------------
@@ -408,7 +414,9 @@
         reply = await self._ask_leader(admitted, timeout)
         if reply.version > admitted.version:
             await self.feed.reach(reply.version)
-        return reply
+        if reply.outcome is Outcome.DONE:
+            return reply
+        return msgspec.structs.replace(reply, organisation=admitted.organisation)
 
     def _current(self) -> bool:
         """Tell whether this process leads or hears the leader, so that it knows what is in force.
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -196,6 +196,8 @@
     """Whether the leader is changing, so that the member that asked may ask again at once."""
     version: int = -1
     """The leader's version of the configuration, if the call was admitted by another one."""
+    organisation: str = ""
+    """Whose call was refused, for the log line; empty if that is not known."""
 
 
 def not_taken(reason: str, changing: bool = False) -> CallerReply:
--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -32,6 +32,7 @@
                 "tasks": len(chosen),
                 "of": step.open_tasks,
                 "waited": round(now - step.turn_at, 3),
+                "capped": round(step.capped(now), 3),
                 "asked_for": round(0.0 if step.advice is None else step.advice.asked(now), 3),
                 "runs": rows[first : first + ROWS_A_LINE],
             },
@@ -51,6 +52,7 @@
         "job ended",
         extra={
             "job": job.name,
+            "organisation": job.organisation,
             "state": job.shown.name.lower(),
             "seconds": round((wall_ms - job.record.accepted_ms) / MS, 3),
             "known": known,
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -102,6 +102,7 @@
         self._reservation.release(step)
         self._caps.release(step)
         places = self._caps.places(step)
+        step.note_cap(places < step.waiting, self._state.now)
         if places < step.waiting:
             self._caps.short(step)
             if step.spec.gang or not places:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -183,6 +183,10 @@
     """Tasks by VM whose room is kept while tickets are asked for."""
     told_at: float = NEVER
     """When it was last logged that it waits."""
+    capped_since: float | None = None
+    """Since when its organisation's cap keeps some of its tasks waiting."""
+    capped_for: float = 0.0
+    """Seconds for which it has done so before."""
     tried_at_freed: int = -1
     """Count of freed room at which its placement was last tried."""
 
@@ -196,6 +200,18 @@
         """Return since when it could have been placed."""
         return max(self.opened_at, self.job.accepted_at)
 
+    def note_cap(self, binds: bool, now: float) -> None:
+        """Take whether its organisation's cap keeps some of its tasks waiting."""
+        if binds and self.capped_since is None:
+            self.capped_since = now
+        elif not binds and self.capped_since is not None:
+            self.capped_for += now - self.capped_since
+            self.capped_since = None
+
+    def capped(self, now: float) -> float:
+        """Return for how many seconds the cap has kept tasks waiting so far."""
+        return self.capped_for + (0.0 if self.capped_since is None else now - self.capped_since)
+
     def make_tasks(self) -> None:
         """Create the tasks, all of them waiting."""
         count = self.spec.count
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -175,6 +175,8 @@
                     "method": request.method,
                     "status": int(status),
                     "why": reply.reason,
+                    "organisation": reply.organisation or "unknown",
+                    "version": self._member.feed.version,
                 },
             )
         headers = {"Content-Type": "application/json"}
--- a/tests/jobs/test_caps.py
+++ b/tests/jobs/test_caps.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sablemount.control.organisation_figures import MOST_NAMED, organisation_gauges
 from sablemount.jobs.actions import RunReport
 from sablemount.jobs.caps import NO_LIMIT, cap_fault, places_within
 from sablemount.jobs.model import Organisation, Queue, Shape, StepSpec
@@ -343,3 +344,17 @@
     rig.hear("w3")
     rig.tick()
     assert len(rig.started()) == 1
+
+
+def test_figures_by_organisation_are_bounded() -> None:
+    many = tuple(Organisation(f"o{number:03d}", cap=Shape(cores=2_000)) for number in range(200))
+    rig = Rig(40, organisations=many)
+    for organisation in many:
+        rig.accept(f"j{organisation.name}", spec(StepSpec(3, CORE)), organisation=organisation.name)
+    rig.tick()
+    figures = organisation_gauges(rig.scheduler.state)
+    assert len(figures) <= 3 * MOST_NAMED + 2
+    assert figures["organisation_cores/o000"] == 2.0
+    assert figures["organisation_cap/o000"] == 2.0
+    assert figures["organisation_waiting/o000"] == 1.0
+    assert figures["organisation_cores/others"] == 2.0 * (200 - MOST_NAMED)
