--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -61,6 +61,8 @@
         self.topics = {topic: _Topic() for topic in Topic}
         self.down = False
         self.turned_away: set[str] = set()
+        self.blind: set[str] = set()
+        """Members that hear of no new configuration, though the store answers them."""
         self.latency = 0.004
         self.append_time = 0.0
         """Seconds that one append takes; appends of one topic are carried out in turn."""
@@ -169,7 +171,7 @@
         return await answer
 
     async def newest(self, topic: Topic, after: str, timeout: float) -> Page | Unavailable:
-        if not await self._reach(timeout):
+        if not await self._reach(timeout) or self._blind_to(topic):
             return Unavailable("no answer")
         kept = self._state.topics[topic]
         items = [kept.newest[key] for key in sorted(kept.newest) if key > after]
@@ -186,13 +188,16 @@
                 await asyncio.wait_for(kept.changed.wait(), wait)
             except TimeoutError:
                 return Records([], kept.end)
-        if self._away():
+        if self._away() or self._blind_to(topic):
             return Unavailable("the connection was lost")
         if offset < kept.first:
             return Trimmed()
         found = kept.records[offset - kept.first :]
         return Records(found, kept.end)
 
+    def _blind_to(self, topic: Topic) -> bool:
+        return topic is Topic.CONFIGURATION and self._member in self._state.blind
+
     def _away(self) -> bool:
         return self._state.down or self._member in self._state.turned_away
 
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -73,6 +73,8 @@
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
         self.open_calls = 0
+        self.fail_closed = False
+        """Whether members refuse callers while nobody confirms their configuration."""
         self._life = 0
         self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
         for number in range(vms):
@@ -125,7 +127,7 @@
         ports = LeaderPorts(
             EmulatedStore(self.store, name), EmulatedVms(self.cell), EmulatedAdvice(), Codec()
         )
-        settings = MemberSettings(name, name, JobSettings())
+        settings = MemberSettings(name, name, JobSettings(), fail_closed=self.fail_closed)
         rng = random.Random(self.rng.getrandbits(32))
         member = Member(settings, ports, self.wires.port(name), rng)
         self.members[name] = member
--- a/tests/jobs/test_keys.py
+++ b/tests/jobs/test_keys.py
@@ -189,8 +189,6 @@
         assert leader is not None
         others = [name for name in system.members if name != leader]
         away = {"followers": others[:3], "leader": [leader], "all but one": [leader, *others[1:]]}
-        # What claims for a leader without the store would hide what is tested here.
-        system.wires.cuts |= set()
         system.store.turned_away |= set(away[who])
         await asyncio.sleep(0.1)
         system.configure(5, organisations=(YARD,))
@@ -266,3 +264,78 @@
         assert all(member.ready for member in system.members.values())
 
     run(scenario())
+
+
+def test_a_member_that_is_behind_lets_no_dropped_key_in_once_the_leader_knows() -> None:
+    async def scenario() -> None:
+        system = await _started()
+        behind = next(name for name in system.members if name != system.leader())
+        system.store.blind.add(behind)
+        system.configure(5, organisations=(YARD,))
+        await asyncio.sleep(0.1)
+        assert system.members[behind].feed.version == 2
+        assert (await _ask(system, behind, b"rueda", _call())).outcome is Outcome.NO_KEY
+        assert system.members[behind].feed.version == 5
+
+    run(scenario())
+
+
+def test_a_leader_that_is_behind_gets_a_newer_version_from_a_member() -> None:
+    async def scenario() -> None:
+        system = await _started()
+        leader = system.leader()
+        assert leader is not None
+        system.store.blind.add(leader)
+        third = Organisation("third", (key_digest(b"third"),))
+        system.configure(5, organisations=(RUEDA, YARD, third))
+        assert await _in_force(system, b"third", Outcome.NO_JOB) < APPLY_TIME / 2
+        assert system.leader() == leader
+
+    run(scenario())
+
+
+# -- Without confirmation --------------------------------------------------------------------
+
+REVOKE_AFTER = 5.0
+
+
+@pytest.mark.parametrize("fail_closed", [False, True])
+def test_without_the_store_callers_are_refused_in_time_if_that_is_asked_for(
+    fail_closed: bool,
+) -> None:
+    async def scenario() -> None:
+        system = System(31, vms=12)
+        system.fail_closed = fail_closed
+        system.configure(2, organisations=(RUEDA, YARD))
+        system.start_all()
+        await asyncio.sleep(12.0)
+        served = Outcome.NO_JOB
+        for name in system.members:
+            assert (await _ask(system, name, b"rueda", _call())).outcome is served
+        system.store.down = True
+        await asyncio.sleep(REVOKE_AFTER + 0.5)
+        replies = [await _ask(system, name, b"rueda", _call()) for name in system.members]
+        expected = Outcome.NOT_TAKEN if fail_closed else served
+        assert {reply.outcome for reply in replies} == {expected}
+        system.store.down = False
+        await asyncio.sleep(2.0)
+        for name in system.members:
+            assert (await _ask(system, name, b"rueda", _call())).outcome is served
+
+    run(scenario())
+
+
+def test_a_member_without_the_store_is_confirmed_by_the_leader() -> None:
+    async def scenario() -> None:
+        system = System(31, members=6, vms=12)
+        system.fail_closed = True
+        system.configure(2, organisations=(RUEDA, YARD))
+        system.start_all()
+        await asyncio.sleep(2.0)
+        leader = system.leader()
+        system.store.turned_away |= {name for name in system.names if name != leader}
+        await asyncio.sleep(2 * REVOKE_AFTER)
+        for name in system.members:
+            assert (await _ask(system, name, b"rueda", _call())).outcome is Outcome.NO_JOB
+
+    run(scenario())
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -102,7 +102,14 @@
     "listen": {"front": "10.1.0.13:8161", "ready": "10.1.0.13:8167"},
     "portRange": [7720, 7735],
     "platform": {"addr": "10.200.1.7:8169"},
-    "bounds": {"holdMaxMs": 10000, "status_s": 90},
+    "bounds": {
+        "holdMaxMs": 10000,
+        "status_s": 90,
+        "failClosed": True,
+        "revokeMs": 2500,
+        "quotaOverage": 0.1,
+    },
+    "contracts": ["base", "tenants", "quota"],
     "unknown": 1,
 }
 
@@ -119,6 +126,9 @@
     assert member.rpc_address == "10.1.0.13:7720"
     # A lease is never longer than wanted, nor than the platform grants.
     assert (member.jobs.lease, member.jobs.state_kept) == (6.0, 90.0)
+    assert (member.fail_closed, member.revoke_after) == (True, 2.5)
+    assert member.jobs.cap_overage == 0.1
+    assert loaded.ok_value.keyed
     short = msgspec.structs.replace(loaded.ok_value, bounds=settings.Bounds(hold_max_ms=4000))
     assert settings.member_settings(short).jobs.lease == 4.0
 
