--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -13,7 +13,7 @@
 
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
-from tests.jobs.test_emulated import play
+from tests.emulator.mixes import play, play_organisations
 
 FAULTS_A_MIX = 5
 PROCESSES = 6
@@ -28,10 +28,11 @@
 
 
 def play_one(seed: int) -> Played:
-    """Play the mix of a seed."""
+    """Play the mix of a seed; every third one over callers of organisations."""
     rng = random.Random(seed)
     chosen = [rng.choice(kinds.FAULTS) for _ in range(FAULTS_A_MIX)]
-    wrong = run(play(100 + seed, chosen, advice=seed % 2 == 0))
+    played = play if seed % 3 else play_organisations
+    wrong = run(played(100 + seed, chosen, advice=seed % 2 == 0))
     return Played(seed, [fault.__name__ for fault in chosen], wrong)
 
 
--- a/tests/jobs/test_emulated.py
+++ b/tests/jobs/test_emulated.py
@@ -8,34 +8,9 @@
 from sablemount.control.messages import CallerCall, Operation, Outcome
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
+from tests.emulator.mixes import play
 from tests.emulator.system import HOST, PREFIX, System
 
-SETTLE = 60.0
-
-
-async def play(seed: int, chosen: list[kinds.Fault], advice: bool = False) -> list[str]:
-    system = System(seed, advice=advice)
-    system.start_all()
-    await asyncio.sleep(1.0)
-    rng = random.Random(seed + 7)
-    traffic = asyncio.create_task(system.traffic("a", 60, 0.2))
-    cancels = asyncio.create_task(_cancel_some(system, rng))
-    for fault in chosen:
-        await asyncio.sleep(rng.uniform(0.2, 2.5))
-        asyncio.create_task(fault(system, rng))
-    await traffic
-    await cancels
-    await asyncio.sleep(9.0)
-    await system.settle(SETTLE)
-    return await system.faults()
-
-
-async def _cancel_some(system: System, rng: random.Random) -> None:
-    for _ in range(6):
-        await asyncio.sleep(2.0)
-        if system.accepted:
-            await system.cancel(rng.choice(sorted(system.accepted)))
-
 
 def test_calm() -> None:
     assert run(play(1, [])) == []
