A gang that its fallen cap can't hold keeps nothing from its organisation

Change: a gang holds only what its cap can hold as a whole. Ruled out: ending such a job, since the cap may rise again. Test: fails on the former code.

--- a/src/sablemount/jobs/systems/caps.py
+++ b/src/sablemount/jobs/systems/caps.py
@@ -87,11 +87,15 @@
     def short(self, step: StepRow) -> None:
         """Take that a step has to wait for its cap: a gang keeps what ends from lesser work.
 
-        Otherwise lesser work of its organisation would take each bit of room as it ends.
+        Otherwise lesser work of its organisation would take each bit of room as it ends. A gang
+        that the cap can't hold, since that has fallen, would keep it idle.
         """
         organisation = self.organisation(step)
         if organisation is None or not step.spec.gang:
             return
+        whole = places_within(step.spec.shape, organisation.cap, Shape(), Shape(), 0.0)
+        if whole < step.waiting:
+            return
         priority = self._state.terms_of(step.job).priority
         if organisation.name in self._held and self._held[organisation.name][0] <= priority:
             return
--- a/tests/jobs/test_caps.py
+++ b/tests/jobs/test_caps.py
@@ -262,6 +262,17 @@
     assert [start.task for start in rig.started()] == ["first.0.0.0", "second.0.0.0"]
 
 
+def test_a_gang_that_a_cap_does_not_hold_any_more_keeps_nothing_from_others() -> None:
+    rig = _rig(20_000, queues=(URGENT, CHEAP))
+    rig.accept("first", spec(StepSpec(2, FOUR)), CHEAP, MINE)
+    rig.tick()
+    rig.accept("gang", spec(StepSpec(4, FOUR, gang=True)), URGENT, MINE)
+    _cap(rig, 12_000)
+    rig.accept("second", spec(StepSpec(1, FOUR)), CHEAP, MINE)
+    rig.tick()
+    assert [start.task for start in rig.started()][2:] == ["second.0.0.0"]
+
+
 def test_urgent_work_at_its_cap_makes_no_room_and_holds_no_vms() -> None:
     rig = _rig(4_000, vms=2, queues=(URGENT, CHEAP))
     rig.accept("mine", spec(StepSpec(1, FOUR)), URGENT, MINE)
