Soak of the real processes: organisations, keys, caps that change, strangers

Checked from what callers and VMs see: no cap is exceeded, nobody without a key is let in, no stranger's job starts.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -40,6 +40,16 @@
 TASK_SECONDS = 0.6
 LEAST_ACCEPTED = 0.8
 """Share of the jobs that must be accepted, with all retries."""
+KEYS = {"rueda": "rueda-2m4kx0", "yard": "yard-8s1vq7"}
+"""Organisations of the callers; the first one has a cap."""
+STRANGER = "stranger-0c5zt3"
+"""A key that nobody ever gave out."""
+STRANGER_SHARE = 0.05
+"""Share of the jobs beside which a stranger calls."""
+CAPS = (18_000, 24_000, 40_000)
+"""Thousandths of a core; the widest gang has 16,000."""
+CONFIGURE_EVERY = 4.0
+"""Mean seconds between two configurations."""
 ACCEPTED = (200, 201, 202)
 REFUSED = (429, 503)
 
@@ -59,13 +69,18 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
+        self.strange: set[str] = set()
+        """Jobs that strangers handed in."""
+        self.let_in: list[str] = []
+        """What strangers were answered with success."""
+        self._version = 0
         self._seconds = seconds
         self._client = AsyncHTTPClient(force_instance=True, max_clients=200)
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> list[str]:
         """Play, let it settle, and return what is wrong."""
-        self.standin.configure(1, maxAttempts=self.standin.cell.max_attempts)
+        self._configure()
         for number in range(VMS):
             self.standin.add_worker(f"r{number // 3}")
         await self.nodes.start()
@@ -77,8 +92,22 @@
             await self.nodes.close()
             self.standin.close()
 
+    def _configure(self) -> None:
+        """Publish another version: the same keys, and some cap for the first organisation."""
+        self._version += 1
+        cap = {"cpu": self.rng.choice(CAPS)}
+        tenants = [{"name": name, "apiKeys": [key]} for name, key in KEYS.items()]
+        tenants[0]["cap"] = cap  # type: ignore[assignment]
+        self.standin.configure(self._version, tenants, maxAttempts=self.standin.cell.max_attempts)
+
+    async def _configure_often(self, end: float) -> None:
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rng.expovariate(1.0 / CONFIGURE_EVERY))
+            self._configure()
+
     async def _play(self) -> None:
         end = time.monotonic() + self._seconds
+        self._spawn(self._configure_often(end))
         strikes = asyncio.create_task(self._strike(end))
         number = 0
         while time.monotonic() < end:
@@ -107,7 +136,11 @@
     async def _caller(self, job: str) -> None:
         """Hand a job in until it is taken or refused for good, and cancel some."""
         body = self._job()
+        owner = self.rng.choice(list(KEYS))
         self.standin.cell.jobs[job] = decode_job(json.dumps(body).encode())
+        self.standin.cell.owners[job] = owner
+        if self.rng.random() < STRANGER_SHARE:
+            self._spawn(self._stranger(job))
         uncertain = False
         for _ in range(TRIES):
             code = await self._call("POST", PREFIX + job, body)
@@ -125,6 +158,19 @@
             self.cancelled.add(job)
             self.seen[f"cancel {await self._call('DELETE', PREFIX + job)}"] += 1
 
+    async def _stranger(self, job: str) -> None:
+        """Hand in a job, and ask for somebody's and cancel it, without a key that is known."""
+        own = f"5{job[1:]}"
+        body = self._job()
+        self.strange.add(own)
+        self.standin.cell.jobs[own] = decode_job(json.dumps(body).encode())
+        for method, name in (("POST", own), ("GET", job), ("DELETE", job)):
+            sent = body if method == "POST" else None
+            code, _ = await self._fetch(method, PREFIX + name, sent, STRANGER)
+            self.seen[f"stranger {code}"] += 1
+            if code in ACCEPTED:
+                self.let_in.append(f"{method} {name}")
+
     def _job(self) -> dict[str, object]:
         step: dict[str, object] = {
             "count": self.rng.randint(1, 4),
@@ -144,16 +190,23 @@
 
     async def _call(self, method: str, path: str, body: object = None) -> int:
         """Return the status of an answer; 0 without one."""
-        return (await self._fetch(method, path, body))[0]
+        key = KEYS[self.standin.cell.owners[path.rpartition("/")[2]]]
+        return (await self._fetch(method, path, body, key))[0]
 
-    async def _fetch(self, method: str, path: str, body: object = None) -> tuple[int, bytes]:
+    async def _fetch(
+        self, method: str, path: str, body: object = None, key: str = ""
+    ) -> tuple[int, bytes]:
         node = self.rng.choice(self.nodes.rows)
         try:
             response = await self._client.fetch(
                 f"http://{node.front}{path}",
                 method=method,
                 body=None if body is None else json.dumps(body),
-                headers={"Host": HOST, "Deadline-Ms": "3000"},
+                headers={
+                    "Host": HOST,
+                    "Deadline-Ms": "3000",
+                    "Authorization": f"Bearer {key}",
+                },
                 request_timeout=CALL_TIMEOUT,
                 connect_timeout=CALL_TIMEOUT,
                 raise_error=False,
@@ -174,8 +227,11 @@
         cell = self.standin.cell
         wrong = cell.violations + self.target.wrong + unfinished
         started = {task.split(".")[0] for task in cell.starts}
-        if len(self.accepted) < LEAST_ACCEPTED * len(cell.jobs):
-            wrong.append(f"only {len(self.accepted)} of {len(cell.jobs)} jobs were accepted")
+        wrong += [f"a stranger was let in: {call}" for call in self.let_in]
+        wrong += [f"a stranger's job was started: {job}" for job in sorted(self.strange & started)]
+        handed_in = len(cell.jobs) - len(self.strange)
+        if len(self.accepted) < LEAST_ACCEPTED * handed_in:
+            wrong.append(f"only {len(self.accepted)} of {handed_in} jobs were accepted")
         wrong += [f"refused, yet started: {job}" for job in sorted(self.refused & started)]
         for node in self.nodes.rows:
             wrong += [f"{node.name} ended by itself with {code}" for code in node.exits]
@@ -190,7 +246,8 @@
         return found
 
     async def _state(self, job: str) -> str:
-        code, body = await self._fetch("GET", PREFIX + job)
+        key = KEYS[self.standin.cell.owners[job]]
+        code, body = await self._fetch("GET", PREFIX + job, None, key)
         return str(json.loads(body)["state"]) if code == 200 else str(code)
 
     def _allowed(self, job: str) -> set[str]:
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -37,7 +37,7 @@
 RETRIES = 6
 
 
-def _loop_time() -> float:
+def loop_time() -> float:
     """Return the loop's time; 0 before it runs."""
     try:
         return asyncio.get_running_loop().time()
@@ -98,7 +98,7 @@
             keyed=organisations is not None,
             organisations=organisations or (),
         )
-        self.cell.configured(configuration.organisations, _loop_time())
+        self.cell.configured(configuration.organisations, loop_time())
         value = msgspec.msgpack.encode(configuration)
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from tornado import httputil
@@ -18,12 +19,13 @@
 from sablemount.control.ports import CallError, HoldCall, Started
 from sablemount.control.store import Appended, Conflict, Fenced, Producer, Topic, WrongSequence
 from sablemount.jobs.actions import StartRun
-from sablemount.jobs.model import Shape
+from sablemount.jobs.model import Organisation, Shape
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import StartRefusal
 from sablemount.platform.front import respond
 from sablemount.platform.store import TOPICS, decode_records
 from tests.emulator.store import StoreState
+from tests.emulator.system import loop_time
 from tests.emulator.vms import Cell, Run, Vm
 
 Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
@@ -141,7 +143,7 @@
     def configure(
         self,
         version: int,
-        tenants: Sequence[dict[str, object]] = (),
+        tenants: Sequence[dict[str, Any]] = (),
         limits: dict[str, int] | None = None,
         **changes: object,
     ) -> None:
@@ -167,6 +169,7 @@
         }
         if tenants:
             told["tenants"] = tenants
+            self.cell.configured([_organisation(row) for row in tenants], loop_time())
         if limits is not None:
             told["limits"] = limits
         record = Record("config", json.dumps(told).encode())
@@ -254,5 +257,11 @@
         return 200, {"good": [[name, "c81e"] for name in told["workers"]], "validMs": 2000}
 
 
+def _organisation(tenant: dict[str, Any]) -> Organisation:
+    cap = tenant.get("cap")
+    cores = cap.get("cpu", 0) if isinstance(cap, dict) else 0
+    return Organisation(str(tenant["name"]), cap=Shape(cores=cores))
+
+
 def _percent(run: Run, now: float) -> float:
     return min(99.0, 100.0 * (now - run.began) / run.length)
