--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.bench
 	$(BIN)/python -m benchmarks.job_core
+	$(BIN)/python -m benchmarks.organisations
 
 slopes: $(STAMP)
 	$(BIN)/python -m benchmarks.slopes
