Tests: a full cell is made to hold its runs in one place

Two tests each started all, let the VMs hold it and put the judgement of paces aside; the rig does so now.

--- a/tests/jobs/rig.py
+++ b/tests/jobs/rig.py
@@ -136,6 +136,18 @@
         rows[:] = [row for row in rows if row.task != start.task]
         rows.append(RunReport(start.task, start.run, "", percent))
 
+    def run_all(self) -> None:
+        """Let the VMs hold all that they were told to start, and none of it be judged by its pace.
+
+        Here no task comes further, which is not what is looked at.
+        """
+        self.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+        self.tick()
+        for start in self.started():
+            self.run(start)
+        self.hear_all()
+        self.tick()
+
     def end(self, start: StartRun, outcome: str, saved: str = "") -> None:
         """Let a run end on its VM."""
         rows = self.running.setdefault(start.vm, [])
--- a/tests/jobs/test_preemption.py
+++ b/tests/jobs/test_preemption.py
@@ -10,14 +10,8 @@
 
 def _full(step: StepSpec, vms: int = 2) -> Rig:
     rig = Rig(vms=vms, queues=(URGENT, CHEAP))
-    # Here no task comes further, which is not what is looked at.
-    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
     rig.accept("batch", spec(step), CHEAP)
-    rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
-    rig.tick()
+    rig.run_all()
     return rig
 
 
--- a/tests/jobs/test_reservation.py
+++ b/tests/jobs/test_reservation.py
@@ -13,14 +13,9 @@
 def _busy(vms: int, running: int) -> Rig:
     """Return a rig whose VMs run tasks of half a VM that never yield."""
     rig = Rig(vms=vms, queues=QUEUES)
-    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
     for number in range(running):
         rig.accept(f"batch{number}", spec(StepSpec(1, HALF, expected_ms=900_000.0)), GANGS)
-    rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
-    rig.tick()
+    rig.run_all()
     return rig
 
 
