Lines tell by what an append is taken for done, and which epoch answers 410

The lines of the case could not tell an append that the store does not hold from a load that misses a record. `append settled` now has epoch, sequence and `by` (its answer, the number that the store wants next, or a later append that is done), also after one try; `refused` and `job accepted` have the leader's epoch; `leading` has the offset up to which it has loaded.

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -23,6 +23,7 @@
 MAX_NAME = 64
 """Characters of a job's name at most; the platform's have 16."""
 STORE_SILENT = "the store has not answered"
+NO_JOB = "no such job"
 
 _logger = logging.getLogger("sablemount.control.callers")
 
@@ -60,7 +61,7 @@
         if not name:
             return CallerReply(Outcome.DONE, waiting=self._scheduler.waiting(queue.terms.name))
         if self._hidden(name, queue, call):
-            return CallerReply(Outcome.NO_JOB)
+            return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
         if call.operation is Operation.CANCEL:
             return await self._cancel(name)
         return self._state(name)
@@ -75,7 +76,7 @@
     def _state(self, name: str) -> CallerReply:
         job = self._scheduler.state.jobs.get(name)
         if job is None or not job.durable:
-            return CallerReply(Outcome.NO_JOB)
+            return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
         return CallerReply(Outcome.DONE, state=job.shown.name.lower())
 
     # -- Submissions -------------------------------------------------------------------------
@@ -117,7 +118,9 @@
                 return not_taken("the store does not answer")
         job = self._scheduler.state.jobs.get(name)
         if job is not None and job.durable:
-            _logger.info("job accepted", extra={"job": name, "queue": queue.terms.name})
+            epoch = self._scheduler.state.epoch
+            extra = {"job": name, "queue": queue.terms.name, "epoch": epoch}
+            _logger.info("job accepted", extra=extra)
             return CallerReply(Outcome.DONE)
         if self._scheduler.withdraw(name):
             return not_taken("the store does not answer", changing=not self._sure())
@@ -134,7 +137,7 @@
         self._scheduler.now()
         job = self._scheduler.cancel(name)
         if job is None:
-            return CallerReply(Outcome.NO_JOB)
+            return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
         self._kick()
         if job.shown is not JobState.CANCELLED and not job.shown.final:
             await asyncio.wait([self._commits.noted()], timeout=ACCEPT_TIMEOUT)
--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -55,6 +55,9 @@
 """Least share of an interval that is waited for, drawn anew each time."""
 MAX_PAUSE = 0.2
 """Seconds after a refusal until the next try at most."""
+BY_ANSWER = "its answer"
+BY_NUMBER = "the number that the store wants next"
+BY_LATER = "a later append that is done"
 
 _logger = logging.getLogger("sablemount.control.commit")
 
@@ -150,15 +153,17 @@
         entry = _Open(sequence, monotonic(), asyncio.get_running_loop().create_future())
         self._open.append(entry)
         try:
-            tries = await self._send(records, entry)
-            self._good(sequence, entry, tries)
+            tries, settled_by = await self._send(records, entry)
+            self._tell(entry, tries, settled_by)
+            self._good(sequence, entry)
         finally:
             self._open.remove(entry)
             if not entry.done.done():
                 entry.done.cancel()
 
-    async def _send(self, records: list[Record], entry: "_Open") -> int:
-        """Return after how many tries the append is done."""
+    async def _send(self, records: list[Record], entry: "_Open") -> tuple[int, str]:
+        """Return after how many tries the append is done, and by what that is known."""
+        settled_by = BY_LATER
         interval = self._patience()
         producer = Producer(PRODUCER, self._epoch, entry.sequence)
         tries = _Tries(entry.done, asyncio.ensure_future(self._losses.probe()))
@@ -173,6 +178,8 @@
                 answers = await tries.answers(pause)
                 if any(self._done(answer, entry.sequence) for answer in answers):
                     self._losses.done(answers, tries.sent_at())
+                    taken = any(isinstance(answer.result, Appended) for answer in answers)
+                    settled_by = BY_ANSWER if taken else BY_NUMBER
                     break
                 if any(isinstance(answer.result, WrongSequence) for answer in answers):
                     await self._too_early(entry.sequence, answers, interval)
@@ -184,7 +191,7 @@
                 interval = max(interval, longer, self._patience())
         finally:
             tries.cancel()
-        return tries.count
+        return tries.count, settled_by
 
     def _patience(self) -> float:
         """Return the seconds after which an append is sent again, by the answers before.
@@ -261,12 +268,21 @@
             return result.wanted > sequence
         return isinstance(result, Appended)
 
-    def _good(self, sequence: int, entry: "_Open", tries: int) -> None:
-        now = monotonic()
-        if tries > 1:
-            seconds = round(now - entry.since, 3)
-            _logger.info("append settled", extra={"tries": tries, "seconds": seconds})
-        self.good_at = self._settled_at = now
+    def _tell(self, entry: "_Open", tries: int, settled_by: str) -> None:
+        """Log an append that took more than one try, or of which no answer says that it is done."""
+        if tries == 1 and settled_by == BY_ANSWER:
+            return
+        extra = {
+            "epoch": self._epoch,
+            "sequence": entry.sequence,
+            "tries": tries,
+            "seconds": round(monotonic() - entry.since, 3),
+            "by": settled_by,
+        }
+        _logger.info("append settled", extra=extra)
+
+    def _good(self, sequence: int, entry: "_Open") -> None:
+        self.good_at = self._settled_at = monotonic()
         for other in self._open:
             # One without records has the number that the next one with records takes too.
             if other.sequence < sequence and not other.done.done():
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
 
+import msgspec
+
 from sablemount.control.advice_calls import AdviceCalls
 from sablemount.control.authority import Authority
 from sablemount.control.callers import Callers
@@ -17,7 +19,7 @@
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
 from sablemount.control.members import Members
-from sablemount.control.messages import CallerCall, CallerReply
+from sablemount.control.messages import CallerCall, CallerReply, Outcome
 from sablemount.control.ports import AdvicePort, DirectoryCodec, VmPort
 from sablemount.control.preload import Reading, load_records
 from sablemount.control.roster import Roster
@@ -164,9 +166,10 @@
     def _count_end(self, outcome: str) -> None:
         self.figures.count("end", outcome)
 
-    def _sizes(self) -> dict[str, int]:
+    def _sizes(self) -> dict[str, int | None]:
         state = self.scheduler.state
-        return {"jobs": len(state.jobs), "live": len(state.live), "vms": len(state.vms)}
+        sizes = {"jobs": len(state.jobs), "live": len(state.live), "vms": len(state.vms)}
+        return {"end": self.committer.end, **sizes}
 
     async def _load(self) -> None:
         await self.committer.open()
@@ -330,4 +333,6 @@
         reply = await self.callers.serve(call)
         self.figures.observe(f"call_{call.operation.name.lower()}", monotonic() - began)
         self.figures.count(call.operation.name.lower(), reply.outcome.name.lower())
-        return reply
+        if reply.outcome is Outcome.DONE:
+            return reply
+        return msgspec.structs.replace(reply, epoch=self.epoch)
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -198,6 +198,8 @@
     """The leader's version of the configuration, if the call was admitted by another one."""
     organisation: str = ""
     """Whose call was refused, for the log line; empty if that is not known."""
+    epoch: int = 0
+    """Under which leader it was answered, for the log line; 0 if none was asked."""
 
 
 def not_taken(reason: str, changing: bool = False) -> CallerReply:
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -177,6 +177,7 @@
                     "why": reply.reason,
                     "organisation": reply.organisation or "unknown",
                     "version": self._member.feed.version,
+                    "epoch": reply.epoch,
                 },
             )
         headers = {"Content-Type": "application/json"}
