--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,51 @@
+"""The list of tests that fail for a known fault: what may be listed, and what it says of a test."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+__all__ = ["MOST", "Entry", "ListError", "entry_of", "parse", "read"]
+
+FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
+MOST = 3
+SEPARATOR = " | "
+FIELDS = 3
+
+
+class ListError(ValueError):
+    """The list is not as it has to be."""
+
+
+@dataclass(frozen=True)
+class Entry:
+    """A test's id, why it fails, and the issue under which that is open."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def parse(text: str) -> list[Entry]:
+    """Return the entries of a list, a line each; lines that begin with # are comments."""
+    lines = [line for line in text.splitlines() if line.strip() and not line.startswith("#")]
+    entries = [_entry(line) for line in lines]
+    if len(entries) > MOST:
+        raise ListError(f"{len(entries)} entries, {MOST} at most")
+    return entries
+
+
+def _entry(line: str) -> Entry:
+    fields = [field.strip() for field in line.split(SEPARATOR)]
+    if len(fields) != FIELDS or not all(fields):
+        raise ListError(f"not 'test{SEPARATOR}cause{SEPARATOR}issue': {line}")
+    return Entry(*fields)
+
+
+def read() -> list[Entry]:
+    """Return the entries of the repository's list; none without one."""
+    return parse(FILE.read_text()) if FILE.exists() else []
+
+
+def entry_of(entries: list[Entry], node: str) -> Entry | None:
+    """Return the entry of a test; one without parameters stands for the test with each of them."""
+    names = (node, node.partition("[")[0])
+    return next((entry for entry in entries if entry.test in names), None)
