A leader's first batch is in the store before the next one is sent

Cause: an append without records sets a new epoch and leaves it without a number, and the store lets the records of an epoch begin at any. A second batch that reached it before the first became the beginning; the first was refused from then on (409, wants a later number), which was read as done, as was the answer to the later batch. Acceptances and noted ends of a leader's first 60 ms were told and are in no store. Class: the success of one thing inferred from that of another, whose order nothing had made sure of. Change: batches after the first wait until that one is done. Both inferences hold from there on. Ruled out: a record that opens the epoch, as its offset would cost each load one more read (10 ms, or up to a second in a slow store); two leaders under one epoch and loads that miss records, by the lines of the case.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -55,6 +55,7 @@
 """Least share of an interval that is waited for, drawn anew each time."""
 MAX_PAUSE = 0.2
 """Seconds after a refusal until the next try at most."""
+FIRST_SEQUENCE = 0
 BY_ANSWER = "its answer"
 BY_NUMBER = "the number that the store wants next"
 BY_LATER = "a later append that is done"
@@ -74,14 +75,18 @@
     """Writes under one epoch; a few appends may be on their way at once.
 
     The store takes them in the order of their sequence numbers, so that one that is done tells that
-    all earlier ones are. ``good_at`` is when the store last took something (local time).
+    all earlier ones are. It lets an epoch's records begin at any number, though, so that this holds
+    only once the first batch is there. ``good_at`` is when the store last took something (local
+    time).
     """
 
     def __init__(self, store: Store, epoch: int, rng: random.Random) -> None:
         self._store = store
         self._epoch = epoch
         self._rng = rng
-        self._sequence = 0
+        self._sequence = FIRST_SEQUENCE
+        self._begun = asyncio.Event()
+        """Set once the first batch is in the store."""
         self._losses = LostWrites(store)
         self._open: list[_Open] = []
         self._settled_at = -1e9
@@ -153,9 +158,15 @@
         entry = _Open(sequence, monotonic(), asyncio.get_running_loop().create_future())
         self._open.append(entry)
         try:
+            if sequence > FIRST_SEQUENCE:
+                # If a later batch came first, the store would take it as the epoch's beginning and
+                # refuse the first one for good.
+                await self._begun.wait()
             tries, settled_by = await self._send(records, entry)
             self._tell(entry, tries, settled_by)
             self._good(sequence, entry)
+            if records:
+                self._begun.set()
         finally:
             self._open.remove(entry)
             if not entry.done.done():
