--- a/tests/jobs/test_commit.py
+++ b/tests/jobs/test_commit.py
@@ -1,12 +1,13 @@
 """Appends with lost answers are settled, and a fenced leader stops."""
 
 import asyncio
+import logging
 import random
 
 import pytest
 
-from sablemount.control.commit import Committer, LostLeadership
-from sablemount.control.store import Topic
+from sablemount.control.commit import BY_ANSWER, BY_NUMBER, Committer, LostLeadership
+from sablemount.control.store import Producer, Topic
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
 from tests.emulator.store import EmulatedStore, StoreState
@@ -131,3 +132,30 @@
         assert max(took[10:]) < 0.02
 
     run(scenario())
+
+
+def test_a_line_tells_by_what_an_append_is_known_to_be_done(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = _committer(state, 4)
+        await committer.open()
+        state.lost = 1.0
+        first = asyncio.create_task(committer.append([_record(0)]))
+        await asyncio.sleep(0.1)
+        state.lost = 0.0
+        await first
+        # Six later ones are done elsewhere, so that the answer to this one is not remembered.
+        for number in range(1, 7):
+            state.append(Topic.JOBS, [_record(number)], Producer("leader", 4, number), None)
+        await committer.append([_record(1)])
+
+    logging.getLogger("sablemount").propagate = True
+    caplog.set_level(logging.INFO, "sablemount")
+    run(scenario())
+    lines = [line.__dict__ for line in caplog.records if line.msg == "append settled"]
+    told = [(line["epoch"], line["sequence"], line["by"]) for line in lines]
+    assert told == [(4, 0, BY_ANSWER), (4, 1, BY_NUMBER)]
+    assert lines[0]["tries"] > 1
+    assert lines[1]["tries"] == 1
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 from collections.abc import Awaitable, Callable
 
@@ -146,6 +147,26 @@
     play(scenario)
 
 
+def test_lines_tell_which_leader_accepted_a_job_and_which_does_not_know_one(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    logging.getLogger("sablemount").propagate = True
+    caplog.set_level(logging.INFO, "sablemount")
+
+    async def scenario(front: Front) -> None:
+        assert (await front.call(0, "POST", PREFIX + "00000000000000ad", JOB)).code == 200
+        assert (await front.call(1, "GET", PREFIX + "00000000000000aa")).code == 410
+
+    play(scenario)
+    told = {(line.msg, line.__dict__.get("status")): line.__dict__ for line in caplog.records}
+    leading, accepted = told["leading", None], told["job accepted", None]
+    refused = told["refused", 410]
+    assert (leading["epoch"], leading["end"]) == (1, 0)
+    assert (accepted["job"], accepted["epoch"]) == ("00000000000000ad", 1)
+    assert (refused["request"], refused["why"]) == ("00000000000000aa", "no such job")
+    assert refused["epoch"] == 1
+
+
 def test_a_cancelled_job_is_told_so_and_stops() -> None:
     async def scenario(front: Front) -> None:
         front.standin.cell.seconds = 60.0
