--- /dev/null
+++ b/tests/jobs/test_parted_leader.py
@@ -0,0 +1,102 @@
+"""A leader that is cut off with part of the system does not outlast the wait of its successor.
+
+A leader and another member are cut off from the store and from the rest, but not from one VM. They
+hear each other, so that the leader goes on and holds that VM's lease. The successor can't reach the
+VM and starts what ran there elsewhere once every lease must be over.
+
+Nor may the leader that was left behind say that a job is not known: its successor may have accepted
+it.
+"""
+
+import asyncio
+
+import pytest
+
+from sablemount.control.messages import CallerCall, Operation, Outcome
+from sablemount.control.ports import CallError
+from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from tests.emulator.loop import run
+from tests.emulator.system import HOST, PREFIX, TIMEOUT, System
+from tests.emulator.vms import EmulatedVms, Vm
+
+MEMBERS = 5
+VMS = 4
+
+
+class _PartlyReached(EmulatedVms):
+    """VMs of which a member reaches some only."""
+
+    def __init__(self, system: "_Parted", member: str) -> None:
+        super().__init__(system.cell)
+        self._system = system
+        self._member = member
+
+    async def _reach(self, name: str, address: str, timeout: float) -> Vm | CallError:
+        if name in self._system.unreached.get(self._member, set()):
+            await asyncio.sleep(timeout)
+            return CallError.NO_ANSWER
+        return await super()._reach(name, address, timeout)
+
+
+class _Parted(System):
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, members=MEMBERS, vms=VMS)
+        self.unreached: dict[str, set[str]] = {}
+
+    def start(self, name: str) -> None:
+        super().start(name)
+        self.members[name].ports.vms = _PartlyReached(self, name)
+
+    def part(self, apart: set[str], vm: str) -> None:
+        """Cut some members off from the store and the others; they alone reach one VM."""
+        self.store.turned_away |= apart
+        for name in self.names:
+            if name in apart:
+                self.unreached[name] = set(self.cell.vms) - {vm}
+                others = set(self.names) - apart
+                self.wires.cuts |= {frozenset((name, other)) for other in others}
+            else:
+                self.unreached[name] = {vm}
+
+
+async def _parted(with_member: bool) -> tuple[_Parted, str, str]:
+    """Cut the leader off while a job of four long tasks runs; return who is on either side."""
+    system = _Parted(5)
+    system.cell.seconds = 60.0
+    system.cell.fail_share = 0.0
+    system.start_all()
+    await asyncio.sleep(2.0)
+    spec = JobSpec("payload", (StepSpec(4, Shape(4_000, 500), expected_ms=60_000.0),))
+    await system.submit("job", spec)
+    await asyncio.sleep(3.0)
+    leader = system.leader()
+    assert leader is not None
+    busy = next(vm for vm in system.cell.vms.values() if vm.runs)
+    other, *rest = [name for name in system.names if name != leader]
+    system.part({leader, other} if with_member else {leader}, busy.info.name)
+    return system, other if with_member else leader, rest[0]
+
+
+@pytest.mark.parametrize("with_member", [False, True])
+def test_nothing_runs_twice_on_both_sides_of_a_cut(with_member: bool) -> None:
+    async def scenario() -> None:
+        system, _, _ = await _parted(with_member)
+        await asyncio.sleep(20.0)
+        assert system.store.claims[-1] > 1
+        assert system.cell.violations == []
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("with_member", [False, True])
+def test_a_leader_left_behind_denies_no_job_of_its_successor(with_member: bool) -> None:
+    async def scenario() -> None:
+        system, behind, ahead = await _parted(with_member)
+        await asyncio.sleep(4.0)
+        submitted = await system.hand_in(ahead, "later")
+        assert submitted.outcome is Outcome.DONE
+        call = CallerCall(Operation.STATE, HOST, PREFIX + "later")
+        reply = await system.members[behind].serve(call, TIMEOUT)
+        assert reply.outcome is not Outcome.NO_JOB
+
+    run(scenario())
