--- a/tests/jobs/test_cut_off_leader.py
+++ b/tests/jobs/test_cut_off_leader.py
@@ -14,9 +14,10 @@
 
 import pytest
 
+from sablemount.control.messages import CallerCall, Operation, Outcome
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.loop import run
-from tests.emulator.system import System
+from tests.emulator.system import HOST, PREFIX, TIMEOUT, System
 
 TASK_SECONDS = 40.0
 CUT_VMS = 3
@@ -79,3 +80,17 @@
         assert served.authority()
 
     run(scenario())
+
+
+def test_a_leader_that_most_members_hear_denies_no_job_that_another_one_may_have_taken() -> None:
+    async def scenario() -> None:
+        system, former = await _cut_off(5, 2)
+        await asyncio.sleep(4.0)
+        leading = [n for n, m in system.members.items() if m.leader is not None and n != former]
+        assert (await system.hand_in(leading[0], "later")).outcome is Outcome.DONE
+        for operation in (Operation.STATE, Operation.CANCEL):
+            call = CallerCall(operation, HOST, PREFIX + "later")
+            reply = await system.members[former].serve(call, TIMEOUT)
+            assert reply.outcome is Outcome.NOT_TAKEN
+
+    run(scenario())
