A job is denied only while the store confirms the leadership

Cause: a leader that gives orders on its members' word answered 410 for jobs that its successor had accepted.

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -29,18 +29,24 @@
 
 
 class Callers:
-    """Serves callers; ``sure`` tells whether this process certainly leads."""
+    """Serves callers.
+
+    ``sure`` tells whether this process may give orders, and ``confirmed`` whether the store has
+    said so of late: without that, another leader may know jobs that are not known here.
+    """
 
     def __init__(
         self,
         scheduler: JobScheduler,
         commits: CommitLoop,
         sure: Callable[[], bool],
+        confirmed: Callable[[], bool],
         kick: Callable[[], None],
     ) -> None:
         self._scheduler = scheduler
         self._commits = commits
         self._sure = sure
+        self._confirmed = confirmed
         self._kick = kick
 
     async def serve(self, call: CallerCall) -> CallerReply:
@@ -61,7 +67,7 @@
         if not name:
             return CallerReply(Outcome.DONE, waiting=self._scheduler.waiting(queue.terms.name))
         if self._hidden(name, queue, call):
-            return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
+            return self._no_job()
         if call.operation is Operation.CANCEL:
             return await self._cancel(name)
         return self._state(name)
@@ -76,9 +82,14 @@
     def _state(self, name: str) -> CallerReply:
         job = self._scheduler.state.jobs.get(name)
         if job is None or not job.durable:
-            return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
+            return self._no_job()
         return CallerReply(Outcome.DONE, state=job.shown.name.lower())
 
+    def _no_job(self) -> CallerReply:
+        if not self._confirmed():
+            return not_taken(STORE_SILENT)
+        return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
+
     # -- Submissions -------------------------------------------------------------------------
 
     async def _submit(self, queue: Queue, name: str, call: CallerCall) -> CallerReply:
@@ -137,7 +148,7 @@
         self._scheduler.now()
         job = self._scheduler.cancel(name)
         if job is None:
-            return CallerReply(Outcome.NO_JOB, reason=NO_JOB)
+            return self._no_job()
         self._kick()
         if job.shown is not JobState.CANCELLED and not job.shown.final:
             await asyncio.wait([self._commits.noted()], timeout=ACCEPT_TIMEOUT)
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -109,7 +109,9 @@
         self._advice = AdviceCalls(
             name, self.scheduler.advice, ports.advice, self.members, figures, self._woken
         )
-        self.callers = Callers(self.scheduler, self.commits, self._serves, self.kick)
+        self.callers = Callers(
+            self.scheduler, self.commits, self._serves, self._store_is_fresh, self.kick
+        )
         self.leading = False
         self.over = asyncio.Event()
         self.why = ""
@@ -230,6 +232,9 @@
         """Return for how many seconds the store has not confirmed the leadership."""
         return self._authority.store_age()
 
+    def _store_is_fresh(self) -> bool:
+        return self.store_age() < AUTHORITY_TIME
+
     def _confirmed(self, asked_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, asked_at)
         self._authority.confirmed(asked_at)
@@ -280,7 +285,7 @@
             self.commits.want()
 
     def _judge_members(self) -> None:
-        if self.store_age() < AUTHORITY_TIME:
+        if self._store_is_fresh():
             self.members.count()
         if not self.members.majority() and monotonic() - self._began_at < AUTHORITY_LIMIT:
             # Those that have not come may stand in for the store at a former leader, which then
