A wait for an append that is given up ends nothing, and no batch waits without end

Cause: the wait for what is in flight held the futures of these appends, so that giving it up ended them, which looks like a later append that is done; no path does so now, but the first batch's certainty rests on it. And what waited for a first batch that a later leader has fenced waited until the leader was closed. Change: waits are without a hold; what will not be done is told (GivenUp), and ends the leadership.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -18,7 +18,7 @@
 )
 from sablemount.jobs.records import Record
 
-__all__ = ["Committer", "LostLeadership"]
+__all__ = ["Committer", "GivenUp", "LostLeadership"]
 
 PRODUCER = "leader"
 TRY_TIMEOUT = 2.0
@@ -71,6 +71,13 @@
         self.epoch = epoch
 
 
+class GivenUp(Exception):
+    """An append that was waited for will not be done: the leadership ends."""
+
+    def __init__(self) -> None:
+        super().__init__("an append was given up")
+
+
 class Committer:
     """Writes under one epoch; a few appends may be on their way at once.
 
@@ -85,8 +92,8 @@
         self._epoch = epoch
         self._rng = rng
         self._sequence = FIRST_SEQUENCE
-        self._begun = asyncio.Event()
-        """Set once the first batch is in the store."""
+        self._begun: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        """Done once the first batch is in the store, cancelled once it will not be."""
         self._losses = LostWrites(store)
         self._open: list[_Open] = []
         self._settled_at = -1e9
@@ -148,10 +155,14 @@
     async def _settled(self) -> None:
         """Wait until what is in flight is in the store, or ask the store if nothing is."""
         waiting = [entry.done for entry in self._open]
-        if waiting:
-            await asyncio.gather(*waiting)
-        else:
+        if not waiting:
             await self.confirm()
+            return
+        # Waited for without a hold on them: who gives up must not end them, which would look like
+        # batches that are done.
+        await asyncio.wait(waiting)
+        if any(done.cancelled() for done in waiting):
+            raise GivenUp
 
     async def _settle(self, records: list[Record], sequence: int) -> None:
         """Send the same append until it is known to be done; raises ``LostLeadership``."""
@@ -159,18 +170,28 @@
         self._open.append(entry)
         try:
             if sequence > FIRST_SEQUENCE:
-                # If a later batch came first, the store would take it as the epoch's beginning and
-                # refuse the first one for good.
-                await self._begun.wait()
+                await self._begins()
             tries, settled_by = await self._send(records, entry)
             self._tell(entry, tries, settled_by)
             self._good(sequence, entry)
-            if records:
-                self._begun.set()
+            if records and not self._begun.done():
+                self._begun.set_result(None)
         finally:
             self._open.remove(entry)
             if not entry.done.done():
                 entry.done.cancel()
+                if records and sequence == FIRST_SEQUENCE:
+                    self._begun.cancel()
+
+    async def _begins(self) -> None:
+        """Wait until the first batch is in the store.
+
+        If a later one came there first, it would be taken as the epoch's beginning, and the first
+        one refused for good.
+        """
+        await asyncio.wait([self._begun])
+        if self._begun.cancelled():
+            raise GivenUp
 
     async def _send(self, records: list[Record], entry: "_Open") -> tuple[int, str]:
         """Return after how many tries the append is done, and by what that is known."""
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -13,7 +13,7 @@
 from sablemount.control.authority import AUTHORITY_LIMIT, AUTHORITY_TIME, Authority
 from sablemount.control.callers import Callers
 from sablemount.control.clock import LoopClock, monotonic
-from sablemount.control.commit import Committer, LostLeadership
+from sablemount.control.commit import Committer, GivenUp, LostLeadership
 from sablemount.control.commit_loop import CommitLoop
 from sablemount.control.configuration_feed import ConfigurationFeed
 from sablemount.control.figures import Figures
@@ -216,7 +216,7 @@
         if task.cancelled() or task.exception() is None:
             return
         error = task.exception()
-        if isinstance(error, LostLeadership):
+        if isinstance(error, LostLeadership | GivenUp):
             self.end(str(error))
             return
         _logger.error("internal error, leadership ends", exc_info=error)
--- a/tests/jobs/test_given_up.py
+++ b/tests/jobs/test_given_up.py
@@ -1,13 +1,16 @@
-"""Who waits for a batch and gives up does not make it count as done.
+"""Who waits for a batch and gives up does not make it count as done, nor waits without end.
 
 An append without records waits until what is in flight is in the store. If its wait alone is given
-up, the batch that it waited for is still on its way: it must go on until the store has it.
+up, the batch that it waited for is still on its way: it must go on until the store has it. What
+waits for one that a later leader has fenced ends with it.
 """
 
 import asyncio
 import random
 
-from sablemount.control.commit import Committer
+import pytest
+
+from sablemount.control.commit import Committer, GivenUp, LostLeadership
 from sablemount.control.store import Topic
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
@@ -32,3 +35,22 @@
         assert list(state.topics[Topic.JOBS].newest) == ["j/accepted"]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("records", [[], [Record("j/next", b"job")]])
+def test_what_waits_for_a_first_batch_that_is_fenced_ends(records: list[Record]) -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = Committer(EmulatedStore(state, "m"), 1, random.Random(2))
+        await committer.open()
+        await Committer(EmulatedStore(state, "later"), 2, random.Random(3)).open()
+        first = asyncio.create_task(committer.append([Record("j/accepted", b"job")]))
+        await asyncio.sleep(0.0)
+        second = asyncio.create_task(committer.append(records))
+        with pytest.raises(LostLeadership):
+            await first
+        with pytest.raises(GivenUp):
+            await asyncio.wait_for(second, 1.0)
+        assert committer.in_flight == 0
+
+    run(scenario())
