--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -98,7 +98,7 @@
         self._open: list[_Open] = []
         self._settled_at = -1e9
         """When an append was last known to be done."""
-        self.good_at = -1e9
+        self.good_at = self.confirmed_at = -1e9
         self.end: int | None = None
         """Where the topic ended after the newest append that was answered."""
 
@@ -314,7 +314,7 @@
         _logger.info("append settled", extra=extra)
 
     def _good(self, sequence: int, entry: "_Open") -> None:
-        self.good_at = self._settled_at = monotonic()
+        self.good_at = self.confirmed_at = self._settled_at = monotonic()
         for other in self._open:
             # One without records has the number that the next one with records takes too.
             if other.sequence < sequence and not other.done.done():
--- /dev/null
+++ b/tests/jobs/test_late_word.py
@@ -0,0 +1,67 @@
+"""A word of the store that came late gave a leader more time than its successor waits for.
+
+An answer tells who led when the store carried the call out, which may have been as soon as it was
+sent. It was taken as told when it came, up to 2 s later, and orders went on for 1.5 s from then: a
+former leader could extend leases for 3.5 s after another one had begun, which waits for 2.5 s.
+"""
+
+import asyncio
+import random
+
+from sablemount.control.authority import AUTHORITY_TIME
+from sablemount.control.clock import monotonic
+from sablemount.control.commit import Committer
+from sablemount.control.store import AppendResult, Producer, Topic
+from sablemount.jobs.records import Record
+from sablemount.jobs.settings import JobSettings
+from tests.emulator.loop import run
+from tests.emulator.store import EmulatedStore, StoreState
+
+ANSWER_AFTER = 1.9
+
+
+class _LateAnswers(EmulatedStore):
+    """Carries appends out at once, and answers after some seconds."""
+
+    wait = 0.0
+
+    async def append(
+        self,
+        topic: Topic,
+        records: list[Record],
+        timeout: float,
+        producer: Producer | None = None,
+        at: int | None = None,
+    ) -> AppendResult:
+        result = await super().append(topic, records, timeout, producer, at)
+        await asyncio.sleep(self.wait)
+        return result
+
+
+def test_orders_end_before_a_new_leader_takes_them_for_over() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        store = _LateAnswers(state, "m")
+        former = Committer(store, 1, random.Random(2))
+        await former.open()
+        store.wait = ANSWER_AFTER
+        confirming = asyncio.create_task(former.confirm())
+        await asyncio.sleep(0.01)
+        await Committer(EmulatedStore(state, "later"), 2, random.Random(3)).open()
+        began = monotonic()
+        await confirming
+        orders_end = former.confirmed_at + AUTHORITY_TIME
+        assert orders_end <= began + JobSettings().takeover_margin
+
+    run(scenario())
+
+
+def test_an_answer_in_time_counts_from_when_it_came() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        committer = Committer(EmulatedStore(state, "m"), 1, random.Random(2))
+        state.latency = 0.4
+        await committer.open()
+        assert monotonic() - committer.confirmed_at < 0.01
+
+    run(scenario())
