A late word of the store counts from one second after it was asked for at most

Cause: an answer was taken as told when it came, up to 2 s after the store may have given it; orders went on for 1.5 s more, 3.5 s in all, where a new leader waits for 2.5 s. The class of the lost first batch again: what an answer says holds for when it was given. Change: the age of the store's word counts from its arrival, and from 1.0 s after it was asked for at the latest. Ruled out: a longer wait of new leaders (1 s more for each VM lost with a leader); counting from when it was asked for, which would have slow stores (0.5 s an answer) look silent.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -53,6 +53,9 @@
 """The same for the append that all others wait for, while the store is silent."""
 LEAST_JITTER = 0.8
 """Least share of an interval that is waited for, drawn anew each time."""
+WORD_DELAY = 1.0
+"""Seconds after it was sent up to which an answer counts from when it came. A later one is older
+than it looks: orders go on for 1.5 s, and a new leader waits 2.5 s for them to end."""
 MAX_PAUSE = 0.2
 """Seconds after a refusal until the next try at most."""
 FIRST_SEQUENCE = 0
@@ -98,7 +101,9 @@
         self._open: list[_Open] = []
         self._settled_at = -1e9
         """When an append was last known to be done."""
-        self.good_at = self.confirmed_at = -1e9
+        self.good_at = -1e9
+        self.confirmed_at = -1e9
+        """When the store last said under this epoch that nobody else led (local time)."""
         self.end: int | None = None
         """Where the topic ended after the newest append that was answered."""
 
@@ -281,11 +286,21 @@
             timeout = max(LOSSY_TIMEOUT, self._losses.overdue())
         result = await self._store.append(Topic.JOBS, records, timeout, producer)
         seconds = monotonic() - sent_at
+        if isinstance(result, Appended | WrongSequence):
+            self._confirmed(sent_at)
         if isinstance(result, Appended):
             self.end = result.end if self.end is None else max(self.end, result.end)
             self._losses.answered(seconds)
         return Answer(result, sent_at, seconds)
 
+    def _confirmed(self, sent_at: float) -> None:
+        """Take an answer that is not a fence to what was sent at some time.
+
+        The store may have given it as soon as that was sent.
+        """
+        word_at = min(monotonic(), sent_at + WORD_DELAY)
+        self.confirmed_at = max(self.confirmed_at, word_at)
+
     def _done(self, answer: Answer, sequence: int) -> bool:
         result = answer.result
         if isinstance(result, Fenced):
@@ -314,7 +329,7 @@
         _logger.info("append settled", extra=extra)
 
     def _good(self, sequence: int, entry: "_Open") -> None:
-        self.good_at = self.confirmed_at = self._settled_at = monotonic()
+        self.good_at = self._settled_at = monotonic()
         for other in self._open:
             # One without records has the number that the next one with records takes too.
             if other.sequence < sequence and not other.done.done():
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -95,7 +95,7 @@
             self.scheduler, self.committer, figures, self._confirmed, self._keep
         )
         self._authority = Authority(
-            lambda: self.committer.good_at, self.members.stand_in, self.commits.want
+            lambda: self.committer.confirmed_at, self.members.stand_in, self.commits.want
         )
         self.calls = VmCalls(
             self.scheduler,
