--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -111,6 +111,7 @@
                 return refusal
         self._scheduler.now()
         if self._scheduler.submit(name, queue, spec, call.organisation) is Submission.KNOWN:
+            self._tell("job known", name, queue)
             return CallerReply(Outcome.DONE, state="known")
         self._kick()
         return await self._accepted(name, queue)
@@ -129,15 +130,17 @@
                 return not_taken("the store does not answer")
         job = self._scheduler.state.jobs.get(name)
         if job is not None and job.durable:
-            epoch = self._scheduler.state.epoch
-            extra = {"job": name, "queue": queue.terms.name, "epoch": epoch}
-            _logger.info("job accepted", extra=extra)
+            self._tell("job accepted", name, queue)
             return CallerReply(Outcome.DONE)
         if self._scheduler.withdraw(name):
             return not_taken("the store does not answer", changing=not self._sure())
-        _logger.info("job uncertain", extra={"job": name, "queue": queue.terms.name})
+        self._tell("job uncertain", name, queue)
         return self._unknown()
 
+    def _tell(self, text: str, name: str, queue: Queue) -> None:
+        epoch = self._scheduler.state.epoch
+        _logger.info(text, extra={"job": name, "queue": queue.terms.name, "epoch": epoch})
+
     def _unknown(self) -> CallerReply:
         """Return the answer to what may be in the store; a later leader can tell."""
         return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT, changing=not self._sure())
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -154,15 +154,18 @@
     caplog.set_level(logging.INFO, "sablemount")
 
     async def scenario(front: Front) -> None:
-        assert (await front.call(0, "POST", PREFIX + "00000000000000ad", JOB)).code == 200
+        for _ in range(2):
+            assert (await front.call(0, "POST", PREFIX + "00000000000000ad", JOB)).code == 200
         assert (await front.call(1, "GET", PREFIX + "00000000000000aa")).code == 410
 
     play(scenario)
     told = {(line.msg, line.__dict__.get("status")): line.__dict__ for line in caplog.records}
     leading, accepted = told["leading", None], told["job accepted", None]
     refused = told["refused", 410]
+    known = told["job known", None]
     assert (leading["epoch"], leading["end"]) == (1, 0)
     assert (accepted["job"], accepted["epoch"]) == ("00000000000000ad", 1)
+    assert (known["job"], known["epoch"]) == ("00000000000000ad", 1)
     assert (refused["request"], refused["why"]) == ("00000000000000aa", "no such job")
     assert refused["epoch"] == 1
 
