The emulated store carries out what was sent, whatever becomes of its caller

Asked directly, the platform's store carried out all 50 appends that a store 100 times slower had not answered within 0.7 s, 1.0 to 2.7 s after they were sent; the emulation dropped an append whose caller had given up or gone, and one slower than its time-out. It now also refuses with more than 2 s to do first (503 was seen then), records over 262,144 and calls over 2,097,152 bytes (400, nothing done), ends a read at 1,024 KB and a page at 1 MB (five and six records of 200,000 bytes, as the store gave), and in the mixes carries a call out at any point of its way and back, so that appends overtake one another.

--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -51,6 +51,7 @@
     traffic: Coroutine[object, object, None],
     beside: Beside,
 ) -> list[str]:
+    system.store.share_there = (0.0, 1.0)
     system.start_all()
     await asyncio.sleep(1.0)
     rng = random.Random(seed + 7)
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -1,8 +1,11 @@
 """The emulated store: keyed topics, fenced producers, and the ways in which it fails."""
 
 import asyncio
+import contextlib
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 
@@ -24,7 +27,17 @@
 from sablemount.jobs.records import Record
 
 PAGE = 500
+PAGE_BYTES = READ_BYTES = 1_048_576
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
+LENGTH_BYTES = 4
 REMEMBERED = 5
+LONGEST_WAIT = 2.0
+"""Seconds; with more to do first, an append is refused."""
+
+
+def _size(record: Record) -> int:
+    return 1 + len(record.key.encode()) + len(record.value)
 
 
 @dataclass
@@ -53,6 +66,31 @@
             self.changed.set()
             self.changed = asyncio.Event()
 
+    def page(self, after: str) -> Page:
+        """Return the newest records of the keys that follow one."""
+        keys = sorted(key for key in self.newest if key > after)
+        items: list[PageItem] = []
+        size = 0
+        for key in keys[:PAGE]:
+            if size >= PAGE_BYTES:
+                break
+            items.append(self.newest[key])
+            size += len(self.newest[key].record.value)
+        return Page(items, len(items) < len(keys), self.end)
+
+    def after(self, offset: int) -> Records | Trimmed:
+        """Return the records from an offset on, as many as fit into an answer; one at least."""
+        if offset < self.first:
+            return Trimmed()
+        found: list[Record] = []
+        size = 0
+        for record in self.records[offset - self.first :]:
+            size += LENGTH_BYTES + _size(record)
+            if found and size > READ_BYTES:
+                break
+            found.append(record)
+        return Records(found, offset + len(found))
+
 
 class StoreState:
     """What the store keeps, and the faults in force."""
@@ -65,6 +103,8 @@
         self.blind: set[str] = set()
         """Members that hear of no new configuration, though the store answers them."""
         self.latency = 0.004
+        self.share_there = (0.8, 1.0)
+        """Least and most share of that time after which a call is carried out."""
         self.append_time = 0.0
         """Seconds that one append takes; appends of one topic are carried out in turn."""
         self._free_at: dict[Topic, float] = {}
@@ -82,6 +122,10 @@
         self._free_at[topic] = max(now, self._free_at.get(topic, now)) + self.append_time
         return self._free_at[topic]
 
+    def backlog(self, topic: Topic, now: float) -> float:
+        """Return the seconds for which an append that arrives now has to wait."""
+        return max(0.0, self._free_at.get(topic, now) - now)
+
     def forget_history(self) -> None:
         for topic in self.topics.values():
             topic.first = topic.end
@@ -90,6 +134,12 @@
     def append(
         self, topic: Topic, records: list[Record], producer: Producer | None, at: int | None
     ) -> AppendResult:
+        sizes = [_size(record) for record in records]
+        if (
+            sum(sizes) + LENGTH_BYTES * len(sizes) > CALL_BYTES
+            or max(sizes, default=0) > RECORD_BYTES
+        ):
+            return Unavailable("status 400", certain=True)
         kept = self.topics[topic]
         if producer is not None:
             answer = self._check(kept, producer, bool(records))
@@ -127,7 +177,11 @@
 
 
 class EmulatedStore:
-    """The store as one member sees it."""
+    """The store as one member sees it.
+
+    An append that has been sent is carried out whatever becomes of its caller: only its answer is
+    awaited for some seconds. Those on different connections may overtake one another.
+    """
 
     def __init__(self, state: StoreState, member: str) -> None:
         self._state = state
@@ -141,63 +195,70 @@
         producer: Producer | None = None,
         at: int | None = None,
     ) -> AppendResult:
-        state = self._state
-        if not await self._reach(timeout):
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[AppendResult] = loop.create_future()
+        there, back = self._travel()
+        carry_out = partial(self._state.append, topic, records, producer, at)
+        loop.call_later(there, self._arrived, topic, carry_out, back, answer)
+        try:
+            async with asyncio.timeout(timeout):
+                return await answer
+        except TimeoutError:
             return Unavailable("no answer")
-        if state.lost and state.rng.random() < state.lost:
-            if state.late:
-                delay = state.rng.uniform(1.0, 6.0)
-                asyncio.get_running_loop().call_later(
-                    delay, state.append, topic, records, producer, at
-                )
-            else:
-                state.append(topic, records, producer, at)
-            await asyncio.sleep(timeout)
-            return Unavailable("the answer was lost")
-        if state.append_time:
-            return await self._in_turn(topic, records, producer, at)
-        return state.append(topic, records, producer, at)
 
-    async def _in_turn(
-        self, topic: Topic, records: list[Record], producer: Producer | None, at: int | None
-    ) -> AppendResult:
-        """Carry an append out after those before it, also if its caller has left by then."""
+    def _arrived(
+        self,
+        topic: Topic,
+        carry_out: Callable[[], AppendResult],
+        back: float,
+        answer: "asyncio.Future[AppendResult]",
+    ) -> None:
+        """Carry an append out, after those before it and with or without an answer."""
         state = self._state
         loop = asyncio.get_running_loop()
-        answer: asyncio.Future[AppendResult] = loop.create_future()
+        if self._away():
+            return
+        if state.lost and state.rng.random() < state.lost:
+            delay = state.rng.uniform(1.0, 6.0) if state.late else 0.0
+            loop.call_later(delay, carry_out)
+            return
 
-        def carry_out() -> None:
-            result = state.append(topic, records, producer, at)
-            if not answer.done():
-                answer.set_result(result)
+        def take_turn() -> None:
+            loop.call_later(back, self._answer, answer, carry_out())
 
-        loop.call_at(state.turn(topic, loop.time()), carry_out)
-        return await answer
+        if not state.append_time:
+            take_turn()
+        elif state.backlog(topic, loop.time()) > LONGEST_WAIT:
+            refusal = Unavailable("status 503", certain=True)
+            loop.call_later(back, self._answer, answer, refusal)
+        else:
+            loop.call_at(state.turn(topic, loop.time()), take_turn)
+
+    def _answer(self, answer: "asyncio.Future[AppendResult]", result: AppendResult) -> None:
+        if not answer.done() and not self._away():
+            answer.set_result(result)
 
     async def newest(self, topic: Topic, after: str, timeout: float) -> Page | Unavailable:
-        if not await self._reach(timeout) or self._blind_to(topic):
+        back = await self._reach(timeout)
+        if back is None or self._blind_to(topic):
             return Unavailable("no answer")
-        kept = self._state.topics[topic]
-        items = [kept.newest[key] for key in sorted(kept.newest) if key > after]
-        return Page(items[:PAGE], len(items) > PAGE, kept.end)
+        page = self._state.topics[topic].page(after)
+        await asyncio.sleep(back)
+        return page
 
     async def read(self, topic: Topic, offset: int, wait: float) -> ReadResult:
-        if not await self._reach(wait + 0.8):
+        back = await self._reach(wait + 0.8)
+        if back is None:
             return Unavailable("no answer")
         kept = self._state.topics[topic]
-        if offset < kept.first:
-            return Trimmed()
         if offset >= kept.end:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(kept.changed.wait(), wait)
-            except TimeoutError:
-                return Records([], kept.end)
         if self._away() or self._blind_to(topic):
             return Unavailable("the connection was lost")
-        if offset < kept.first:
-            return Trimmed()
-        found = kept.records[offset - kept.first :]
-        return Records(found, kept.end)
+        found = kept.after(offset)
+        await asyncio.sleep(back)
+        return found
 
     def _blind_to(self, topic: Topic) -> bool:
         return topic is Topic.CONFIGURATION and self._member in self._state.blind
@@ -205,10 +266,18 @@
     def _away(self) -> bool:
         return self._state.down or self._member in self._state.turned_away
 
-    async def _reach(self, timeout: float) -> bool:
-        latency = self._state.latency
-        if self._away() or latency > timeout:
+    def _travel(self) -> tuple[float, float]:
+        """Return the seconds that a call needs to the store, and that its answer needs back."""
+        rng = self._state.rng
+        both = self._state.latency * rng.uniform(0.8, 1.2)
+        there = both * rng.uniform(*self._state.share_there)
+        return there, both - there
+
+    async def _reach(self, timeout: float) -> float | None:
+        """Travel to the store; return the seconds back, or ``None`` if no answer comes in time."""
+        there, back = self._travel()
+        if self._away() or there + back > timeout:
             await asyncio.sleep(timeout)
-            return False
-        await asyncio.sleep(latency * self._state.rng.uniform(0.8, 1.2))
-        return not self._away()
+            return None
+        await asyncio.sleep(there)
+        return None if self._away() else back
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -17,7 +17,7 @@
 from tornado.testing import bind_unused_port
 
 from sablemount.control.ports import CallError, HoldCall, Started
-from sablemount.control.store import Appended, Conflict, Fenced, Producer, Topic, WrongSequence
+from sablemount.control.store import Appended, Conflict, Fenced, Producer, Topic, Unavailable
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import Organisation, Shape
 from sablemount.jobs.records import Record
@@ -110,7 +110,8 @@
             return 412, {"end": result.end}
         if isinstance(result, Fenced):
             return 409, {"reason": "fenced", "epoch": result.epoch}
-        assert isinstance(result, WrongSequence)
+        if isinstance(result, Unavailable):
+            return 400, {"error": result.reason}
         return 409, {"reason": "seq", "seq": result.wanted}
 
     def _newest(self, topic: Topic, after: str) -> tuple[int, object]:
