--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -28,7 +28,8 @@
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.network import Wires
 from tests.emulator.store import EmulatedStore, StoreState
-from tests.emulator.vms import Cell, EmulatedAdvice, EmulatedVms, Vm
+from tests.emulator.vm_ports import EmulatedAdvice, EmulatedVms
+from tests.emulator.vms import Cell, Vm
 
 HOST = "queues.example"
 PREFIX = "/queue/"
