Mixes: the operator writes no configuration into a store that is down

The platform's operator writes to the store as well, and a bound runs from its answer; he now waits until it is up.

--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -15,6 +15,8 @@
 """What goes on beside the traffic."""
 SETTLE = 60.0
 """Seconds in which every accepted job has to end once all faults are undone."""
+OPERATOR_PAUSE = 0.05
+"""Seconds after which the operator tries again to write to a store that is down."""
 CAPS = (40_000, 46_000, 60_000)
 """Cores of the smaller organisation's cap: each holds the widest gang that is handed in."""
 
@@ -77,4 +79,7 @@
 async def _change_caps(system: System, rng: random.Random) -> None:
     for version in range(3, 9):
         await asyncio.sleep(rng.uniform(0.5, 3.0))
+        while system.store.down:
+            # What the operator writes is in force from the store's answer on.
+            await asyncio.sleep(OPERATOR_PAUSE)
         system.configure(version, organisations=organisations(rng.choice(CAPS)))
