Emulated VMs take starts, stops and leases as the platform's do

Asked directly, a VM answers a start whose time is over with `late` although its run is there, holds several runs of one task side by side, stops with a run those of lower numbers, lists no end of one that was not there, extends the leases also by a start that it refuses as `old` or for its ticket (700 ms became 2,000), but not by `late` or `fence`, and forgets ends up to an acknowledged number also before they come. The emulation took a late start for done while its run was there, kept one run a task, stopped only the run that was named, and counted tasks as done that a late order had started after the end of the VM's life. No finding in the product.

--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -45,9 +45,11 @@
     slow: float = 1.0
     fence: int = 0
     until_ms: float = 0.0
-    runs: dict[str, Run] = field(default_factory=dict)
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     ends: list[EndReport] = field(default_factory=list)
-    ended_runs: Counter[str] = field(default_factory=Counter)
+    barred: Counter[str] = field(default_factory=Counter)
+    """The highest run that was stopped or has ended, by the task: none up to it starts any more."""
+    acked_end: int = 0
     next_end: int = 1
     news: asyncio.Event = field(default_factory=asyncio.Event)
     lapse: asyncio.TimerHandle | None = None
@@ -56,7 +58,7 @@
     """Task, time and count of lapses, by the number of an end ``done``."""
 
     def clock_ms(self, now: float) -> float:
-        return self.clock_start + now * 1000.0 * self.clock_rate
+        return float(int(self.clock_start + now * 1000.0 * self.clock_rate))
 
     def used(self) -> Shape:
         total = Shape()
@@ -150,18 +152,21 @@
     def start(self, vm: Vm, action: StartRun, fence: int, until: int) -> StartResult:
         now = asyncio.get_running_loop().time()
         clock = vm.clock_ms(now)
+        if not vm.up:
+            return CallError.NO_ANSWER
         if fence < vm.fence:
             return CallError.FENCED
         vm.fence = fence
-        present = vm.runs.get(action.task)
-        if present is not None and present.number == action.run:
-            return Started(clock)
-        if action.run <= vm.ended_runs[action.task]:
-            return StartRefusal.OLD
         if until < clock:
+            # Also if the run is there.
             return StartRefusal.LATE
-        self._begin(vm, action, now)
+        # A refused start extends the leases too.
         self._extend(vm, until, now)
+        if (action.task, action.run) in vm.runs:
+            return Started(clock)
+        if action.run <= vm.barred[action.task]:
+            return StartRefusal.OLD
+        self._begin(vm, action, now)
         return Started(clock)
 
     def _begin(self, vm: Vm, action: StartRun, now: float) -> None:
@@ -172,7 +177,7 @@
         self.starts.setdefault(action.task, []).append(now)
         length = max(0.05, self.rng.expovariate(1.0 / self.seconds)) * vm.slow
         run = Run(action.task, action.run, spec.charge, now, length)
-        vm.runs[action.task] = run
+        vm.runs[action.task, action.run] = run
         if spec.gang:
             self._gang_joined(vm, run, spec.count)
             return
@@ -213,7 +218,7 @@
         if action.task in self.noted:
             self.violations.append(f"started after its end was noted: {action.task}")
         for other in self.vms.values():
-            if other.up and action.task in other.runs:
+            if other.up and any(run.task == action.task for run in other.runs.values()):
                 self.violations.append(f"runs twice: {action.task}")
         if self.failures[action.task] >= self.max_attempts:
             self.violations.append(f"beyond its attempts: {action.task}")
@@ -232,13 +237,14 @@
         self._end(vm, run, "failed" if failed else "done")
 
     def _end(self, vm: Vm, run: Run, how: str) -> None:
-        if vm.runs.get(run.task) is not run or not vm.up:
+        if vm.runs.get((run.task, run.number)) is not run or not vm.up:
             return
         if run.timer is not None:
             run.timer.cancel()
-        del vm.runs[run.task]
-        vm.ended_runs[run.task] = max(vm.ended_runs[run.task], run.number)
-        vm.ends.append(EndReport(vm.next_end, run.task, run.number, how))
+        del vm.runs[run.task, run.number]
+        vm.barred[run.task] = max(vm.barred[run.task], run.number)
+        if vm.next_end > vm.acked_end:
+            vm.ends.append(EndReport(vm.next_end, run.task, run.number, how))
         if how == "done":
             now = asyncio.get_running_loop().time()
             vm.done_ends[vm.next_end] = (run.task, now, vm.lapses)
@@ -246,14 +252,17 @@
         vm.news.set()
 
     def stop(self, vm: Vm, task: str, number: int, fence: int) -> CallError | None:
+        """Stop a run and those before it, and let none of them start any more."""
+        if not vm.up:
+            return CallError.NO_ANSWER
         if fence < vm.fence:
             return CallError.FENCED
         vm.fence = fence
-        run = vm.runs.get(task)
-        if run is not None and run.number == number and not run.stopping:
-            run.stopping = True
-            asyncio.get_running_loop().call_later(STOP_TIME, self._end, vm, run, "stopped")
-        vm.ended_runs[task] = max(vm.ended_runs[task], number)
+        for run in vm.runs.values():
+            if run.task == task and run.number <= number and not run.stopping:
+                run.stopping = True
+                asyncio.get_running_loop().call_later(STOP_TIME, self._end, vm, run, "stopped")
+        vm.barred[task] = max(vm.barred[task], number)
         return None
 
     # -- Leases ------------------------------------------------------------------------------
@@ -274,6 +283,8 @@
 
     def hold(self, vm: Vm, call: HoldCall) -> CallError | None:
         now = asyncio.get_running_loop().time()
+        if not vm.up:
+            return CallError.NO_ANSWER
         if call.fence < vm.fence:
             return CallError.FENCED
         vm.fence = call.fence
@@ -282,7 +293,8 @@
         for end in vm.ends:
             if end.number <= call.acked_end and end.outcome == "done":
                 self._note(vm, end.number)
-        vm.ends = [end for end in vm.ends if end.number > call.acked_end]
+        vm.acked_end = max(vm.acked_end, call.acked_end)
+        vm.ends = [end for end in vm.ends if end.number > vm.acked_end]
         return None
 
     def _note(self, vm: Vm, number: int) -> None:
--- /dev/null
+++ b/tests/jobs/test_emulated_vms.py
@@ -0,0 +1,145 @@
+"""Emulated VMs do of orders what the platform's do, as those were found to when asked directly."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import pytest
+
+from sablemount.control.ports import CallError, HoldCall, Started
+from sablemount.jobs.actions import StartRun
+from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from sablemount.jobs.scheduler import StartRefusal
+from tests.emulator.loop import run
+from tests.emulator.vms import Cell, Vm
+
+LONG = 60.0
+FENCE = 1
+
+
+class _Bench:
+    """A cell with some VMs that are told what to do."""
+
+    def __init__(self, tasks: int = 4, gang: bool = False, vms: int = 1) -> None:
+        self.cell = Cell(random.Random(1))
+        self.cell.fail_share = 0.0
+        self.cell.seconds = LONG
+        self.cell.jobs["j"] = JobSpec("payload", (StepSpec(tasks, Shape(1_000, 1_000), gang=gang),))
+        self.vms = [self.cell.add(f"w{n}", "r", Shape(16_000, 64_000)) for n in range(vms)]
+        self.vm = self.vms[0]
+
+    def clock(self, vm: Vm | None = None) -> int:
+        return int((vm or self.vm).clock_ms(asyncio.get_running_loop().time()))
+
+    def start(
+        self,
+        index: int,
+        number: int,
+        seconds: float = 5.0,
+        vm: Vm | None = None,
+        fence: int = FENCE,
+    ) -> object:
+        at = vm or self.vm
+        action = StartRun(at.info.name, f"j.0.0.{index}", number, "payload", 0.0)
+        return self.cell.start(at, action, fence, self.clock(at) + int(seconds * 1000))
+
+    def stop(self, index: int, number: int, vm: Vm | None = None) -> None:
+        assert self.cell.stop(vm or self.vm, f"j.0.0.{index}", number, FENCE) is None
+
+    def hold(self, acked: int = 0, seconds: float = 5.0) -> None:
+        call = HoldCall("", "", FENCE, self.clock() + int(seconds * 1000), acked, 0.0)
+        assert self.cell.hold(self.vm, call) is None
+
+    def running(self, vm: Vm | None = None) -> list[tuple[str, int]]:
+        return [(row.task, row.number) for row in (vm or self.vm).runs.values()]
+
+    def ends(self, vm: Vm | None = None) -> list[tuple[int, str]]:
+        return [(end.run, end.outcome) for end in (vm or self.vm).ends]
+
+
+def test_a_start_that_comes_again_too_late_is_refused_though_its_run_is_there() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        assert isinstance(bench.start(0, 3), Started)
+        assert isinstance(bench.start(0, 3), Started)
+        assert bench.start(0, 3, -0.05) is StartRefusal.LATE
+        assert bench.running() == [("j.0.0.0", 3)]
+
+    run(scenario())
+
+
+def test_runs_of_one_task_go_on_side_by_side() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        for number in (2, 7, 5):
+            assert isinstance(bench.start(0, number), Started)
+        bench.stop(0, 5)
+        await asyncio.sleep(0.5)
+        assert bench.running() == [("j.0.0.0", 7)]
+        assert sorted(bench.ends()) == [(2, "stopped"), (5, "stopped")]
+        assert bench.start(0, 4) is StartRefusal.OLD
+        assert isinstance(bench.start(0, 6), Started)
+
+    run(scenario())
+
+
+def test_a_stop_of_a_run_that_is_not_there_bars_it_without_an_end() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        bench.stop(1, 5)
+        assert bench.start(1, 5) is StartRefusal.OLD
+        assert isinstance(bench.start(1, 6), Started)
+        assert bench.ends() == []
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("other", "lasts"),
+    [
+        (lambda bench: bench.start(1, 4, 2.0), 2.0),
+        (lambda bench: bench.start(1, 4, -0.1), 0.7),
+        (lambda bench: bench.start(1, 4, 2.0, fence=0), 0.7),
+        (lambda bench: bench.hold(seconds=2.0), 2.0),
+        (lambda bench: bench.hold(seconds=0.3), 0.7),
+    ],
+    ids=["old", "late", "fence", "longer", "shorter"],
+)
+def test_what_extends_leases(other: Callable[[_Bench], object], lasts: float) -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        bench.stop(1, 4)
+        bench.start(0, 1, 0.7)
+        other(bench)
+        await asyncio.sleep(lasts - 0.1)
+        assert len(bench.running()) == 1
+        await asyncio.sleep(0.2)
+        assert bench.ends() == [(1, "lapsed")]
+        assert bench.start(0, 1) is StartRefusal.OLD
+
+    run(scenario())
+
+
+def test_an_end_that_was_acknowledged_beforehand_is_not_listed() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        bench.start(0, 1)
+        bench.hold(acked=9)
+        bench.stop(0, 1)
+        await asyncio.sleep(0.5)
+        bench.hold()
+        assert bench.ends() == []
+
+    run(scenario())
+
+
+def test_an_order_that_comes_after_the_end_of_a_life_does_nothing() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        bench.cell.seconds = 0.1
+        bench.cell.crash(bench.vm)
+        assert bench.start(0, 1) is CallError.NO_ANSWER
+        await asyncio.sleep(2.0)
+        assert not bench.cell.done
+
+    run(scenario())
