Emulated gangs break at once when a member ends

As the platform's VMs do: of two members of three, the first ended `alone` after 3 s and the second `broken` with it; when one of three was stopped, the other two were `broken` as its end was listed.

--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -29,6 +29,7 @@
     charge: Shape
     began: float
     length: float
+    gang: bool = False
     stopping: bool = False
     timer: asyncio.TimerHandle | None = None
 
@@ -84,7 +85,6 @@
         self.max_attempts = 4
         self.fail_share = 0.03
         self.seconds = 1.0
-        self._gangs: dict[tuple[str, int], set[str]] = {}
         self._lives = 0
         self.owners: dict[str, str] = {}
         """Organisations, by job."""
@@ -176,7 +176,7 @@
         self._check_cap(action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
         length = max(0.05, self.rng.expovariate(1.0 / self.seconds)) * vm.slow
-        run = Run(action.task, action.run, spec.charge, now, length)
+        run = Run(action.task, action.run, spec.charge, now, length, spec.gang)
         vm.runs[action.task, action.run] = run
         if spec.gang:
             self._gang_joined(vm, run, spec.count)
@@ -184,32 +184,33 @@
         run.timer = asyncio.get_running_loop().call_later(length, self._finish, vm, run)
 
     def _gang_joined(self, vm: Vm, run: Run, count: int) -> None:
-        key = (run.task.rpartition(".")[0], run.number)
-        members = self._gangs.setdefault(key, set())
-        members.add(run.task)
+        members = self._members(run)
         loop = asyncio.get_running_loop()
         if len(members) < count:
-            run.timer = loop.call_later(GANG_TIMEOUT, self._alone, vm, run, key, count)
+            run.timer = loop.call_later(GANG_TIMEOUT, self._end, vm, run, "alone")
             return
-        loop.call_later(run.length, self._gang_finish, key, run.number)
-
-    def _alone(self, vm: Vm, run: Run, key: tuple[str, int], count: int) -> None:
-        if len(self._gangs[key]) < count:
-            self._end(vm, run, "alone")
-
-    def _gang_finish(self, key: tuple[str, int], number: int) -> None:
-        step = key[0]
-        present = [
-            (vm, run)
+        for _, member in members:
+            if member.timer is not None:
+                member.timer.cancel()
+        loop.call_later(run.length, self._gang_finish, run, count)
+
+    def _members(self, run: Run) -> list[tuple[Vm, Run]]:
+        """Return what is there of a gang's run."""
+        step = run.task.rpartition(".")[0]
+        return [
+            (vm, other)
             for vm in self.vms.values()
-            for run in list(vm.runs.values())
-            if run.task.rpartition(".")[0] == step and run.number == number
+            for other in vm.runs.values()
+            if vm.up and other.number == run.number and other.task.rpartition(".")[0] == step
         ]
-        whole = len(present) == len(self._gangs[key])
-        for vm, run in present:
-            if whole:
-                self.done.add(run.task)
-            self._end(vm, run, "done" if whole else "broken")
+
+    def _gang_finish(self, run: Run, count: int) -> None:
+        members = self._members(run)
+        whole = len(members) == count
+        if whole:
+            self.done.update(member.task for _, member in members)
+        for vm, member in members:
+            self._end(vm, member, "done" if whole else "broken")
 
     def _check(self, vm: Vm, action: StartRun, charge: Shape) -> None:
         job, repetition, step, _ = action.task.split(".")
@@ -250,6 +251,9 @@
             vm.done_ends[vm.next_end] = (run.task, now, vm.lapses)
         vm.next_end += 1
         vm.news.set()
+        if run.gang and how not in ("done", "broken"):
+            for other_vm, other in self._members(run):
+                self._end(other_vm, other, "broken")
 
     def stop(self, vm: Vm, task: str, number: int, fence: int) -> CallError | None:
         """Stop a run and those before it, and let none of them start any more."""
--- a/tests/jobs/test_emulated_vms.py
+++ b/tests/jobs/test_emulated_vms.py
@@ -143,3 +143,45 @@
         assert not bench.cell.done
 
     run(scenario())
+
+
+def _outcomes(bench: _Bench) -> list[list[tuple[int, str]]]:
+    return [bench.ends(vm) for vm in bench.vms]
+
+
+def test_members_that_wait_in_vain_end_with_the_first_of_them() -> None:
+    async def scenario() -> None:
+        bench = _Bench(tasks=3, gang=True, vms=3)
+        bench.start(0, 1, vm=bench.vms[0])
+        await asyncio.sleep(0.5)
+        bench.start(1, 1, vm=bench.vms[1])
+        await asyncio.sleep(2.6)
+        assert _outcomes(bench) == [[(1, "alone")], [(1, "broken")], []]
+
+    run(scenario())
+
+
+def test_a_member_that_is_stopped_breaks_its_gang_at_once() -> None:
+    async def scenario() -> None:
+        bench = _Bench(tasks=2, gang=True, vms=2)
+        for index, vm in enumerate(bench.vms):
+            bench.start(index, 1, vm=vm)
+        await asyncio.sleep(0.2)
+        bench.stop(0, 1, bench.vms[0])
+        await asyncio.sleep(0.4)
+        assert _outcomes(bench) == [[(1, "stopped")], [(1, "broken")]]
+        assert not bench.cell.done
+
+    run(scenario())
+
+
+def test_a_whole_gang_ends_together() -> None:
+    async def scenario() -> None:
+        bench = _Bench(tasks=2, gang=True, vms=2)
+        bench.cell.seconds = 0.1
+        for index, vm in enumerate(bench.vms):
+            bench.start(index, 1, vm=vm)
+        await asyncio.sleep(2.0)
+        assert _outcomes(bench) == [[(1, "done")], [(1, "done")]]
+
+    run(scenario())
