--- a/tests/jobs/test_parted_leader.py
+++ b/tests/jobs/test_parted_leader.py
@@ -17,7 +17,8 @@
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.loop import run
 from tests.emulator.system import HOST, PREFIX, TIMEOUT, System
-from tests.emulator.vms import EmulatedVms, Vm
+from tests.emulator.vm_ports import EmulatedVms
+from tests.emulator.vms import Vm
 
 MEMBERS = 5
 VMS = 4
