--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -6,9 +6,8 @@
 import random
 from collections.abc import Coroutine
 
-import msgspec
-
 from sablemount.control.announcer import announce
+from sablemount.control.caller_route import CallerRoute
 from sablemount.control.clock import monotonic
 from sablemount.control.configuration_feed import ConfigurationFeed
 from sablemount.control.discovery import Discovery
@@ -29,8 +28,6 @@
     LeaderRecord,
     LeaderView,
     Message,
-    Operation,
-    Outcome,
     Ping,
     Pong,
     Reply,
@@ -53,37 +50,19 @@
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
-CALL_TIMEOUT = 2.0
-"""Seconds that the leader has to answer a caller's request, below the 3 s that callers wait."""
 YIELD_TIMEOUT = 0.5
 """Seconds that a member has to say whether it takes over."""
 HAND_OVER_LIMIT = 1.5
 """Seconds after which no further member is asked: a leader that is cut off reaches none, and has to
 end within its grace, 6 s by default."""
-HAND_OVER_WAIT = 0.4
-"""Seconds that a request waits for a new leader: one that was killed is replaced in 0.3 to 0.4 s,
-and a caller that is refused comes back a second later."""
-HAND_OVER_TIME = 0.5
-"""Seconds after which a change of leader counts as an outage, and requests are refused at once."""
 PREPARE_TIME = 1.0
 """Seconds for which a member that is to take over reads what lasts before it claims; two pages took
 0.8 s in a store 91 times slower than usual, in virtual time."""
 TAKE_OVER_TIME = 2.5
 """Seconds that a leader that is being stopped waits for its successor to claim, by an append; that
 took 0.5 s in a store 91 times slower than usual, in virtual time."""
-HAND_OVER_POLL = 0.01
-"""Seconds between looks at whether somebody leads."""
-UNCERTAIN_WAIT = 2.0
-"""Seconds for which a request whose answer was lost with the leader is asked of the next one.
-
-It may have taken effect, which only the next leader can tell. That one is there within 1 s mostly,
-within 2 s in a store 91 times slower than usual, and callers wait 3 s."""
 CONFIRMATIONS = 4
 """How often the configuration is confirmed in the time after which it would count as not so."""
-REFUSALS = (Outcome.NOT_TAKEN, Outcome.NO_QUEUE, Outcome.NO_KEY, Outcome.NAME_TAKEN)
-"""Answers that would be wrong if an earlier try took effect."""
-
-UNCONFIRMED = "the configuration is not confirmed here"
 
 _logger = logging.getLogger("sablemount.control.member")
 
@@ -107,7 +86,6 @@
         self._network = network
         self._listener: Listener | None = None
         self._led_at = -1e9
-        self._started_at = monotonic()
         self._link = LeaderLink(settings, network, self._handle)
         self._preload = Preload(ports.store)
         self._election = Election(
@@ -130,6 +108,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._spawn)
         self._link.on_pong = self.feed.heard
+        self._route = CallerRoute(
+            settings, self._link, self.feed, self.figures, self._leading, self._served_at
+        )
         self._configurations = Follower(
             ports.store,
             Topic.CONFIGURATION,
@@ -378,75 +359,4 @@
 
         ``digest`` is that of the caller's key, if it has shown one.
         """
-        began = monotonic()
-        reply = await self._serve(call, timeout, digest)
-        self.figures.observe("request", monotonic() - began)
-        self.figures.count("request", reply.outcome.name.lower())
-        return reply
-
-    async def _serve(self, call: CallerCall, timeout: float, digest: bytes | None) -> CallerReply:
-        """Ask the leader, and its successor if the lead changes hands meanwhile.
-
-        A job keeps its name, so that it may be handed in again after a lost answer. Each try is
-        admitted anew, since the configuration may have changed.
-        """
-        began = monotonic()
-        uncertain = False
-        while True:
-            await self._await_leader(began + HAND_OVER_WAIT)
-            reply = await self._try(call, timeout - (monotonic() - began), digest)
-            uncertain = uncertain or reply.outcome is Outcome.UNKNOWN
-            limit = UNCERTAIN_WAIT if uncertain else HAND_OVER_WAIT
-            if not reply.changing or monotonic() - began > limit:
-                break
-            await asyncio.sleep(HAND_OVER_POLL)
-        if uncertain and reply.outcome in REFUSALS:
-            return CallerReply(Outcome.UNKNOWN, reason=reply.reason)
-        return reply
-
-    async def _try(self, call: CallerCall, timeout: float, digest: bytes | None) -> CallerReply:
-        """Admit a call and ask the leader, which takes it only if both know one configuration."""
-        admitted = self.feed.gate.admit(call, digest)
-        if isinstance(admitted, CallerReply):
-            return admitted if self._current() else not_taken(UNCONFIRMED, changing=True)
-        if self.settings.fail_closed and self.feed.age > self.settings.revoke_after:
-            return not_taken(UNCONFIRMED)
-        reply = await self._ask_leader(admitted, timeout)
-        if reply.version > admitted.version:
-            await self.feed.reach(reply.version)
-        if reply.outcome is Outcome.DONE:
-            return reply
-        return msgspec.structs.replace(reply, organisation=admitted.organisation)
-
-    def _current(self) -> bool:
-        """Tell whether this process leads or hears the leader, so that it knows what is in force.
-
-        One that doesn't may have missed a change, and must not refuse by what it knows.
-        """
-        leader = self._leading()
-        return self._link.leads if leader is None else leader.authority()
-
-    async def _ask_leader(self, call: CallerCall, timeout: float) -> CallerReply:
-        leader = self._leading()
-        if leader is not None:
-            return await leader.serve(call)
-        try:
-            reply = await self._link.call(call, min(timeout, CALL_TIMEOUT))
-        except CallFailed as failed:
-            return _failed(call, failed)
-        assert isinstance(reply, CallerReply)
-        return reply
-
-    async def _await_leader(self, last: float) -> None:
-        """Wait a moment while the lead changes hands, or while this process finds who leads."""
-        while self._leading() is None and not self._link.leads and monotonic() < last:
-            since = max(self._served_at(), self._started_at)
-            if monotonic() - since > HAND_OVER_TIME:
-                return
-            await asyncio.sleep(HAND_OVER_POLL)
-
-
-def _failed(call: CallerCall, failed: CallFailed) -> CallerReply:
-    if failed.sent and call.operation is not Operation.STATE:
-        return CallerReply(Outcome.UNKNOWN, reason=str(failed), changing=failed.closed)
-    return not_taken(str(failed), changing=not failed.sent or failed.closed)
+        return await self._route.serve(call, timeout, digest)
