Both sides of a planned hand-over have a module of their own

Cause: member.py asked for a successor, waited for it, and readied itself as one, among its other jobs. Change: control/hand_over.py has the leader's side as a function and the other one as a class Successor, which tells by one callback that the claim is to be made.

--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -14,6 +14,7 @@
 from sablemount.control.election import Election
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
+from sablemount.control.hand_over import Successor, hand_over
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
@@ -31,12 +32,10 @@
     Ping,
     Pong,
     Reply,
-    TakeOver,
-    TakeOverReply,
     ViewCall,
     not_taken,
 )
-from sablemount.control.network import CallFailed, Link, Listener, Network
+from sablemount.control.network import Link, Listener, Network
 from sablemount.control.organisation_figures import organisation_gauges
 from sablemount.control.preload import Preload
 from sablemount.control.roster import Roster
@@ -50,17 +49,6 @@
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
-YIELD_TIMEOUT = 0.5
-"""Seconds that a member has to say whether it takes over."""
-HAND_OVER_LIMIT = 1.5
-"""Seconds after which no further member is asked: a leader that is cut off reaches none, and has to
-end within its grace, 6 s by default."""
-PREPARE_TIME = 1.0
-"""Seconds for which a member that is to take over reads what lasts before it claims; two pages took
-0.8 s in a store 91 times slower than usual, in virtual time."""
-TAKE_OVER_TIME = 2.5
-"""Seconds that a leader that is being stopped waits for its successor to claim, by an append; that
-took 0.5 s in a store 91 times slower than usual, in virtual time."""
 CONFIRMATIONS = 4
 """How often the configuration is confirmed in the time after which it would count as not so."""
 
@@ -105,6 +93,7 @@
         )
         self._asked = asyncio.Event()
         """Set when the leader has asked this member to take over."""
+        self._successor = Successor(self._link, self._preload, self._prepared, self._spawn)
         self._tasks: set[asyncio.Task[None]] = set()
         self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._spawn)
         self._link.on_pong = self.feed.heard
@@ -140,35 +129,8 @@
         """Hand over what this member leads."""
         self.stopping = self._link.stopping = True
         leader = self.leader
-        if leader is None:
-            return
-        if await self._hand_over(leader):
-            # It serves and gives orders until its successor has claimed.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TAKE_OVER_TIME):
-                    await leader.over.wait()
-        if not leader.over.is_set():
-            await leader.drain()
-        leader.end("planned stop")
-
-    async def _hand_over(self, leader: Leader) -> bool:
-        """Ask one member after the other to take over; return whether one does."""
-        last = monotonic() + HAND_OVER_LIMIT
-        for name, link in leader.members.successors():
-            if monotonic() > last:
-                break
-            try:
-                reply = await link.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
-            except CallFailed as failed:
-                _logger.info("successor not reached", extra={"to": name, "why": str(failed)})
-                continue
-            taken = isinstance(reply, TakeOverReply) and reply.taken
-            _logger.info(
-                "successor asked", extra={"to": name, "epoch": leader.epoch, "taken": taken}
-            )
-            if taken:
-                return True
-        return False
+        if leader is not None:
+            await hand_over(leader)
 
     def close(self) -> None:
         """End all connections and tasks."""
@@ -246,6 +208,11 @@
             elif not self.stopping:
                 await self._election.consider()
 
+    def _prepared(self, epoch: int) -> None:
+        """Claim at once, as the leader of an epoch has asked for."""
+        self._election.asked(epoch)
+        self._asked.set()
+
     def _won(self, epoch: int) -> None:
         self._spawn(self._lead(epoch))
 
@@ -296,7 +263,7 @@
             return ConfigurationReply()
         if isinstance(message, AdviseCall):
             return await self.ports.advice.advise(message.step, message.vms, message.timeout)
-        return self._take_over(message)
+        return self._successor.asked(message)
 
     def _own_view(self) -> LeaderView:
         leader = self._leading()
@@ -331,19 +298,6 @@
         if self.leader is not None:
             self.leader.members.link_closed(link)
 
-    def _take_over(self, message: TakeOver) -> Reply:
-        record = self._link.record
-        taken = record is not None and message.epoch == record.epoch and not self.stopping
-        if taken:
-            self._spawn(self._prepare(message.epoch))
-        return TakeOverReply(taken)
-
-    async def _prepare(self, epoch: int) -> None:
-        """Read what lasts while the leader goes on, and claim then."""
-        await asyncio.wait([self._preload.begin()], timeout=PREPARE_TIME)
-        self._election.asked(epoch)
-        self._asked.set()
-
     async def _serve_locally(self, call: CallerCall) -> CallerReply:
         leader = self._leading()
         if leader is None:
