What a member answers to other members has a module of its own

Cause: member.py still held the answers to pings, to questions for the leader and to calls that are passed on, beside its life and who leads.

--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -17,24 +17,9 @@
 from sablemount.control.hand_over import Successor, hand_over
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.leader_link import LeaderLink
+from sablemount.control.member_calls import MemberCalls
 from sablemount.control.member_settings import MemberSettings
-from sablemount.control.messages import (
-    AdviseCall,
-    Announce,
-    CallerCall,
-    CallerReply,
-    ConfigurationCall,
-    ConfigurationNews,
-    ConfigurationReply,
-    LeaderRecord,
-    LeaderView,
-    Message,
-    Ping,
-    Pong,
-    Reply,
-    ViewCall,
-    not_taken,
-)
+from sablemount.control.messages import CallerCall, CallerReply, LeaderRecord, Message, Reply
 from sablemount.control.network import Link, Listener, Network
 from sablemount.control.organisation_figures import organisation_gauges
 from sablemount.control.preload import Preload
@@ -93,10 +78,17 @@
         )
         self._asked = asyncio.Event()
         """Set when the leader has asked this member to take over."""
-        self._successor = Successor(self._link, self._preload, self._prepared, self._spawn)
         self._tasks: set[asyncio.Task[None]] = set()
         self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._spawn)
         self._link.on_pong = self.feed.heard
+        self._calls = MemberCalls(
+            self._link,
+            self.feed,
+            ports.advice,
+            Successor(self._link, self._preload, self._prepared, self._spawn),
+            lambda: self.leader,
+            self._follow,
+        )
         self._route = CallerRoute(
             settings, self._link, self.feed, self.figures, self._leading, self._served_at
         )
@@ -247,63 +239,12 @@
     # -- Calls of other members --------------------------------------------------------------
 
     async def _handle(self, link: Link, message: Message) -> Reply:
-        if isinstance(message, Ping):
-            return self._pinged(link, message)
-        if isinstance(message, ViewCall):
-            return self._own_view()
-        if isinstance(message, Announce):
-            self._follow(message.leader)
-            return self._own_view()
-        if isinstance(message, CallerCall):
-            return await self._serve_locally(message)
-        if isinstance(message, ConfigurationCall):
-            return self.feed.newer_than(message.version)
-        if isinstance(message, ConfigurationNews):
-            self.feed.offer(message.configuration, "member")
-            return ConfigurationReply()
-        if isinstance(message, AdviseCall):
-            return await self.ports.advice.advise(message.step, message.vms, message.timeout)
-        return self._successor.asked(message)
-
-    def _own_view(self) -> LeaderView:
-        leader = self._leading()
-        if leader is not None:
-            return LeaderView(leader.epoch, 0.0, True, self._link.record)
-        age = self._link.suspicion.heard_age(monotonic())
-        return LeaderView(self._link.epoch, age, self._link.linked, self._link.record)
-
-    def _pinged(self, link: Link, ping: Ping) -> Pong:
-        leader = self.leader
-        if leader is None or not leader.leading:
-            loading = leader is not None and not leader.over.is_set()
-            return Pong(self._link.epoch, False, 0.0, loading, leader=self._link.record)
-        if ping.epoch > leader.epoch:
-            leader.end("a member knows a later leader")
-            return Pong(leader.epoch, False, 0.0)
-        leader.members.pinged(link, ping)
-        roster = leader.roster
-        roster.note(ping.name, ping.address)
-        return Pong(
-            leader.epoch,
-            True,
-            leader.committer.owed_for(),
-            members=roster.since(ping.roster),
-            roster=roster.version,
-            configuration=self.feed.version,
-            configuration_age=self.feed.age,
-            wants_configuration=self.feed.wants(ping.configuration),
-        )
+        return await self._calls.handle(link, message)
 
     def _link_closed(self, link: Link) -> None:
         if self.leader is not None:
             self.leader.members.link_closed(link)
 
-    async def _serve_locally(self, call: CallerCall) -> CallerReply:
-        leader = self._leading()
-        if leader is None:
-            return not_taken("this member does not lead", changing=True)
-        return await leader.serve(call)
-
     # -- Callers -----------------------------------------------------------------------------
 
     async def serve(
--- /dev/null
+++ b/src/sablemount/control/member_calls.py
@@ -0,0 +1,109 @@
+"""What a member answers to the calls of other members."""
+
+from collections.abc import Callable
+
+from sablemount.control.clock import monotonic
+from sablemount.control.configuration_feed import ConfigurationFeed
+from sablemount.control.hand_over import Successor
+from sablemount.control.leader import Leader
+from sablemount.control.leader_link import LeaderLink
+from sablemount.control.messages import (
+    AdviseCall,
+    Announce,
+    CallerCall,
+    CallerReply,
+    ConfigurationCall,
+    ConfigurationNews,
+    ConfigurationReply,
+    LeaderRecord,
+    LeaderView,
+    Message,
+    Ping,
+    Pong,
+    Reply,
+    ViewCall,
+    not_taken,
+)
+from sablemount.control.network import Link
+from sablemount.control.ports import AdvicePort
+
+__all__ = ["MemberCalls"]
+
+
+class MemberCalls:
+    """Answers pings, questions for the leader, callers' requests and calls for advice.
+
+    ``leader`` returns the leadership of this process, also while it loads, and ``on_leader`` takes
+    a later leader that is announced.
+    """
+
+    def __init__(
+        self,
+        link: LeaderLink,
+        feed: ConfigurationFeed,
+        advice: AdvicePort,
+        successor: Successor,
+        leader: Callable[[], Leader | None],
+        on_leader: Callable[[LeaderRecord], None],
+    ) -> None:
+        self._link = link
+        self._feed = feed
+        self._advice = advice
+        self._successor = successor
+        self._leader = leader
+        self._on_leader = on_leader
+
+    async def handle(self, link: Link, message: Message) -> Reply:
+        """Answer a call that came over a link."""
+        if isinstance(message, Ping):
+            return self._pinged(link, message)
+        if isinstance(message, ViewCall):
+            return self._own_view()
+        if isinstance(message, Announce):
+            self._on_leader(message.leader)
+            return self._own_view()
+        if isinstance(message, CallerCall):
+            return await self._serve(message)
+        if isinstance(message, ConfigurationCall):
+            return self._feed.newer_than(message.version)
+        if isinstance(message, ConfigurationNews):
+            self._feed.offer(message.configuration, "member")
+            return ConfigurationReply()
+        if isinstance(message, AdviseCall):
+            return await self._advice.advise(message.step, message.vms, message.timeout)
+        return self._successor.asked(message)
+
+    def _own_view(self) -> LeaderView:
+        leader = self._leader()
+        if leader is not None and leader.leading:
+            return LeaderView(leader.epoch, 0.0, True, self._link.record)
+        age = self._link.suspicion.heard_age(monotonic())
+        return LeaderView(self._link.epoch, age, self._link.linked, self._link.record)
+
+    def _pinged(self, link: Link, ping: Ping) -> Pong:
+        leader = self._leader()
+        if leader is None or not leader.leading:
+            loading = leader is not None and not leader.over.is_set()
+            return Pong(self._link.epoch, False, 0.0, loading, leader=self._link.record)
+        if ping.epoch > leader.epoch:
+            leader.end("a member knows a later leader")
+            return Pong(leader.epoch, False, 0.0)
+        leader.members.pinged(link, ping)
+        roster = leader.roster
+        roster.note(ping.name, ping.address)
+        return Pong(
+            leader.epoch,
+            True,
+            leader.committer.owed_for(),
+            members=roster.since(ping.roster),
+            roster=roster.version,
+            configuration=self._feed.version,
+            configuration_age=self._feed.age,
+            wants_configuration=self._feed.wants(ping.configuration),
+        )
+
+    async def _serve(self, call: CallerCall) -> CallerReply:
+        leader = self._leader()
+        if leader is None or not leader.leading:
+            return not_taken("this member does not lead", changing=True)
+        return await leader.serve(call)
