One class holds the tasks of a member and of a leader

Cause: both kept a set of tasks, with the same code to begin one, to drop it and to look at its error. Change: control/background.py does so and hands an error to its owner: a member logs it, a leadership ends.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -4,13 +4,14 @@
 import contextlib
 import logging
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import msgspec
 
 from sablemount.control.advice_calls import AdviceCalls
 from sablemount.control.authority import Authority
+from sablemount.control.background import Background
 from sablemount.control.callers import Callers
 from sablemount.control.clock import LoopClock, monotonic
 from sablemount.control.commit import Committer, LostLeadership
@@ -84,13 +85,14 @@
         self.ports = ports
         self.figures = figures
         self.members = Members()
+        self._background = Background(self._failed)
         self.roster = roster or Roster({})
         self._feed = feed
         self.scheduler = JobScheduler(settings, epoch, LoopClock())
         self.scheduler.reconcile.on_outcome = self._count_end
         self.committer = Committer(ports.store, epoch, rng)
         self.commits = CommitLoop(
-            self.scheduler, self.committer, figures, self._confirmed, self._keep
+            self.scheduler, self.committer, figures, self._confirmed, self._background.keep
         )
         self._authority = Authority(
             lambda: self.committer.good_at, lambda: bool(self.members.heard()), self.commits.want
@@ -116,7 +118,6 @@
         self._stop_listening: Callable[[], None] = lambda: None
         self._early: list[Callable[[], None]] | None = []
         """What was read of the VMs before the load, whose records say which were in use."""
-        self._tasks: set[asyncio.Task[None]] = set()
 
     # -- Life --------------------------------------------------------------------------------
 
@@ -125,14 +126,14 @@
         try:
             # The store may take a while, and all that is read does not depend on each other.
             self._follow()
-            alive = self._spawn(self._tick_while_loading())
+            alive = self._background.spawn(self._tick_while_loading())
             await self._load()
             alive.cancel()
             self._take_early()
             self.leading = True
             _logger.info("leading", extra={"epoch": self.epoch, **self._sizes()})
-            self._spawn(self.commits.run())
-            self._spawn(self._tick_forever())
+            self._background.spawn(self.commits.run())
+            self._background.spawn(self._tick_forever())
             await self.over.wait()
         except LostLeadership as lost:
             self.end(str(lost))
@@ -159,8 +160,7 @@
     def _close(self) -> None:
         self._stop_listening()
         self.calls.close()
-        for task in self._tasks:
-            task.cancel()
+        self._background.close()
         self.commits.close()
 
     def _count_end(self, outcome: str) -> None:
@@ -195,23 +195,11 @@
             self._feed.confirmed,
         )
         vms = Follower(store, Topic.VMS, self._vms_listed, self._vms_told, FRESH_START)
-        self._spawn(config.run())
-        self._spawn(vms.run())
+        self._background.spawn(config.run())
+        self._background.spawn(vms.run())
 
-    def _spawn(self, work: Coroutine[object, object, None]) -> "asyncio.Task[None]":
-        task = asyncio.get_running_loop().create_task(work)
-        self._keep(task)
-        return task
-
-    def _keep(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
+    def _failed(self, error: BaseException) -> None:
+        """End the leadership over what a part of it has raised."""
         if isinstance(error, LostLeadership):
             self.end(str(error))
             return
@@ -287,7 +275,7 @@
             self.figures.count("pace")
             self.calls.pace(action)
         else:
-            self._spawn(self._advice.ask(action))
+            self._background.spawn(self._advice.ask(action))
 
     # -- The directory -----------------------------------------------------------------------
 
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -4,9 +4,9 @@
 import contextlib
 import logging
 import random
-from collections.abc import Coroutine
 
 from sablemount.control.announcer import announce
+from sablemount.control.background import Background, error_logger
 from sablemount.control.caller_route import CallerRoute
 from sablemount.control.clock import monotonic
 from sablemount.control.configuration_feed import ConfigurationFeed
@@ -78,14 +78,14 @@
         )
         self._asked = asyncio.Event()
         """Set when the leader has asked this member to take over."""
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._spawn)
+        self._background = Background(error_logger(_logger))
+        self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._background.spawn)
         self._link.on_pong = self.feed.heard
         self._calls = MemberCalls(
             self._link,
             self.feed,
             ports.advice,
-            Successor(self._link, self._preload, self._prepared, self._spawn),
+            Successor(self._link, self._preload, self._prepared, self._background.spawn),
             lambda: self.leader,
             self._follow,
         )
@@ -115,7 +115,7 @@
             self._judge_forever(),
             self._discovery.run(),
         ):
-            self._spawn(work)
+            self._background.spawn(work)
 
     async def stop(self) -> None:
         """Hand over what this member leads."""
@@ -126,23 +126,11 @@
 
     def close(self) -> None:
         """End all connections and tasks."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.close()
         if self._listener is not None:
             self._listener.close_all()
         self._link.close()
 
-    def _spawn(self, work: Coroutine[object, object, None]) -> "asyncio.Task[None]":
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
-        return task
-
-    def _task_ended(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _logger.error("internal error", exc_info=task.exception())
-
     # -- State -------------------------------------------------------------------------------
 
     @property
@@ -206,7 +194,7 @@
         self._asked.set()
 
     def _won(self, epoch: int) -> None:
-        self._spawn(self._lead(epoch))
+        self._background.spawn(self._lead(epoch))
 
     async def _lead(self, epoch: int) -> None:
         if self.leader is not None or self.stopping:
