Tests of the scheduler write their scaffolding once

Change: Rig.wait, Rig.hold_all, running.begun, running.mix, stores.ArrangedStore and _opened stand for them.

--- a/tests/jobs/rig.py
+++ b/tests/jobs/rig.py
@@ -104,6 +104,12 @@
         self.actions += actions
         return actions
 
+    def wait(self, seconds: float) -> list[Action]:
+        """Let some seconds go by, hear all VMs then, and run the systems."""
+        self.clock.time += seconds
+        self.hear_all()
+        return self.tick()
+
     def commit(self) -> Batch:
         batch = self.scheduler.next_batch()
         for record in batch.records:
@@ -136,6 +142,12 @@
         rows[:] = [row for row in rows if row.task != start.task]
         rows.append(RunReport(start.task, start.run, "", percent))
 
+    def hold_all(self, percent: float = 0.0) -> None:
+        """Let the VMs hold all that they were told to start, and hear them."""
+        for start in self.started():
+            self.run(start, percent)
+        self.hear_all()
+
     def run_all(self) -> None:
         """Let the VMs hold all that they were told to start, and none of it be judged by its pace.
 
@@ -143,9 +155,7 @@
         """
         self.scheduler.health.run = lambda: None  # type: ignore[method-assign]
         self.tick()
-        for start in self.started():
-            self.run(start)
-        self.hear_all()
+        self.hold_all()
         self.tick()
 
     def end(self, start: StartRun, outcome: str, saved: str = "") -> None:
--- a/tests/jobs/test_advice.py
+++ b/tests/jobs/test_advice.py
@@ -59,9 +59,7 @@
     rig.scheduler.advice.failed(calls[0].lane, calls[0].step)
     _answer(rig, calls[1], good=1)
     _answer(rig, calls[2], good=1)
-    rig.clock.time += 0.5
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.5)
     again = [call for call in rig.asked() if call not in calls]
     assert sorted(vm for call in again for vm in call.vms) == sorted(calls[0].vms)
 
--- a/tests/jobs/test_caps.py
+++ b/tests/jobs/test_caps.py
@@ -84,13 +84,9 @@
     rig = _rig(4_000)
     rig.accept("job", spec(StepSpec(2, FOUR)), organisation=MINE)
     rig.tick()
-    rig.clock.time += 1.0
-    rig.hear_all()
-    rig.tick()
+    rig.wait(1.0)
     assert len(rig.started()) == 1
-    rig.clock.time += 1.5
-    rig.hear_all()
-    rig.tick()
+    rig.wait(1.5)
     assert len(rig.started()) == 2
 
 
@@ -256,9 +252,7 @@
     rig.accept("second", spec(StepSpec(1, FOUR)), CHEAP, MINE)
     rig.tick()
     assert [start.task for start in rig.started()] == ["first.0.0.0"]
-    rig.clock.time += 2.0
-    rig.hear_all()
-    rig.tick()
+    rig.wait(2.0)
     assert [start.task for start in rig.started()] == ["first.0.0.0", "second.0.0.0"]
 
 
@@ -281,9 +275,7 @@
     rig.tick()
     rig.accept("more", spec(StepSpec(2, FOUR, expected_ms=60_000.0)), URGENT, MINE)
     for percent in range(40):
-        for start in rig.started():
-            rig.run(start, percent)
-        rig.hear_all()
+        rig.hold_all(percent)
         rig.tick(0.1)
     assert rig.stopped() == []
     rows = rig.scheduler.state.vms.values()
--- a/tests/jobs/test_commit.py
+++ b/tests/jobs/test_commit.py
@@ -20,11 +20,16 @@
     return Committer(EmulatedStore(state, "m"), epoch, random.Random(3))
 
 
+async def _opened(state: StoreState) -> Committer:
+    committer = _committer(state)
+    await committer.open()
+    return committer
+
+
 def test_an_append_without_records_uses_up_no_sequence_number() -> None:
     async def scenario() -> None:
         state = StoreState(random.Random(1))
-        committer = _committer(state)
-        await committer.open()
+        committer = await _opened(state)
         await committer.append([_record(1)])
         await committer.append([])
         await committer.confirm()
@@ -38,8 +43,7 @@
 def test_lost_answers_neither_lose_nor_double(late: bool) -> None:
     async def scenario() -> None:
         state = StoreState(random.Random(1))
-        committer = _committer(state)
-        await committer.open()
+        committer = await _opened(state)
         state.lost = 0.4
         state.late = late
         for number in range(40):
@@ -55,8 +59,7 @@
 def test_a_confirmation_on_its_way_makes_no_batch_durable() -> None:
     async def scenario() -> None:
         state = StoreState(random.Random(1))
-        committer = _committer(state)
-        await committer.open()
+        committer = await _opened(state)
         state.latency = 0.1
         confirming = asyncio.create_task(committer.confirm())
         await asyncio.sleep(0.06)
@@ -77,8 +80,7 @@
 def test_batches_in_flight_together_keep_their_order(lost: float) -> None:
     async def scenario() -> None:
         state = StoreState(random.Random(1))
-        committer = _committer(state)
-        await committer.open()
+        committer = await _opened(state)
         state.latency = 0.1
         state.lost = lost
         for start in range(0, 40, 4):
@@ -109,8 +111,7 @@
 def test_appends_behind_a_late_one_catch_up() -> None:
     async def scenario() -> None:
         state = StoreState(random.Random(1))
-        committer = _committer(state)
-        await committer.open()
+        committer = await _opened(state)
         state.latency = 0.2
         appends = [asyncio.create_task(committer.append([_record(0)]))]
         await asyncio.sleep(0.04)
--- a/tests/jobs/test_discovery.py
+++ b/tests/jobs/test_discovery.py
@@ -5,15 +5,13 @@
 from sablemount.control.messages import Outcome
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 
 def test_members_without_the_store_follow_a_new_leader() -> None:
     async def scenario() -> None:
         system = System(70)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        former = system.leader()
-        assert former is not None
+        former = await begun(system)
         away = next(name for name in system.names if name != former)
         # The leader is replaced, as it alone is without the store; one more can't read by whom.
         system.store.turned_away |= {former, away}
--- a/tests/jobs/test_doubt.py
+++ b/tests/jobs/test_doubt.py
@@ -7,6 +7,7 @@
 from sablemount.control.messages import ViewCall
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 MEMBERS = 40
 GONE = 4
@@ -32,10 +33,7 @@
 
 async def _lose_leader(seed: int) -> _Counted:
     system = _Counted(seed, members=MEMBERS, vms=2)
-    system.start_all()
-    await asyncio.sleep(2.0)
-    leader = system.leader()
-    assert leader is not None
+    leader = await begun(system)
     for name in [leader, *(name for name in system.names if name != leader)][:GONE]:
         system.power_off(name, 5.0)
     await asyncio.sleep(2.5)
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -11,32 +11,26 @@
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, Message, Reply, TakeOverReply
 from sablemount.control.network import Link
-from sablemount.control.store import AppendResult, Producer, Topic, Unavailable
+from sablemount.control.store import AppendResult, Topic, Unavailable
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.loop import run
 from tests.emulator.network import Wires
-from tests.emulator.store import EmulatedStore, StoreState
+from tests.emulator.store import StoreState
+from tests.jobs.stores import ArrangedStore
 
 
-class _LosesFirst(EmulatedStore):
+class _LosesFirst(ArrangedStore):
     """Carries out nothing of the first append, and does not answer it."""
 
     appends = 0
 
-    async def append(
-        self,
-        topic: Topic,
-        records: list[Record],
-        timeout: float,
-        producer: Producer | None = None,
-        at: int | None = None,
-    ) -> AppendResult:
+    async def arranged(self, records: list[Record], timeout: float) -> AppendResult | None:
         self.appends += 1
         if self.appends == 1:
             await asyncio.sleep(timeout)
             return Unavailable("no answer")
-        return await super().append(topic, records, timeout, producer, at)
+        return None
 
 
 async def _nothing(link: Link, message: Message) -> Reply:
--- a/tests/jobs/test_emulated_organisations.py
+++ b/tests/jobs/test_emulated_organisations.py
@@ -1,12 +1,11 @@
 """Organisations with caps in the emulated system, while caps change and all else fails."""
 
-import random
-
 import pytest
 
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
 from tests.emulator.mixes import play_organisations
+from tests.jobs.running import mix
 
 
 def test_calm() -> None:
@@ -20,6 +19,4 @@
 
 @pytest.mark.parametrize("seed", range(10))
 def test_mixes(seed: int) -> None:
-    rng = random.Random(seed)
-    chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
-    assert run(play_organisations(100 + seed, chosen, advice=seed % 2 == 0)) == []
+    assert run(play_organisations(100 + seed, mix(seed), advice=seed % 2 == 0)) == []
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -82,9 +82,7 @@
     _stops(rig, NOTICE)
     rig.running[start.vm] = [row for row in rig.running[start.vm] if row.task != start.task]
     rig.end(start, "stopped", saved="half")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     again = rig.started()[-1]
     assert again.vm != start.vm
     assert again.saved == "half"
--- a/tests/jobs/test_first_appends.py
+++ b/tests/jobs/test_first_appends.py
@@ -20,16 +20,17 @@
 import random
 
 from sablemount.control.commit import Committer
-from sablemount.control.store import AppendResult, Producer, Topic, Unavailable
+from sablemount.control.store import AppendResult, Topic, Unavailable
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
 from tests.emulator.store import EmulatedStore, StoreState
+from tests.jobs.stores import ArrangedStore
 
 ACCEPTED = Record("j/accepted", b"job")
 NEXT = Record("j/next", b"job")
 
 
-class _LateFirst(EmulatedStore):
+class _LateFirst(ArrangedStore):
     """Holds back the first append that bears one record, or has it go lost on its way."""
 
     def __init__(self, state: StoreState, held: Record, lost: bool) -> None:
@@ -37,20 +38,13 @@
         self._held: Record | None = held
         self._lost = lost
 
-    async def append(
-        self,
-        topic: Topic,
-        records: list[Record],
-        timeout: float,
-        producer: Producer | None = None,
-        at: int | None = None,
-    ) -> AppendResult:
+    async def arranged(self, records: list[Record], timeout: float) -> AppendResult | None:
         if self._held in records:
             self._held = None
             await asyncio.sleep(0.12)
             if self._lost:
                 return Unavailable("the connection was lost")
-        return await super().append(topic, records, timeout, producer, at)
+        return None
 
 
 async def _both_appended(epoch: int, lost: bool) -> StoreState:
--- a/tests/jobs/test_hand_over.py
+++ b/tests/jobs/test_hand_over.py
@@ -5,6 +5,7 @@
 from sablemount.control.messages import CallerReply, Outcome
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 EVERY = 0.01
 
@@ -12,10 +13,7 @@
 async def _begun(seed: int) -> tuple[System, str]:
     """Return a system that has a leader, and the leader's name."""
     system = System(seed)
-    system.start_all()
-    await asyncio.sleep(2.0)
-    leader = system.leader()
-    assert leader is not None
+    leader = await begun(system)
     return system, leader
 
 
@@ -93,10 +91,7 @@
 def test_a_leader_that_reaches_nobody_stops_in_time() -> None:
     async def scenario() -> None:
         system = System(15, members=9)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        leader = system.leader()
-        assert leader is not None
+        leader = await begun(system)
         for name in system.names:
             if name != leader:
                 system.wires.cuts.add(frozenset((leader, name)))
--- a/tests/jobs/test_health.py
+++ b/tests/jobs/test_health.py
@@ -10,9 +10,7 @@
     for number in range(jobs):
         rig.accept(f"job{number}", spec(StepSpec(1, WHOLE, expected_ms=8000.0)))
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
 
 
 def _advance(rig: Rig, percents: dict[str, float]) -> None:
@@ -36,9 +34,7 @@
     rig.hear_all()
     assert rig.tick() == []
     assert rig.scheduler.state.vms["w0"].avoid_until > rig.clock.time
-    rig.clock.time += 1.5
-    rig.hear_all()
-    rig.tick()
+    rig.wait(1.5)
     assert len(rig.started()) == 4
 
 
--- a/tests/jobs/test_lost_writes.py
+++ b/tests/jobs/test_lost_writes.py
@@ -8,6 +8,7 @@
 from sablemount.control.messages import Outcome
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 JOBS = 80
 
@@ -18,10 +19,7 @@
     They come 25 a second for as long as some of the store's writes are lost.
     """
     system = System(seed, members=6)
-    system.start_all()
-    await asyncio.sleep(2.0)
-    leader = system.leader()
-    assert leader is not None
+    leader = await begun(system)
     system.store.lost = lost
     system.store.late = late
     took: list[float] = []
--- a/tests/jobs/test_making_room.py
+++ b/tests/jobs/test_making_room.py
@@ -18,9 +18,7 @@
     rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
     rig.accept("batch", spec(StepSpec(4, HALF, expected_ms=5000.0, saves=True)), CHEAP)
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
     return rig
 
 
@@ -62,13 +60,9 @@
     rig.accept("small", spec(StepSpec(2, small, expected_ms=9000.0, saves=True)), CHEAP)
     rig.accept("large", spec(StepSpec(1, large, expected_ms=9000.0, saves=True)), CHEAP)
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
     rig.tick(1.0)
     rig.accept("quote", spec(StepSpec(1, large, expected_ms=30_000.0)), URGENT)
     for _ in range(40):
-        rig.clock.time += 0.1
-        rig.hear_all()
-        rig.tick()
+        rig.wait(0.1)
     assert {stop.task.partition(".")[0] for stop in rig.stopped()} == {"large"}
--- a/tests/jobs/test_may_miss.py
+++ b/tests/jobs/test_may_miss.py
@@ -19,9 +19,7 @@
     rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
     rig.accept("serves", spec(step), CHEAP)
     rig.tick()
-    for start in rig.started():
-        rig.run(start, percent)
-    rig.hear_all()
+    rig.hold_all(percent)
     return rig
 
 
@@ -71,7 +69,5 @@
     # None of them is at work yet, so that one more would be missed.
     rig = _served(StepSpec(2, HALF, expected_ms=5000.0, saves=True, may_miss=1), 20.0)
     rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
-    rig.clock.time += 0.7
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.7)
     assert rig.stopped() == []
--- a/tests/jobs/test_pacing.py
+++ b/tests/jobs/test_pacing.py
@@ -106,9 +106,7 @@
     rig.accept("ends", spec(msgspec.structs.replace(SERVES, lasting=False)))
     rig.accept("fills", spec(FILLS))
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
     rig.clock.time += 1.0
     rig.running["w0"] = [_with_figure(report, 20 * TARGET) for report in rig.running["w0"]]
     rig.hear_all()
--- a/tests/jobs/test_preemption.py
+++ b/tests/jobs/test_preemption.py
@@ -20,15 +20,11 @@
     rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
     rig.tick()
     assert rig.stopped() == []
-    rig.clock.time += 0.7
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.7)
     (stop,) = rig.stopped()
     stopped = next(start for start in rig.started() if start.task == stop.task)
     rig.end(stopped, "stopped", "saved-1")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     assert rig.started()[-1].task == "quote.0.0.0"
     assert rig.started()[-1].vm == stop.vm
 
@@ -36,18 +32,14 @@
 def test_what_yielded_goes_on_from_what_it_saved() -> None:
     rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
     rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
-    rig.clock.time += 0.7
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.7)
     stop = rig.stopped()[0]
     rig.end(next(s for s in rig.started() if s.task == stop.task), "stopped", "saved-1")
     rig.hear_all()
     rig.tick()
     quote = rig.started()[-1]
     rig.end(quote, "done")
-    rig.clock.time += 1.5
-    rig.hear_all()
-    rig.tick()
+    rig.wait(1.5)
     again = rig.started()[-1]
     assert (again.task, again.saved) == (stop.task, "saved-1")
 
@@ -56,47 +48,35 @@
     rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
     rig.accept("other", spec(StepSpec(1, HALF, expected_ms=3000.0)), CHEAP)
     for _ in range(10):
-        rig.clock.time += 0.5
-        rig.hear_all()
-        rig.tick()
+        rig.wait(0.5)
     assert rig.stopped() == []
 
 
 def test_gangs_and_work_that_would_lose_too_much_do_not_yield() -> None:
     rig = _full(StepSpec(4, HALF, expected_ms=60_000.0, gang=True))
     rig.accept("quote", spec(StepSpec(1, HALF, expected_ms=1000.0)), URGENT)
-    rig.clock.time += 1.0
-    rig.hear_all()
-    rig.tick()
+    rig.wait(1.0)
     assert rig.stopped() == []
     long = _full(StepSpec(4, HALF, expected_ms=60_000.0))
     long.clock.time += 20.0
     long.hear_all()
     long.accept("quote", spec(StepSpec(1, HALF, expected_ms=1000.0)), URGENT)
-    long.clock.time += 1.0
-    long.hear_all()
-    long.tick()
+    long.wait(1.0)
     assert long.stopped() == []
 
 
 def test_room_is_made_for_a_whole_gang_and_kept_for_it() -> None:
     rig = _full(StepSpec(4, HALF, expected_ms=5000.0, saves=True))
     rig.accept("gang", spec(StepSpec(4, HALF, expected_ms=6000.0, gang=True)), URGENT)
-    rig.clock.time += 1.5
-    rig.hear_all()
-    rig.tick()
+    rig.wait(1.5)
     assert len(rig.stopped()) == 4
     ends = [s for s in rig.started() if s.task.startswith("batch")]
     rig.end(ends[0], "stopped")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     assert len(rig.started()) == 4
     for start in ends[1:]:
         rig.end(start, "stopped")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     assert [s.task.split(".")[0] for s in rig.started()[4:]] == ["gang"] * 4
 
 
@@ -104,16 +84,12 @@
     rig = _full(StepSpec(6, HALF, expected_ms=5000.0, saves=True), vms=3)
     for number in range(3):
         rig.accept(f"quote{number}", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
-    rig.clock.time += 0.7
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.7)
     first = rig.stopped()
     assert len(first) == 2
     for stop in first:
         stopped = next(start for start in rig.started() if start.task == stop.task)
         rig.end(stopped, "stopped", "saved-1")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     rig.tick(0.1)
     assert len(rig.stopped()) == 3
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -194,9 +194,7 @@
     rig.hear_all()
     rig.commit()
     later = rig.successor()
-    later.clock.time += 1.0
-    later.hear_all()
-    later.tick()
+    later.wait(1.0)
     assert [start.task for start in later.started()] == ["job.1.0.0", "job.2.0.0"]
     for start in later.started():
         later.end(start, "done")
--- a/tests/jobs/test_renewal.py
+++ b/tests/jobs/test_renewal.py
@@ -16,9 +16,7 @@
     rig.scheduler.advice.set_lanes({f"m{number}" for number in range(lanes)})
     rig.accept("full", spec(StepSpec(2, WHOLE, expected_ms=9000.0)))
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
     rig.accept("waits", spec(StepSpec(1, WHOLE, expected_ms=9000.0)), SLOW)
     rig.tick()
     (ask,) = rig.asked()
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -7,6 +7,7 @@
 from sablemount.control.messages import Ping, Pong
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 MEMBERS = 40
 
@@ -62,10 +63,7 @@
 def test_members_of_a_new_leader_know_one_another() -> None:
     async def scenario() -> None:
         system = System(3, members=MEMBERS, vms=2)
-        system.start_all()
-        await asyncio.sleep(3.0)
-        former = system.leader()
-        assert former is not None
+        former = await begun(system, 3.0)
         system.kill(former, None)
         system.names.remove(former)
         await asyncio.sleep(2.0)
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -28,9 +28,7 @@
     rig = Rig(vms=1)
     rig.accept("first", spec(StepSpec(2, HALF)))
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
     rig.scheduler.cancel("first")
     rig.accept("second", spec(StepSpec(2, HALF)))
     rig.tick()
@@ -38,9 +36,7 @@
     assert len(rig.started()) == 2
     for start in rig.started():
         rig.end(start, "stopped")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     assert len(rig.started()) == 4
 
 
@@ -64,9 +60,7 @@
     rig = Rig(vms=2)
     job = rig.accept("gang", spec(StepSpec(4, HALF, gang=True)))
     rig.tick()
-    for start in rig.started():
-        rig.run(start)
-    rig.hear_all()
+    rig.hold_all()
     rig.end(rig.started()[0], "done")
     rig.clock.time += 0.1
     rig.hear(rig.started()[0].vm)
@@ -142,13 +136,9 @@
     rig = Rig(vms=1)
     rig.accept("job", spec(StepSpec(1, CORE)))
     rig.tick()
-    rig.clock.time += 0.5
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.5)
     assert len(rig.started()) == 1
-    rig.clock.time += 2.0
-    rig.hear_all()
-    rig.tick()
+    rig.wait(2.0)
     assert [start.run for start in rig.started()] == [1, 2]
 
 
@@ -235,9 +225,7 @@
     rig.tick()
     assert len(rig.started()) == 2
     rig.end(first, "stopped")
-    rig.clock.time += 0.1
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.1)
     assert len(rig.started()) == 4
     assert len({start.run for start in rig.started()[2:]}) == 1
 
@@ -305,7 +293,5 @@
     rig.hear_all()
     rig.tick(0.5)
     assert len(rig.started()) == 1
-    rig.clock.time += 0.6
-    rig.hear_all()
-    rig.tick()
+    rig.wait(0.6)
     assert len(rig.started()) == 2
--- a/tests/jobs/test_store_lost.py
+++ b/tests/jobs/test_store_lost.py
@@ -8,6 +8,7 @@
 from sablemount.control.messages import Announce, Outcome
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 MEMBERS = 12
 TURNED_AWAY = 5
@@ -16,10 +17,7 @@
 async def _turn_away(seed: int) -> tuple[System, str]:
     """Turn away the leader and some members; return the system and the leader's name."""
     system = System(seed, members=MEMBERS)
-    system.start_all()
-    await asyncio.sleep(2.0)
-    leader = system.leader()
-    assert leader is not None
+    leader = await begun(system)
     others = [name for name in system.names if name != leader]
     system.store.turned_away.update([leader, *others[: TURNED_AWAY - 1]])
     return system, leader
@@ -76,10 +74,7 @@
 async def _replaced_within(seed: int, lose: Callable[[System, str], None]) -> float:
     """Lose the leader; return after how many seconds another one leads, which is the only one."""
     system = System(seed, members=MEMBERS)
-    system.start_all()
-    await asyncio.sleep(2.0)
-    former = system.leader()
-    assert former is not None
+    former = await begun(system)
     loop = asyncio.get_running_loop()
     began = loop.time()
     lose(system, former)
@@ -113,10 +108,7 @@
 def test_members_that_come_by_themselves_are_not_called() -> None:
     async def scenario() -> None:
         system = System(1, members=MEMBERS)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        former = system.leader()
-        assert former is not None
+        former = await begun(system)
         told: list[str] = []
         for name, place in system.wires.listening.items():
             handler = place.handler
--- a/tests/jobs/test_store_outage.py
+++ b/tests/jobs/test_store_outage.py
@@ -7,6 +7,7 @@
 from sablemount.control.messages import LeaderRecord
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 OUTAGE = 4.2
 PHASE = 0.05
@@ -39,10 +40,7 @@
 def test_a_leader_that_alone_is_without_the_store_is_replaced_soon() -> None:
     async def scenario() -> None:
         system = System(60)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        leader = system.leader()
-        assert leader is not None
+        leader = await begun(system)
         system.store.turned_away.add(leader)
         await asyncio.sleep(0.9)
         assert system.leader() not in (None, leader)
--- a/tests/jobs/test_take_over.py
+++ b/tests/jobs/test_take_over.py
@@ -5,6 +5,7 @@
 from sablemount.control.messages import Outcome
 from tests.emulator.loop import run
 from tests.emulator.system import System
+from tests.jobs.running import begun
 
 SLOW = 0.45
 """Seconds that the store takes for an answer: a load takes more than one second."""
@@ -24,10 +25,7 @@
 def test_a_leader_that_took_long_to_load_serves_at_once() -> None:
     async def scenario() -> None:
         system = System(31, vms=4)
-        system.start_all()
-        await asyncio.sleep(2.0)
-        first = system.leader()
-        assert first is not None
+        first = await begun(system)
         system.store.latency = SLOW
         system.kill(first, None)
         await asyncio.sleep(0.01)
