Errors of orders, looks and callers' answers are logged

Cause: the tasks of VmCalls and of a process were dropped when they ended, so that an error in one showed only as the event loop's own message, outside the log, once the task was collected.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TypeAlias
 
+from sablemount.control.background import Background, error_logger
 from sablemount.control.clock import monotonic
 from sablemount.control.ports import CallError, HoldCall, Started, VmPort
 from sablemount.jobs.actions import Heard, PaceRun, StartRun, StopRun
@@ -76,7 +77,7 @@
         self._kick = kick
         self._noted = noted
         self._followed: dict[str, asyncio.Task[None]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background(error_logger(_logger))
 
     # -- Looks -------------------------------------------------------------------------------
 
@@ -84,8 +85,7 @@
         """Begin to look at the VMs that are not looked at yet."""
         for name, row in self._scheduler.state.vms.items():
             if name not in self._followed:
-                task = asyncio.get_running_loop().create_task(self._follow(row))
-                self._followed[name] = task
+                self._followed[name] = self._background.spawn(self._follow(row))
 
     async def _follow(self, row: VmRow) -> None:
         pause = RETRY_PAUSE
@@ -156,16 +156,11 @@
 
     def start(self, action: StartRun) -> None:
         """Give the order to start a run."""
-        self._spawn(self._start(action))
+        self._background.spawn(self._start(action))
 
     def stop(self, action: StopRun) -> None:
         """Give the order to stop a run."""
-        self._spawn(self._stop(action))
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._stop(action))
 
     async def _start(self, action: StartRun) -> None:
         """Order a start, and again while it has no answer: the same run is started once only."""
@@ -214,7 +209,7 @@
 
     def pace(self, action: PaceRun) -> None:
         """Give the order to pace a run."""
-        self._spawn(self._pace(action))
+        self._background.spawn(self._pace(action))
 
     async def _pace(self, action: PaceRun) -> None:
         if await self._order(action.vm, partial(self._port.pace, action)) is not None:
@@ -232,5 +227,4 @@
 
     def close(self) -> None:
         """Stop looking and ordering."""
-        for task in [*self._followed.values(), *self._tasks]:
-            task.cancel()
+        self._background.close()
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 
 import msgspec
@@ -120,7 +120,9 @@
 class Front:
     """Serves callers."""
 
-    def __init__(self, member: Member, spawn: Callable[[Awaitable[None]], None]) -> None:
+    def __init__(
+        self, member: Member, spawn: Callable[[Coroutine[object, object, None]], object]
+    ) -> None:
         self._member = member
         self._spawn = spawn
         self.closing = False
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -7,12 +7,12 @@
 import signal
 import sys
 import time
-from collections.abc import Awaitable
 
 from result import Err
 
 from sablemount import structured_logs
 from sablemount.adapters.upstream import UpstreamPool
+from sablemount.control.background import Background, error_logger
 from sablemount.control.leader import LeaderPorts
 from sablemount.control.member import Member
 from sablemount.control.rpc import TcpNetwork
@@ -53,7 +53,7 @@
     ) -> None:
         self.boot = boot
         self._log = log
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background(error_logger(_logger))
         self._pool = UpstreamPool(CONNECTIONS, KEPT_SECONDS)
         ports = LeaderPorts(
             PlatformStore(boot.platform.addr, self._pool),
@@ -62,17 +62,12 @@
             PlatformDirectory(boot.keyed),
         )
         self.member = Member(member_settings(boot), ports, TcpNetwork(), random.Random())
-        self.front = Front(self.member, self._spawn)
+        self.front = Front(self.member, self._background.spawn)
         self._ready = ready_server(lambda: self.member.ready)
         self._metrics = metrics_server(self.member, self._log_figures)
         self.metrics_port = metrics_port
         self._stop = asyncio.Event()
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _log_figures(self) -> dict[str, float]:
         if self._log is None:
             return {}
