One function waits for an event, for some seconds at most

Cause: a member, a leader, its commits, the link to the leader and the hand-over wrote the same three lines.

--- a/src/sablemount/control/clock.py
+++ b/src/sablemount/control/clock.py
@@ -2,9 +2,10 @@
 run the whole in virtual time."""
 
 import asyncio
+import contextlib
 import time
 
-__all__ = ["LoopClock", "monotonic"]
+__all__ = ["LoopClock", "monotonic", "set_within"]
 
 MS = 1000.0
 
@@ -14,6 +15,13 @@
     return asyncio.get_running_loop().time()
 
 
+async def set_within(event: asyncio.Event, seconds: float) -> None:
+    """Wait until an event is set, for some seconds at most."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+
+
 class LoopClock:
     """Reads the event loop's clock, and the machine's time of day."""
 
--- a/src/sablemount/control/commit_loop.py
+++ b/src/sablemount/control/commit_loop.py
@@ -1,10 +1,9 @@
 """Brings the scheduler's journal into the store, batch after batch."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
-from sablemount.control.clock import monotonic
+from sablemount.control.clock import monotonic, set_within
 from sablemount.control.commit import Committer
 from sablemount.control.figures import Figures
 from sablemount.jobs.scheduler import JobScheduler
@@ -69,9 +68,7 @@
     async def run(self) -> None:
         """Append without end."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CONFIRM_INTERVAL):
-                    await self._wanted.wait()
+            await set_within(self._wanted, CONFIRM_INTERVAL)
             self._wanted.clear()
             commit = asyncio.get_running_loop().create_task(self._commit())
             self._keep(commit)
--- a/src/sablemount/control/hand_over.py
+++ b/src/sablemount/control/hand_over.py
@@ -1,11 +1,10 @@
 """The planned change of leader: a leader that is being stopped asks a member to take over."""
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Callable, Coroutine
 
-from sablemount.control.clock import monotonic
+from sablemount.control.clock import monotonic, set_within
 from sablemount.control.leader import Leader
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.messages import TakeOver, TakeOverReply
@@ -33,9 +32,7 @@
     """Have another member lead if one takes over, and end a leadership."""
     if await _asked_others(leader):
         # It serves and gives orders until its successor has claimed.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(TAKE_OVER_TIME):
-                await leader.over.wait()
+        await set_within(leader.over, TAKE_OVER_TIME)
     if not leader.over.is_set():
         await leader.drain()
     leader.end("planned stop")
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -1,7 +1,6 @@
 """One leadership: loads what lasts, then runs the job scheduler until it is over."""
 
 import asyncio
-import contextlib
 import logging
 import random
 from collections.abc import Callable, Sequence
@@ -13,7 +12,7 @@
 from sablemount.control.authority import Authority
 from sablemount.control.background import Background
 from sablemount.control.callers import Callers
-from sablemount.control.clock import LoopClock, monotonic
+from sablemount.control.clock import LoopClock, monotonic, set_within
 from sablemount.control.commit import Committer, LostLeadership
 from sablemount.control.commit_loop import CommitLoop
 from sablemount.control.configuration_feed import ConfigurationFeed
@@ -238,9 +237,7 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TICK):
-                    await self._kicked.wait()
+            await set_within(self._kicked, TICK)
             await asyncio.sleep(COALESCE)
             self._kicked.clear()
             self._tick()
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 
-from sablemount.control.clock import monotonic
+from sablemount.control.clock import monotonic, set_within
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import (
     LeaderRecord,
@@ -153,9 +153,7 @@
 
     async def _pause(self, seconds: float) -> None:
         """Wait, but not beyond the moment when another leader becomes known."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._leader_changed.wait()
+        await set_within(self._leader_changed, seconds)
 
     async def _connect(self, record: LeaderRecord) -> bool:
         """Keep a connection while it lasts, and tell whether the leader has answered over it."""
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -1,14 +1,13 @@
 """A process of the system: it follows the leader, or leads, and passes callers' requests on."""
 
 import asyncio
-import contextlib
 import logging
 import random
 
 from sablemount.control.announcer import announce
 from sablemount.control.background import Background, error_logger
 from sablemount.control.caller_route import CallerRoute
-from sablemount.control.clock import monotonic
+from sablemount.control.clock import monotonic, set_within
 from sablemount.control.configuration_feed import ConfigurationFeed
 from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
@@ -178,9 +177,7 @@
 
     async def _judge_forever(self) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(WATCH_INTERVAL):
-                    await self._asked.wait()
+            await set_within(self._asked, WATCH_INTERVAL)
             self._asked.clear()
             if self.leader is not None:
                 if self.leader.authority():
