--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -1,45 +1,25 @@
 """A process of the system: it follows the leader, or leads, and passes callers' requests on."""
 
 import asyncio
-import contextlib
 import logging
 import random
-from collections.abc import Coroutine
-
-import msgspec
 
 from sablemount.control.announcer import announce
-from sablemount.control.clock import monotonic
+from sablemount.control.background import Background, error_logger
+from sablemount.control.caller_route import CallerRoute
+from sablemount.control.clock import monotonic, set_within
 from sablemount.control.configuration_feed import ConfigurationFeed
 from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
+from sablemount.control.hand_over import Successor, hand_over
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.leader_link import LeaderLink
+from sablemount.control.member_calls import MemberCalls
 from sablemount.control.member_settings import MemberSettings
-from sablemount.control.messages import (
-    AdviseCall,
-    Announce,
-    CallerCall,
-    CallerReply,
-    ConfigurationCall,
-    ConfigurationNews,
-    ConfigurationReply,
-    LeaderRecord,
-    LeaderView,
-    Message,
-    Operation,
-    Outcome,
-    Ping,
-    Pong,
-    Reply,
-    TakeOver,
-    TakeOverReply,
-    ViewCall,
-    not_taken,
-)
-from sablemount.control.network import CallFailed, Link, Listener, Network
+from sablemount.control.messages import CallerCall, CallerReply, LeaderRecord, Message, Reply
+from sablemount.control.network import Link, Listener, Network
 from sablemount.control.organisation_figures import organisation_gauges
 from sablemount.control.preload import Preload
 from sablemount.control.roster import Roster
@@ -53,37 +33,8 @@
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
-CALL_TIMEOUT = 2.0
-"""Seconds that the leader has to answer a caller's request, below the 3 s that callers wait."""
-YIELD_TIMEOUT = 0.5
-"""Seconds that a member has to say whether it takes over."""
-HAND_OVER_LIMIT = 1.5
-"""Seconds after which no further member is asked: a leader that is cut off reaches none, and has to
-end within its grace, 6 s by default."""
-HAND_OVER_WAIT = 0.4
-"""Seconds that a request waits for a new leader: one that was killed is replaced in 0.3 to 0.4 s,
-and a caller that is refused comes back a second later."""
-HAND_OVER_TIME = 0.5
-"""Seconds after which a change of leader counts as an outage, and requests are refused at once."""
-PREPARE_TIME = 1.0
-"""Seconds for which a member that is to take over reads what lasts before it claims; two pages took
-0.8 s in a store 91 times slower than usual, in virtual time."""
-TAKE_OVER_TIME = 2.5
-"""Seconds that a leader that is being stopped waits for its successor to claim, by an append; that
-took 0.5 s in a store 91 times slower than usual, in virtual time."""
-HAND_OVER_POLL = 0.01
-"""Seconds between looks at whether somebody leads."""
-UNCERTAIN_WAIT = 2.0
-"""Seconds for which a request whose answer was lost with the leader is asked of the next one.
-
-It may have taken effect, which only the next leader can tell. That one is there within 1 s mostly,
-within 2 s in a store 91 times slower than usual, and callers wait 3 s."""
 CONFIRMATIONS = 4
 """How often the configuration is confirmed in the time after which it would count as not so."""
-REFUSALS = (Outcome.NOT_TAKEN, Outcome.NO_QUEUE, Outcome.NO_KEY, Outcome.NAME_TAKEN)
-"""Answers that would be wrong if an earlier try took effect."""
-
-UNCONFIRMED = "the configuration is not confirmed here"
 
 _logger = logging.getLogger("sablemount.control.member")
 
@@ -107,7 +58,6 @@
         self._network = network
         self._listener: Listener | None = None
         self._led_at = -1e9
-        self._started_at = monotonic()
         self._link = LeaderLink(settings, network, self._handle)
         self._preload = Preload(ports.store)
         self._election = Election(
@@ -127,9 +77,20 @@
         )
         self._asked = asyncio.Event()
         """Set when the leader has asked this member to take over."""
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._spawn)
+        self._background = Background(error_logger(_logger))
+        self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._background.spawn)
         self._link.on_pong = self.feed.heard
+        self._calls = MemberCalls(
+            self._link,
+            self.feed,
+            ports.advice,
+            Successor(self._link, self._preload, self._prepared, self._background.spawn),
+            lambda: self.leader,
+            self._follow,
+        )
+        self._route = CallerRoute(
+            settings, self._link, self.feed, self.figures, self._leading, self._served_at
+        )
         self._configurations = Follower(
             ports.store,
             Topic.CONFIGURATION,
@@ -153,61 +114,22 @@
             self._judge_forever(),
             self._discovery.run(),
         ):
-            self._spawn(work)
+            self._background.spawn(work)
 
     async def stop(self) -> None:
         """Hand over what this member leads."""
         self.stopping = self._link.stopping = True
         leader = self.leader
-        if leader is None:
-            return
-        if await self._hand_over(leader):
-            # It serves and gives orders until its successor has claimed.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TAKE_OVER_TIME):
-                    await leader.over.wait()
-        if not leader.over.is_set():
-            await leader.drain()
-        leader.end("planned stop")
-
-    async def _hand_over(self, leader: Leader) -> bool:
-        """Ask one member after the other to take over; return whether one does."""
-        last = monotonic() + HAND_OVER_LIMIT
-        for name, link in leader.members.successors():
-            if monotonic() > last:
-                break
-            try:
-                reply = await link.call(TakeOver(leader.epoch), YIELD_TIMEOUT)
-            except CallFailed as failed:
-                _logger.info("successor not reached", extra={"to": name, "why": str(failed)})
-                continue
-            taken = isinstance(reply, TakeOverReply) and reply.taken
-            _logger.info(
-                "successor asked", extra={"to": name, "epoch": leader.epoch, "taken": taken}
-            )
-            if taken:
-                return True
-        return False
+        if leader is not None:
+            await hand_over(leader)
 
     def close(self) -> None:
         """End all connections and tasks."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.close()
         if self._listener is not None:
             self._listener.close_all()
         self._link.close()
 
-    def _spawn(self, work: Coroutine[object, object, None]) -> "asyncio.Task[None]":
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
-        return task
-
-    def _task_ended(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _logger.error("internal error", exc_info=task.exception())
-
     # -- State -------------------------------------------------------------------------------
 
     @property
@@ -255,9 +177,7 @@
 
     async def _judge_forever(self) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(WATCH_INTERVAL):
-                    await self._asked.wait()
+            await set_within(self._asked, WATCH_INTERVAL)
             self._asked.clear()
             if self.leader is not None:
                 if self.leader.authority():
@@ -265,8 +185,13 @@
             elif not self.stopping:
                 await self._election.consider()
 
+    def _prepared(self, epoch: int) -> None:
+        """Claim at once, as the leader of an epoch has asked for."""
+        self._election.asked(epoch)
+        self._asked.set()
+
     def _won(self, epoch: int) -> None:
-        self._spawn(self._lead(epoch))
+        self._background.spawn(self._lead(epoch))
 
     async def _lead(self, epoch: int) -> None:
         if self.leader is not None or self.stopping:
@@ -301,77 +226,12 @@
     # -- Calls of other members --------------------------------------------------------------
 
     async def _handle(self, link: Link, message: Message) -> Reply:
-        if isinstance(message, Ping):
-            return self._pinged(link, message)
-        if isinstance(message, ViewCall):
-            return self._own_view()
-        if isinstance(message, Announce):
-            self._follow(message.leader)
-            return self._own_view()
-        if isinstance(message, CallerCall):
-            return await self._serve_locally(message)
-        if isinstance(message, ConfigurationCall):
-            return self.feed.newer_than(message.version)
-        if isinstance(message, ConfigurationNews):
-            self.feed.offer(message.configuration, "member")
-            return ConfigurationReply()
-        if isinstance(message, AdviseCall):
-            return await self.ports.advice.advise(message.step, message.vms, message.timeout)
-        return self._take_over(message)
-
-    def _own_view(self) -> LeaderView:
-        leader = self._leading()
-        if leader is not None:
-            return LeaderView(leader.epoch, 0.0, True, self._link.record)
-        age = self._link.suspicion.heard_age(monotonic())
-        return LeaderView(self._link.epoch, age, self._link.linked, self._link.record)
-
-    def _pinged(self, link: Link, ping: Ping) -> Pong:
-        leader = self.leader
-        if leader is None or not leader.leading:
-            loading = leader is not None and not leader.over.is_set()
-            return Pong(self._link.epoch, False, 0.0, loading, leader=self._link.record)
-        if ping.epoch > leader.epoch:
-            leader.end("a member knows a later leader")
-            return Pong(leader.epoch, False, 0.0)
-        leader.members.pinged(link, ping)
-        roster = leader.roster
-        roster.note(ping.name, ping.address)
-        return Pong(
-            leader.epoch,
-            True,
-            leader.committer.owed_for(),
-            members=roster.since(ping.roster),
-            roster=roster.version,
-            configuration=self.feed.version,
-            configuration_age=self.feed.age,
-            wants_configuration=self.feed.wants(ping.configuration),
-            cell=0 if ping.cell == leader.members.size else leader.members.size,
-        )
+        return await self._calls.handle(link, message)
 
     def _link_closed(self, link: Link) -> None:
         if self.leader is not None:
             self.leader.members.link_closed(link)
 
-    def _take_over(self, message: TakeOver) -> Reply:
-        record = self._link.record
-        taken = record is not None and message.epoch == record.epoch and not self.stopping
-        if taken:
-            self._spawn(self._prepare(message.epoch))
-        return TakeOverReply(taken)
-
-    async def _prepare(self, epoch: int) -> None:
-        """Read what lasts while the leader goes on, and claim then."""
-        await asyncio.wait([self._preload.begin()], timeout=PREPARE_TIME)
-        self._election.asked(epoch)
-        self._asked.set()
-
-    async def _serve_locally(self, call: CallerCall) -> CallerReply:
-        leader = self._leading()
-        if leader is None:
-            return not_taken("this member does not lead", changing=True)
-        return await leader.serve(call)
-
     # -- Callers -----------------------------------------------------------------------------
 
     async def serve(
@@ -381,75 +241,4 @@
 
         ``digest`` is that of the caller's key, if it has shown one.
         """
-        began = monotonic()
-        reply = await self._serve(call, timeout, digest)
-        self.figures.observe("request", monotonic() - began)
-        self.figures.count("request", reply.outcome.name.lower())
-        return reply
-
-    async def _serve(self, call: CallerCall, timeout: float, digest: bytes | None) -> CallerReply:
-        """Ask the leader, and its successor if the lead changes hands meanwhile.
-
-        A job keeps its name, so that it may be handed in again after a lost answer. Each try is
-        admitted anew, since the configuration may have changed.
-        """
-        began = monotonic()
-        uncertain = False
-        while True:
-            await self._await_leader(began + HAND_OVER_WAIT)
-            reply = await self._try(call, timeout - (monotonic() - began), digest)
-            uncertain = uncertain or reply.outcome is Outcome.UNKNOWN
-            limit = UNCERTAIN_WAIT if uncertain else HAND_OVER_WAIT
-            if not reply.changing or monotonic() - began > limit:
-                break
-            await asyncio.sleep(HAND_OVER_POLL)
-        if uncertain and reply.outcome in REFUSALS:
-            return CallerReply(Outcome.UNKNOWN, reason=reply.reason)
-        return reply
-
-    async def _try(self, call: CallerCall, timeout: float, digest: bytes | None) -> CallerReply:
-        """Admit a call and ask the leader, which takes it only if both know one configuration."""
-        admitted = self.feed.gate.admit(call, digest)
-        if isinstance(admitted, CallerReply):
-            return admitted if self._current() else not_taken(UNCONFIRMED, changing=True)
-        if self.settings.fail_closed and self.feed.age > self.settings.revoke_after:
-            return not_taken(UNCONFIRMED)
-        reply = await self._ask_leader(admitted, timeout)
-        if reply.version > admitted.version:
-            await self.feed.reach(reply.version)
-        if reply.outcome is Outcome.DONE:
-            return reply
-        return msgspec.structs.replace(reply, organisation=admitted.organisation)
-
-    def _current(self) -> bool:
-        """Tell whether this process leads or hears the leader, so that it knows what is in force.
-
-        One that doesn't may have missed a change, and must not refuse by what it knows.
-        """
-        leader = self._leading()
-        return self._link.leads if leader is None else leader.authority()
-
-    async def _ask_leader(self, call: CallerCall, timeout: float) -> CallerReply:
-        leader = self._leading()
-        if leader is not None:
-            return await leader.serve(call)
-        try:
-            reply = await self._link.call(call, min(timeout, CALL_TIMEOUT))
-        except CallFailed as failed:
-            return _failed(call, failed)
-        assert isinstance(reply, CallerReply)
-        return reply
-
-    async def _await_leader(self, last: float) -> None:
-        """Wait a moment while the lead changes hands, or while this process finds who leads."""
-        while self._leading() is None and not self._link.leads and monotonic() < last:
-            since = max(self._served_at(), self._started_at)
-            if monotonic() - since > HAND_OVER_TIME:
-                return
-            await asyncio.sleep(HAND_OVER_POLL)
-
-
-def _failed(call: CallerCall, failed: CallFailed) -> CallerReply:
-    if failed.sent and call.operation is not Operation.STATE:
-        return CallerReply(Outcome.UNKNOWN, reason=str(failed), changing=failed.closed)
-    return not_taken(str(failed), changing=not failed.sent or failed.closed)
+        return await self._route.serve(call, timeout, digest)
