The stand-in's writes may be late, lost, or done seconds later; its pages may be longer

The stand-in answered each write in the order of arrival, so that a leader's second batch never reached the store before its first. Writes now cross by a small class of faults: each up to some seconds late by itself, dropped, or carried out 0.5 to 6 s later without an answer; what is not answered is cut off or says nothing. Its pages of the newest records had two records each. The size is an attribute now; it stays 2 where little data is to have several pages.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -27,14 +27,13 @@
 from tests.emulator.store import StoreState
 from tests.emulator.system import loop_time
 from tests.emulator.vms import Cell, Run, Vm
+from tests.platform.crossing import NO_ANSWER, SILENCE, Crossing
 
 Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
 BY_NAME = {name: topic for topic, name in TOPICS.items()}
 SERVICE = "desk"
 HOST = "queues.example"
 PREFIX = "/lohu930/"
-NO_ANSWER = 0
-"""Stands for a status: the call was carried out, and its connection ends without an answer."""
 
 
 class Standin:
@@ -42,6 +41,9 @@
 
     def __init__(self) -> None:
         self.store = StoreState(random.Random(1))
+        self.crossing = Crossing(random.Random(3))
+        self.page = 2
+        """Records in one page of the newest ones: few, so that little data has several pages."""
         self.cell = Cell(random.Random(2))
         self.cell.fail_share = 0.0
         self.cell.seconds = 0.1
@@ -74,6 +76,8 @@
         self.seen.append(f"{request.method} {request.path}")
         status, body = await handler(request)
         payload = body if isinstance(body, bytes) else json.dumps(body).encode()
+        if status == SILENCE:
+            return
         if status == NO_ANSWER:
             request.connection.detach().close()
         else:
@@ -93,7 +97,7 @@
         query = {key: values[0] for key, values in parse_qs(urlsplit(request.uri).query).items()}
         topic = BY_NAME[query["topic"]]
         if request.path == "/api/log-append":
-            return self._append(topic, query, request.body)
+            return await self.crossing.write(lambda: self._append(topic, query, request.body))
         if request.path == "/api/log-newest":
             return self._newest(topic, query.get("dependsOn", ""))
         return await self._read(topic, int(query["from"]), int(query["waitMs"]))
@@ -122,9 +126,9 @@
                 "value": base64.b64encode(kept.newest[key].record.value).decode(),
                 "offset": kept.newest[key].offset,
             }
-            for key in keys[:2]
+            for key in keys[: self.page]
         ]
-        return 200, {"items": items, "more": len(keys) > 2, "end": kept.end}
+        return 200, {"items": items, "more": len(keys) > self.page, "end": kept.end}
 
     async def _read(self, topic: Topic, offset: int, wait_ms: int) -> tuple[int, object]:
         kept = self.store.topics[topic]
