Test: a load of many slow pages comes to its end; it fails

A leader's load asks for all pages anew each 0.4 s while it has no answer, and gives all of them up after 4 s. The leader's claim is won meanwhile, so that nobody serves. Found by the process soak, whose stand-in had two records a page: a leader did not lead in 10 s.

--- a/tests/jobs/test_preload.py
+++ b/tests/jobs/test_preload.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sablemount.control.preload import Preload, load_records
-from sablemount.control.store import Topic
+from sablemount.control.store import Page, Topic, Unavailable
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
 from tests.emulator.store import EmulatedStore, StoreState
@@ -61,3 +61,39 @@
         assert loaded["k0001"] == b"second"
 
     run(scenario())
+
+
+def test_many_pages_of_a_slow_store_are_all_read() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        keys = [Record(f"k{number:05d}", b"first") for number in range(12 * PAGES)]
+        state.topics[Topic.JOBS].add(keys)
+        state.latency = 0.4
+        loaded = await load_records(EmulatedStore(state, "m"), None, None)
+        assert len(_values(loaded)) == len(keys)
+
+    run(scenario())
+
+
+class _Forgetful(EmulatedStore):
+    """Leaves half of the reads without an answer."""
+
+    asked = 0
+
+    async def newest(self, topic: Topic, after: str, timeout: float) -> Page | Unavailable:
+        self.asked += 1
+        if self.asked % 2:
+            await asyncio.sleep(timeout)
+            return Unavailable("no answer")
+        return await super().newest(topic, after, timeout)
+
+
+def test_a_page_without_an_answer_costs_no_other_page() -> None:
+    async def scenario() -> None:
+        state = _filled()
+        store = _Forgetful(state, "m")
+        loaded = await load_records(store, None, None)
+        assert len(_values(loaded)) == PAGES
+        assert store.asked == 6
+
+    run(scenario())
