A page of the store that is late is asked for again by itself, not with all others

Cause: the hedge stood around the whole list, so that a load had 4 s for all pages and began anew each 0.4 s; that of a follower 6 s and 0.35 s. Change: each page is asked for again and has that time; what was read stays. Class: a limit on one call's wait around a number of calls that grows with the data. With one page nothing changes. Ruled out: a longer limit, which only moves the size.

--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -10,7 +10,7 @@
 
 from sablemount.control.clock import monotonic
 from sablemount.control.hedge import hedged
-from sablemount.control.store import PageItem, Records, Store, Topic, Unavailable
+from sablemount.control.store import Page, PageItem, Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
 
 __all__ = ["Follower", "read_newest"]
@@ -18,9 +18,9 @@
 PAGE_TIMEOUT = 1.5
 """Seconds that one page may take."""
 PAGE_INTERVAL = 0.35
-"""Seconds after which the pages are asked for again while there is no answer."""
+"""Seconds after which a page is asked for again while there is no answer."""
 PAGE_LIMIT = 6.0
-"""Seconds after which a list without an answer is given up and begun anew."""
+"""Seconds after which a list is given up and begun anew if one page has no answer."""
 GATHER_PAUSE = 0.1
 """Seconds between two reads, so that changes that come one by one are read together."""
 RETRY_PAUSE = 0.15
@@ -36,18 +36,20 @@
 
 
 async def read_newest(
-    store: Store, topic: Topic, timeout: float
+    store: Store, topic: Topic, timeout: float, interval: float, limit: float
 ) -> tuple[list[PageItem], int] | None:
     """Return the newest record of each key, and from where to read on; ``None`` without an answer.
 
-    The pages are no snapshot: what changed after the first one follows its end.
+    Each page is asked for again every ``interval`` seconds up to ``limit``: what was read of the
+    others is kept, and many pages may take longer. They are no snapshot: what changed after the
+    first one follows its end.
     """
     items: list[PageItem] = []
     after = ""
     end = -1
     while True:
-        page = await store.newest(topic, after, timeout)
-        if isinstance(page, Unavailable):
+        page = await hedged(lambda at=after: _page(store, topic, at, timeout), interval, limit)  # type: ignore[misc]
+        if page is None:
             return None
         items.extend(page.items)
         end = page.end if end < 0 else end
@@ -56,6 +58,11 @@
         after = page.items[-1].record.key
 
 
+async def _page(store: Store, topic: Topic, after: str, timeout: float) -> Page | None:
+    page = await store.newest(topic, after, timeout)
+    return None if isinstance(page, Unavailable) else page
+
+
 class Follower:
     """Keeps a reader up to date with one topic.
 
@@ -96,7 +103,9 @@
 
     async def _round(self) -> bool:
         asked_at = monotonic()
-        newest = await hedged(self._newest, PAGE_INTERVAL, PAGE_LIMIT)
+        newest = await read_newest(
+            self._store, self._topic, PAGE_TIMEOUT, PAGE_INTERVAL, PAGE_LIMIT
+        )
         if newest is None:
             self._note(False)
             return False
@@ -106,9 +115,6 @@
         self._on_answer(asked_at)
         return await self._read_on(end, monotonic() + self._fresh_start)
 
-    async def _newest(self) -> tuple[list[PageItem], int] | None:
-        return await read_newest(self._store, self._topic, PAGE_TIMEOUT)
-
     async def _read_on(self, end: int, last: float) -> bool:
         """Read what follows until all is to be read anew; return whether the store answered."""
         while (left := last - monotonic()) > 0:
--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -19,9 +19,9 @@
 PAGE_TIMEOUT = 1.5
 """Seconds that one page, or what follows the pages, may take."""
 INTERVAL = 0.4
-"""Seconds after which a read is made once more: ten times a usual load."""
+"""Seconds after which a page, or what follows, is read once more: a usual load takes a tenth."""
 LIMIT = 4.0
-"""Seconds after which a read without an answer is given up."""
+"""Seconds after which a page, or what follows, is given up if it has no answer."""
 FRESH = 3.0
 """Seconds for which pages are worth bringing up to date: a change of leader in a slow store."""
 
@@ -74,7 +74,7 @@
 
 
 async def _newest(store: Store) -> Reading | None:
-    loaded = await hedged(lambda: read_newest(store, Topic.JOBS, PAGE_TIMEOUT), INTERVAL, LIMIT)
+    loaded = await read_newest(store, Topic.JOBS, PAGE_TIMEOUT, INTERVAL, LIMIT)
     if loaded is None:
         return None
     items, end = loaded
