--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -27,10 +27,15 @@
         self.front = f"{host}:{free_port()}"
         self.ready = f"{host}:{free_port()}"
         self.process: asyncio.subprocess.Process | None = None
-        self.planned = False
-        """Whether its end was ordered here."""
         self.exits: list[int] = []
         """Exit codes of ends that nobody ordered."""
+        self.lives = 0
+        """How often it was started."""
+        self.stopped: set[int] = set()
+        """Lives that were asked for a planned stop."""
+        self.killed: set[int] = set()
+        self.frozen: set[int] = set()
+        self._starting = asyncio.Lock()
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         port = free_port()
@@ -45,9 +50,14 @@
         }
 
     async def start(self) -> None:
-        """Start the process with its settings file."""
-        self._settings.write_text(json.dumps(self._boot))
-        self.planned = False
+        """Start the process with its settings file, unless it runs."""
+        async with self._starting:
+            if not self.running:
+                await self._start()
+
+    async def _start(self) -> None:
+        self._write(json.dumps(self._boot))
+        self.lives += 1
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -56,13 +66,29 @@
                 stdout=log,
                 stderr=log,
             )
-        asyncio.ensure_future(self._watch(self.process))
+        asyncio.ensure_future(self._watch(self.process, self.lives))
 
-    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+    async def _watch(self, process: asyncio.subprocess.Process, life: int) -> None:
         code = await process.wait()
-        if not self.planned:
+        if life not in self.stopped | self.killed:
             self.exits.append(code)
 
+    def _write(self, settings: str) -> None:
+        """Put another settings file in the place of the one that is there."""
+        beside = self._settings.with_suffix(".new")
+        beside.write_text(settings)
+        beside.replace(self._settings)
+
+    async def listens(self) -> bool:
+        """Tell whether the process has started, so that it handles signals."""
+        host, _, port = self.ready.rpartition(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     @property
     def running(self) -> bool:
         """Tell whether the process has not ended."""
@@ -71,7 +97,12 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process that was started here."""
         if self.process is not None and self.running:
-            self.planned = self.planned or number in (signal.SIGKILL, signal.SIGTERM)
+            if number == signal.SIGTERM:
+                self.stopped.add(self.lives)
+            elif number == signal.SIGKILL:
+                self.killed.add(self.lives)
+            elif number == signal.SIGSTOP:
+                self.frozen.add(self.lives)
             self.process.send_signal(number)
 
     async def kill(self) -> None:
@@ -82,7 +113,7 @@
 
     async def reload(self, valid: bool) -> None:
         """Write the settings file anew, well-formed or not, and say so."""
-        self._settings.write_text(json.dumps(self._boot) if valid else '{"nodeName": 7')
+        self._write(json.dumps(self._boot) if valid else '{"nodeName": 7}')
         self.signal(signal.SIGHUP)
 
 
@@ -103,8 +134,7 @@
     async def start(self, nodes: Iterable[Node] | None = None) -> None:
         """Start processes; all of them unless some are named."""
         for node in self.rows if nodes is None else nodes:
-            if not node.running:
-                await node.start()
+            await node.start()
 
     async def close(self) -> None:
         """Kill what still runs of the processes started here."""
