Calls to emulated VMs are carried out whatever becomes of their callers, and overtake one another

A call without an answer may have been done or be done seconds later, after newer ones, and answers on different connections may overtake one another. The emulation dropped a call whose caller had gone in the 2 ms of its way, had only looks and starts done late, lost no answer of a call that was done at once, told what ran at the moment of a look's arrival at the caller, and was always silent where a life had ended.

--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -54,6 +54,7 @@
     beside: Beside,
 ) -> list[str]:
     system.store.share_there = (0.0, 1.0)
+    system.cell.held_up = 0.02
     system.start_all()
     await asyncio.sleep(1.0)
     rng = random.Random(seed + 7)
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, TypeVar
 
 from sablemount.control.messages import AdviceReply
 from sablemount.control.ports import CallError, HoldCall, HoldResult, StartResult
@@ -10,91 +11,137 @@
 from tests.emulator.vms import Cell, Vm
 
 LATENCY = 0.002
+HELD_UP = 0.25
+"""Seconds for which some calls and answers are held up on their way at most."""
+
+ENDS_AT_ONCE = 500
+
+T = TypeVar("T")
 
 
 class EmulatedVms:
-    """The VMs as one member sees them."""
+    """The VMs as one member sees them.
+
+    A call that has been sent is carried out whatever becomes of its caller, and calls and answers
+    may overtake one another.
+    """
 
     def __init__(self, cell: Cell) -> None:
         self._cell = cell
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _way(self) -> float:
+        """Return the seconds that a call, or an answer, needs."""
+        rng = self._cell.rng
+        if rng.random() < self._cell.held_up:
+            return rng.uniform(LATENCY, HELD_UP)
+        return LATENCY * rng.uniform(0.5, 1.5)
+
+    async def _call(
+        self,
+        name: str,
+        address: str,
+        act: Callable[[Vm], Coroutine[Any, Any, T]],
+        timeout: float,
+    ) -> T | CallError:
+        """Send a call, and wait some seconds for its answer."""
+        answer: asyncio.Future[T | CallError] = asyncio.get_running_loop().create_future()
+        self._spawn(self._carry(name, address, act, answer))
+        try:
+            async with asyncio.timeout(timeout):
+                return await answer
+        except TimeoutError:
+            return CallError.NO_ANSWER
 
-    def _late(self) -> bool:
-        return self._cell.rng.random() < self._cell.late_orders
-
-    def _later(self, *call: object) -> None:
-        delay = self._cell.rng.uniform(2.0, 12.0)
-        asyncio.get_running_loop().call_later(delay, *call)  # type: ignore[arg-type]
-
-    async def _reach(self, name: str, address: str, timeout: float) -> Vm | CallError:
-        vm = self._cell.vms[name]
-        await asyncio.sleep(LATENCY)
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry(
+        self,
+        name: str,
+        address: str,
+        act: Callable[[Vm], Coroutine[Any, Any, T]],
+        answer: "asyncio.Future[T | CallError]",
+    ) -> None:
+        cell = self._cell
+        vm = cell.vms[name]
+        await asyncio.sleep(self._way())
         if vm.cut:
-            await asyncio.sleep(timeout)
-            return CallError.NO_ANSWER
+            return
         if not vm.up:
-            present = self._cell.life_at(address)
-            if present is not None and not present.cut:
-                return CallError.OTHER_LIFE
-            await asyncio.sleep(timeout)
-            return CallError.NO_ANSWER
-        return vm
+            await self._at_another(vm, address, answer)
+            return
+        fate = cell.rng.random()
+        if fate < cell.late_orders:
+            await asyncio.sleep(cell.rng.uniform(2.0, 12.0))
+        result = await act(vm)
+        await asyncio.sleep(self._way())
+        # As many answers are lost as orders are late.
+        if fate >= 2.0 * cell.late_orders and vm.up and not vm.cut and not answer.done():
+            answer.set_result(result)
+
+    async def _at_another(
+        self, vm: Vm, address: str, answer: "asyncio.Future[T | CallError]"
+    ) -> None:
+        """Find another life at the address, nothing that listens, or silence."""
+        present = self._cell.life_at(address)
+        if present is None and not vm.resets:
+            return
+        if present is not None and present.cut:
+            return
+        await asyncio.sleep(self._way())
+        if not answer.done():
+            answer.set_result(CallError.REFUSED if present is None else CallError.OTHER_LIFE)
 
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
         sent_at = asyncio.get_running_loop().time()
-        vm = await self._reach(call.vm, call.address, timeout)
-        if isinstance(vm, CallError):
-            return vm
-        if self._late():
-            self._later(self._cell.hold, vm, call)
-            await asyncio.sleep(timeout)
-            return CallError.NO_ANSWER
-        fenced = self._cell.hold(vm, call)
-        if fenced is not None:
-            return fenced
-        if not vm.ends and call.wait:
-            vm.news.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(vm.news.wait(), call.wait)
-        await asyncio.sleep(LATENCY)
-        if vm.cut or not vm.up:
-            await asyncio.sleep(timeout)
-            return CallError.NO_ANSWER
-        now = asyncio.get_running_loop().time()
-        running = tuple(
-            RunReport(run.task, run.number, "", 100 * (now - run.began) / run.length)
-            for run in vm.runs.values()
-        )
-        return Heard(call.vm, sent_at, vm.clock_ms(now), running, tuple(vm.ends))
+
+        async def act(vm: Vm) -> HoldResult:
+            fenced = self._cell.hold(vm, call)
+            if fenced is not None:
+                return fenced
+            if not vm.ends and call.wait:
+                vm.news.clear()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(vm.news.wait(), call.wait)
+            return _heard(vm, sent_at)
+
+        return await self._call(call.vm, call.address, act, timeout)
 
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
-        vm = await self._reach(action.vm, address, timeout)
-        if isinstance(vm, CallError):
-            return vm
-        if self._late():
-            self._later(self._cell.start, vm, action, fence, until_ms)
-            await asyncio.sleep(timeout)
-            return CallError.NO_ANSWER
-        result = self._cell.start(vm, action, fence, until_ms)
-        await asyncio.sleep(LATENCY)
-        return result
+        async def act(vm: Vm) -> StartResult:
+            return self._cell.start(vm, action, fence, until_ms)
+
+        return await self._call(action.vm, address, act, timeout)
 
     async def stop(
         self, action: StopRun, address: str, fence: int, timeout: float
     ) -> CallError | None:
-        vm = await self._reach(action.vm, address, timeout)
-        if isinstance(vm, CallError):
-            return vm
-        return self._cell.stop(vm, action.task, action.run, fence)
+        async def act(vm: Vm) -> CallError | None:
+            return self._cell.stop(vm, action.task, action.run, fence)
+
+        return await self._call(action.vm, address, act, timeout)
 
     async def pace(
         self, action: PaceRun, address: str, fence: int, timeout: float
     ) -> CallError | None:
-        vm = await self._reach(action.vm, address, timeout)
-        if isinstance(vm, CallError):
-            return vm
-        return CallError.FENCED if fence < vm.fence else None
+        async def act(vm: Vm) -> CallError | None:
+            return CallError.FENCED if fence < vm.fence else None
+
+        return await self._call(action.vm, address, act, timeout)
+
+
+def _heard(vm: Vm, sent_at: float) -> Heard:
+    now = asyncio.get_running_loop().time()
+    running = tuple(
+        RunReport(run.task, run.number, "", 100 * (now - run.began) / run.length)
+        for run in vm.runs.values()
+    )
+    return Heard(vm.info.name, sent_at, vm.clock_ms(now), running, tuple(vm.ends[:ENDS_AT_ONCE]))
 
 
 class EmulatedAdvice:
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -43,6 +43,8 @@
     clock_start: float
     up: bool = True
     cut: bool = False
+    resets: bool = False
+    """Whether its address resets connections once its life is over, and is not silent."""
     slow: float = 1.0
     fence: int = 0
     until_ms: float = 0.0
@@ -82,6 +84,8 @@
         self.poison: set[str] = set()
         self.violations: list[str] = []
         self.late_orders = 0.0
+        self.held_up = 0.0
+        """Share of calls and answers that are held up on their way."""
         self.max_attempts = 4
         self.fail_share = 0.03
         self.seconds = 1.0
@@ -104,6 +108,7 @@
 
     def crash(self, vm: Vm) -> None:
         vm.up = False
+        vm.resets = self.rng.random() < 0.5
         for run in vm.runs.values():
             if run.timer is not None:
                 run.timer.cancel()
--- a/tests/jobs/test_emulated_vms.py
+++ b/tests/jobs/test_emulated_vms.py
@@ -7,10 +7,11 @@
 import pytest
 
 from sablemount.control.ports import CallError, HoldCall, Started
-from sablemount.jobs.actions import StartRun
+from sablemount.jobs.actions import StartRun, StopRun
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from sablemount.jobs.scheduler import StartRefusal
 from tests.emulator.loop import run
+from tests.emulator.vm_ports import EmulatedVms
 from tests.emulator.vms import Cell, Vm
 
 LONG = 60.0
@@ -185,3 +186,49 @@
         assert _outcomes(bench) == [[(1, "done")], [(1, "done")]]
 
     run(scenario())
+
+
+def test_an_order_is_carried_out_though_its_caller_has_gone() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        action = StartRun(bench.vm.info.name, "j.0.0.0", 1, "payload", 0.0)
+        port = EmulatedVms(bench.cell)
+        sent = asyncio.create_task(port.start(action, "", FENCE, bench.clock() + 5000, 1.0))
+        await asyncio.sleep(0.0005)
+        sent.cancel()
+        await asyncio.sleep(0.1)
+        assert bench.running() == [("j.0.0.0", 1)]
+
+    run(scenario())
+
+
+def test_a_late_stop_is_carried_out_seconds_after_its_caller_gave_it_up() -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        bench.start(0, 1, 6.0)
+        bench.cell.late_orders = 1.0
+        action = StopRun(bench.vm.info.name, "j.0.0.0", 1)
+        answer = await EmulatedVms(bench.cell).stop(action, "", FENCE, 0.5)
+        assert answer is CallError.NO_ANSWER
+        assert isinstance(bench.start(0, 1, 6.0), Started)
+        await asyncio.sleep(13.0)
+        assert bench.start(0, 1) is StartRefusal.OLD
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("resets", "answer"), [(True, CallError.REFUSED), (False, CallError.NO_ANSWER)]
+)
+def test_an_address_whose_life_is_over_resets_or_says_nothing(
+    resets: bool, answer: CallError
+) -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        bench.cell.crash(bench.vm)
+        bench.vm.resets = resets
+        action = StopRun(bench.vm.info.name, "j.0.0.0", 1)
+        address = bench.vm.info.address
+        assert await EmulatedVms(bench.cell).stop(action, address, FENCE, 0.5) is answer
+
+    run(scenario())
