Emulated VMs save work, and judge what a start goes on from

A saved text is new after each while of work and at a stop, and good for its own task, or for its gang, whose members must all bring the same one; the platform's VMs refuse another one (400, nothing done).

--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -248,6 +248,8 @@
         """Return a job of a random kind."""
         shape = Shape(self.rng.choice((500, 1_000, 4_000, 7_500)), self.rng.choice((500, 8_000)))
         first = StepSpec(count=self.rng.randint(1, 5), shape=shape, expected_ms=1000.0)
+        if self.rng.random() < 0.5:
+            first = msgspec.structs.replace(first, saves=True)
         kind = self.rng.random()
         if kind < 0.25:
             first = msgspec.structs.replace(first, gang=True)
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -138,7 +138,7 @@
 def _heard(vm: Vm, sent_at: float) -> Heard:
     now = asyncio.get_running_loop().time()
     running = tuple(
-        RunReport(run.task, run.number, "", 100 * (now - run.began) / run.length)
+        RunReport(run.task, run.number, run.saved(now), 100 * (now - run.began) / run.length)
         for run in vm.runs.values()
     )
     return Heard(vm.info.name, sent_at, vm.clock_ms(now), running, tuple(vm.ends[:ENDS_AT_ONCE]))
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -8,11 +8,13 @@
 
 from sablemount.control.ports import CallError, HoldCall, Started, StartResult
 from sablemount.jobs.actions import EndReport, StartRun
-from sablemount.jobs.model import JobSpec, Organisation, Shape, VmInfo
+from sablemount.jobs.model import JobSpec, Organisation, Shape, StepSpec, VmInfo
 from sablemount.jobs.scheduler import StartRefusal
 
 LEASE = 6.0
 STOP_TIME = 0.3
+SAVE_EVERY = 0.4
+"""Seconds of work after which a task that saves has saved anew."""
 GANG_TIMEOUT = 3.0
 APPLY_TIME = 3.0
 """Seconds for which a configuration may be in force after the next one was acknowledged."""
@@ -30,9 +32,28 @@
     began: float
     length: float
     gang: bool = False
+    saves: bool = False
+    begun_from: str = ""
+    """What it was started with of an earlier run's work."""
     stopping: bool = False
     timer: asyncio.TimerHandle | None = None
 
+    @property
+    def owner(self) -> str:
+        """Return whose saved work is good for it: its task's, or any of its gang's."""
+        return _owner(self.task, self.gang)
+
+    def saved(self, now: float, stopped: bool = False) -> str:
+        """Return what it has saved: new after each while of work and at a stop."""
+        times = int((now - self.began) / SAVE_EVERY)
+        if not self.saves or not (times or stopped):
+            return self.begun_from
+        return f"{self.owner}|{self.number}.{times}{'s' if stopped else ''}"
+
+
+def _owner(task: str, gang: bool) -> str:
+    return task.rpartition(".")[0] if gang else task
+
 
 @dataclass
 class Vm:
@@ -171,17 +192,33 @@
             return Started(clock)
         if action.run <= vm.barred[action.task]:
             return StartRefusal.OLD
+        if not self._may_go_on(action):
+            return StartRefusal.REJECTED
         self._begin(vm, action, now)
         return Started(clock)
 
+    def _step(self, task: str) -> StepSpec:
+        job, _, step, _ = task.split(".")
+        return self.jobs[job].steps[int(step)]
+
+    def _may_go_on(self, action: StartRun) -> bool:
+        """Judge the saved work that a start brings: it is the task's, or any of its gang's."""
+        gang = self._step(action.task).gang
+        if not action.saved or action.saved.startswith(f"{_owner(action.task, gang)}|"):
+            return True
+        self.violations.append(f"saved work of another task: {action.task} from {action.saved}")
+        return False
+
     def _begin(self, vm: Vm, action: StartRun, now: float) -> None:
-        job, _, step, _ = action.task.split(".")
-        spec = self.jobs[job].steps[int(step)]
+        spec = self._step(action.task)
         self._check(vm, action, spec.charge)
         self._check_cap(action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
         length = max(0.05, self.rng.expovariate(1.0 / self.seconds)) * vm.slow
-        run = Run(action.task, action.run, spec.charge, now, length, spec.gang)
+        if action.saved:
+            length /= 2.0
+        run = Run(action.task, action.run, spec.charge, now, length, spec.gang, spec.saves)
+        run.begun_from = action.saved
         vm.runs[action.task, action.run] = run
         if spec.gang:
             self._gang_joined(vm, run, spec.count)
@@ -190,6 +227,8 @@
 
     def _gang_joined(self, vm: Vm, run: Run, count: int) -> None:
         members = self._members(run)
+        if any(member.begun_from != run.begun_from for _, member in members):
+            self.violations.append(f"a gang goes on from different work: {run.task}")
         loop = asyncio.get_running_loop()
         if len(members) < count:
             run.timer = loop.call_later(GANG_TIMEOUT, self._end, vm, run, "alone")
@@ -250,7 +289,9 @@
         del vm.runs[run.task, run.number]
         vm.barred[run.task] = max(vm.barred[run.task], run.number)
         if vm.next_end > vm.acked_end:
-            vm.ends.append(EndReport(vm.next_end, run.task, run.number, how))
+            now = asyncio.get_running_loop().time()
+            saved = run.saved(now, True) if how == "stopped" else ""
+            vm.ends.append(EndReport(vm.next_end, run.task, run.number, how, saved))
         if how == "done":
             now = asyncio.get_running_loop().time()
             vm.done_ends[vm.next_end] = (run.task, now, vm.lapses)
--- a/tests/jobs/test_emulated_vms.py
+++ b/tests/jobs/test_emulated_vms.py
@@ -21,11 +21,14 @@
 class _Bench:
     """A cell with some VMs that are told what to do."""
 
-    def __init__(self, tasks: int = 4, gang: bool = False, vms: int = 1) -> None:
+    def __init__(
+        self, tasks: int = 4, gang: bool = False, vms: int = 1, saves: bool = False
+    ) -> None:
         self.cell = Cell(random.Random(1))
         self.cell.fail_share = 0.0
         self.cell.seconds = LONG
-        self.cell.jobs["j"] = JobSpec("payload", (StepSpec(tasks, Shape(1_000, 1_000), gang=gang),))
+        step = StepSpec(tasks, Shape(1_000, 1_000), gang=gang, saves=saves)
+        self.cell.jobs["j"] = JobSpec("payload", (step,))
         self.vms = [self.cell.add(f"w{n}", "r", Shape(16_000, 64_000)) for n in range(vms)]
         self.vm = self.vms[0]
 
@@ -39,9 +42,10 @@
         seconds: float = 5.0,
         vm: Vm | None = None,
         fence: int = FENCE,
+        saved: str = "",
     ) -> object:
         at = vm or self.vm
-        action = StartRun(at.info.name, f"j.0.0.{index}", number, "payload", 0.0)
+        action = StartRun(at.info.name, f"j.0.0.{index}", number, "payload", 0.0, saved)
         return self.cell.start(at, action, fence, self.clock(at) + int(seconds * 1000))
 
     def stop(self, index: int, number: int, vm: Vm | None = None) -> None:
@@ -232,3 +236,33 @@
         assert await EmulatedVms(bench.cell).stop(action, address, FENCE, 0.5) is answer
 
     run(scenario())
+
+
+def test_what_was_saved_is_good_for_its_task_only() -> None:
+    async def scenario() -> None:
+        bench = _Bench(tasks=3, saves=True)
+        bench.start(0, 1)
+        await asyncio.sleep(1.0)
+        bench.stop(0, 1)
+        await asyncio.sleep(0.5)
+        saved = bench.vm.ends[0].saved
+        assert saved
+        assert isinstance(bench.start(0, 2, saved=saved), Started)
+        assert not bench.cell.violations
+        assert bench.start(1, 1, saved=saved) is StartRefusal.REJECTED
+        assert bench.cell.violations
+
+    run(scenario())
+
+
+def test_a_gang_goes_on_from_the_work_of_one_member() -> None:
+    async def scenario() -> None:
+        bench = _Bench(tasks=3, gang=True, saves=True, vms=3)
+        saved = "j.0.0|1.2"
+        for index in (0, 1):
+            bench.start(index, 2, vm=bench.vms[index], saved=saved)
+        assert not bench.cell.violations
+        bench.start(2, 2, vm=bench.vms[2])
+        assert bench.cell.violations
+
+    run(scenario())
