--- a/tests/jobs/test_parted_leader.py
+++ b/tests/jobs/test_parted_leader.py
@@ -9,36 +9,20 @@
 """
 
 import asyncio
+from functools import partial
 
 import pytest
 
 from sablemount.control.messages import CallerCall, Operation, Outcome
-from sablemount.control.ports import CallError
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.loop import run
 from tests.emulator.system import HOST, PREFIX, TIMEOUT, System
 from tests.emulator.vm_ports import EmulatedVms
-from tests.emulator.vms import Vm
 
 MEMBERS = 5
 VMS = 4
 
 
-class _PartlyReached(EmulatedVms):
-    """VMs of which a member reaches some only."""
-
-    def __init__(self, system: "_Parted", member: str) -> None:
-        super().__init__(system.cell)
-        self._system = system
-        self._member = member
-
-    async def _reach(self, name: str, address: str, timeout: float) -> Vm | CallError:
-        if name in self._system.unreached.get(self._member, set()):
-            await asyncio.sleep(timeout)
-            return CallError.NO_ANSWER
-        return await super()._reach(name, address, timeout)
-
-
 class _Parted(System):
     def __init__(self, seed: int) -> None:
         super().__init__(seed, members=MEMBERS, vms=VMS)
@@ -46,7 +30,10 @@
 
     def start(self, name: str) -> None:
         super().start(name)
-        self.members[name].ports.vms = _PartlyReached(self, name)
+        self.members[name].ports.vms = EmulatedVms(self.cell, partial(self._unreached, name))
+
+    def _unreached(self, member: str, vm: str) -> bool:
+        return vm in self.unreached.get(member, set())
 
     def part(self, apart: set[str], vm: str) -> None:
         """Cut some members off from the store and the others; they alone reach one VM."""
