Errors of answers to other members, and of a new leader's announcement, are logged

Cause: these tasks were the last in control/ whose errors showed outside the log only, if at all. Change: Background holds them. Its own tests: an error is logged, and what goes on is cancelled in order; the first of them fails without the call that tells an error.

--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -210,7 +210,7 @@
         self.leader = leader
         record = self._link.record
         assert record is not None
-        announcing = asyncio.get_running_loop().create_task(
+        announcing = self._background.spawn(
             announce(record, self._link, lambda: leader.leading, leader.members.heard)
         )
         try:
--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -13,6 +13,7 @@
 import msgspec
 from tornado import iostream, tcpclient, tcpserver
 
+from sablemount.control.background import Background, error_logger
 from sablemount.control.clock import monotonic
 from sablemount.control.messages import Message, Reply
 from sablemount.control.network import CallFailed, Handler, Link
@@ -57,7 +58,7 @@
         self._handler = handler
         self._calls: dict[int, asyncio.Future[Reply]] = {}
         self._next = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._answers = Background(error_logger(_logger))
         stream.set_nodelay(True)
         set_user_timeout(stream)
 
@@ -103,9 +104,7 @@
         frame = _DECODER.decode(await self._stream.read_bytes(length))
         self.heard_at = monotonic()
         if frame.message is not None:
-            task = asyncio.get_running_loop().create_task(self._answer(frame))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._answers.spawn(self._answer(frame))
             return
         future = self._calls.get(frame.number)
         if future is not None and frame.reply is not None and not future.done():
--- /dev/null
+++ b/tests/jobs/test_background.py
@@ -0,0 +1,60 @@
+"""Tasks that nobody waits for are held, and their errors are told."""
+
+import asyncio
+import logging
+
+import pytest
+
+from sablemount.control.background import Background, error_logger
+from tests.emulator.loop import run
+
+
+async def _fail(error: Exception) -> None:
+    raise error
+
+
+def test_an_error_is_logged() -> None:
+    lines: list[logging.LogRecord] = []
+    logger = logging.Logger("any")
+    handler = logging.Handler()
+    handler.emit = lines.append  # type: ignore[method-assign]
+    logger.addHandler(handler)
+    error = ValueError("wrong")
+
+    async def scenario() -> None:
+        Background(error_logger(logger)).spawn(_fail(error))
+        await asyncio.sleep(0.01)
+
+    run(scenario())
+    (line,) = lines
+    assert line.levelno == logging.ERROR
+    assert line.exc_info is not None
+    assert line.exc_info[1] is error
+
+
+@pytest.mark.parametrize("elsewhere", [False, True])
+def test_what_goes_on_is_cancelled_in_order_and_that_is_no_error(elsewhere: bool) -> None:
+    errors: list[BaseException] = []
+    ended: list[int] = []
+
+    async def go_on(number: int) -> None:
+        try:
+            await asyncio.sleep(60.0)
+        finally:
+            ended.append(number)
+
+    async def scenario() -> None:
+        background = Background(errors.append)
+        for number in range(5):
+            if elsewhere:
+                background.keep(asyncio.create_task(go_on(number)))
+            else:
+                background.spawn(go_on(number))
+        await asyncio.sleep(1.0)
+        assert ended == []
+        background.close()
+        await asyncio.sleep(0.01)
+        assert ended == [0, 1, 2, 3, 4]
+
+    run(scenario())
+    assert errors == []
