--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -1,4 +1,4 @@
-"""Appends the leader's batches, one at a time, until each has a definite answer."""
+"""Appends the leader's batches, a few at once, until each has a definite answer."""
 
 import asyncio
 import logging
