--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -154,6 +154,7 @@
     caplog.set_level(logging.INFO, "sablemount")
 
     async def scenario(front: Front) -> None:
+        front.standin.cell.jobs["00000000000000ad"] = decode_job(json.dumps(JOB).encode())
         for _ in range(2):
             assert (await front.call(0, "POST", PREFIX + "00000000000000ad", JOB)).code == 200
         assert (await front.call(1, "GET", PREFIX + "00000000000000aa")).code == 410
