A start is valid no longer than its run is waited for

Cause: how long a start is valid on its VM's clock was worked out at the sending, from the newest word of that clock, while the clock time after which the run counts as never there was fixed when it was placed. A word that came in between and showed a clock further on than 0.3 s moved the first and not the second. Change: the validity ends at the run's settle time at the latest; nothing is sent for a run that was given up before. Ruled out: moving the settle time along at the sending, as a VM's word in between may have been judged by it already.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -170,9 +170,12 @@
     async def _start(self, action: StartRun) -> None:
         """Order a start, and again while it has no answer: the same run is started once only."""
         row = self._scheduler.state.vms.get(action.vm)
-        if row is None:
+        run = None if row is None else row.runs.get((action.task, action.run))
+        if row is None or run is None:
+            # Given up meanwhile: its room and its task may have been given to others.
             return
-        until = int(row.clock_after(monotonic()) + self._left(action) * MS)
+        # After its settle time a run that its VM does not list is taken never to come.
+        until = int(min(row.clock_after(monotonic()) + self._left(action) * MS, run.settle_clock))
         certain = True
         for _ in range(START_TRIES):
             left = self._left(action)
