A VM is in use by its last record only

Cause: what a batch says of VMs in use was kept by their names alone, so that the answer to an earlier record stood for a later one that was not sent yet, when the VM had been dropped in between. Change: records of use are numbered by VM; a batch names the numbers it holds, and only the last one counts. Of records of one VM that wait together only the last one is written. Ruled out: asking the order of batches, as answers may come in any.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -33,8 +33,8 @@
     accepted: list[str] = []
     states: dict[str, int] = {}
     """State of the jobs whose progress is in the batch, by job."""
-    used: list[str] = []
-    """VMs that may be given work from now on."""
+    used: dict[str, int] = {}
+    """VMs that may be given work from now on, each with the number of its record of use."""
     ends: dict[str, int] = {}
     """Number of the last end noted, by VM."""
 
@@ -46,8 +46,7 @@
         self._state = state
         self._lifecycle = lifecycle
         self._accepting: dict[str, JobRow] = {}
-        self._vms: list[Record] = []
-        self._used: list[str] = []
+        self._vms: dict[str, Record] = {}
         self._dropped: list[Record] = []
 
     def accept(self, job: JobRow) -> None:
@@ -61,16 +60,14 @@
     def use(self, row: VmRow) -> None:
         """Record that a VM may run something."""
         row.recorded = True
-        self._used.append(row.name)
+        row.uses += 1
         value = encode(VmRecord(row.info.address, row.info.pool))
-        self._vms.append(Record(VM_PREFIX + row.name, value))
+        self._vms[row.name] = Record(VM_PREFIX + row.name, value)
 
     def unuse(self, row: VmRow) -> None:
         """Record that a VM runs nothing any more."""
         row.recorded = row.in_use = False
-        if row.name in self._used:
-            self._used.remove(row.name)
-        self._vms.append(Record(VM_PREFIX + row.name))
+        self._vms[row.name] = Record(VM_PREFIX + row.name)
 
     def forget(self, name: str) -> None:
         """Drop the record of an ended job."""
@@ -86,9 +83,12 @@
     def next_batch(self) -> Batch:
         """Return the next batch; what it holds does not go with a later one."""
         state = self._state
-        batch = Batch(self._vms + self._dropped, used=self._used)
-        self._vms = []
-        self._used = []
+        batch = Batch([*self._vms.values(), *self._dropped])
+        for name, record in self._vms.items():
+            row = state.vms.get(name)
+            if record.value and row is not None:
+                batch.used[name] = row.uses
+        self._vms = {}
         self._dropped = []
         size = 0
         while self._accepting and size < MAX_BATCH_BYTES:
@@ -121,9 +121,10 @@
                 job.durable = True
         for name, number in batch.states.items():
             self._shown(name, JobState(number))
-        for vm in batch.used:
+        for vm, number in batch.used.items():
             row = self._state.vms.get(vm)
-            if row is not None and row.recorded:
+            # One that was dropped since, or dropped and made anew, says nothing of the last one.
+            if row is not None and row.recorded and row.uses == number:
                 row.in_use = True
                 self._state.freed += 1
         for vm, end in batch.ends.items():
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -303,6 +303,8 @@
     strikes: int = 0
     recorded: bool = False
     """Whether its record says, or is about to say, that it may run something."""
+    uses: int = 0
+    """Records of its use that were made here: the number of the last one."""
     in_use: bool = False
     """Whether that record is in the store, so that something may be started."""
     loaded: bool = False
