A new incarnation's appends go on with the former one's numbers

Cause: an answer is matched with its append by the number alone, and a new incarnation began at 1 again, so that a late answer to the former one's append settled the present one's. Change: the count of appends is not set back when records are given up. Readers take any number above the last one of the writer, so a gap changes nothing for them, nor for members of the version before. Ruled out: the incarnation as part of action and event, as the count alone tells them apart within a process.

--- a/src/sablemount/core/systems/journal.py
+++ b/src/sablemount/core/systems/journal.py
@@ -158,8 +158,8 @@
         self._by_kind.clear()
         self._deadlines.clear()
         self._queue.clear()
+        # The count goes on: by its number alone a late answer is told from one to a later append.
         self._in_flight = None
-        self._sequence = 0
         for item in pending:
             self._settle(item, Settlement.UNKNOWN if item.sent else Settlement.NOT_WRITTEN)
 
