A job that can't be recorded is refused, and progress fits into a record

Cause: nothing held what is taken in against the bytes that the store takes in a record. A record that is too large is refused whenever it is sent, and all that comes after it waits. Change: the two bounds of the store come with its settings (262,144 and 2,097,152 bytes if they don't name them). A new job is refused as invalid, with its field, if its record is too large or if what is done of it may grow so, over all the times that it runs. Records are read as before, and one in which all fits is written as before. Ruled out: several records for one job's progress, as members of the version before would not read them; to refuse by all failures and saved states that there might be, as queues may allow any number of attempts, and saved texts of any length come from the VMs.

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -102,7 +102,8 @@
             return CallerReply(Outcome.NAME_TAKEN, reason="the name is not available")
         known = self._scheduler.state.jobs.get(name)
         if known is None:
-            fault = self._beyond_cap(call.organisation, spec)
+            fault = self._scheduler.record_fault(name, queue, spec, call.organisation)
+            fault = fault or self._beyond_cap(call.organisation, spec)
             if fault is not None:
                 return CallerReply(Outcome.INVALID, path=fault.path, reason=fault.reason)
         if self._commits.stuck():
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -16,6 +16,7 @@
     VmRecord,
     encode,
 )
+from sablemount.jobs.sizes import progress_record
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.tables import JobRow, JobState, VmRow
@@ -107,8 +108,8 @@
         return batch
 
     def _add_progress(self, batch: Batch, job: JobRow) -> None:
-        value = encode(self._lifecycle.progress(job))
-        batch.records.append(Record(PROGRESS_PREFIX + job.name, value))
+        limit = self._state.settings.record_bytes
+        batch.records.append(progress_record(job.name, self._lifecycle.progress(job), limit))
         batch.states[job.name] = int(job.state)
         if job.state.final:
             batch.records.append(Record(JOB_PREFIX + job.name))
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -32,6 +32,8 @@
 """Steps of a job at most: each costs rows of tables for as long as the job lives."""
 MAX_TASKS = 20_000
 """Tasks of a job at most, so that no single job takes a large part of a process's memory."""
+MAX_SPEC_BYTES = 250_000
+"""Bytes of a whole job as it is recorded at most: 12 KB less than a record usually may have."""
 
 
 class Shape(msgspec.Struct, frozen=True, array_like=True):
@@ -238,6 +240,8 @@
         yield SpecError("$.steps", f"more than {MAX_STEPS} steps")
     if sum(max(0, step.count) for step in spec.steps) > MAX_TASKS:
         yield SpecError("$.steps", f"more than {MAX_TASKS} tasks")
+    if len(msgspec.msgpack.encode(spec)) > MAX_SPEC_BYTES:
+        yield SpecError("$.steps", f"more than {MAX_SPEC_BYTES} bytes")
     if spec.times < 0:
         yield SpecError("$.times", "below 0")
     for number, step in enumerate(spec.steps):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -12,7 +12,7 @@
 
 from sablemount.jobs.actions import Action, Heard
 from sablemount.jobs.journal import Batch, Journal
-from sablemount.jobs.model import Configuration, JobSpec, Queue, Shape, VmInfo
+from sablemount.jobs.model import Configuration, JobSpec, Queue, Shape, SpecError, VmInfo
 from sablemount.jobs.records import (
     JOB_PREFIX,
     PROGRESS_PREFIX,
@@ -25,6 +25,7 @@
     decode_vm,
 )
 from sablemount.jobs.settings import JobSettings
+from sablemount.jobs.sizes import record_fault
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
@@ -231,17 +232,24 @@
 
     def submit(self, name: str, queue: Queue, spec: JobSpec, organisation: str = "") -> Submission:
         """Take a job of an organisation, or find that it is known."""
-        state = self.state
-        known = state.jobs.get(name)
+        known = self.state.jobs.get(name)
         if known is not None:
             return Submission.KNOWN if known.durable else Submission.PENDING
-        record = JobRecord(
-            queue.terms, spec, state.wall_ms, state.epoch, organisation, queue.public
-        )
-        job = self.lifecycle.create(name, record)
+        job = self.lifecycle.create(name, self._record(queue, spec, organisation))
         self.journal.accept(job)
         return Submission.PENDING
 
+    def record_fault(
+        self, name: str, queue: Queue, spec: JobSpec, organisation: str
+    ) -> SpecError | None:
+        """Return what of a job is too large to be recorded, now or as it goes on."""
+        record = self._record(queue, spec, organisation)
+        return record_fault(name, record, self.state.settings.record_bytes)
+
+    def _record(self, queue: Queue, spec: JobSpec, organisation: str) -> JobRecord:
+        state = self.state
+        return JobRecord(queue.terms, spec, state.wall_ms, state.epoch, organisation, queue.public)
+
     def withdraw(self, name: str) -> bool:
         """Take back a job whose acceptance has not been sent to the store."""
         if not self.journal.withdraw(name):
--- a/src/sablemount/jobs/settings.py
+++ b/src/sablemount/jobs/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the job scheduler, in seconds."""
+"""Settings of the job scheduler, in seconds where nothing else is said."""
 
 import msgspec
 
@@ -21,5 +21,9 @@
     """A VM that was not heard for this long gets no new work."""
     start_valid: float = 1.5
     """How long after it was sent a start may be carried out."""
+    record_bytes: int = 262_144
+    """Bytes of a record, its key included, that the store takes at most."""
+    call_bytes: int = 2_097_152
+    """Bytes of the records of one call that the store takes at most."""
     takeover_margin: float = 2.5
     """How long a former leader may go on after another one has taken over."""
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -38,6 +38,7 @@
 FIELD_NAMES = {
     ".after": ".dependsOn",
     ".payload": ".spec",
+    ".times": ".maxRuns",
     ".shape.cores": ".cpu",
     ".shape.memory": ".memMb",
     ".shape.accelerators": ".gpu",
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -54,9 +54,11 @@
 
 
 class Service(_Wire, frozen=True):
-    """Where one of the platform's services answers."""
+    """Where the store answers, and how many bytes it takes in a record and in a call."""
 
     addr: str
+    record_bytes: int = msgspec.field(name="record_bytes", default=JobSettings().record_bytes)
+    call_bytes: int = msgspec.field(name="call_bytes", default=JobSettings().call_bytes)
 
 
 class BootSettings(_Wire, frozen=True):
@@ -108,6 +110,8 @@
         state_kept=bounds.status_s,
         restore=bounds.restore_ms / MS,
         cap_overage=bounds.quota_overage,
+        record_bytes=boot.platform.record_bytes,
+        call_bytes=boot.platform.call_bytes,
     )
     cores = boot.limits.cpu_share * boot.limits.cores
     return MemberSettings(
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -133,6 +133,17 @@
     assert settings.member_settings(short).jobs.lease == 4.0
 
 
+def test_the_bytes_that_the_store_takes_are_read() -> None:
+    store = {"addr": "10.200.1.7:8169", "record_bytes": 1_000, "call_bytes": 9_000}
+    text = json.dumps(SETTINGS | {"platform": store})
+    boot = msgspec.json.decode(text, type=settings.BootSettings)
+    jobs = settings.member_settings(boot).jobs
+    assert (jobs.record_bytes, jobs.call_bytes) == (1_000, 9_000)
+    usual = msgspec.json.decode(json.dumps(SETTINGS), type=settings.BootSettings)
+    jobs = settings.member_settings(usual).jobs
+    assert (jobs.record_bytes, jobs.call_bytes) == (262_144, 2_097_152)
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", '{"nodeName": 3}'])
 def test_bad_settings_are_refused_with_a_reason(
     text: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
