A batch is bounded by its bytes, over all its records

Cause: only accepted jobs counted towards a batch's bytes; progress, VMs and dropped keys did not, so that a batch after an absence of the store could be larger than the store takes in a call, and was sent again without end. Change: a batch takes records up to half of a call's bytes. All that is pending goes in as many batches as that needs, whose appends begin in turn; those who wait are told after the last. Once something has to wait for the next batch, all later things do too, so that no acceptance follows its job's end; ends are acknowledged after the last progress that they changed. Accepted jobs go in the order in which they came instead of the newest first. Ruled out: one batch at a time per commit, as another commit's newer progress could overtake an older one.

--- a/src/sablemount/control/commit_loop.py
+++ b/src/sablemount/control/commit_loop.py
@@ -7,6 +7,7 @@
 from sablemount.control.clock import monotonic
 from sablemount.control.commit import Committer
 from sablemount.control.figures import Figures
+from sablemount.jobs.journal import Batch
 from sablemount.jobs.scheduler import JobScheduler
 
 __all__ = ["CommitLoop"]
@@ -87,8 +88,9 @@
         self._waiting = []
         asked_at = self._asked_at()
         try:
-            if self._scheduler.journal.pending():
-                await self._append()
+            batches = self._pending_batches()
+            if batches:
+                await self._append_all(batches)
             else:
                 await self._committer.append([])
             self._on_durable(asked_at)
@@ -106,8 +108,24 @@
         since = self._committer.waiting_since
         return since if since > 0 else monotonic()
 
-    async def _append(self) -> None:
-        batch = self._scheduler.next_batch()
+    def _pending_batches(self) -> list[Batch]:
+        """Return all that is pending: what was waited for is in the store after these."""
+        batches = []
+        while self._scheduler.journal.pending():
+            batches.append(self._scheduler.next_batch())
+        return batches
+
+    async def _append_all(self, batches: list[Batch]) -> None:
+        """Append batches in their order, which is that in which their appends begin."""
+        loop = asyncio.get_running_loop()
+        appends = [loop.create_task(self._append(batch)) for batch in batches]
+        try:
+            await asyncio.gather(*appends)
+        finally:
+            for append in appends:
+                append.cancel()
+
+    async def _append(self, batch: Batch) -> None:
         sent_at = monotonic()
         await self._committer.append(batch.records)
         self._figures.observe("append", monotonic() - sent_at)
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -4,6 +4,8 @@
 together; each is sent again as it was until it has a definite answer.
 """
 
+from collections import deque
+
 import msgspec
 
 from sablemount.jobs.job_lines import job_ended
@@ -16,15 +18,15 @@
     VmRecord,
     encode,
 )
-from sablemount.jobs.sizes import progress_record
+from sablemount.jobs.sizes import call_size, progress_record, record_size
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.tables import JobRow, JobState, VmRow
 
 __all__ = ["Batch", "Journal"]
 
-MAX_BATCH_BYTES = 1_000_000
-"""Bytes of accepted jobs in one batch at most, half of what the store takes in a call."""
+CALLS_SHARE = 2
+"""By how much a batch's bytes are below what the store takes in a call at most."""
 
 
 class Batch(msgspec.Struct):
@@ -48,7 +50,7 @@
         self._lifecycle = lifecycle
         self._accepting: dict[str, JobRow] = {}
         self._vms: dict[str, Record] = {}
-        self._dropped: list[Record] = []
+        self._dropped: deque[Record] = deque()
 
     def accept(self, job: JobRow) -> None:
         """Let a job's acceptance go with the next batch."""
@@ -82,37 +84,63 @@
         return any(row.seen_end > row.noted_end for row in state.vms.values())
 
     def next_batch(self) -> Batch:
-        """Return the next batch; what it holds does not go with a later one."""
+        """Return the next batch; what it holds does not go with a later one.
+
+        It is bounded in its bytes, so that something may be pending still.
+        """
+        filling = _Filling(self._state)
+        self._add_vms(filling)
+        self._add_dropped(filling)
+        self._add_accepted(filling)
+        self._add_progress(filling)
+        if not self._state.dirty:
+            # What the ends have changed is in this batch or in one before.
+            self._add_ends(filling.batch)
+        return filling.batch
+
+    def _add_vms(self, filling: "_Filling") -> None:
+        while self._vms:
+            name, record = next(iter(self._vms.items()))
+            if not filling.room_for([record]):
+                return
+            del self._vms[name]
+            row = self._state.vms.get(name)
+            if filling.add([record]) and record.value and row is not None:
+                filling.batch.used[name] = row.uses
+
+    def _add_dropped(self, filling: "_Filling") -> None:
+        while self._dropped and filling.room_for([self._dropped[0]]):
+            filling.add([self._dropped.popleft()])
+
+    def _add_accepted(self, filling: "_Filling") -> None:
+        while self._accepting:
+            name, job = next(iter(self._accepting.items()))
+            records = [Record(JOB_PREFIX + name, encode(job.record))]
+            if not filling.room_for(records):
+                return
+            del self._accepting[name]
+            if filling.add(records):
+                filling.batch.accepted.append(name)
+
+    def _add_progress(self, filling: "_Filling") -> None:
         state = self._state
-        batch = Batch([*self._vms.values(), *self._dropped])
-        for name, record in self._vms.items():
-            row = state.vms.get(name)
-            if record.value and row is not None:
-                batch.used[name] = row.uses
-        self._vms = {}
-        self._dropped = []
-        size = 0
-        while self._accepting and size < MAX_BATCH_BYTES:
-            name, job = self._accepting.popitem()
-            value = encode(job.record)
-            size += len(value)
-            batch.records.append(Record(JOB_PREFIX + name, value))
-            batch.accepted.append(name)
-        for job in state.dirty.values():
-            self._add_progress(batch, job)
-        state.dirty = {}
-        for row in state.vms.values():
+        while state.dirty:
+            name, job = next(iter(state.dirty.items()))
+            progress = self._lifecycle.progress(job)
+            records = [progress_record(name, progress, state.settings.record_bytes)]
+            if job.state.final:
+                records.append(Record(JOB_PREFIX + name))
+            if not filling.room_for(records):
+                return
+            del state.dirty[name]
+            if filling.add(records):
+                filling.batch.states[name] = int(job.state)
+
+    def _add_ends(self, batch: Batch) -> None:
+        for row in self._state.vms.values():
             if row.seen_end > row.noted_end:
                 row.noted_end = row.seen_end
                 batch.ends[row.name] = row.seen_end
-        return batch
-
-    def _add_progress(self, batch: Batch, job: JobRow) -> None:
-        limit = self._state.settings.record_bytes
-        batch.records.append(progress_record(job.name, self._lifecycle.progress(job), limit))
-        batch.states[job.name] = int(job.state)
-        if job.state.final:
-            batch.records.append(Record(JOB_PREFIX + job.name))
 
     def durable(self, batch: Batch) -> None:
         """Take that a batch is in the store."""
@@ -145,3 +173,37 @@
             spec = JobSpec("", job.record.spec.steps)
             job.record = msgspec.structs.replace(job.record, spec=spec)
             job.steps = {}
+
+
+class _Filling:
+    """A batch that is being filled, up to its bytes."""
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self._room = state.settings.call_bytes // CALLS_SHARE
+        self._full = False
+        self.batch = Batch([])
+
+    def room_for(self, records: list[Record]) -> bool:
+        """Tell whether records that go together may be added; some may always be to none.
+
+        After some that may not, no others may: they may be about the same job, and come later.
+        """
+        if self.batch.records and call_size(records) > self._room:
+            self._full = True
+        return not self._full
+
+    def add(self, records: list[Record]) -> bool:
+        """Add records; ``False`` tells that one is too large for the store, so that none is added.
+
+        To send it would hold up all that comes after it.
+        """
+        limit = self._state.settings.record_bytes
+        for record in records:
+            if record_size(record) > limit:
+                extra = {"key": record.key, "bytes": record_size(record)}
+                self._state.logger.error("record too large", extra=extra)
+                return False
+        self._room -= call_size(records)
+        self.batch.records += records
+        return True
