--- /dev/null
+++ b/tests/jobs/test_confirmation_age.py
@@ -0,0 +1,59 @@
+"""What the leader tells of its configuration's age is as old as the way of the answer is long.
+
+A member that fails closed serves callers only while its configuration was confirmed of late. The
+leader's answer to a ping tells for how long its own has not been; an answer that took long to come
+must not make the member's confirmation younger than the leader's was.
+"""
+
+import asyncio
+import random
+
+from sablemount.control.configuration_feed import ConfigurationFeed
+from sablemount.control.figures import Figures
+from sablemount.control.leader_link import PING_TIMEOUT, LeaderLink
+from sablemount.control.member_settings import MemberSettings
+from sablemount.control.messages import LeaderRecord, Message, Pong, Reply
+from sablemount.jobs.model import Configuration
+from sablemount.jobs.settings import JobSettings
+from tests.emulator.loop import run
+from tests.emulator.network import Wires
+from tests.emulator.system import Codec
+
+WAY_BACK = PING_TIMEOUT - 0.05
+
+
+class _SlowLink:
+    """A link over which answers take long to come; the leader answers at once."""
+
+    closed = False
+    peer = "leader"
+
+    def __init__(self, confirmed_at: float) -> None:
+        self._confirmed_at = confirmed_at
+
+    async def call(self, message: Message, timeout: float) -> Reply:
+        age = asyncio.get_running_loop().time() - self._confirmed_at
+        pong = Pong(1, True, 0.0, configuration=1, configuration_age=age)
+        await asyncio.sleep(WAY_BACK)
+        return pong
+
+
+def test_a_late_answer_does_not_make_a_configuration_younger() -> None:
+    async def scenario() -> None:
+        async def refuse(link: object, message: Message) -> Reply:
+            raise AssertionError
+
+        settings = MemberSettings("m", "m", JobSettings())
+        link = LeaderLink(settings, Wires().port("m"), refuse)
+        link.follow(LeaderRecord(1, "leader", "leader", "life"))
+        feed = ConfigurationFeed(
+            Codec(), link, Figures(), lambda work: asyncio.get_running_loop().create_task(work)
+        )
+        feed.offer(Configuration(1), "store")
+        link.on_pong = feed.heard
+        confirmed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(random.Random(1).uniform(0.5, 1.0))
+        await link._ping(_SlowLink(confirmed_at))
+        assert feed.confirmed_at <= confirmed_at + 0.001
+
+    run(scenario())
