A configuration's age is counted from when the leader was asked

Cause: a member took the age that the leader tells as of the moment when the answer came, though the answer may have been on its way for as long as a ping may take (0.3 s). Change: the age counts from when the ping was sent, which is before the leader worked it out, so that a member never holds a version for younger than the leader does. Ruled out: the leader's time in the answer, as their clocks differ. Tests: before 1 failed, now it passes. tests/jobs and tests/platform: all pass.

--- a/src/sablemount/control/configuration_feed.py
+++ b/src/sablemount/control/configuration_feed.py
@@ -137,13 +137,14 @@
 
     # -- A member's side ---------------------------------------------------------------------
 
-    def heard(self, pong: Pong) -> None:
-        """Take what the leader has told of its version."""
+    def heard(self, pong: Pong, asked_at: float) -> None:
+        """Take what the leader, asked at a local time, has told of its version."""
         now = monotonic()
         if pong.configuration <= self.version:
             self._behind_since = None
             if pong.configuration == self.version:
-                self.confirmed(now - pong.configuration_age)
+                # The answer may have been on its way since then.
+                self.confirmed(asked_at - pong.configuration_age)
             if pong.wants_configuration:
                 self._spawn(self._give())
             return
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -42,7 +42,7 @@
     """Take who leads, and do nothing."""
 
 
-def _ignore_pong(pong: Pong) -> None:
+def _ignore_pong(pong: Pong, asked_at: float) -> None:
     """Take an answer of the leader, and do nothing."""
 
 
@@ -76,8 +76,8 @@
         """How many members the last leader counted, itself included; 0 if none has told."""
         self.configuration = -1
         """Version of the configuration here, which pings tell."""
-        self.on_pong: Callable[[Pong], None] = _ignore_pong
-        """Takes each answer of the leader, once it leads."""
+        self.on_pong: Callable[[Pong, float], None] = _ignore_pong
+        """Takes each answer of the leader, once it leads, and when it was asked."""
 
     @property
     def epoch(self) -> int:
@@ -216,12 +216,13 @@
             self.configuration,
             self.cell,
         )
+        asked_at = monotonic()
         pong = await link.call(ping, PING_TIMEOUT)
         # If another leader has become known meanwhile, this answer tells nothing of it.
         if isinstance(pong, Pong) and self.epoch == epoch:
-            self._heard(pong)
+            self._heard(pong, asked_at)
 
-    def _heard(self, pong: Pong) -> None:
+    def _heard(self, pong: Pong, asked_at: float) -> None:
         now = monotonic()
         if pong.leader is not None and pong.leader.epoch > self.epoch:
             self.on_leader(pong.leader)
@@ -234,4 +235,4 @@
         if self.leads:
             self.heard_leading_at = now
             self.cell = pong.cell or self.cell
-            self.on_pong(pong)
+            self.on_pong(pong, asked_at)
