Soaks that run at the same time take networks of their own

Cause: the port of a process's figures is fixed, and a soak took its loopback network by its process id modulo 250. Which soak held the port is not in the logs, as those of soaks without a fault are deleted. Change: a soak keeps a guard port of its network. Ruled out: a fault of the product (the port is given to it) and a former process of the same soak (first start).

--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from collections.abc import Iterable
 from pathlib import Path
@@ -17,6 +18,9 @@
 LOOPBACK = "127.{}.0.{}"
 """Each process of each soak has a loopback address of its own: the port of its metrics is fixed."""
 NETWORKS = 250
+GUARD_HOST = 254
+GUARD_PORT = 11_999
+"""Where a soak listens that uses a network, so that no other one takes the same."""
 
 
 class Node:
@@ -121,7 +125,7 @@
     """All processes of one system."""
 
     def __init__(self, count: int, folder: Path, standin: Standin) -> None:
-        network = 1 + os.getpid() % NETWORKS
+        network, self._guard = _free_network()
         self.rows = [
             Node(f"n{number}", LOOPBACK.format(network, number + 1), folder, standin)
             for number in range(count)
@@ -141,3 +145,18 @@
         for node in self.running():
             node.signal(signal.SIGCONT)
             await node.kill()
+        self._guard.close()
+
+
+def _free_network() -> tuple[int, socket.socket]:
+    """Return a loopback network that no other soak uses, and what keeps it for this one."""
+    for attempt in range(NETWORKS):
+        network = 1 + (os.getpid() + attempt) % NETWORKS
+        guard = socket.socket()
+        try:
+            guard.bind((LOOPBACK.format(network, GUARD_HOST), GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return network, guard
+    raise RuntimeError("no loopback network is free")
