The stand-in's VMs may carry orders out seconds later, after newer ones

The emulated VMs did so in virtual time already; the real processes never met it. Starts, stops and holds whose sender hears nothing are carried out 0.5 to 8 s later, 6 of 100 for some seconds.

--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -252,6 +252,13 @@
     target.standin.store.forget_history()
 
 
+async def orders_late(target: Target) -> None:
+    """Let VMs carry some orders out seconds later, after newer ones, without an answer."""
+    target.standin.cell.late_orders = 0.06
+    await asyncio.sleep(target.rng.uniform(2.0, 6.0))
+    target.standin.cell.late_orders = 0.0
+
+
 async def vm_crash(target: Target) -> None:
     """End a VM's life; a new one comes at another address."""
     vms = [vm for vm in target.standin.cell.vms.values() if vm.up]
@@ -280,5 +287,6 @@
     writes_dropped,
     writes_deferred,
     history_forgotten,
+    orders_late,
     vm_crash,
 )
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -34,6 +34,8 @@
 SERVICE = "desk"
 HOST = "queues.example"
 PREFIX = "/lohu930/"
+LATE_ORDER = (0.5, 8.0)
+"""Seconds after which an order whose sender has no answer is carried out."""
 
 
 class Standin:
@@ -215,6 +217,9 @@
         if request.headers["Expect-Instance"] != worker.info.name:
             return 421, {}
         clock = worker.clock_ms(asyncio.get_running_loop().time())
+        if self.cell.rng.random() < self.cell.late_orders:
+            self._carry_out_late(worker, request.path, told)
+            return SILENCE, {}
         if request.path == "/api/hold":
             return await self._hold(worker, told)
         if request.path == "/api/pace":
@@ -225,6 +230,20 @@
             return (409, {"clockMs": clock, "reason": "fence"}) if fenced else (200, {})
         return self._start(worker, told, clock)
 
+    def _carry_out_late(self, worker: Vm, path: str, told: dict[str, Any]) -> None:
+        """Obey seconds later, after newer calls; nobody hears of it."""
+
+        def obey() -> None:
+            if worker.up and path == "/api/run-start":
+                self._start(worker, told, worker.clock_ms(loop_time()))
+            elif worker.up and path == "/api/run-stop":
+                self.cell.stop(worker, told["task"], told["run"], told["fence"])
+            elif worker.up and path == "/api/hold":
+                self.cell.hold(worker, _hold_call(worker, told))
+
+        delay = self.cell.rng.uniform(*LATE_ORDER)
+        asyncio.get_running_loop().call_later(delay, obey)
+
     def _start(self, worker: Vm, told: dict[str, object], clock: float) -> tuple[int, object]:
         if not told.get("ticket"):
             return 409, {"clockMs": clock, "reason": "ticket"}
@@ -237,10 +256,7 @@
         return 409, {"clockMs": clock, "reason": reason}
 
     async def _hold(self, worker: Vm, told: dict[str, int]) -> tuple[int, object]:
-        call = HoldCall(
-            worker.info.name, "", told["fence"], told.get("untilMs", 0), told["ackedUpto"], 0.0
-        )
-        if self.cell.hold(worker, call) is CallError.FENCED:
+        if self.cell.hold(worker, _hold_call(worker, told)) is CallError.FENCED:
             return 409, {"clockMs": 1, "reason": "fence"}
         if not worker.ends:
             worker.news.clear()
@@ -261,6 +277,12 @@
         return 200, {"good": [[name, "c81e"] for name in told["workers"]], "validMs": 2000}
 
 
+def _hold_call(worker: Vm, told: dict[str, int]) -> HoldCall:
+    return HoldCall(
+        worker.info.name, "", told["fence"], told.get("untilMs", 0), told["ackedUpto"], 0.0
+    )
+
+
 def _organisation(tenant: dict[str, Any]) -> Organisation:
     cap = tenant.get("cap")
     cores = cap.get("cpu", 0) if isinstance(cap, dict) else 0
