Mixes: few VMs may run a step, tickets end, advice works in turn, and unhealthy VMs turn calls away

Asked directly, the service answered 33 of 45 calls of one machine at once and turned 12 away (429); a ticket was good for the other tasks of its step after 1.1 s, not after 2.1 s, and an older one beside a newer one; a VM asks for it after its time and number are judged. The emulation let each VM run each step with any ticket.

--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -76,6 +76,14 @@
     vm.cut = False
 
 
+async def vm_unhealthy(system: System, rng: random.Random) -> None:
+    """Let a VM turn some calls away, doing nothing."""
+    vm = rng.choice([row for row in system.cell.vms.values() if row.up])
+    vm.unhealthy = rng.choice((0.3, 1.0))
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    vm.unhealthy = 0.0
+
+
 async def late_orders(system: System, rng: random.Random) -> None:
     system.cell.late_orders = 0.06
     await asyncio.sleep(rng.uniform(2.0, 6.0))
@@ -112,6 +120,7 @@
     history_forgotten,
     vm_crash,
     vm_cut,
+    vm_unhealthy,
     late_orders,
     member_cut,
     links_fall_silent,
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -26,9 +26,10 @@
 )
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
+from tests.emulator.advice import EmulatedAdvice
 from tests.emulator.network import Wires
 from tests.emulator.store import EmulatedStore, StoreState
-from tests.emulator.vm_ports import EmulatedAdvice, EmulatedVms
+from tests.emulator.vm_ports import EmulatedVms
 from tests.emulator.vms import Cell, Vm
 
 HOST = "queues.example"
@@ -77,6 +78,7 @@
         self.fail_closed = False
         """Whether members refuse callers while nobody confirms their configuration."""
         self._life = 0
+        self.cell.advised = advice
         self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
         for number in range(vms):
             self.list_vm(self.cell.add(f"w{number}", f"r{number // 3}", CAPACITY))
@@ -282,6 +284,7 @@
         self.wires.silent.clear()
         for vm in self.cell.vms.values():
             vm.cut = False
+            vm.unhealthy = 0.0
         self.start_all()
 
     async def unfinished(self) -> list[str]:
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -1,13 +1,13 @@
-"""The VMs and the advice as one member sees them: what may become of a call on its way."""
+"""The VMs as one member sees them: what may become of a call on its way."""
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-from sablemount.control.messages import AdviceReply
 from sablemount.control.ports import CallError, HoldCall, HoldResult, StartResult
 from sablemount.jobs.actions import Heard, PaceRun, RunReport, StartRun, StopRun
+from sablemount.jobs.scheduler import StartRefusal
 from tests.emulator.vms import Cell, Vm
 
 LATENCY = 0.002
@@ -43,10 +43,11 @@
         address: str,
         act: Callable[[Vm], Coroutine[Any, Any, T]],
         timeout: float,
+        turned_away: T | CallError = CallError.NO_ANSWER,
     ) -> T | CallError:
         """Send a call, and wait some seconds for its answer."""
         answer: asyncio.Future[T | CallError] = asyncio.get_running_loop().create_future()
-        self._spawn(self._carry(name, address, act, answer))
+        self._spawn(self._carry(name, address, act, turned_away, answer))
         try:
             async with asyncio.timeout(timeout):
                 return await answer
@@ -63,6 +64,7 @@
         name: str,
         address: str,
         act: Callable[[Vm], Coroutine[Any, Any, T]],
+        turned_away: T | CallError,
         answer: "asyncio.Future[T | CallError]",
     ) -> None:
         cell = self._cell
@@ -73,6 +75,10 @@
         if not vm.up:
             await self._at_another(vm, address, answer)
             return
+        if vm.unhealthy and cell.rng.random() < vm.unhealthy:
+            if not answer.done():
+                answer.set_result(turned_away)
+            return
         fate = cell.rng.random()
         if fate < cell.late_orders:
             await asyncio.sleep(cell.rng.uniform(2.0, 12.0))
@@ -116,7 +122,7 @@
         async def act(vm: Vm) -> StartResult:
             return self._cell.start(vm, action, fence, until_ms)
 
-        return await self._call(action.vm, address, act, timeout)
+        return await self._call(action.vm, address, act, timeout, StartRefusal.UNHEALTHY)
 
     async def stop(
         self, action: StopRun, address: str, fence: int, timeout: float
@@ -142,11 +148,3 @@
         for run in vm.runs.values()
     )
     return Heard(vm.info.name, sent_at, vm.clock_ms(now), running, tuple(vm.ends[:ENDS_AT_ONCE]))
-
-
-class EmulatedAdvice:
-    """Advice that lets every VM run every step."""
-
-    async def advise(self, step: str, vms: Sequence[str], timeout: float) -> AdviceReply:
-        await asyncio.sleep(0.01)
-        return AdviceReply(True, dict.fromkeys(vms, "ticket"), 2000.0)
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -10,6 +10,7 @@
 from sablemount.jobs.actions import EndReport, StartRun
 from sablemount.jobs.model import JobSpec, Organisation, Shape, StepSpec, VmInfo
 from sablemount.jobs.scheduler import StartRefusal
+from tests.emulator.advice import good_ticket
 
 LEASE = 6.0
 STOP_TIME = 0.3
@@ -64,6 +65,8 @@
     clock_start: float
     up: bool = True
     cut: bool = False
+    unhealthy: float = 0.0
+    """Share of its calls that it turns away, doing nothing."""
     resets: bool = False
     """Whether its address resets connections once its life is over, and is not silent."""
     slow: float = 1.0
@@ -105,6 +108,8 @@
         self.poison: set[str] = set()
         self.violations: list[str] = []
         self.late_orders = 0.0
+        self.advised = False
+        """Whether a start needs the ticket of an advice."""
         self.held_up = 0.0
         """Share of calls and answers that are held up on their way."""
         self.max_attempts = 4
@@ -192,6 +197,8 @@
             return Started(clock)
         if action.run <= vm.barred[action.task]:
             return StartRefusal.OLD
+        if self.advised and not good_ticket(action, now):
+            return StartRefusal.TICKET
         if not self._may_go_on(action):
             return StartRefusal.REJECTED
         self._begin(vm, action, now)
