The stand-in's lost answers silence their connection, and its workers refuse in the platform's order

Asked directly, a connection whose answer was lost said nothing to the next call, in 39 of 39 cases; the stand-in closed it, which told the product at once. Workers judge fence, time, whether the run is there, number, ticket, and then whether they know the task (400): the stand-in asked for any ticket first, of any step, time and life. No finding in the product.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -17,15 +17,25 @@
 from tornado.testing import bind_unused_port
 
 from sablemount.control.ports import CallError, HoldCall, Started
-from sablemount.control.store import Appended, Conflict, Fenced, Producer, Topic, Unavailable
+from sablemount.control.store import (
+    Appended,
+    Conflict,
+    Fenced,
+    Producer,
+    Topic,
+    Trimmed,
+    Unavailable,
+)
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import Organisation, Shape
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import StartRefusal
 from sablemount.platform.front import respond
 from sablemount.platform.store import TOPICS, decode_records
+from tests.emulator.advice import VALID, ticket
 from tests.emulator.store import StoreState
 from tests.emulator.system import loop_time
+from tests.emulator.vm_ports import ENDS_AT_ONCE
 from tests.emulator.vms import Cell, Run, Vm
 
 Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
@@ -33,8 +43,11 @@
 SERVICE = "desk"
 HOST = "queues.example"
 PREFIX = "/lohu930/"
+MAX_NAMED = 100
 NO_ANSWER = 0
 """Stands for a status: the call was carried out, and its connection ends without an answer."""
+SILENCE = -1
+"""The same, but the connection stays and says nothing further."""
 
 
 class Standin:
@@ -44,6 +57,7 @@
         self.store = StoreState(random.Random(1))
         self.cell = Cell(random.Random(2))
         self.cell.fail_share = 0.0
+        self.cell.advised = True
         self.cell.seconds = 0.1
         self.seen: list[str] = []
         self.tails: dict[str, float] = {}
@@ -52,6 +66,7 @@
         """Percent that a task was last given."""
         self._servers: list[HTTPServer] = []
         self._server_of: dict[str, HTTPServer] = {}
+        self._addresses: dict[str, str] = {}
         self._tasks: set[asyncio.Future[None]] = set()
         self.store_address = self._listen(self._store)
         self.advice_address = self._listen(self._advice)
@@ -73,6 +88,8 @@
     async def _serve(self, handler: Answering, request: httputil.HTTPServerRequest) -> None:
         self.seen.append(f"{request.method} {request.path}")
         status, body = await handler(request)
+        if status == SILENCE:
+            return
         payload = body if isinstance(body, bytes) else json.dumps(body).encode()
         if status == NO_ANSWER:
             request.connection.detach().close()
@@ -87,7 +104,7 @@
         await asyncio.sleep(self.store.latency)
         answer = await self._kept(request)
         lost = self.store.rng.random() < self.store.lost
-        return (NO_ANSWER, {}) if lost else answer
+        return (SILENCE, {}) if lost else answer
 
     async def _kept(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         query = {key: values[0] for key, values in parse_qs(urlsplit(request.uri).query).items()}
@@ -103,9 +120,10 @@
         if "producer" in query:
             producer = Producer(query["producer"], int(query["epoch"]), int(query["seq"]))
         at = int(query["at"]) if "at" in query else None
-        result = self.store.append(topic, list(decode_records(body)), producer, at)
+        records = list(decode_records(body))
+        result = self.store.append(topic, records, producer, at)
         if isinstance(result, Appended):
-            return 200, {"offset": 0, "end": result.end}
+            return 200, {"offset": result.end - len(records), "end": result.end}
         if isinstance(result, Conflict):
             return 412, {"end": result.end}
         if isinstance(result, Fenced):
@@ -129,13 +147,13 @@
 
     async def _read(self, topic: Topic, offset: int, wait_ms: int) -> tuple[int, object]:
         kept = self.store.topics[topic]
-        if offset < kept.first:
-            return 410, {"first": kept.first}
-        if offset >= kept.end:
+        if kept.first <= offset and offset >= kept.end:
             await asyncio.wait([asyncio.ensure_future(kept.changed.wait())], timeout=wait_ms / 1000)
-        records = kept.records[max(0, offset - kept.first) :]
+        found = kept.after(offset)
+        if isinstance(found, Trimmed):
+            return 410, {"first": kept.first}
         body = kept.end.to_bytes(8, "big") + kept.first.to_bytes(8, "big")
-        for record in records:
+        for record in found.records:
             key = record.key.encode()
             body += (1 + len(key) + len(record.value)).to_bytes(4, "big")
             body += bytes([len(key)]) + key + record.value
@@ -186,6 +204,7 @@
 
         address = self._listen(serve)
         self._server_of[worker.info.name] = self._servers[-1]
+        self._addresses[worker.info.name] = address
         entry = {
             "service": SERVICE,
             "addr": address,
@@ -199,6 +218,10 @@
         self.store.topics[Topic.VMS].add([record])
         return worker
 
+    def address_of(self, worker: Vm) -> str:
+        """Return where a worker listens."""
+        return self._addresses[worker.info.name]
+
     def crash_worker(self, worker: Vm) -> None:
         """End a worker's life; its entry goes, and nothing listens at its address any more."""
         self.cell.crash(worker)
@@ -215,47 +238,68 @@
         if request.path == "/api/hold":
             return await self._hold(worker, told)
         if request.path == "/api/pace":
+            if told["fence"] < worker.fence:
+                return 409, _refusal(clock, "fence")
             self.paced[told["task"]] = told["percent"]
             return 200, {"clockMs": clock}
         if request.path == "/api/run-stop":
             fenced = self.cell.stop(worker, told["task"], told["run"], told["fence"])
-            return (409, {"clockMs": clock, "reason": "fence"}) if fenced else (200, {})
+            return (409, _refusal(clock, "fence")) if fenced else (200, {"clockMs": clock})
         return self._start(worker, told, clock)
 
     def _start(self, worker: Vm, told: dict[str, object], clock: float) -> tuple[int, object]:
-        if not told.get("ticket"):
-            return 409, {"clockMs": clock, "reason": "ticket"}
-        action = StartRun(worker.info.name, str(told["task"]), int(str(told["run"])), "", 0.0)
+        task, run = str(told["task"]), int(str(told["run"]))
+        saved, ticket = str(told.get("saved", "")), str(told.get("ticket", ""))
+        action = StartRun(worker.info.name, task, run, "", 0.0, saved, ticket)
         until = int(str(told["untilMs"]))
         result = self.cell.start(worker, action, int(str(told["fence"])), until)
         if isinstance(result, Started):
             return 200, {"clockMs": result.clock_ms}
+        if result is StartRefusal.REJECTED:
+            return 400, _refusal(clock, "unknown")
         reason = result.value if isinstance(result, StartRefusal) else "fence"
-        return 409, {"clockMs": clock, "reason": reason}
+        return 409, _refusal(clock, reason)
 
     async def _hold(self, worker: Vm, told: dict[str, int]) -> tuple[int, object]:
         call = HoldCall(
             worker.info.name, "", told["fence"], told.get("untilMs", 0), told["ackedUpto"], 0.0
         )
         if self.cell.hold(worker, call) is CallError.FENCED:
-            return 409, {"clockMs": 1, "reason": "fence"}
+            return 409, _refusal(worker.clock_ms(loop_time()), "fence")
         if not worker.ends:
             worker.news.clear()
             waiting = asyncio.ensure_future(worker.news.wait())
             await asyncio.wait([waiting], timeout=told.get("waitMs", 0) / 1000)
         now = asyncio.get_running_loop().time()
         running = [
-            [run.task, run.number, "", _percent(run, now), self.tails.get(run.task[:16], 3)]
+            [
+                run.task,
+                run.number,
+                run.saved(now),
+                _percent(run, now),
+                self.tails.get(run.task[:16], 3),
+            ]
             for run in worker.runs.values()
         ]
-        ended = [[end.number, end.task, end.run, end.outcome, ""] for end in worker.ends]
+        ended = [
+            [end.number, end.task, end.run, end.outcome, end.saved]
+            for end in worker.ends[:ENDS_AT_ONCE]
+        ]
         return 200, {"clockMs": worker.clock_ms(now), "running": running, "ended": ended}
 
     # -- Advice ------------------------------------------------------------------------------
 
     async def _advice(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         told = json.loads(request.body)
-        return 200, {"good": [[name, "c81e"] for name in told["workers"]], "validMs": 2000}
+        if len(told["workers"]) > MAX_NAMED:
+            return 400, {"error": "too many workers"}
+        until = loop_time() + VALID
+        good = [[name, ticket(told["step"], name, until)] for name in told["workers"]]
+        return 200, {"good": good, "validMs": int(VALID * 1000)}
+
+
+def _refusal(clock: float, reason: str) -> dict[str, object]:
+    return {"clockMs": clock, "reason": reason}
 
 
 def _organisation(tenant: dict[str, Any]) -> Organisation:
@@ -264,5 +308,5 @@
     return Organisation(str(tenant["name"]), cap=Shape(cores=cores))
 
 
-def _percent(run: Run, now: float) -> float:
-    return min(99.0, 100.0 * (now - run.began) / run.length)
+def _percent(run: Run, now: float) -> int:
+    return int(min(99.0, 100.0 * (now - run.began) / run.length))
--- /dev/null
+++ b/tests/platform/test_standin.py
@@ -0,0 +1,96 @@
+"""The stand-in answers as the platform was found to when asked directly."""
+
+import asyncio
+import json
+
+import pytest
+
+from sablemount.control.store import Topic
+from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from tests.emulator.advice import ticket
+from tests.emulator.system import loop_time
+from tests.emulator.vms import Vm
+from tests.platform.standin import Standin
+
+APPEND = "/api/log-append?topic=keyed.sablemount-jobs&part=0"
+NEWEST = "/api/log-newest?topic=keyed.sablemount-jobs&part=0"
+RECORD = b"\x00\x00\x00\x03\x01kv"
+TASK = "j.0.0.0"
+
+
+async def _send(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    target: str,
+    body: bytes,
+    life: str = "",
+) -> tuple[int, bytes]:
+    head = f"{target} HTTP/1.1\r\nHost: x\r\nExpect-Instance: {life}\r\n"
+    writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    answer = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = int(answer.lower().partition("content-length: ")[2].partition("\r\n")[0])
+    return int(answer.split(" ")[1]), await reader.readexactly(length)
+
+
+async def _call(address: str, target: str, body: bytes, life: str = "") -> tuple[int, bytes]:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        return await _send(reader, writer, target, body, life)
+    finally:
+        writer.close()
+
+
+def test_a_connection_whose_answer_was_lost_says_nothing_further() -> None:
+    async def scenario() -> None:
+        standin = Standin()
+        host, _, port = standin.store_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        standin.store.lost = 1.0
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await _send(reader, writer, f"POST {APPEND}", RECORD)
+        assert standin.store.topics[Topic.JOBS].end == 1
+        standin.store.lost = 0.0
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await _send(reader, writer, f"GET {NEWEST}", b"")
+        assert (await _call(standin.store_address, f"GET {NEWEST}", b""))[0] == 200
+        writer.close()
+        standin.close()
+
+    asyncio.run(scenario())
+
+
+async def _start(standin: Standin, worker: Vm, run: int, seconds: float, good: str) -> object:
+    told = {"task": TASK, "run": run, "spec": "", "fence": 1, "ticket": good}
+    told["untilMs"] = int(worker.clock_ms(loop_time()) + seconds * 1000)
+    address = standin.address_of(worker)
+    body = json.dumps(told).encode()
+    status, answer = await _call(address, "POST /api/run-start", body, worker.info.name)
+    return status, json.loads(answer).get("reason")
+
+
+def test_a_start_is_refused_for_its_fence_time_number_and_ticket_in_this_order() -> None:
+    async def scenario() -> None:
+        standin = Standin()
+        standin.cell.seconds = 60.0
+        standin.cell.jobs["j"] = JobSpec("", (StepSpec(1, Shape(1_000, 1_000)),))
+        worker = standin.add_worker("r")
+        good = ticket("j.0.0", worker.info.name, loop_time() + 60.0)
+        assert await _start(standin, worker, 1, 5.0, "") == (409, "ticket")
+        assert await _start(standin, worker, 1, -1.0, "") == (409, "late")
+        assert await _start(standin, worker, 1, 5.0, good) == (200, None)
+        assert await _start(standin, worker, 1, 5.0, "") == (200, None)
+        assert await _start(standin, worker, 1, -1.0, good) == (409, "late")
+        stopping = json.dumps({"task": TASK, "run": 1, "fence": 1}).encode()
+        address = standin.address_of(worker)
+        status, answer = await _call(address, "POST /api/run-stop", stopping, worker.info.name)
+        assert (status, list(json.loads(answer))) == (200, ["clockMs"])
+        await asyncio.sleep(0.4)
+        assert await _start(standin, worker, 1, 5.0, "") == (409, "old")
+        worker.fence = 2
+        assert await _start(standin, worker, 1, -1.0, "") == (409, "fence")
+        standin.close()
+
+    asyncio.run(scenario())
