Mixes: VMs leave as planned, entries lapse while the store is down, and the store refuses at once

The platform's VMs say `draining` or just lose their entry, serve on for a while and end; entries go while the store is down and are back within two seconds of it; asked directly, the store when busy refused 196 of 196 appends (503, none done) and when resetting 208 of 208 (none done). The mixes knew a crash, and a store that says nothing.

--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 
 from tests.emulator.system import System
+from tests.emulator.vms import Vm
 
 Fault = Callable[[System, random.Random], Coroutine[object, object, None]]
 
@@ -40,6 +41,14 @@
     system.store.down = False
 
 
+async def store_refuses(system: System, rng: random.Random) -> None:
+    """Let the store refuse calls at once, in words or by ending their connections."""
+    system.store.resets = rng.random() < 0.5
+    system.store.refusing = rng.choice((0.3, 1.0))
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    system.store.refusing = 0.0
+
+
 async def store_turns_away(system: System, rng: random.Random) -> None:
     name = _member(system, rng)
     system.store.turned_away.add(name)
@@ -69,6 +78,36 @@
     system.crash_vm(vm, rng.uniform(0.5, 5.0))
 
 
+async def vm_leaves(system: System, rng: random.Random) -> None:
+    """End a VM as planned: it says so, or its entry just goes, and it serves on for a while."""
+    vm = rng.choice([row for row in system.cell.vms.values() if row.up])
+    if rng.random() < 0.5:
+        system.drain(vm)
+    else:
+        system.unlist_vm(vm)
+    await asyncio.sleep(rng.uniform(2.0, 8.0))
+    if vm.up:
+        system.crash_vm(vm, rng.uniform(0.5, 3.0))
+
+
+async def entries_lapse(system: System, rng: random.Random) -> None:
+    """Drop the entries of VMs that live while the store is down; they are back soon after it."""
+    for vm in [row for row in system.cell.vms.values() if row.up]:
+        if rng.random() < 0.7:
+            system.unlist_vm(vm)
+            asyncio.get_running_loop().create_task(_back_in_list(system, vm, rng.uniform(0.1, 2.0)))
+    await store_down(system, rng)
+
+
+async def _back_in_list(system: System, vm: Vm, after: float) -> None:
+    await asyncio.sleep(0.1)
+    while system.store.down:
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(after)
+    if vm.up:
+        system.list_vm(vm)
+
+
 async def vm_cut(system: System, rng: random.Random) -> None:
     vm = rng.choice([row for row in system.cell.vms.values() if row.up])
     vm.cut = True
@@ -114,11 +153,14 @@
     power_off_all,
     stop_member,
     store_down,
+    store_refuses,
     store_turns_away,
     store_slow,
     answers_lost,
     history_forgotten,
     vm_crash,
+    vm_leaves,
+    entries_lapse,
     vm_cut,
     vm_unhealthy,
     late_orders,
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -80,7 +80,7 @@
 async def _change_caps(system: System, rng: random.Random) -> None:
     for version in range(3, 9):
         await asyncio.sleep(rng.uniform(0.5, 3.0))
-        while system.store.down:
+        while system.store.down or system.store.refusing:
             # What the operator writes is in force from the store's answer on.
             await asyncio.sleep(OPERATOR_PAUSE)
         system.configure(version, organisations=organisations(rng.choice(CAPS)))
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -100,6 +100,10 @@
         self.topics = {topic: _Topic() for topic in Topic}
         self.down = False
         self.turned_away: set[str] = set()
+        self.refusing = 0.0
+        """Share of calls that it refuses at once."""
+        self.resets = False
+        """Whether a refusal ends the connection, so that its caller can't tell what was done."""
         self.blind: set[str] = set()
         """Members that hear of no new configuration, though the store answers them."""
         self.latency = 0.004
@@ -116,6 +120,10 @@
         self.claims: list[int] = []
         """Epochs in the order in which they were claimed."""
 
+    def refuses(self) -> bool:
+        """Draw whether a call is refused at once."""
+        return self.refusing > 0.0 and self.rng.random() < self.refusing
+
     def turn(self, topic: Topic, now: float) -> float:
         """Return when an append that arrives now is carried out."""
         self.turns += 1
@@ -218,6 +226,9 @@
         loop = asyncio.get_running_loop()
         if self._away():
             return
+        if state.refuses():
+            loop.call_later(back, self._answer, answer, self._refusal())
+            return
         if state.lost and state.rng.random() < state.lost:
             delay = state.rng.uniform(1.0, 6.0) if state.late else 0.0
             loop.call_later(delay, carry_out)
@@ -234,6 +245,11 @@
         else:
             loop.call_at(state.turn(topic, loop.time()), take_turn)
 
+    def _refusal(self) -> Unavailable:
+        if self._state.resets:
+            return Unavailable("the connection was reset")
+        return Unavailable("status 503", certain=True)
+
     def _answer(self, answer: "asyncio.Future[AppendResult]", result: AppendResult) -> None:
         if not answer.done() and not self._away():
             answer.set_result(result)
@@ -242,6 +258,8 @@
         back = await self._reach(timeout)
         if back is None or self._blind_to(topic):
             return Unavailable("no answer")
+        if self._state.refuses():
+            return self._refusal()
         page = self._state.topics[topic].page(after)
         await asyncio.sleep(back)
         return page
@@ -250,6 +268,8 @@
         back = await self._reach(wait + 0.8)
         if back is None:
             return Unavailable("no answer")
+        if self._state.refuses():
+            return self._refusal()
         kept = self._state.topics[topic]
         if offset >= kept.end:
             with contextlib.suppress(TimeoutError):
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -109,6 +109,9 @@
         value = msgspec.msgpack.encode(vm.info)
         self.store.topics[Topic.VMS].add([Record(vm.info.name, value)])
 
+    def unlist_vm(self, vm: Vm) -> None:
+        self.store.topics[Topic.VMS].add([Record(vm.info.name)])
+
     def drain(self, vm: Vm) -> None:
         vm.info = msgspec.structs.replace(vm.info, draining=True)
         self.list_vm(vm)
@@ -279,6 +282,7 @@
         self.store.turned_away.clear()
         self.store.latency = 0.004
         self.store.lost = 0.0
+        self.store.refusing = 0.0
         self.cell.late_orders = 0.0
         self.wires.cuts.clear()
         self.wires.silent.clear()
