Tests: leaders' promises are held against the store as they are made

The mixes of faults judged late effects only, which need a later leader and some luck. Now each batch that counts as appended or durable, each load, each acknowledged end, each order to start and each answer of an accepted job or an end is checked against what the emulated store has taken, at that moment; so are the epochs of claims, and that an epoch's batches are taken in order from 0. A violation names the epoch, the sequence and the records. Members and VMs are wrapped; nothing in src is changed.

--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -9,7 +9,6 @@
 
 from sablemount.control.gate import key_digest
 from sablemount.control.leader import LeaderPorts
-from sablemount.control.member import Member
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.store import Topic
@@ -27,8 +26,10 @@
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.network import Wires
-from tests.emulator.store import EmulatedStore, StoreState
-from tests.emulator.vms import Cell, EmulatedAdvice, EmulatedVms, Vm
+from tests.emulator.store import EmulatedStore
+from tests.emulator.vms import Cell, EmulatedAdvice, Vm
+from tests.emulator.watch import Watch, WatchedState
+from tests.emulator.watched import WatchedMember, WatchedVms
 
 HOST = "queues.example"
 PREFIX = "/queue/"
@@ -64,10 +65,11 @@
 
     def __init__(self, seed: int, members: int = 4, vms: int = 6, advice: bool = False) -> None:
         self.rng = random.Random(seed)
-        self.store = StoreState(random.Random(seed + 1))
+        self.watch = Watch()
+        self.store = WatchedState(random.Random(seed + 1), self.watch)
         self.cell = Cell(random.Random(seed + 2))
         self.wires = Wires()
-        self.members: dict[str, Member] = {}
+        self.members: dict[str, WatchedMember] = {}
         self.names = [f"m{number}" for number in range(members)]
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
@@ -124,12 +126,12 @@
 
     def start(self, name: str) -> None:
         self._life += 1
-        ports = LeaderPorts(
-            EmulatedStore(self.store, name), EmulatedVms(self.cell), EmulatedAdvice(), Codec()
-        )
+        store = EmulatedStore(self.store, name)
+        vms = WatchedVms(self.cell, self.watch)
+        ports = LeaderPorts(store, vms, EmulatedAdvice(), Codec())
         settings = MemberSettings(name, name, JobSettings(), fail_closed=self.fail_closed)
         rng = random.Random(self.rng.getrandbits(32))
-        member = Member(settings, ports, self.wires.port(name), rng)
+        member = WatchedMember(settings, ports, self.wires.port(name), rng, self.watch)
         self.members[name] = member
         member.start()
 
@@ -298,7 +300,7 @@
 
     async def faults(self) -> list[str]:
         """Return what is wrong once all has settled."""
-        wrong = list(self.cell.violations)
+        wrong = self.watch.violations + self.cell.violations
         if any(later <= earlier for earlier, later in pairwise(self.store.claims)):
             wrong.append(f"epochs claimed twice: {self.store.claims}")
         wrong += await self.unfinished()
--- /dev/null
+++ b/tests/emulator/watched.py
@@ -0,0 +1,101 @@
+"""Members and VMs whose promises are checked as they are made, without a change of their own."""
+
+import random
+
+from sablemount.control.leader import Leader, LeaderPorts
+from sablemount.control.member import Member
+from sablemount.control.member_settings import MemberSettings
+from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.network import Network
+from sablemount.control.ports import HoldCall, HoldResult, StartResult
+from sablemount.jobs.actions import StartRun
+from sablemount.jobs.journal import Batch
+from sablemount.jobs.records import Record
+from tests.emulator.vms import Cell, EmulatedVms
+from tests.emulator.watch import Watch
+
+__all__ = ["WatchedMember", "WatchedVms", "watch_leader"]
+
+
+def watch_leader(leader: Leader, watch: Watch) -> None:
+    """Have a leader's load, its appends and what it takes for durable checked."""
+    committer, scheduler, journal = leader.committer, leader.scheduler, leader.scheduler.journal
+    append, load, durable = committer.append, scheduler.load, journal.durable
+    epoch = leader.epoch
+    sent = 0
+
+    async def checked_append(records: list[Record]) -> None:
+        nonlocal sent
+        sequence = sent
+        sent += bool(records)
+        await append(records)
+        if records:
+            watch.appended(epoch, sequence, records)
+
+    def checked_load(records: list[Record]) -> None:
+        watch.loaded(epoch, records)
+        load(records)
+
+    def checked_durable(batch: Batch) -> None:
+        watch.durable(epoch, batch.records)
+        durable(batch)
+
+    committer.append = checked_append
+    scheduler.load = checked_load
+    journal.durable = checked_durable
+
+
+class WatchedMember(Member):
+    """A member whose leaderships and answers are checked."""
+
+    def __init__(
+        self,
+        settings: MemberSettings,
+        ports: LeaderPorts,
+        network: Network,
+        rng: random.Random,
+        watch: Watch,
+    ) -> None:
+        self._watched_by = watch
+        super().__init__(settings, ports, network, rng)
+
+    @property
+    def leader(self) -> Leader | None:
+        return self._watched_leader
+
+    @leader.setter
+    def leader(self, leader: Leader | None) -> None:
+        self._watched_leader = leader
+        if leader is not None:
+            watch_leader(leader, self._watched_by)
+
+    async def serve(
+        self, call: CallerCall, timeout: float, digest: bytes | None = None
+    ) -> CallerReply:
+        reply = await super().serve(call, timeout, digest)
+        name = call.path.rpartition("/")[2]
+        if reply.outcome is Outcome.DONE and call.operation is Operation.SUBMIT:
+            self._watched_by.accepted(self._link.epoch, name)
+        elif reply.outcome is Outcome.DONE and name:
+            self._watched_by.shown(self._link.epoch, name, reply.state)
+        return reply
+
+
+class WatchedVms(EmulatedVms):
+    """The VMs, whose orders and acknowledgements are checked as they are sent."""
+
+    def __init__(self, cell: Cell, watch: Watch) -> None:
+        super().__init__(cell)
+        self._watch = watch
+
+    async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
+        for end in self._cell.vms[call.vm].ends:
+            if end.number <= call.acked_end:
+                self._watch.acknowledged(call.fence, call.vm, end)
+        return await super().hold(call, timeout)
+
+    async def start(
+        self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
+    ) -> StartResult:
+        self._watch.ordered(fence, action.vm, action.task)
+        return await super().start(action, address, fence, until_ms, timeout)
--- /dev/null
+++ b/tests/jobs/test_watch.py
@@ -0,0 +1,253 @@
+"""Each check of the emulated system's watch fires on what it is there for, and else on nothing."""
+
+import asyncio
+import random
+
+import pytest
+
+from sablemount.control.store import Producer, Topic
+from sablemount.jobs.actions import EndReport
+from sablemount.jobs.records import Progress, Record, StepProgress, encode
+from sablemount.jobs.tables import JobState
+from tests.emulator.loop import run
+from tests.emulator.mixes import play
+from tests.emulator.store import StoreState
+from tests.emulator.system import System
+from tests.emulator.watch import Watch, WatchedState
+
+ACCEPTED = Record("j/a", b"job")
+OTHER = Record("j/b", b"job")
+IN_USE = Record("w/vm", b"vm")
+
+
+def _progress(progress: Progress) -> Record:
+    return Record("p/a", encode(progress))
+
+
+ENDED = _progress(Progress(int(JobState.SUCCEEDED)))
+
+
+class _Rig:
+    """A watched store that the leader of epoch 1 writes to."""
+
+    def __init__(self, *batches: list[Record]) -> None:
+        self.watch = Watch()
+        self.store = WatchedState(random.Random(1), self.watch)
+        self.append([], 1, 0)
+        for sequence, batch in enumerate(batches):
+            self.append(batch, 1, sequence)
+
+    def append(self, records: list[Record], epoch: int, sequence: int) -> None:
+        self.store.append(Topic.JOBS, records, Producer("leader", epoch, sequence), None)
+
+    def claim(self, epoch: int) -> None:
+        value = b"\x81\xa5epoch" + bytes([epoch])
+        self.store.append(Topic.LEADER, [Record("leader", value)], None, None)
+
+    def only(self, *parts: str) -> None:
+        """Make sure that there is one violation and that it names some things."""
+        assert len(self.watch.violations) == 1
+        assert all(part in self.watch.violations[0] for part in parts)
+
+    def none(self) -> None:
+        assert self.watch.violations == []
+
+
+def test_a_batch_that_is_in_the_store_is_fine() -> None:
+    rig = _Rig([ACCEPTED], [OTHER])
+    rig.watch.appended(1, 0, [ACCEPTED])
+    rig.watch.appended(1, 1, [OTHER])
+    rig.watch.durable(1, [OTHER])
+    rig.watch.durable(1, [])
+    rig.none()
+
+
+def test_a_batch_that_is_not_in_the_store() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.appended(1, 1, [OTHER])
+    rig.only("epoch 1, sequence 1", "not in the store", "j/b")
+
+
+def test_a_batch_of_which_the_store_has_some_records() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.appended(1, 0, [ACCEPTED, OTHER])
+    rig.only("epoch 1, sequence 0", "not in the store")
+
+
+def test_a_batch_whose_records_have_another_order() -> None:
+    rig = _Rig([OTHER, ACCEPTED])
+    rig.watch.appended(1, 0, [ACCEPTED, OTHER])
+    rig.only("epoch 1, sequence 0", "not in the store")
+
+
+def test_a_batch_that_another_epoch_has_appended() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.appended(2, 0, [ACCEPTED])
+    rig.only("epoch 2, sequence 0", "not in the store")
+
+
+def test_a_batch_that_is_taken_for_durable_and_is_not_in_the_store() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.durable(1, [OTHER])
+    rig.only("epoch 1", "counted as durable", "j/b")
+
+
+def test_an_epoch_that_begins_with_a_later_batch() -> None:
+    rig = _Rig()
+    rig.append([OTHER], 1, 1)
+    rig.only("epoch 1, sequence 1", "wanted batch 0")
+
+
+def test_a_batch_before_which_one_is_missing() -> None:
+    rig = _Rig()
+    rig.append([OTHER], 1, 1)
+    rig.watch.violations.clear()
+    rig.watch.appended(1, 1, [OTHER])
+    rig.only("epoch 1, sequence 1", "before batches [0]")
+
+
+def test_a_load_that_equals_the_store() -> None:
+    rig = _Rig([ACCEPTED], [OTHER], [Record("j/b")])
+    rig.append([], 2, 0)
+    rig.watch.loaded(2, [ACCEPTED])
+    rig.none()
+
+
+@pytest.mark.parametrize(
+    "loaded",
+    [[], [ACCEPTED, OTHER], [Record("j/a", b"old")], [ACCEPTED, ACCEPTED]],
+    ids=["missed", "dropped", "old", "twice"],
+)
+def test_a_load_that_differs_from_the_store(loaded: list[Record]) -> None:
+    rig = _Rig([ACCEPTED], [OTHER], [Record("j/b")])
+    rig.append([], 2, 0)
+    rig.watch.loaded(2, loaded)
+    rig.only("epoch 2", "loaded")
+
+
+def test_a_load_before_the_epoch_is_set() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.loaded(2, [ACCEPTED])
+    rig.only("epoch 2", "before the epoch was set")
+
+
+def test_a_load_of_a_leader_that_is_fenced_is_not_judged() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.append([OTHER], 2, 0)
+    rig.watch.loaded(1, [ACCEPTED, OTHER])
+    rig.none()
+
+
+@pytest.mark.parametrize("outcome", ["done", "failed"])
+def test_an_acknowledged_end_that_is_not_in_the_store(outcome: str) -> None:
+    rig = _Rig([ACCEPTED], [_progress(Progress(1, {"0.0": StepProgress("2", {2: (1,)})}))])
+    rig.watch.acknowledged(1, "vm", EndReport(7, "a.0.0.0", 1, outcome))
+    rig.only("epoch 1", "end 7 of vm", "a.0.0.0")
+
+
+def test_an_acknowledged_failure_of_another_run() -> None:
+    rig = _Rig([ACCEPTED], [_progress(Progress(1, {"0.0": StepProgress("", {0: (1,)})}))])
+    rig.watch.acknowledged(1, "vm", EndReport(7, "a.0.0.0", 2, "failed"))
+    rig.only("epoch 1", "end 7 of vm", "run 2")
+
+
+def test_an_acknowledged_end_of_a_job_without_progress() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.acknowledged(1, "vm", EndReport(1, "a.0.0.0", 1, "done"))
+    rig.only("epoch 1", "end 1 of vm")
+
+
+def test_acknowledged_ends_that_the_store_covers() -> None:
+    rig = _Rig([ACCEPTED], [_progress(Progress(1, {"0.0": StepProgress("2", {0: (1, 3)})}))])
+    rig.watch.acknowledged(1, "vm", EndReport(1, "a.0.0.0", 3, "failed"))
+    rig.watch.acknowledged(1, "vm", EndReport(2, "a.0.0.1", 1, "done"))
+    rig.watch.acknowledged(1, "vm", EndReport(3, "a.0.0.1", 1, "failed"))
+    rig.watch.acknowledged(1, "vm", EndReport(4, "a.0.0.2", 1, "lapsed"))
+    rig.append([ENDED, Record("j/a")], 1, 2)
+    rig.append([Record("p/a")], 1, 3)
+    rig.watch.acknowledged(1, "vm", EndReport(5, "a.0.0.3", 1, "done"))
+    rig.none()
+
+
+def test_a_job_that_is_told_as_accepted() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.accepted(1, "a")
+    rig.append([ENDED, Record("j/a")], 1, 1)
+    rig.watch.accepted(1, "a")
+    rig.none()
+    rig.watch.accepted(1, "b")
+    rig.only("epoch 1", "told as accepted", "b")
+
+
+def test_an_end_that_is_shown() -> None:
+    rig = _Rig([ACCEPTED])
+    rig.watch.shown(1, "a", "running")
+    rig.none()
+    rig.watch.shown(1, "a", "succeeded")
+    rig.only("epoch 1", "shown as succeeded")
+    rig.append([ENDED], 1, 1)
+    rig.watch.shown(1, "a", "succeeded")
+    rig.only("epoch 1", "shown as succeeded")
+
+
+def test_an_order_of_a_job_that_is_not_in_the_store() -> None:
+    rig = _Rig([ACCEPTED, IN_USE])
+    rig.watch.ordered(1, "vm", "a.0.0.0")
+    rig.none()
+    rig.watch.ordered(1, "vm", "b.0.0.0")
+    rig.only("epoch 1", "its job is not in the store", "b.0.0.0")
+
+
+def test_an_order_on_a_vm_whose_use_is_not_in_the_store() -> None:
+    rig = _Rig([ACCEPTED, IN_USE])
+    rig.watch.ordered(1, "other", "a.0.0.0")
+    rig.only("epoch 1", "ordered on other")
+
+
+def test_claims_whose_epochs_do_not_rise() -> None:
+    rig = _Rig()
+    rig.claim(1)
+    rig.claim(2)
+    rig.none()
+    rig.claim(2)
+    rig.only("epoch 2", "claimed after epoch 2")
+
+
+def test_a_store_that_forgets_what_it_has_taken_is_seen_by_every_check_in_a_system(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The checks are in force in a system: they miss what a store takes without keeping it."""
+    seen: list[str] = []
+    judge = System.faults
+    keep = StoreState.append
+
+    async def faults(system: System) -> list[str]:
+        seen.extend(await judge(system))
+        return []
+
+    def forget(state: WatchedState, topic, records, producer, at):  # type: ignore[no-untyped-def]
+        result = keep(state, topic, records, producer, at)
+        if topic is Topic.JOBS and producer is not None and producer.epoch not in begun:
+            begun.add(producer.epoch)
+            state._watch.began(producer.epoch)
+        return result
+
+    begun: set[int] = set()
+    monkeypatch.setattr(System, "faults", faults)
+    monkeypatch.setattr(WatchedState, "append", forget)
+    run(play(1, []))
+    for what in ("appended", "counted as durable", "acknowledged", "ordered", "told as accepted"):
+        assert any(what in violation for violation in seen), what
+    assert any("shown as" in violation for violation in seen)
+
+
+def test_loads_are_checked_in_a_system() -> None:
+    async def scenario() -> list[str]:
+        system = System(1)
+        system.watch.newest["j/ghost"] = b"job"
+        system.start_all()
+        await asyncio.sleep(2.0)
+        return system.watch.violations
+
+    violations = run(scenario())
+    assert violations == ["epoch 1: loaded other records than the store's: ['j/ghost']"]
