Mixes of faults about the store, which find a lost first batch and what it does

The mixes held no write back from a leader that still wrote others, so that nothing arrived out of order.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 job-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.job_soak
+	$(BIN)/python -m benchmarks.job_soak --kind store
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -1,8 +1,10 @@
 """Plays seeded mixes of faults over the emulated system and lists those that break an invariant.
 
 python -m benchmarks.job_soak --first 0 --count 500
+python -m benchmarks.job_soak --kind store --first 0 --count 1000
 """
 
+import enum
 import random
 import time
 from multiprocessing import Pool
@@ -13,12 +15,20 @@
 
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
-from tests.emulator.mixes import play, play_organisations
+from tests.emulator.mixes import play, play_organisations, play_store
+from tests.emulator.store_faults import draw
 
 FAULTS_A_MIX = 5
 PROCESSES = 6
 
 
+class Kind(enum.Enum):
+    """What a mix is drawn from."""
+
+    ALL = "all"
+    STORE = "store"
+
+
 class Played(msgspec.Struct):
     """One mix: its seed, its faults, and what was wrong."""
 
@@ -36,15 +46,24 @@
     return Played(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def play_one_store(seed: int) -> Played:
+    """Play the mix about the store of a seed."""
+    chosen = draw(seed)
+    wrong = run(play_store(seed, chosen, advice=seed % 3 == 0))
+    return Played(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def main(
     first: Annotated[int, typer.Option(help="First seed.")] = 0,
     count: Annotated[int, typer.Option(help="How many seeds.")] = 200,
+    kind: Annotated[Kind, typer.Option(help="What the mixes are drawn from.")] = Kind.ALL,
 ) -> None:
     """Play some mixes and print those that break an invariant."""
     began = time.monotonic()
     bad = 0
+    play_mix = play_one_store if kind is Kind.STORE else play_one
     with Pool(PROCESSES) as pool:
-        for played in pool.imap_unordered(play_one, range(first, first + count)):
+        for played in pool.imap_unordered(play_mix, range(first, first + count)):
             if played.wrong:
                 bad += 1
                 typer.echo(f"seed {played.seed} {played.faults}: {played.wrong[:3]}")
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -9,7 +9,7 @@
 from tests.emulator.faults import Fault
 from tests.emulator.system import System
 
-__all__ = ["organisations", "play", "play_organisations"]
+__all__ = ["organisations", "play", "play_organisations", "play_store"]
 
 Beside = Callable[[System, random.Random], Coroutine[object, object, None]]
 """What goes on beside the traffic."""
@@ -18,6 +18,9 @@
 CAPS = (40_000, 46_000, 60_000)
 """Cores of the smaller organisation's cap: each holds the widest gang that is handed in."""
 
+SMALL_PAGE = 7
+"""Records of a page so small that what lasts needs many."""
+
 
 async def play(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
     """Play some faults while jobs are handed in and some of them cancelled."""
@@ -34,6 +37,13 @@
     return await _play(system, seed, chosen, traffic, _change_caps)
 
 
+async def play_store(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
+    """Play faults of the store and of changes of leader, with pages that hold little."""
+    system = System(seed, advice=advice)
+    system.store.page = SMALL_PAGE if seed % 2 else system.store.page
+    return await _play(system, seed, chosen, system.traffic("a", 100, 0.12), _cancel_some)
+
+
 def organisations(cores: int) -> tuple[Organisation, ...]:
     """Return an organisation with a cap and one without; each name's digest is its key."""
     names = ("rueda", "yard")
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -65,6 +65,8 @@
         self.blind: set[str] = set()
         """Members that hear of no new configuration, though the store answers them."""
         self.latency = 0.004
+        self.page = PAGE
+        """Records of one page of the newest."""
         self.append_time = 0.0
         """Seconds that one append takes; appends of one topic are carried out in turn."""
         self._free_at: dict[Topic, float] = {}
@@ -179,7 +181,8 @@
             return Unavailable("no answer")
         kept = self._state.topics[topic]
         items = [kept.newest[key] for key in sorted(kept.newest) if key > after]
-        return Page(items[:PAGE], len(items) > PAGE, kept.end)
+        page = self._state.page
+        return Page(items[:page], len(items) > page, kept.end)
 
     async def read(self, topic: Topic, offset: int, wait: float) -> ReadResult:
         if not await self._reach(wait + 0.8):
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -26,7 +26,7 @@
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.network import Wires
-from tests.emulator.store import EmulatedStore
+from tests.emulator.transit import DelayedStore, Transit
 from tests.emulator.vms import Cell, EmulatedAdvice, Vm
 from tests.emulator.watch import Watch, WatchedState
 from tests.emulator.watched import WatchedMember, WatchedVms
@@ -67,6 +67,7 @@
         self.rng = random.Random(seed)
         self.watch = Watch()
         self.store = WatchedState(random.Random(seed + 1), self.watch)
+        self.transit = Transit(random.Random(seed + 3))
         self.cell = Cell(random.Random(seed + 2))
         self.wires = Wires()
         self.members: dict[str, WatchedMember] = {}
@@ -126,7 +127,7 @@
 
     def start(self, name: str) -> None:
         self._life += 1
-        store = EmulatedStore(self.store, name)
+        store = DelayedStore(self.store, name, self.transit)
         vms = WatchedVms(self.cell, self.watch)
         ports = LeaderPorts(store, vms, EmulatedAdvice(), Codec())
         settings = MemberSettings(name, name, JobSettings(), fail_closed=self.fail_closed)
@@ -276,6 +277,8 @@
         self.store.turned_away.clear()
         self.store.latency = 0.004
         self.store.lost = 0.0
+        self.store.append_time = 0.0
+        self.transit.calm()
         self.cell.late_orders = 0.0
         self.wires.cuts.clear()
         self.wires.silent.clear()
--- /dev/null
+++ b/tests/jobs/test_store_mixes.py
@@ -0,0 +1,37 @@
+"""Seeded mixes of faults on the way to the store and at changes of leader.
+
+``FIRST_BATCH_LOST`` broke promises with leaders that sent a second batch before the first was in
+the store. In each of these mixes the store took the second one as the epoch's beginning, so that it
+never took the first, which counted as done; callers had 410 for jobs that were accepted.
+"""
+
+import random
+
+import pytest
+
+from tests.emulator import faults as kinds
+from tests.emulator.loop import run
+from tests.emulator.mixes import play, play_store
+from tests.emulator.store_faults import STORE_FAULTS, draw
+
+FIRST_BATCH_LOST = (26, 198, 208, 220, 406, 918)
+OF_ALL_KINDS = (31, 73)
+"""Mixes of other kinds of faults that broke the same promise, though nobody noticed it later."""
+PARTS = 3
+
+
+@pytest.mark.parametrize("part", range(PARTS))
+def test_all_faults_of_the_store(part: int) -> None:
+    assert run(play_store(part, STORE_FAULTS[part::PARTS])) == []
+
+
+@pytest.mark.parametrize("seed", FIRST_BATCH_LOST)
+def test_mixes_about_the_store(seed: int) -> None:
+    assert run(play_store(seed, draw(seed), advice=seed % 3 == 0)) == []
+
+
+@pytest.mark.parametrize("seed", OF_ALL_KINDS)
+def test_mixes_of_all_kinds(seed: int) -> None:
+    rng = random.Random(seed)
+    chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
+    assert run(play(100 + seed, chosen, advice=seed % 2 == 0)) == []
