Tests: an order to a VM's life that has ended needs no record of its use

Seed 1621 of the mixes about the store: a VM crashes, its next life answers for it, the leader drops the record of its use, and 1 ms after that drop is in the store the third try of a start that had no answer is sent to the former life. The trace: tries at 1005.005, 1005.307 and 1005.609 s, all after the crash, the record dropped at 1005.608 s; the last try is answered that another life is there. Nothing can start at a life that has ended, as each call names the life that it is meant for, so that the check leaves these out. The seed stays as a test; the check's own test has both cases. That try is a call for nothing, though: `VmCalls._start` could look at `row.gone`; src is left as it is.

--- a/tests/emulator/watch.py
+++ b/tests/emulator/watch.py
@@ -138,12 +138,16 @@
         failed = end.run in noted.failures.get(int(index), ())
         return bool(done) or (end.outcome == "failed" and failed)
 
-    def ordered(self, epoch: int, vm: str, task: str) -> None:
-        """Check an order to start a task: the store holds its job, and that the VM is in use."""
+    def ordered(self, epoch: int, vm: str, task: str, up: bool = True) -> None:
+        """Check an order to start a task: the store holds its job, and that the VM is in use.
+
+        Nothing can start at a life that has ended, of which an order that is tried again may not
+        have heard.
+        """
         job = task.partition(".")[0]
         if JOB_PREFIX + job not in self.newest and job not in self._ended:
             self._wrong(f"ordered, but its job is not in the store: {task}", epoch)
-        if VM_PREFIX + vm not in self.newest:
+        if up and VM_PREFIX + vm not in self.newest:
             self._wrong(f"ordered on {vm}, whose use is not in the store: {task}", epoch)
 
     def accepted(self, epoch: int, name: str) -> None:
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -97,5 +97,6 @@
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
-        self._watch.ordered(fence, action.vm, action.task)
+        up = self._cell.vms[action.vm].up
+        self._watch.ordered(fence, action.vm, action.task, up)
         return await super().start(action, address, fence, until_ms, timeout)
--- a/tests/jobs/test_store_mixes.py
+++ b/tests/jobs/test_store_mixes.py
@@ -17,6 +17,8 @@
 FIRST_BATCH_LOST = (26, 198, 208, 220, 406, 918)
 OF_ALL_KINDS = (31, 73)
 """Mixes of other kinds of faults that broke the same promise, though nobody noticed it later."""
+ORDER_TO_A_FORMER_LIFE = 1621
+"""A start is tried for the third time just after its VM is known to have ended, and refused."""
 PARTS = 3
 
 
@@ -25,7 +27,7 @@
     assert run(play_store(part, STORE_FAULTS[part::PARTS])) == []
 
 
-@pytest.mark.parametrize("seed", FIRST_BATCH_LOST)
+@pytest.mark.parametrize("seed", (*FIRST_BATCH_LOST, ORDER_TO_A_FORMER_LIFE))
 def test_mixes_about_the_store(seed: int) -> None:
     assert run(play_store(seed, draw(seed), advice=seed % 3 == 0)) == []
 
--- a/tests/jobs/test_watch.py
+++ b/tests/jobs/test_watch.py
@@ -200,6 +200,8 @@
 
 def test_an_order_on_a_vm_whose_use_is_not_in_the_store() -> None:
     rig = _Rig([ACCEPTED, IN_USE])
+    rig.watch.ordered(1, "other", "a.0.0.0", up=False)
+    rig.none()
     rig.watch.ordered(1, "other", "a.0.0.0")
     rig.only("epoch 1", "ordered on other")
 
