--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -66,12 +66,12 @@
             self.changed.set()
             self.changed = asyncio.Event()
 
-    def page(self, after: str) -> Page:
-        """Return the newest records of the keys that follow one."""
+    def page(self, after: str, most: int) -> Page:
+        """Return the newest records of the keys that follow one, so many at most."""
         keys = sorted(key for key in self.newest if key > after)
         items: list[PageItem] = []
         size = 0
-        for key in keys[:PAGE]:
+        for key in keys[:most]:
             if size >= PAGE_BYTES:
                 break
             items.append(self.newest[key])
@@ -109,6 +109,8 @@
         self.latency = 0.004
         self.share_there = (0.8, 1.0)
         """Least and most share of that time after which a call is carried out."""
+        self.page = PAGE
+        """Records of one page of the newest."""
         self.append_time = 0.0
         """Seconds that one append takes; appends of one topic are carried out in turn."""
         self._free_at: dict[Topic, float] = {}
@@ -260,7 +262,7 @@
             return Unavailable("no answer")
         if self._state.refuses():
             return self._refusal()
-        page = self._state.topics[topic].page(after)
+        page = self._state.topics[topic].page(after, self._state.page)
         await asyncio.sleep(back)
         return page
 
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -10,7 +10,6 @@
 
 from sablemount.control.gate import key_digest
 from sablemount.control.leader import LeaderPorts
-from sablemount.control.member import Member
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.store import Topic
@@ -29,9 +28,10 @@
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.advice import EmulatedAdvice
 from tests.emulator.network import Wires
-from tests.emulator.store import EmulatedStore, StoreState
-from tests.emulator.vm_ports import EmulatedVms
+from tests.emulator.transit import DelayedStore, Transit
 from tests.emulator.vms import Cell, Vm
+from tests.emulator.watch import Watch, WatchedState
+from tests.emulator.watched import WatchedMember, WatchedVms
 
 HOST = "queues.example"
 PREFIX = "/queue/"
@@ -67,10 +67,12 @@
 
     def __init__(self, seed: int, members: int = 4, vms: int = 6, advice: bool = False) -> None:
         self.rng = random.Random(seed)
-        self.store = StoreState(random.Random(seed + 1))
+        self.watch = Watch()
+        self.store = WatchedState(random.Random(seed + 1), self.watch)
+        self.transit = Transit(random.Random(seed + 3))
         self.cell = Cell(random.Random(seed + 2))
         self.wires = Wires()
-        self.members: dict[str, Member] = {}
+        self.members: dict[str, WatchedMember] = {}
         self.names = [f"m{number}" for number in range(members)]
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
@@ -132,14 +134,14 @@
     def start(self, name: str) -> None:
         self._life += 1
         ports = LeaderPorts(
-            EmulatedStore(self.store, name),
-            EmulatedVms(self.cell, partial(self.wires.parted, name)),
+            DelayedStore(self.store, name, self.transit),
+            WatchedVms(self.cell, self.watch, partial(self.wires.parted, name)),
             EmulatedAdvice(),
             Codec(),
         )
         settings = MemberSettings(name, name, JobSettings(), fail_closed=self.fail_closed)
         rng = random.Random(self.rng.getrandbits(32))
-        member = Member(settings, ports, self.wires.port(name), rng)
+        member = WatchedMember(settings, ports, self.wires.port(name), rng, self.watch)
         self.members[name] = member
         member.start()
 
@@ -287,6 +289,8 @@
         self.store.latency = 0.004
         self.store.lost = 0.0
         self.store.refusing = 0.0
+        self.store.append_time = 0.0
+        self.transit.calm()
         self.cell.late_orders = 0.0
         self.wires.cuts.clear()
         self.wires.silent.clear()
@@ -312,7 +316,7 @@
 
     async def faults(self) -> list[str]:
         """Return what is wrong once all has settled."""
-        wrong = list(self.cell.violations)
+        wrong = self.watch.violations + self.cell.violations
         if any(later <= earlier for earlier, later in pairwise(self.store.claims)):
             wrong.append(f"epochs claimed twice: {self.store.claims}")
         wrong += await self.unfinished()
