No organisation's task is started before its cap is known

Cause: an organisation that is not configured has no limit, and a leader that has read no configuration yet took all for such: 69,500 cores ran where the highest cap in force was 60,000. Class: not to know is not to have none. Change: tasks of organisations wait until some configuration is known here. Test: test_caps_unknown.py, failed before, passes; 85 tests of caps, keys and emulated organisations pass.

--- a/src/sablemount/jobs/systems/caps.py
+++ b/src/sablemount/jobs/systems/caps.py
@@ -51,6 +51,9 @@
 
     def places(self, step: StepRow) -> int:
         """Return how many more tasks of a step may be started."""
+        if step.job.organisation and self._state.configuration.version < 0:
+            # A leader that has read no configuration yet knows no caps, which is not to have none.
+            return 0
         organisation = self.organisation(step)
         if organisation is None or organisation.cap == Shape():
             return NO_LIMIT
