A leader without a configuration starts nothing that a cap may hold back

Cause: an organisation that is not configured has no limit, and a new leader may lead before it has read which organisations there are. Class: what is not known yet taken for what does not exist. Change: until a configuration is known, no task of an organisation is placed; jobs of nobody are as before.

--- a/src/sablemount/jobs/systems/caps.py
+++ b/src/sablemount/jobs/systems/caps.py
@@ -51,6 +51,9 @@
 
     def places(self, step: StepRow) -> int:
         """Return how many more tasks of a step may be started."""
+        if step.job.organisation and self._state.configuration.version < 0:
+            # A new leader may lead before it has read which caps are in force.
+            return 0
         organisation = self.organisation(step)
         if organisation is None or organisation.cap == Shape():
             return NO_LIMIT
--- a/tests/jobs/test_store_mixes.py
+++ b/tests/jobs/test_store_mixes.py
@@ -11,7 +11,7 @@
 
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
-from tests.emulator.mixes import play, play_store
+from tests.emulator.mixes import play, play_organisations, play_store
 from tests.emulator.store_faults import STORE_FAULTS, draw
 
 FIRST_BATCH_LOST = (26, 198, 208, 220, 406, 918)
@@ -19,6 +19,8 @@
 """Mixes of other kinds of faults that broke the same promise, though nobody noticed it later."""
 ORDER_TO_A_FORMER_LIFE = 1621
 """A start is tried for the third time just after its VM is known to have ended, and refused."""
+CAP_UNKNOWN = 51736
+"""A leader that had read no configuration yet started more than its organisations' caps let it."""
 PARTS = 3
 
 
@@ -37,3 +39,9 @@
     rng = random.Random(seed)
     chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
     assert run(play(100 + seed, chosen, advice=seed % 2 == 0)) == []
+
+
+def test_caps_that_a_new_leader_does_not_know() -> None:
+    rng = random.Random(CAP_UNKNOWN)
+    chosen = [rng.choice(STORE_FAULTS) for _ in range(12)]
+    assert run(play_organisations(CAP_UNKNOWN, chosen)) == []
