--- a/tests/jobs/test_emulated_vms.py
+++ b/tests/jobs/test_emulated_vms.py
@@ -18,7 +18,7 @@
 FENCE = 1
 
 
-class _Bench:
+class _Rig:
     """A cell with some VMs that are told what to do."""
 
     def __init__(
@@ -64,37 +64,37 @@
 
 def test_a_start_that_comes_again_too_late_is_refused_though_its_run_is_there() -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        assert isinstance(bench.start(0, 3), Started)
-        assert isinstance(bench.start(0, 3), Started)
-        assert bench.start(0, 3, -0.05) is StartRefusal.LATE
-        assert bench.running() == [("j.0.0.0", 3)]
+        rig = _Rig()
+        assert isinstance(rig.start(0, 3), Started)
+        assert isinstance(rig.start(0, 3), Started)
+        assert rig.start(0, 3, -0.05) is StartRefusal.LATE
+        assert rig.running() == [("j.0.0.0", 3)]
 
     run(scenario())
 
 
 def test_runs_of_one_task_go_on_side_by_side() -> None:
     async def scenario() -> None:
-        bench = _Bench()
+        rig = _Rig()
         for number in (2, 7, 5):
-            assert isinstance(bench.start(0, number), Started)
-        bench.stop(0, 5)
+            assert isinstance(rig.start(0, number), Started)
+        rig.stop(0, 5)
         await asyncio.sleep(0.5)
-        assert bench.running() == [("j.0.0.0", 7)]
-        assert sorted(bench.ends()) == [(2, "stopped"), (5, "stopped")]
-        assert bench.start(0, 4) is StartRefusal.OLD
-        assert isinstance(bench.start(0, 6), Started)
+        assert rig.running() == [("j.0.0.0", 7)]
+        assert sorted(rig.ends()) == [(2, "stopped"), (5, "stopped")]
+        assert rig.start(0, 4) is StartRefusal.OLD
+        assert isinstance(rig.start(0, 6), Started)
 
     run(scenario())
 
 
 def test_a_stop_of_a_run_that_is_not_there_bars_it_without_an_end() -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        bench.stop(1, 5)
-        assert bench.start(1, 5) is StartRefusal.OLD
-        assert isinstance(bench.start(1, 6), Started)
-        assert bench.ends() == []
+        rig = _Rig()
+        rig.stop(1, 5)
+        assert rig.start(1, 5) is StartRefusal.OLD
+        assert isinstance(rig.start(1, 6), Started)
+        assert rig.ends() == []
 
     run(scenario())
 
@@ -102,121 +102,121 @@
 @pytest.mark.parametrize(
     ("other", "lasts"),
     [
-        (lambda bench: bench.start(1, 4, 2.0), 2.0),
-        (lambda bench: bench.start(1, 4, -0.1), 0.7),
-        (lambda bench: bench.start(1, 4, 2.0, fence=0), 0.7),
-        (lambda bench: bench.hold(seconds=2.0), 2.0),
-        (lambda bench: bench.hold(seconds=0.3), 0.7),
+        (lambda rig: rig.start(1, 4, 2.0), 2.0),
+        (lambda rig: rig.start(1, 4, -0.1), 0.7),
+        (lambda rig: rig.start(1, 4, 2.0, fence=0), 0.7),
+        (lambda rig: rig.hold(seconds=2.0), 2.0),
+        (lambda rig: rig.hold(seconds=0.3), 0.7),
     ],
     ids=["old", "late", "fence", "longer", "shorter"],
 )
-def test_what_extends_leases(other: Callable[[_Bench], object], lasts: float) -> None:
+def test_what_extends_leases(other: Callable[[_Rig], object], lasts: float) -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        bench.stop(1, 4)
-        bench.start(0, 1, 0.7)
-        other(bench)
+        rig = _Rig()
+        rig.stop(1, 4)
+        rig.start(0, 1, 0.7)
+        other(rig)
         await asyncio.sleep(lasts - 0.1)
-        assert len(bench.running()) == 1
+        assert len(rig.running()) == 1
         await asyncio.sleep(0.2)
-        assert bench.ends() == [(1, "lapsed")]
-        assert bench.start(0, 1) is StartRefusal.OLD
+        assert rig.ends() == [(1, "lapsed")]
+        assert rig.start(0, 1) is StartRefusal.OLD
 
     run(scenario())
 
 
 def test_an_end_that_was_acknowledged_beforehand_is_not_listed() -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        bench.start(0, 1)
-        bench.hold(acked=9)
-        bench.stop(0, 1)
+        rig = _Rig()
+        rig.start(0, 1)
+        rig.hold(acked=9)
+        rig.stop(0, 1)
         await asyncio.sleep(0.5)
-        bench.hold()
-        assert bench.ends() == []
+        rig.hold()
+        assert rig.ends() == []
 
     run(scenario())
 
 
 def test_an_order_that_comes_after_the_end_of_a_life_does_nothing() -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        bench.cell.seconds = 0.1
-        bench.cell.crash(bench.vm)
-        assert bench.start(0, 1) is CallError.NO_ANSWER
+        rig = _Rig()
+        rig.cell.seconds = 0.1
+        rig.cell.crash(rig.vm)
+        assert rig.start(0, 1) is CallError.NO_ANSWER
         await asyncio.sleep(2.0)
-        assert not bench.cell.done
+        assert not rig.cell.done
 
     run(scenario())
 
 
-def _outcomes(bench: _Bench) -> list[list[tuple[int, str]]]:
-    return [bench.ends(vm) for vm in bench.vms]
+def _outcomes(rig: _Rig) -> list[list[tuple[int, str]]]:
+    return [rig.ends(vm) for vm in rig.vms]
 
 
 def test_members_that_wait_in_vain_end_with_the_first_of_them() -> None:
     async def scenario() -> None:
-        bench = _Bench(tasks=3, gang=True, vms=3)
-        bench.start(0, 1, vm=bench.vms[0])
+        rig = _Rig(tasks=3, gang=True, vms=3)
+        rig.start(0, 1, vm=rig.vms[0])
         await asyncio.sleep(0.5)
-        bench.start(1, 1, vm=bench.vms[1])
+        rig.start(1, 1, vm=rig.vms[1])
         await asyncio.sleep(2.6)
-        assert _outcomes(bench) == [[(1, "alone")], [(1, "broken")], []]
+        assert _outcomes(rig) == [[(1, "alone")], [(1, "broken")], []]
 
     run(scenario())
 
 
 def test_a_member_that_is_stopped_breaks_its_gang_at_once() -> None:
     async def scenario() -> None:
-        bench = _Bench(tasks=2, gang=True, vms=2)
-        for index, vm in enumerate(bench.vms):
-            bench.start(index, 1, vm=vm)
+        rig = _Rig(tasks=2, gang=True, vms=2)
+        for index, vm in enumerate(rig.vms):
+            rig.start(index, 1, vm=vm)
         await asyncio.sleep(0.2)
-        bench.stop(0, 1, bench.vms[0])
+        rig.stop(0, 1, rig.vms[0])
         await asyncio.sleep(0.4)
-        assert _outcomes(bench) == [[(1, "stopped")], [(1, "broken")]]
-        assert not bench.cell.done
+        assert _outcomes(rig) == [[(1, "stopped")], [(1, "broken")]]
+        assert not rig.cell.done
 
     run(scenario())
 
 
 def test_a_whole_gang_ends_together() -> None:
     async def scenario() -> None:
-        bench = _Bench(tasks=2, gang=True, vms=2)
-        bench.cell.seconds = 0.1
-        for index, vm in enumerate(bench.vms):
-            bench.start(index, 1, vm=vm)
+        rig = _Rig(tasks=2, gang=True, vms=2)
+        rig.cell.seconds = 0.1
+        for index, vm in enumerate(rig.vms):
+            rig.start(index, 1, vm=vm)
         await asyncio.sleep(2.0)
-        assert _outcomes(bench) == [[(1, "done")], [(1, "done")]]
+        assert _outcomes(rig) == [[(1, "done")], [(1, "done")]]
 
     run(scenario())
 
 
 def test_an_order_is_carried_out_though_its_caller_has_gone() -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        action = StartRun(bench.vm.info.name, "j.0.0.0", 1, "payload", 0.0)
-        port = EmulatedVms(bench.cell)
-        sent = asyncio.create_task(port.start(action, "", FENCE, bench.clock() + 5000, 1.0))
+        rig = _Rig()
+        action = StartRun(rig.vm.info.name, "j.0.0.0", 1, "payload", 0.0)
+        port = EmulatedVms(rig.cell)
+        sent = asyncio.create_task(port.start(action, "", FENCE, rig.clock() + 5000, 1.0))
         await asyncio.sleep(0.0005)
         sent.cancel()
         await asyncio.sleep(0.1)
-        assert bench.running() == [("j.0.0.0", 1)]
+        assert rig.running() == [("j.0.0.0", 1)]
 
     run(scenario())
 
 
 def test_a_late_stop_is_carried_out_seconds_after_its_caller_gave_it_up() -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        bench.start(0, 1, 6.0)
-        bench.cell.late_orders = 1.0
-        action = StopRun(bench.vm.info.name, "j.0.0.0", 1)
-        answer = await EmulatedVms(bench.cell).stop(action, "", FENCE, 0.5)
+        rig = _Rig()
+        rig.start(0, 1, 6.0)
+        rig.cell.late_orders = 1.0
+        action = StopRun(rig.vm.info.name, "j.0.0.0", 1)
+        answer = await EmulatedVms(rig.cell).stop(action, "", FENCE, 0.5)
         assert answer is CallError.NO_ANSWER
-        assert isinstance(bench.start(0, 1, 6.0), Started)
+        assert isinstance(rig.start(0, 1, 6.0), Started)
         await asyncio.sleep(13.0)
-        assert bench.start(0, 1) is StartRefusal.OLD
+        assert rig.start(0, 1) is StartRefusal.OLD
 
     run(scenario())
 
@@ -228,41 +228,41 @@
     resets: bool, answer: CallError
 ) -> None:
     async def scenario() -> None:
-        bench = _Bench()
-        bench.cell.crash(bench.vm)
-        bench.vm.resets = resets
-        action = StopRun(bench.vm.info.name, "j.0.0.0", 1)
-        address = bench.vm.info.address
-        assert await EmulatedVms(bench.cell).stop(action, address, FENCE, 0.5) is answer
+        rig = _Rig()
+        rig.cell.crash(rig.vm)
+        rig.vm.resets = resets
+        action = StopRun(rig.vm.info.name, "j.0.0.0", 1)
+        address = rig.vm.info.address
+        assert await EmulatedVms(rig.cell).stop(action, address, FENCE, 0.5) is answer
 
     run(scenario())
 
 
 def test_what_was_saved_is_good_for_its_task_only() -> None:
     async def scenario() -> None:
-        bench = _Bench(tasks=3, saves=True)
-        bench.start(0, 1)
+        rig = _Rig(tasks=3, saves=True)
+        rig.start(0, 1)
         await asyncio.sleep(1.0)
-        bench.stop(0, 1)
+        rig.stop(0, 1)
         await asyncio.sleep(0.5)
-        saved = bench.vm.ends[0].saved
+        saved = rig.vm.ends[0].saved
         assert saved
-        assert isinstance(bench.start(0, 2, saved=saved), Started)
-        assert not bench.cell.violations
-        assert bench.start(1, 1, saved=saved) is StartRefusal.REJECTED
-        assert bench.cell.violations
+        assert isinstance(rig.start(0, 2, saved=saved), Started)
+        assert not rig.cell.violations
+        assert rig.start(1, 1, saved=saved) is StartRefusal.REJECTED
+        assert rig.cell.violations
 
     run(scenario())
 
 
 def test_a_gang_goes_on_from_the_work_of_one_member() -> None:
     async def scenario() -> None:
-        bench = _Bench(tasks=3, gang=True, saves=True, vms=3)
+        rig = _Rig(tasks=3, gang=True, saves=True, vms=3)
         saved = "j.0.0|1.2"
         for index in (0, 1):
-            bench.start(index, 2, vm=bench.vms[index], saved=saved)
-        assert not bench.cell.violations
-        bench.start(2, 2, vm=bench.vms[2])
-        assert bench.cell.violations
+            rig.start(index, 2, vm=rig.vms[index], saved=saved)
+        assert not rig.cell.violations
+        rig.start(2, 2, vm=rig.vms[2])
+        assert rig.cell.violations
 
     run(scenario())
