--- a/tests/jobs/test_cut_off_leader.py
+++ b/tests/jobs/test_cut_off_leader.py
@@ -18,6 +18,7 @@
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.loop import run
 from tests.emulator.system import HOST, PREFIX, TIMEOUT, System
+from tests.jobs.running import begun
 
 TASK_SECONDS = 40.0
 CUT_VMS = 3
@@ -30,10 +31,7 @@
     """
     system = System(5, members=members)
     system.cell.seconds = TASK_SECONDS
-    system.start_all()
-    await asyncio.sleep(1.0)
-    leader = system.leader()
-    assert leader is not None
+    leader = await begun(system, 1.0)
     step = StepSpec(count=6, shape=Shape(4_000, 1_000), expected_ms=TASK_SECONDS * 1000.0)
     for number in range(3):
         await system.submit(f"a{number}", JobSpec("payload", (step,)))
--- a/tests/jobs/test_store_mixes.py
+++ b/tests/jobs/test_store_mixes.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from tests.emulator import faults as kinds
 from tests.emulator.loop import run
 from tests.emulator.mixes import play, play_organisations, play_store
 from tests.emulator.store_faults import STORE_FAULTS, draw
+from tests.jobs.running import mix
 
 FIRST_BATCH_LOST = (26, 198, 208, 220, 406, 918)
 OF_ALL_KINDS = (31, 73)
@@ -38,9 +38,7 @@
 
 @pytest.mark.parametrize("seed", OF_ALL_KINDS)
 def test_mixes_of_all_kinds(seed: int) -> None:
-    rng = random.Random(seed)
-    chosen = [rng.choice(kinds.FAULTS) for _ in range(5)]
-    assert run(play(100 + seed, chosen, advice=seed % 2 == 0)) == []
+    assert run(play(100 + seed, mix(seed), advice=seed % 2 == 0)) == []
 
 
 def test_caps_that_a_new_leader_does_not_know() -> None:
