Sight: a line tells which runs went with a VM, how late each was ordered, and by what its end is known

'runs lost with VM' told a number. It now has each run with the seconds from its order to the VM's last word, the latest first, and 'VM's life over' has its reason, so that a task that ends VMs can be told from those beside it.

--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -6,9 +6,9 @@
 
 import logging
 
-from sablemount.jobs.tables import JobRow, RunEnd, StepRow, TaskRow, VmRow
+from sablemount.jobs.tables import JobRow, RunEnd, RunRow, StepRow, TaskRow, VmRow
 
-__all__ = ["RunCells", "job_ended", "runs_placed"]
+__all__ = ["RunCells", "job_ended", "runs_lost", "runs_placed"]
 
 MS = 1000.0
 ROWS_A_LINE = 60
@@ -39,6 +39,28 @@
         )
 
 
+def runs_lost(logger: logging.Logger, vm: VmRow, now: float) -> None:
+    """Log what is lost with a VM, the latest start first; call it before the runs are taken out.
+
+    What had just been started when a VM was last heard is the likeliest to have ended its life.
+    """
+    runs = sorted(vm.runs.values(), key=lambda run: -run.sent_at)
+    rows = [_lost_cells(run, vm.heard_at) for run in runs]
+    for first in range(0, len(rows), ROWS_A_LINE):
+        extra = {
+            "vm": vm.name,
+            "heard_ago": vm.heard_ago(now),
+            "runs": len(rows),
+            "lost": rows[first : first + ROWS_A_LINE],
+        }
+        logger.info("runs lost with VM", extra=extra)
+
+
+def _lost_cells(run: RunRow, heard_at: float) -> tuple[str, int, float, str]:
+    """Return task, run, seconds from its order to the VM's last word (below 0: after), state."""
+    return (run.task, run.number, round(heard_at - run.sent_at, 3), run.state.value)
+
+
 def job_ended(logger: logging.Logger, job: JobRow, now: float, wall_ms: float) -> None:
     """Log that callers are told from now on that a job has ended, with all that ran for it."""
     terms = job.record.terms
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sablemount.jobs.job_lines import runs_lost
 from sablemount.jobs.model import VmInfo
 from sablemount.jobs.state import State
 from sablemount.jobs.tables import SLOW_CLOCK, RunRow, VmRow
@@ -23,6 +24,7 @@
 entry goes up to 4.5 s later, and a gang with a member there can't start again before."""
 LOST = "lost"
 """How a run ended of which nothing can be heard any more."""
+ANOTHER_LIFE = "another life answers at its address"
 MS = 1000.0
 
 
@@ -176,7 +178,7 @@
         refused_for = now - row.refused_since
         as_told = self._past_its_time(row) and refused_for > LEFT_AS_TOLD_AFTER
         if as_told or (not row.listed and refused_for > LEFT_AFTER):
-            self.died(row.name)
+            self.died(row.name, "nothing listens at its address")
 
     def _past_its_time(self, row: VmRow) -> bool:
         """Tell whether a VM that drains need not be there any more, by what it has told itself."""
@@ -190,30 +192,29 @@
         """
         left = row.info.draining and not row.listed
         if left and self._state.confirmed_at - row.heard_at > LEFT_AFTER:
-            self.died(row.name)
+            self.died(row.name, "it drained and does not answer")
 
-    def died(self, name: str) -> None:
-        """Take that a life of a VM is over for certain."""
+    def died(self, name: str, why: str = ANOTHER_LIFE) -> None:
+        """Take that a life of a VM is over for certain, and by what that is known."""
         row = self._state.vms.get(name)
         if row is None or row.gone:
             return
         row.gone = True
         row.listed = False
-        self._log("VM's life over", row)
+        self._log("VM's life over", row, why=why)
         self._drop_runs(row)
 
     def _drop_runs(self, row: VmRow) -> None:
         runs: list[RunRow] = list(row.runs.values())
         if runs:
-            self._log("runs lost with VM", row)
+            runs_lost(self._state.logger, row, self._state.now)
         for run in runs:
             self._state.drop_run(run, LOST)
 
-    def _log(self, text: str, row: VmRow) -> None:
-        age = round(self._state.now - row.heard_at, 3) if row.heard_at > 0 else None
-        self._state.logger.info(
-            text, extra={"vm": row.name, "heard_ago": age, "runs": len(row.runs)}
-        )
+    def _log(self, text: str, row: VmRow, **more: object) -> None:
+        now = self._state.now
+        extra = {"vm": row.name, "heard_ago": row.heard_ago(now), "runs": len(row.runs), **more}
+        self._state.logger.info(text, extra=extra)
 
     # -- After a change of leader ------------------------------------------------------------
 
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -313,6 +313,10 @@
     def __post_init__(self) -> None:
         self.name = self.info.name
 
+    def heard_ago(self, now: float) -> float | None:
+        """Return the age of its last word in seconds; ``None`` if it was never heard."""
+        return round(now - self.heard_at, 3) if self.heard_at > 0 else None
+
     def kept_from(self, step: "StepRow", priority: int, now: float) -> bool:
         """Tell whether its room is kept for others than a step of some priority."""
         if self.kept_until <= now or priority < self.kept_priority:
--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -1,6 +1,7 @@
 """VMs whose entries are gone from the list."""
 
 import msgspec
+import pytest
 
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.systems.vms import RELISTED_WITHIN
@@ -150,3 +151,22 @@
         rig.scheduler.vms.unanswered(rig.scheduler.state.vms[vm])
     rig.tick(0.6)
     assert len(rig.started()) == 1
+
+
+def test_what_is_lost_with_a_vm_is_told_the_latest_start_first(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    rig = Rig(vms=1)
+    rig.accept("first", spec(StepSpec(1, CORE)))
+    rig.run_all()
+    rig.wait(0.5)
+    rig.accept("second", spec(StepSpec(1, CORE)))
+    rig.tick()
+    with caplog.at_level("INFO", "sablemount.jobs"):
+        rig.scheduler.vms.died("w0")
+    lines = {line.getMessage(): line for line in caplog.records}
+    assert lines["VM's life over"].why == "another life answers at its address"
+    assert [(row[0], row[3]) for row in lines["runs lost with VM"].lost] == [
+        ("second.0.0.0", "sent"),
+        ("first.0.0.0", "running"),
+    ]
