--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -38,6 +38,8 @@
 CAPACITY = Shape(16_000, 64_000, 0)
 TIMEOUT = 2.7
 RETRIES = 6
+CRASHES_GIVE_UP = 2
+"""VMs that have to crash under a task for it to be given up."""
 
 
 def loop_time() -> float:
@@ -71,6 +73,7 @@
         self.store = WatchedState(random.Random(seed + 1), self.watch)
         self.transit = Transit(random.Random(seed + 3))
         self.cell = Cell(random.Random(seed + 2))
+        self.cell.on_crash = self._crashed
         self.wires = Wires()
         self.members: dict[str, WatchedMember] = {}
         self.names = [f"m{number}" for number in range(members)]
@@ -124,6 +127,10 @@
         if back_after is not None:
             asyncio.get_running_loop().call_later(back_after, self._vm_back, vm)
 
+    def _crashed(self, vm: Vm) -> None:
+        """Take that a task has crashed its VM, which is back some seconds later."""
+        self.crash_vm(vm, self.rng.uniform(1.0, 4.0))
+
     def _vm_back(self, vm: Vm) -> None:
         info = vm.info
         self.store.topics[Topic.VMS].add([Record(info.name)])
@@ -203,7 +210,7 @@
 
         An organisation's callers show a key that is the digest of its name.
         """
-        self.cell.jobs[name] = spec
+        self.cell.hand_in(name, spec)
         self.cell.owners[name] = caller
         digest = key_digest(caller.encode()) if caller else None
         self.open_calls += 1
@@ -226,7 +233,7 @@
     async def hand_in(self, member: str, name: str) -> CallerReply:
         """Hand in a job of a random kind, once and at one member."""
         spec = self.job()
-        self.cell.jobs[name] = spec
+        self.cell.hand_in(name, spec)
         call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
         return await self.members[member].serve(call, TIMEOUT)
 
@@ -292,6 +299,7 @@
         self.store.append_time = 0.0
         self.transit.calm()
         self.cell.late_orders = 0.0
+        self.cell.crash_share = 0.0
         self.wires.cuts.clear()
         self.wires.silent.clear()
         for vm in self.cell.vms.values():
@@ -312,6 +320,8 @@
     def allowed_ends(self, name: str) -> set[str]:
         if name in self.cancelled:
             return {"cancelled", "succeeded", "failed"}
+        if self.cell.crashes_vms(name):
+            return {"succeeded", "failed"}
         return {"failed"} if self._fails(name) else {"succeeded"}
 
     def _fails(self, name: str) -> bool:
@@ -331,13 +341,17 @@
             if any(task.startswith(f"{name}.") for task in self.cell.starts):
                 wrong.append(f"refused, yet started: {name}")
         for name in sorted(self.accepted - self.cancelled):
-            if self._fails(name):
+            if self._fails(name) or self._given_up(name):
                 continue
             missing = [task for task in self._tasks(name) if task not in self.cell.done]
             if missing:
                 wrong.append(f"shown as done without: {missing}")
         return wrong
 
+    def _given_up(self, name: str) -> bool:
+        """Tell whether a job may be shown as failed since two VMs have crashed under a task."""
+        return any(self.cell.crashes[task] >= CRASHES_GIVE_UP for task in self._tasks(name))
+
     def _tasks(self, name: str) -> list[str]:
         steps = self.cell.jobs[name].steps
         return [
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from sablemount.control.ports import CallError, HoldCall, Started, StartResult
@@ -19,6 +19,12 @@
 GANG_TIMEOUT = 3.0
 APPLY_TIME = 3.0
 """Seconds for which a configuration may be in force after the next one was acknowledged."""
+CRASHES_TOLD = 3
+"""VMs that have to crash under a task before its further starts are counted."""
+STARTS_AFTER = 3
+"""Further starts that are too many."""
+CRASH_AFTER = (0.01, 0.01, 0.01, 0.4, 2.0)
+"""Seconds after which a task that crashes its VM does so, most of them at once."""
 CAP_OVERAGE = 1.1
 """What an organisation may run beside its cap, and one task more."""
 
@@ -108,6 +114,16 @@
         self.succeeded: set[str] = set()
         """Jobs that a caller was told have succeeded."""
         self.poison: set[str] = set()
+        self.crash_share = 0.0
+        """Share of the jobs handed in that have a task which crashes each VM that starts it."""
+        self.crashing: dict[str, float] = {}
+        """Seconds after which a task crashes its VM, by the task."""
+        self.crashes: Counter[str] = Counter()
+        """VMs that a task has crashed, by the task."""
+        self.starts_after: Counter[str] = Counter()
+        """Starts of a task once it had crashed as many VMs as may be."""
+        self.on_crash: Callable[[Vm], None] = self.crash
+        """Takes a VM that a task crashes."""
         self.violations: list[str] = []
         self.late_orders = 0.0
         self.advised = False
@@ -142,6 +158,33 @@
                 run.timer.cancel()
         vm.runs.clear()
 
+    def hand_in(self, name: str, spec: JobSpec) -> None:
+        """Take a job that a caller is about to hand in, some with a task that crashes VMs."""
+        known = name in self.jobs
+        self.jobs[name] = spec
+        if known or not self.crash_share or self.rng.random() >= self.crash_share:
+            return
+        number = self.rng.randrange(len(spec.steps))
+        index = self.rng.randrange(spec.steps[number].count)
+        self.crashing[f"{name}.0.{number}.{index}"] = self.rng.choice(CRASH_AFTER)
+
+    def crashes_vms(self, name: str) -> bool:
+        """Tell whether a task of a job crashes the VMs that start it."""
+        return any(task.startswith(f"{name}.") for task in self.crashing)
+
+    def _crash_under(self, vm: Vm, run: Run) -> None:
+        """Let a task crash its VM, if it still runs there."""
+        if vm.up and vm.runs.get((run.task, run.number)) is run:
+            self.crashes[run.task] += 1
+            self.on_crash(vm)
+
+    def _check_crashes(self, task: str) -> None:
+        if self.crashes[task] < CRASHES_TOLD:
+            return
+        self.starts_after[task] += 1
+        if self.starts_after[task] >= STARTS_AFTER:
+            self.violations.append(f"started again though VMs crash under it: {task}")
+
     def life_at(self, address: str) -> Vm | None:
         for vm in self.vms.values():
             if vm.info.address == address and vm.up:
@@ -229,6 +272,9 @@
         run = Run(action.task, action.run, spec.charge, now, length, spec.gang, spec.saves)
         run.begun_from = action.saved
         vm.runs[action.task, action.run] = run
+        if action.task in self.crashing:
+            after = self.crashing[action.task]
+            asyncio.get_running_loop().call_later(after, self._crash_under, vm, run)
         if spec.gang:
             self._gang_joined(vm, run, spec.count)
             return
@@ -259,6 +305,8 @@
 
     def _gang_finish(self, run: Run, count: int) -> None:
         members = self._members(run)
+        if any(member.task in self.crashing for _, member in members):
+            return
         whole = len(members) == count
         if whole:
             self.done.update(member.task for _, member in members)
@@ -276,6 +324,7 @@
         for other in self.vms.values():
             if other.up and any(run.task == action.task for run in other.runs.values()):
                 self.violations.append(f"runs twice: {action.task}")
+        self._check_crashes(action.task)
         if self.failures[action.task] >= self.max_attempts:
             self.violations.append(f"beyond its attempts: {action.task}")
         for earlier in self.jobs[job].steps[int(step)].after:
@@ -284,6 +333,8 @@
                     self.violations.append(f"before its turn: {action.task}")
 
     def _finish(self, vm: Vm, run: Run) -> None:
+        if run.task in self.crashing:
+            return
         job = run.task.split(".")[0]
         failed = job in self.poison or self.rng.random() < self.fail_share
         if failed:
