Crashes of VMs are counted for what ran there, last over leaders, and end the jobs that cause them

Cause: a run that was lost with its VM counted for nothing, so that nothing bounded its next start; class: an outcome that nobody judges since it has no reporter. Now an unplanned end of a life counts for all that ran there. After one crash, suspects of different jobs start apart; after two, a task has a VM to itself but for what has long been at work; it is given up after three if it was on trial, after four in any case. What was started of late goes with its VM's record, so that a crash is known though its leader ends at once. Beside it: a VM where nothing listens was chosen again every 15 ms (38 starts in 1.2 s).

Ruled out: a count in a leader's memory (a third of the crashes fell to a leader that had just ended).

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -194,6 +194,8 @@
                 self._scheduler.vms.died(action.vm)
                 self._kick()
                 return
+            if result is CallError.REFUSED:
+                self._scheduler.vms.refused(row)
             certain = certain and result in NOTHING_SENT
         if certain:
             self._scheduler.reconcile.not_started(action.vm, action.task, action.run)
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -21,10 +21,15 @@
 from sablemount.jobs.sizes import call_size, progress_record, record_size
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.lifecycle import Lifecycle
-from sablemount.jobs.tables import JobRow, JobState, VmRow
+from sablemount.jobs.tables import JobRow, JobState, RunRow, VmRow
 
 __all__ = ["Batch", "Journal"]
 
+SUSPECT_TIME = 2.0
+"""Seconds after its order for which a run is recorded with its VM, unless that falls silent: a
+crash may come 0.01 s after a start, and its leader end before it knows."""
+MOST_SUSPECTS = 60
+"""Tasks that are recorded with a VM at most: 1.7 KB."""
 CALLS_SHARE = 2
 """By how much a batch's bytes are below what the store takes in a call at most."""
 
@@ -49,7 +54,8 @@
         self._state = state
         self._lifecycle = lifecycle
         self._accepting: dict[str, JobRow] = {}
-        self._vms: dict[str, Record] = {}
+        self._vms: dict[str, VmRow] = {}
+        """VMs whose record is to be written, or dropped if they are not in use any more."""
         self._dropped: deque[Record] = deque()
 
     def accept(self, job: JobRow) -> None:
@@ -64,13 +70,17 @@
         """Record that a VM may run something."""
         row.recorded = True
         row.uses += 1
-        value = encode(VmRecord(row.info.address, row.info.pool))
-        self._vms[row.name] = Record(VM_PREFIX + row.name, value)
+        self._vms[row.name] = row
 
     def unuse(self, row: VmRow) -> None:
         """Record that a VM runs nothing any more."""
         row.recorded = row.in_use = False
-        self._vms[row.name] = Record(VM_PREFIX + row.name)
+        self._vms[row.name] = row
+
+    def note_runs(self, row: VmRow) -> None:
+        """Record anew what a crash of a VM would count for."""
+        if row.recorded:
+            self._vms[row.name] = row
 
     def forget(self, name: str) -> None:
         """Drop the record of an ended job."""
@@ -100,14 +110,31 @@
 
     def _add_vms(self, filling: "_Filling") -> None:
         while self._vms:
-            name, record = next(iter(self._vms.items()))
+            name, row = next(iter(self._vms.items()))
+            record = Record(VM_PREFIX + name, self._vm_value(row))
             if not filling.room_for([record]):
                 return
             del self._vms[name]
-            row = self._state.vms.get(name)
-            if filling.add([record]) and record.value and row is not None:
+            if filling.add([record]) and record.value:
                 filling.batch.used[name] = row.uses
 
+    def _vm_value(self, row: VmRow) -> bytes:
+        if not row.recorded:
+            return b""
+        return encode(VmRecord(row.info.address, row.info.pool, self._suspects(row)))
+
+    def _suspects(self, row: VmRow) -> tuple[str, ...]:
+        """Return the tasks that a crash of a VM would count for, the latest first."""
+        runs = sorted(row.runs.values(), key=lambda run: -run.sent_at)
+        if row.doubted_at < row.heard_at:
+            after = self._state.now - SUSPECT_TIME
+            runs = [run for run in runs if run.sent_at > after or self._has_crashed(run)]
+        return tuple(run.task for run in runs[:MOST_SUSPECTS])
+
+    def _has_crashed(self, run: RunRow) -> bool:
+        task = self._state.task(run.task)
+        return task is not None and bool(task.crashes)
+
     def _add_dropped(self, filling: "_Filling") -> None:
         while self._dropped and filling.room_for([self._dropped[0]]):
             filling.add([self._dropped.popleft()])
@@ -153,7 +180,8 @@
         for vm, number in batch.used.items():
             row = self._state.vms.get(vm)
             # One that was dropped since, or dropped and made anew, says nothing of the last one.
-            if row is not None and row.recorded and row.uses == number:
+            current = row is not None and row.recorded and row.uses == number
+            if row is not None and current and not row.in_use:
                 row.in_use = True
                 self._state.freed += 1
         for vm, end in batch.ends.items():
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -26,6 +26,8 @@
     "task_key",
 ]
 
+MANY = 1_000_000
+"""How often what takes nothing fits."""
 MAX_PAYLOAD_BYTES = 4_000
 """Bytes of a job's payload at most, as the platform's pages say."""
 MAX_STEPS = 1_000
@@ -51,6 +53,19 @@
             and self.accelerators <= room.accelerators
         )
 
+    def times_in(self, room: "Shape") -> int:
+        """Return how often this shape fits into some room."""
+        fits = [
+            have // need
+            for need, have in (
+                (self.cores, room.cores),
+                (self.memory, room.memory),
+                (self.accelerators, room.accelerators),
+            )
+            if need > 0
+        ]
+        return max(0, min(fits, default=MANY))
+
     def plus(self, other: "Shape", times: int = 1) -> "Shape":
         """Return this shape with another one added a number of times, which may be negative."""
         return Shape(
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -63,6 +63,8 @@
     organisation: str = ""
     public: bool = False
     """As in the job's own record, which is dropped at its end."""
+    crashes: dict[str, tuple[str, ...]] = {}
+    """VMs that have crashed under a task, by repetition, step and index, joined by dots."""
 
 
 class VmRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -70,6 +72,8 @@
 
     address: str
     pool: str
+    suspects: tuple[str, ...] = ()
+    """Tasks that its crash would count for: what was started of late, or all once it is silent."""
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -29,6 +29,7 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
+from sablemount.jobs.systems.crashes import Crashes
 from sablemount.jobs.systems.evacuation import Evacuation
 from sablemount.jobs.systems.health import Health
 from sablemount.jobs.systems.lifecycle import Lifecycle
@@ -95,7 +96,12 @@
         self.advice = Advice(self.state)
         self.reservation = Reservation(self.state)
         self.caps = Caps(self.state)
-        self.placement = Placement(self.state, self.vms, self.advice, self.reservation, self.caps)
+        self.journal = Journal(self.state, self.lifecycle)
+        self.crashes = Crashes(self.state, self.lifecycle, self.journal.note_runs)
+        self.vms.on_crash = self.crashes.crashed
+        self.placement = Placement(
+            self.state, self.vms, self.advice, self.reservation, self.caps, self.crashes
+        )
         self.preemption = Preemption(
             self.state, self.placement, self.advice, self.reconcile, self.caps
         )
@@ -103,7 +109,6 @@
         self.reconcile.on_end = self.health.ended
         self.evacuation = Evacuation(self.state, self.reconcile)
         self.pacing = Pacing(self.state)
-        self.journal = Journal(self.state, self.lifecycle)
         self._slow_at = now
 
     # -- Time --------------------------------------------------------------------------------
@@ -128,9 +133,11 @@
             self._run_slow()
         if not state.former_settled and self.vms.all_heard():
             state.former_settled = True
+            state.settled_at = state.now
             state.freed += 1
             state.logger.info("former runs settled", extra={"vms": len(state.vms)})
         self.health.run()
+        self.crashes.run()
         self.evacuation.run()
         self.reconcile.stop_broken_gangs()
         self.placement.run()
@@ -166,10 +173,13 @@
                 extra = {"key": record.key, "error": str(error)}
                 self.state.logger.error("undecodable record", extra=extra)
         for name, job in sorted(jobs.items(), key=lambda item: item[1].accepted_ms):
-            self.lifecycle.restore(name, job, progress.pop(name, None))
-        for name, noted in progress.items():
-            if JobState(noted.state).final:
-                self.lifecycle.restore_ended(name, noted)
+            noted = progress.pop(name, None)
+            row = self.lifecycle.restore(name, job, noted)
+            if noted is not None:
+                self.crashes.restore(row, noted)
+        for name, ended in progress.items():
+            if JobState(ended.state).final:
+                self.lifecycle.restore_ended(name, ended)
         self.vms.former_may_order()
 
     def _load_record(
@@ -190,6 +200,7 @@
         if row is not None:
             row.listed = False
             row.loaded = row.recorded = row.in_use = True
+            self.state.doubts[name] = noted.suspects
 
     # -- Configuration and VMs ---------------------------------------------------------------
 
--- a/src/sablemount/jobs/sizes.py
+++ b/src/sablemount/jobs/sizes.py
@@ -1,7 +1,7 @@
 """What fits into the store: bytes of records, and how far a job is in a record's room.
 
-Of a job's progress, what is done always fits, or the job is not taken. Failures and saved states
-are left out where they don't: later leaders then allow more attempts, or start tasks from anew.
+Of a job's progress, what is done always fits, or the job is not taken. Crashes, failures and saved
+states are left out where they don't: later leaders then allow more attempts, or start tasks anew.
 """
 
 import msgspec
@@ -29,6 +29,8 @@
 """Bytes of a step's progress beside its key and its mask at most: the heads of five values."""
 TABLE_BYTES = 8
 """Bytes by which the heads of a step's two tables may grow as they are filled."""
+CRASH_TABLE_BYTES = 16
+"""Bytes of the name and head of the table of crashes at most."""
 PAIR_HEAD = 1
 """Bytes by which a pair is longer than its two values."""
 BITS = 4
@@ -71,17 +73,30 @@
     bare = {key: StepProgress(noted.done) for key, noted in progress.steps.items()}
     kept = Progress(progress.state, bare)
     least = record_size(Record(PROGRESS_PREFIX + name, encode(kept)))
-    _fill(kept, progress, limit - least - TABLE_BYTES * len(bare))
+    room = limit - least - TABLE_BYTES * len(bare) - CRASH_TABLE_BYTES
+    _fill(kept, progress, _fill_crashes(kept, progress, room))
     return Record(PROGRESS_PREFIX + name, encode(kept))
 
 
-def _entry_size(index: int, noted: tuple[int, ...] | str) -> int:
+def _fill_crashes(kept: Progress, progress: Progress, room: int) -> int:
+    """Add crashes as far as there is room; return what is left of it."""
+    for key, vms in progress.crashes.items():
+        room -= _entry_size(key, vms)
+        if room < 0:
+            return room
+        kept.crashes[key] = vms
+    return room
+
+
+def _entry_size(index: int | str, noted: tuple[int, ...] | tuple[str, ...] | str) -> int:
     """Return the bytes of an entry of a table."""
     return len(msgspec.msgpack.encode((index, noted))) - PAIR_HEAD
 
 
 def _fill(kept: Progress, progress: Progress, room: int) -> None:
     """Add failures, and then saved states, as far as there is room."""
+    if room < 0:
+        return
     for key, noted in progress.steps.items():
         for index, runs in noted.failures.items():
             room -= _entry_size(index, runs)
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -56,6 +56,10 @@
         """Runs that belong to no open task and are being stopped, by VM, task and run."""
         self.broken_gangs: list[tuple[StepRow, int]] = []
         """Gangs, with the run of which a member has gone."""
+        self.suspected: dict[str, JobRow] = {}
+        """Jobs with tasks under which VMs have crashed."""
+        self.doubts: dict[str, tuple[str, ...]] = {}
+        """Tasks that a former leader noted to run on a VM, by the VM, until that is heard."""
         self.dirty: dict[str, JobRow] = {}
         self.freed = 0
         """Counts what may let a waiting task fit."""
@@ -66,6 +70,8 @@
         """Steps to be looked at again, though no room was freed."""
         self.former_settled = False
         """Whether no run of a former leader can be unseen any more."""
+        self.settled_at = NEVER
+        """Since when that is so."""
         self.confirmed_at = now
         """Until when nobody else led: the store was asked something then that it has answered."""
         self.noting = True
@@ -223,6 +229,7 @@
         """Let a task wait for another start."""
         task.state = TaskState.WAITING
         task.step.waiting += 1
+        task.step.requeued_at = self.now
         self.open_steps[task.step.key] = task.step
         self.touch(task.step)
 
--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -3,9 +3,10 @@
 from sablemount.jobs.model import Shape
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.trials import Trials
 from sablemount.jobs.tables import StepRow, TaskRow, VmRow
 
-__all__ = ["Assignment", "Choice", "slots"]
+__all__ = ["Assignment", "Choice"]
 
 Assignment = list[tuple[TaskRow, VmRow]]
 FAR_PENALTY = 10.0
@@ -24,9 +25,10 @@
 class Choice:
     """Packs tasks onto VMs: the fullest that fits, with penalties for what would cost more."""
 
-    def __init__(self, state: State, advice: Advice) -> None:
+    def __init__(self, state: State, advice: Advice, trials: Trials) -> None:
         self._state = state
         self._advice = advice
+        self._trials = trials
 
     def assign(self, step: StepRow, tasks: list[TaskRow], rows: list[VmRow]) -> Assignment:
         """Choose a VM for as many tasks as there is room for."""
@@ -40,8 +42,8 @@
         counts = self._counts(step) if step.spec.spread else {}
         chosen: Assignment = []
         for task in tasks:
-            best = self._best(step, task, self._untried(task, rows, fitting), room, counts)
-            if best is None and task.failed_on:
+            best = self._best(step, task, self._open_to(task, rows, fitting), room, counts)
+            if best is None and (task.failed_on or task.crashes):
                 continue
             if best is None:
                 break
@@ -52,6 +54,13 @@
                 fitting.remove(best)
         return chosen
 
+    def _open_to(self, task: TaskRow, rows: list[VmRow], fitting: list[VmRow]) -> list[VmRow]:
+        """Return the VMs with room on which what has become of a task before lets it start."""
+        found = self._untried(task, rows, fitting)
+        if not task.crashes:
+            return found
+        return [row for row in found if self._trials.may_start(task, row)]
+
     def _untried(self, task: TaskRow, rows: list[VmRow], fitting: list[VmRow]) -> list[VmRow]:
         """Return the VMs with room where a task has not failed.
 
@@ -82,6 +91,9 @@
             if spec.spread and counts.get(row.name, 0) >= spec.spread:
                 continue
             score = _leftover(room[row.name], row.info.capacity)
+            if task.crashes:
+                # What may crash its VM goes where it takes least along.
+                score = -score
             if spec.rack and spec.rack not in row.info.labels:
                 score += FAR_PENALTY
             if not self._advice.valid(step, row):
@@ -103,7 +115,7 @@
         for row in rows:
             racks.setdefault(row.info.rack, []).append(row)
         for rack in sorted(racks, key=lambda name: name not in used):
-            if sum(slots(step.spec.charge, row.room) for row in racks[rack]) >= count:
+            if sum(step.spec.charge.times_in(row.room) for row in racks[rack]) >= count:
                 return racks[rack]
         return rows
 
@@ -120,17 +132,3 @@
     cores = room.cores / capacity.cores if capacity.cores else 0.0
     memory = room.memory / capacity.memory if capacity.memory else 0.0
     return cores + memory
-
-
-def slots(shape: Shape, room: Shape) -> int:
-    """Return how often a shape fits into some room."""
-    fits = [
-        have // need
-        for need, have in (
-            (shape.cores, room.cores),
-            (shape.memory, room.memory),
-            (shape.accelerators, room.accelerators),
-        )
-        if need > 0
-    ]
-    return max(0, min(fits, default=1_000_000))
--- /dev/null
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -0,0 +1,162 @@
+"""Tasks under which VMs crash: counted, noted in the store, and given up.
+
+A crash is the end of a VM's life that it has not told of, while its entry stood. It counts for all
+that ran there, since what caused it can't be told from what was beside it; ``trials.py`` has what
+is suspected started where the next crash tells. Counts last in the store, and so does what was
+started on a VM of late, or runs on one that has fallen silent: so a crash counts also if its leader
+ends before it was sure of it.
+"""
+
+from collections.abc import Callable
+
+from sablemount.jobs.model import task_key
+from sablemount.jobs.records import Progress
+from sablemount.jobs.state import State
+from sablemount.jobs.systems.every import Every
+from sablemount.jobs.systems.lifecycle import Lifecycle
+from sablemount.jobs.tables import JobRow, JobState, RunRow, RunState, TaskRow, TaskState, VmRow
+
+__all__ = ["Crashes"]
+
+INTERVAL = 0.1
+"""Seconds between looks for VMs that have fallen silent."""
+SILENT_AFTER = 1.3
+"""Seconds without a word after which what runs on a VM is in doubt: a look takes 1.05 s at most."""
+MOST_SILENT = 0.25
+"""Share of the VMs that may be silent at once for that to be noted: with more of them the leader
+itself was away, or cut off."""
+LEAST_SILENT = 2
+GIVEN_UP_AFTER = 3
+"""Crashes after which a task is given up, if it was on trial at the last of them."""
+GIVEN_UP_IN_ANY_CASE = 4
+"""The same, however it was started: six starts of which three follow the third crash are too many,
+and the count of one or two may be lost with a leader."""
+LONG_AT_WORK = 3.0
+"""Seconds of work after which a run beside one on trial is no likely cause of a crash."""
+FORGIVEN_AFTER = 20.0
+"""Seconds of work after which a crash tells nothing of a task that lasts: it outlives many VMs."""
+ROWS_A_LINE = 60
+
+
+class Crashes:
+    """Takes the ends of VMs' lives, and ends the jobs whose tasks cause them."""
+
+    def __init__(self, state: State, lifecycle: Lifecycle, note: Callable[[VmRow], None]) -> None:
+        self._state = state
+        self._lifecycle = lifecycle
+        self._note = note
+        """Has what may be lost with a VM recorded."""
+        self._every = Every(INTERVAL)
+
+    # -- Counting ----------------------------------------------------------------------------
+
+    def crashed(self, row: VmRow) -> None:
+        """Take that a VM's life has ended unplanned; call it before its runs are taken out."""
+        tasks = self._under(row)
+        if not tasks:
+            return
+        for task in tasks:
+            self._count(task, row)
+        self._tell(row, tasks)
+        for task in tasks:
+            if self._guilty(task, row):
+                self._give_up(task)
+
+    def _under(self, row: VmRow) -> list[TaskRow]:
+        """Return the open tasks that a crash counts for; on trial, the tried job's alone."""
+        state = self._state
+        doubted = (state.task(name) for name in state.doubts.pop(row.name, ()))
+        found = {task.key: task for task in doubted if task is not None}
+        for run in row.runs.values():
+            task = state.task(run.task)
+            if task is None or _never_began(run, row) or self._forgiven(task, run, row):
+                continue
+            found[task.key] = task
+        tried = [task for task in found.values() if task.step.job.name == row.trial]
+        return [task for task in tried or found.values() if task.state is not TaskState.DONE]
+
+    @staticmethod
+    def _forgiven(task: TaskRow, run: RunRow, row: VmRow) -> bool:
+        if not task.step.spec.lasting or run.worked(row.heard_at) < FORGIVEN_AFTER:
+            return False
+        task.crashes.clear()
+        return True
+
+    def _count(self, task: TaskRow, row: VmRow) -> None:
+        if row.name not in task.crashes:
+            task.crashes.append(row.name)
+        self._watch(task.step.job)
+        self._state.mark(task.step.job)
+
+    def _watch(self, job: JobRow) -> None:
+        job.watched = True
+        self._state.suspected[job.name] = job
+
+    def _guilty(self, task: TaskRow, row: VmRow) -> bool:
+        enough = GIVEN_UP_AFTER if self._alone(task, row) else GIVEN_UP_IN_ANY_CASE
+        return len(task.crashes) >= enough
+
+    @staticmethod
+    def _alone(task: TaskRow, row: VmRow) -> bool:
+        """Tell whether a task was on trial, with nothing beside it but what had run for long."""
+        job = task.step.job.name
+        others = (run for run in row.runs.values() if run.task.partition(".")[0] != job)
+        return row.trial == job and all(run.worked(row.heard_at) > LONG_AT_WORK for run in others)
+
+    def _give_up(self, task: TaskRow) -> None:
+        job = task.step.job
+        if job.state.final:
+            return
+        self._state.logger.info(
+            "job failed",
+            extra={"job": job.name, "task": task.key, "why": "VMs crash", "vms": task.crashes},
+        )
+        self._lifecycle.end(job, JobState.FAILED)
+
+    def _tell(self, row: VmRow, tasks: list[TaskRow]) -> None:
+        under = sorted(((task.key, len(task.crashes)) for task in tasks), key=lambda row: -row[1])
+        extra = {"vm": row.name, "trial": row.trial, "under": under[:ROWS_A_LINE]}
+        self._state.logger.info("VM crashed", extra=extra)
+
+    # -- Doubt -------------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Note what runs on VMs that have fallen silent, before it is sure that they crashed."""
+        if not self._every.due(self._state.now):
+            return
+        silent = [row for row in self._state.vms.values() if self._silent(row)]
+        if len(silent) > max(LEAST_SILENT, MOST_SILENT * len(self._state.vms)):
+            return
+        for row in silent:
+            if row.doubted_at < row.heard_at:
+                row.doubted_at = self._state.now
+                self._note(row)
+
+    def _silent(self, row: VmRow) -> bool:
+        if row.gone or not row.runs or row.first_heard_at < 0:
+            return False
+        refused = row.refused_since >= row.heard_at
+        return refused or self._state.now - row.heard_at > SILENT_AFTER
+
+    def started(self, row: VmRow) -> None:
+        """Take that something is about to start on a VM, which may crash at once."""
+        self._note(row)
+
+    # -- Recovery ----------------------------------------------------------------------------
+
+    def restore(self, job: JobRow, progress: Progress) -> None:
+        """Take what a former leader has noted of a job."""
+        for key, vms in progress.crashes.items():
+            task = self._task(job, key)
+            if task is not None:
+                task.crashes = list(vms)
+                self._watch(job)
+
+    def _task(self, job: JobRow, key: str) -> TaskRow | None:
+        repetition, step, index = map(int, key.split("."))
+        return self._state.task(task_key(job.name, repetition, step, index))
+
+
+def _never_began(run: RunRow, row: VmRow) -> bool:
+    """Tell whether a run was ordered when nothing listened at its VM's address any more."""
+    return run.state is RunState.SENT and row.heard_at < row.refused_since <= run.sent_at
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -229,7 +229,10 @@
             noted = _noted(step)
             if noted is not None:
                 steps[f"{repetition}.{number}"] = noted
-        return Progress(int(job.state), steps)
+        progress = Progress(int(job.state), steps)
+        if job.watched:
+            _note_crashes(job, progress)
+        return progress
 
     def forget_old(self) -> list[JobRow]:
         """Take out the ended jobs whose state need not be told any more, and return them."""
@@ -245,6 +248,15 @@
         return old
 
 
+def _note_crashes(job: JobRow, progress: Progress) -> None:
+    """Add which VMs have crashed under a job's open tasks."""
+    for step in job.steps.values():
+        for task in step.tasks:
+            if task.crashes and task.state is not TaskState.DONE:
+                key = f"{step.repetition}.{step.number}.{task.index}"
+                progress.crashes[key] = tuple(task.crashes)
+
+
 FORGET_FACTOR = 1.5
 """How much longer an ended job is kept than it has to be: clocks differ."""
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -10,7 +10,9 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.choice import Assignment, Choice
+from sablemount.jobs.systems.crashes import Crashes
 from sablemount.jobs.systems.reservation import Reservation
+from sablemount.jobs.systems.trials import Trials
 from sablemount.jobs.systems.vms import Vms
 from sablemount.jobs.tables import RunRow, StepRow, TaskRow, TaskState, VmRow
 
@@ -27,14 +29,22 @@
     """Places waiting tasks."""
 
     def __init__(
-        self, state: State, vms: Vms, advice: Advice, reservation: Reservation, caps: Caps
+        self,
+        state: State,
+        vms: Vms,
+        advice: Advice,
+        reservation: Reservation,
+        caps: Caps,
+        crashes: Crashes,
     ) -> None:
         self._state = state
         self._caps = caps
         self._reservation = reservation
         self._vms = vms
         self._advice = advice
-        self._choice = Choice(state, advice)
+        self._crashes = crashes
+        self._trials = Trials(state)
+        self._choice = Choice(state, advice, self._trials)
         self._looked_at = -RETRY_INTERVAL
         self._round_of: list[VmRow] = []
         self._by_kind: dict[tuple[str, str], list[VmRow]] = {}
@@ -52,6 +62,7 @@
         self._looked_at = state.now
         freed = state.freed
         usable = self.usable_rows()
+        self._trials.begin(usable)
         self._reservation.begin()
         self._caps.begin()
         for step in self.in_order():
@@ -77,6 +88,7 @@
         return (
             row.in_use
             and not row.gone
+            and row.refused_since < row.heard_at
             and not row.info.draining
             and row.avoid_until <= self._state.now
             and self._vms.fresh(row)
@@ -109,6 +121,7 @@
                 return
         tasks = [task for task in step.tasks if task.state is TaskState.WAITING][:places]
         rows = self.allowed(step, usable)
+        self._trials.prepare(step, rows)
         chosen = self._choice.assign(step, tasks, self._reservation.left_to(step, rows))
         if len(chosen) < len(tasks):
             self._ask_unknown(step, usable)
@@ -125,7 +138,9 @@
         return [
             row
             for row in self._candidates(step, usable)
-            if (good is None or row.name in good) and not row.kept_from(step, priority, now)
+            if (good is None or row.name in good)
+            and not row.kept_from(step, priority, now)
+            and row.trial in ("", step.job.name)
         ]
 
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
@@ -227,6 +242,7 @@
         not_after = state.now + state.settings.start_valid
         run.settle_clock = row.clock_after(state.now) + (state.settings.start_valid + SETTLE) * MS
         state.add_run(task, run)
+        self._crashes.started(row)
         ticket = ""
         if step.advice is not None:
             ticket = step.advice.good[row.name].text
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -10,7 +10,6 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
-from sablemount.jobs.systems.choice import slots
 from sablemount.jobs.systems.every import Every
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
@@ -115,7 +114,8 @@
         """Tell whether a step has waited long enough; what waits for tickets does not count."""
         if not step.waiting or step.booked or not self._placement.ready(step):
             return False
-        if step.spec.lasting:
+        if step.spec.lasting or any(task.on_trial for task in step.tasks):
+            # What is on trial waits for its VM, and room on another is of no use to it.
             return False
         patience = min(MOST_PATIENCE, PATIENCE_SHARE * self._urgency.spare(step))
         return self._urgency.waited(step) > patience
@@ -153,14 +153,14 @@
         """
         charge = step.spec.charge
         room = row.room
-        have = slots(charge, room)
+        have = charge.times_in(room)
         offers = [_Offer(row, have, [], 0.0)] if have else []
         victims: list[tuple[float, RunRow]] = []
         highest = 0.0
         for victim in sorted(self._victims(row, step), key=_cost):
             room = room.plus(victim[1].charge)
             victims.append(victim)
-            made = slots(charge, room) - have
+            made = charge.times_in(room) - have
             if made > 0:
                 room = _spare_needless(room, charge, have + made, victims)
                 highest = max(highest, sum(cost for cost, _ in victims))
@@ -238,7 +238,7 @@
     """Take out the victims without which there is room all the same, the dearest first."""
     for victim in sorted(victims, key=_cost, reverse=True):
         left = room.plus(victim[1].charge, -1)
-        if slots(charge, left) >= wanted:
+        if charge.times_in(left) >= wanted:
             victims.remove(victim)
             room = left
     return room
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -62,6 +62,8 @@
         vm.clock_ms = heard.clock_ms
         vm.clock_at = state.now
         vm.heard_at = state.now
+        # What it does not list is not there, and what it lists is known from now on.
+        state.doubts.pop(vm.name, None)
         if vm.first_heard_at < 0:
             vm.first_heard_at = state.now
             # From here on no former leader can extend its leases.
--- a/src/sablemount/jobs/systems/reservation.py
+++ b/src/sablemount/jobs/systems/reservation.py
@@ -6,7 +6,6 @@
 """
 
 from sablemount.jobs.state import State
-from sablemount.jobs.systems.choice import slots
 from sablemount.jobs.tables import StepRow, VmRow
 
 __all__ = ["Reservation"]
@@ -39,7 +38,7 @@
     def hold(self, step: StepRow, rows: list[VmRow]) -> None:
         """Hold VMs for a gang that found no room on those that it may use: the emptiest of them."""
         charge = step.spec.charge
-        if sum(slots(charge, row.info.capacity) for row in rows) < step.waiting:
+        if sum(charge.times_in(row.info.capacity) for row in rows) < step.waiting:
             return
         most = int(MOST_HELD * len(self._state.vms))
         most -= sum(len(names) for _, names in self._held.values())
@@ -49,7 +48,7 @@
             if places >= step.waiting or len(names) >= most:
                 break
             names.add(row.name)
-            places += max(1, slots(charge, row.room))
+            places += max(1, charge.times_in(row.room))
         if names:
             self._held[step.key] = (self._state.terms_of(step.job).priority, names)
 
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -1,6 +1,6 @@
 """Which VMs there are, what leases they have, and when what ran on a silent one is over."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -28,11 +28,17 @@
 MS = 1000.0
 
 
+def _nobody(row: VmRow) -> None:
+    """Take a crash, and do nothing."""
+
+
 class Vms:
     """Keeps the rows of the VMs."""
 
     def __init__(self, state: State) -> None:
         self._state = state
+        self.on_crash: Callable[[VmRow], None] = _nobody
+        """Takes a VM whose life has ended unplanned, with its runs still entered."""
 
     # -- The list ----------------------------------------------------------------------------
 
@@ -118,6 +124,8 @@
         for row in list(self._state.vms.values()):
             silent = now - row.heard_at > self._state.settings.fresh
             if row.gone or (silent and row.runs and self._leases_over(row)):
+                if self._reborn(row):
+                    self.on_crash(row)
                 self._drop_runs(row)
             if (row.gone or not row.listed) and not row.runs and self._leases_over(row):
                 out.append(row)
@@ -202,8 +210,24 @@
         row.gone = True
         row.listed = False
         self._log("VM's life over", row, why=why)
+        if not self._planned(row):
+            self.on_crash(row)
         self._drop_runs(row)
 
+    @staticmethod
+    def _planned(row: VmRow) -> bool:
+        """Tell whether a life ended as planned: it drained, or was heard without its entry."""
+        unlisted_at = row.unlisted_at
+        return row.info.draining or (unlisted_at is not None and row.heard_at > unlisted_at)
+
+    def _reborn(self, row: VmRow) -> bool:
+        """Tell whether a silent VM's machine has another life, so that it was not just cut off."""
+        machine = row.info.machine
+        if row.gone or not machine or self._planned(row):
+            return False
+        others = self._state.vms.values()
+        return any(other.listed and other.info.machine == machine for other in others)
+
     def _drop_runs(self, row: VmRow) -> None:
         runs: list[RunRow] = list(row.runs.values())
         if runs:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -29,6 +29,8 @@
 NEVER = -1e9
 MAX_RUN_ENDS = 400
 """Ended runs that are kept of a job: three times its tasks at most, but for jobs that last."""
+TRIED_AFTER = 2
+"""Crashes under a task after which it runs apart from other jobs."""
 SLOW_CLOCK = 0.98
 """Rate of the slowest clock of a VM against true time."""
 
@@ -102,6 +104,10 @@
     told: bool = False
     """Whether its end is kept for the line of its job's end."""
 
+    def worked(self, until: float) -> float:
+        """Return the seconds that it was known to be at work up to some local time."""
+        return until - self.started_at if self.started_at > 0 else 0.0
+
 
 @dataclass(slots=True, frozen=True)
 class RunEnd:
@@ -132,6 +138,13 @@
     """VMs on which the task has failed."""
     failed_at: float = NEVER
     """When it last failed."""
+    crashes: list[str] = field(default_factory=list)
+    """VMs that have crashed while it ran there."""
+
+    @property
+    def on_trial(self) -> bool:
+        """Tell whether so many VMs have crashed under it that it runs apart from other jobs."""
+        return len(self.crashes) >= TRIED_AFTER
 
 
 @dataclass(slots=True)
@@ -187,6 +200,8 @@
     """Since when its organisation's cap keeps some of its tasks waiting."""
     capped_for: float = 0.0
     """Seconds for which it has done so before."""
+    requeued_at: float = NEVER
+    """When one of its tasks last came to wait for another start."""
     tried_at_freed: int = -1
     """Count of freed room at which its placement was last tried."""
 
@@ -248,6 +263,8 @@
     run_ends: list[RunEnd] = field(default_factory=list)
     more_runs: int = 0
     """Ended runs that are not kept."""
+    watched: bool = False
+    """Whether VMs have crashed under its tasks."""
 
     @property
     def organisation(self) -> str:
@@ -309,6 +326,10 @@
     """Whether that record is in the store, so that something may be started."""
     loaded: bool = False
     """Whether a former leader may have started something there."""
+    trial: str = ""
+    """Job that alone may start something there, since VMs have crashed under its tasks."""
+    doubted_at: float = NEVER
+    """When what runs there was last noted as in doubt, since it had fallen silent."""
 
     def __post_init__(self) -> None:
         self.name = self.info.name
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -120,6 +120,8 @@
         """Seconds after which a task crashes its VM, by the task."""
         self.crashes: Counter[str] = Counter()
         """VMs that a task has crashed, by the task."""
+        self.crashed_under: Counter[str] = Counter()
+        """VMs that have crashed while a task ran there, whatever the cause."""
         self.starts_after: Counter[str] = Counter()
         """Starts of a task once it had crashed as many VMs as may be."""
         self.on_crash: Callable[[Vm], None] = self.crash
@@ -154,6 +156,7 @@
         vm.up = False
         vm.resets = self.rng.random() < 0.5
         for run in vm.runs.values():
+            self.crashed_under[run.task] += 1
             if run.timer is not None:
                 run.timer.cancel()
         vm.runs.clear()
--- /dev/null
+++ b/tests/jobs/test_crashes.py
@@ -0,0 +1,165 @@
+"""A crash counts for what ran on its VM, lasts over leaders, and is told from a planned end."""
+
+import msgspec
+import pytest
+
+from sablemount.jobs.model import Shape, StepSpec
+from sablemount.jobs.records import VM_PREFIX, VmRecord, decode_progress, decode_vm
+from sablemount.jobs.sizes import progress_record, record_size
+from sablemount.jobs.systems.crashes import GIVEN_UP_IN_ANY_CASE
+from sablemount.jobs.tables import JobState, TaskRow
+from tests.jobs.rig import CORE, Rig, spec
+
+TASK = (0, 0)
+
+
+def _running(rig: Rig, name: str, step: StepSpec | None = None) -> TaskRow:
+    """Have a job accepted and its first task run."""
+    row = rig.accept(name, spec(step or StepSpec(1, CORE)))
+    rig.run_all()
+    return row.steps[TASK].tasks[0]
+
+
+def _crash(rig: Rig, vm: str) -> None:
+    """End a VM's life, and let another machine take its place."""
+    rig.listed.remove(vm)
+    rig.scheduler.vms.died(vm)
+
+
+def test_a_crash_counts_for_all_that_ran_on_the_vm_and_for_nothing_else() -> None:
+    rig = Rig(vms=2)
+    tasks = [_running(rig, name) for name in ("a", "b")]
+    (vm,) = {run.vm for task in tasks for run in task.runs}
+    other = _running(rig, "c", StepSpec(1, Shape(15_500, 1_000)))
+    _crash(rig, vm)
+    assert [task.crashes for task in tasks] == [[vm], [vm]]
+    assert other.crashes == []
+
+
+@pytest.mark.parametrize("how", ["drained", "left without a word"])
+def test_a_planned_end_is_no_crash(how: str) -> None:
+    rig = Rig(vms=1)
+    task = _running(rig, "a")
+    info = rig.scheduler.state.vms["w0"].info
+    if how == "drained":
+        rig.scheduler.told(msgspec.structs.replace(info, draining=True))
+    else:
+        rig.scheduler.vms.left_list("w0")
+        rig.wait(0.3)
+    _crash(rig, "w0")
+    assert task.crashes == []
+
+
+def test_a_vm_that_is_cut_off_is_no_crash_and_one_whose_machine_is_back_is() -> None:
+    for machine, crashes in (("", []), ("m1", ["w0"])):
+        rig = Rig(vms=1)
+        info = rig.scheduler.state.vms["w0"].info
+        rig.scheduler.told(msgspec.structs.replace(info, machine="m1"))
+        task = _running(rig, "a")
+        rig.scheduler.vms.left_list("w0")
+        rig.listed.remove("w0")
+        rig.scheduler.told(msgspec.structs.replace(info, name="w0b", machine=machine))
+        rig.tick(8.0)
+        rig.tick(0.6)
+        assert task.crashes == crashes
+
+
+def test_a_crash_is_known_to_later_leaders() -> None:
+    rig = Rig(vms=2)
+    vm = _running(rig, "a").runs[0].vm
+    _crash(rig, vm)
+    rig.tick()
+    rig.commit()
+    later = rig.successor()
+    assert later.scheduler.state.jobs["a"].steps[TASK].tasks[0].crashes == [vm]
+
+
+def test_a_crash_that_no_leader_was_sure_of_counts_under_the_next_one() -> None:
+    rig = Rig(vms=2)
+    vm = _running(rig, "a").runs[0].vm
+    rig.commit()
+    later = rig.successor()
+    later.listed.remove(vm)
+    later.scheduler.vms.died(vm)
+    assert later.scheduler.state.jobs["a"].steps[TASK].tasks[0].crashes == [vm]
+
+
+def test_what_a_later_leader_hears_of_is_in_doubt_no_more() -> None:
+    rig = Rig(vms=2)
+    task = _running(rig, "a")
+    vm = task.runs[0].vm
+    rig.commit()
+    rig.running[vm].clear()
+    later = rig.successor()
+    later.hear(vm)
+    later.scheduler.vms.died(vm)
+    assert later.scheduler.state.jobs["a"].steps[TASK].tasks[0].crashes == []
+
+
+def test_what_runs_on_a_vm_that_falls_silent_is_recorded_with_it() -> None:
+    rig = Rig(vms=4)
+    vm = _running(rig, "a").runs[0].vm
+    rig.wait(3.0)
+    rig.scheduler.crashes.started(rig.scheduler.state.vms[vm])
+    rig.commit()
+    assert decode_vm(rig.store[VM_PREFIX + vm]).suspects == ()
+    rig.listed.remove(vm)
+    for _ in range(4):
+        rig.wait(0.5)
+    rig.commit()
+    assert decode_vm(rig.store[VM_PREFIX + vm]).suspects == ("a.0.0.0",)
+
+
+def test_the_suspects_of_a_vm_with_many_runs_fit_into_its_record() -> None:
+    rig = Rig(vms=1)
+    rig.accept("a", spec(StepSpec(600, Shape(10, 10))))
+    rig.tick()
+    rig.commit()
+    record = rig.store[VM_PREFIX + "w0"]
+    assert 0 < len(decode_vm(record).suspects) <= 60
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(VmRecord("a", "p")), type=VmRecord)
+
+
+def test_a_task_is_given_up_and_what_ran_beside_it_is_not() -> None:
+    rig = Rig(vms=12)
+    beside = _running(rig, "beside")
+    bad = _running(rig, "bad")
+    for _ in range(GIVEN_UP_IN_ANY_CASE):
+        run = next(iter(bad.runs), None)
+        if run is None or rig.scheduler.state.jobs["bad"].state.final:
+            break
+        _crash(rig, run.vm)
+        for _ in range(12):
+            rig.wait(0.3)
+            rig.hold_all()
+    assert rig.scheduler.state.jobs["bad"].state is JobState.FAILED
+    assert len(bad.crashes) <= GIVEN_UP_IN_ANY_CASE
+    assert beside.step.job.state is JobState.RUNNING
+
+
+def test_a_task_that_lasts_is_not_blamed_for_vms_that_it_outlives() -> None:
+    rig = Rig(vms=8)
+    task = _running(rig, "a", StepSpec(1, CORE, lasting=True))
+    for _ in range(6):
+        rig.wait(30.0)
+        _crash(rig, task.runs[0].vm)
+        rig.tick()
+        rig.hold_all()
+        rig.wait(0.3)
+    assert task.crashes == []
+    assert not task.step.job.state.final
+
+
+def test_crashes_go_before_failures_into_a_record_that_is_full() -> None:
+    rig = Rig(vms=1)
+    row = rig.accept("a", spec(StepSpec(4_000, CORE, saves=True)))
+    row.watched = True
+    for task in row.steps[TASK].tasks:
+        task.failed_runs = {4_000_070_001}
+        task.crashes = ["i-0123456789"]
+    progress = rig.scheduler.lifecycle.progress(row)
+    record = progress_record("a", progress, 120_000)
+    kept = decode_progress(record.value)
+    assert record_size(record) <= 120_000
+    assert kept.crashes == progress.crashes
+    assert 0 < len(kept.steps["0.0"].failures) < 4_000
