What another writer has put beside the VMs' entries names no VM to use, and hides none

Cause: an entry was read as far as it could be, with defaults for the rest, and a page or a read of records as a whole. Now an entry needs all that each VM writes, of its type and range, an id and an IPv4 address; a VM is used once the configuration names its service; keys that are no text are kept as escapes, and quoted where a list goes on. What is wrong with an entry is told once, not with each list.

--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -53,9 +53,10 @@
             return None
         items.extend(page.items)
         end = page.end if end < 0 else end
-        if not page.more or not page.items:
+        last = page.items[-1].record.key if page.items else after
+        if not page.more or last == after:
             return items, end
-        after = page.items[-1].record.key
+        after = last
 
 
 async def _page(store: Store, topic: Topic, after: str, timeout: float) -> Page | None:
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -324,8 +324,9 @@
             info = self.ports.codec.vm(record)
             if info is not None:
                 self.scheduler.told(info)
-            elif not record.value:
-                self.scheduler.vms.left_list(record.key)
+            else:
+                # Dropped, or replaced by something that names no VM.
+                self.scheduler.left_list(record.key)
         self.kick()
 
     # -- Callers -----------------------------------------------------------------------------
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -193,6 +193,8 @@
     """Whether callers have to show a key of an organisation, but for public queues."""
     organisations: tuple[Organisation, ...] = ()
     limits: RequestLimits = RequestLimits()
+    pools: frozenset[str] = frozenset()
+    """Pools that are named, whose VMs may be used; empty if none are told of."""
 
 
 class VmInfo(msgspec.Struct, frozen=True):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -109,6 +109,8 @@
         self.reconcile.on_end = self.health.ended
         self.evacuation = Evacuation(self.state, self.reconcile)
         self.pacing = Pacing(self.state)
+        self._unnamed: dict[str, VmInfo] = {}
+        """VMs of pools that the configuration does not name, which are not used."""
         self._slow_at = now
 
     # -- Time --------------------------------------------------------------------------------
@@ -215,6 +217,8 @@
         for organisation in configuration.organisations:
             state.organisations[organisation.name] = organisation
         state.freed += 1
+        for info in list(self._unnamed.values()):
+            self.told(info)
         state.logger.info(
             "configuration in force",
             extra={"version": configuration.version, "queues": len(configuration.queues)},
@@ -223,17 +227,40 @@
 
     def listed(self, infos: Sequence[VmInfo]) -> list[VmRow]:
         """Take the whole list of VMs; return the new ones."""
-        new = self.vms.listed(infos)
+        names = {info.name for info in infos}
+        for gone in self._unnamed.keys() - names:
+            del self._unnamed[gone]
+        new = self.vms.listed([info for info in infos if self._named(info)])
         self._use(new)
         return new
 
     def told(self, info: VmInfo) -> VmRow | None:
         """Take one VM's entry; return its row if it is new."""
+        if not self._named(info):
+            return None
         row = self.vms.told(info)
         if row is not None:
             self._use([row])
         return row
 
+    def left_list(self, name: str) -> None:
+        """Take that a VM's entry is gone, or names no VM any more."""
+        self._unnamed.pop(name, None)
+        self.vms.left_list(name)
+
+    def _named(self, info: VmInfo) -> bool:
+        """Tell whether a VM's pool is named, and keep one that is not until it may be."""
+        configuration = self.state.configuration
+        known = configuration.version >= 0 and not configuration.pools
+        if known or info.name in self.state.vms or info.pool in configuration.pools:
+            self._unnamed.pop(info.name, None)
+            return True
+        if info.name not in self._unnamed and configuration.version >= 0:
+            extra = {"vm": info.name, "pool": info.pool, "version": configuration.version}
+            self.state.logger.info("VM of a pool that is not named", extra=extra)
+        self._unnamed[info.name] = info
+        return False
+
     def _use(self, rows: list[VmRow]) -> None:
         for row in rows:
             if not row.recorded:
--- a/src/sablemount/platform/directory.py
+++ b/src/sablemount/platform/directory.py
@@ -1,12 +1,17 @@
-"""Entries that the operator and the workers write to the store."""
+"""Entries that the operator and the workers write to the store.
 
+Others may write beside them. What is not whole, or can't be meant, names no VM, and is told once.
+"""
+
+import ipaddress
 import logging
 import math
 from collections import Counter
 from collections.abc import Iterator
-from typing import TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
+from msgspec import Meta
 
 from sablemount.control.gate import key_digest
 from sablemount.jobs.model import (
@@ -27,8 +32,17 @@
 OPERATOR_PREFIX = "op/"
 WORKERS_PREFIX = "servers/"
 DRAINING = "draining"
+MAX_ID = 100
+"""Characters of a worker's id at most: with it a key has to fit into a byte's worth of bytes."""
+MAX_PORT = 65_535
+MAX_TOLD = 500
+"""Keys of which it is kept what was last wrong with their entries, so that it is told once."""
 MS = 1000.0
 
+Count = Annotated[int, Meta(ge=0)]
+Duration = Annotated[float, Meta(ge=0.0)]
+Name = Annotated[str, Meta(min_length=1)]
+
 _T = TypeVar("_T")
 _logger = logging.getLogger("sablemount.platform.directory")
 
@@ -45,14 +59,31 @@
         return Shape(self.cpu, self.mem_mb, self.gpu)
 
 
+class _WorkerCapacity(msgspec.Struct, frozen=True, rename="camel"):
+    cpu: Count
+    mem_mb: Count
+    gpu: Count = 0
+
+    def shape(self) -> Shape:
+        """Return the product's shape."""
+        return Shape(self.cpu, self.mem_mb, self.gpu)
+
+
 class _Worker(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
-    addr: str
-    state: str = "ready"
-    capacity: Capacity = Capacity()
+    """All that each worker writes; what is not used here tells a whole entry from another's."""
+
+    service: Name
+    addr: Name
+    zone: str
+    version: str
+    slots: Count
+    state: Literal["ready", "draining"]
+    capacity: _WorkerCapacity
+    seq: Count
+    cold_left_ms: Duration = 0.0
     labels: tuple[str, ...] = ()
     machine: str = ""
-    remaining_ms: float = 0.0
+    remaining_ms: Duration = 0.0
 
 
 class _Advice(msgspec.Struct, frozen=True, rename="camel"):
@@ -141,14 +172,20 @@
 
     def __init__(self, keyed: bool = False) -> None:
         self._keyed = keyed
+        self._told: dict[str, str] = {}
+        """What was last wrong with an entry, by its key."""
 
     def vm(self, record: Record) -> VmInfo | None:
         """Decode a worker's entry."""
-        told = _decode(_WORKER, record)
+        told = self._decode(_WORKER, record)
         if told is None:
             return None
+        name = record.key.removeprefix(WORKERS_PREFIX)
+        if not _is_id(name) or not _is_address(told.addr):
+            self._tell(record.key, "no id, or no address")
+            return None
         return VmInfo(
-            record.key.removeprefix(WORKERS_PREFIX),
+            name,
             told.addr,
             told.service,
             told.capacity.shape(),
@@ -162,7 +199,7 @@
         """Decode the configuration."""
         if record.key.removeprefix(OPERATOR_PREFIX) != CONFIG_KEY:
             return None
-        told = _decode(_CONFIGURATION, record)
+        told = self._decode(_CONFIGURATION, record)
         if told is None:
             return None
         fault = next(told.faults(), None)
@@ -176,18 +213,47 @@
             self._keyed or bool(told.tenants),
             tuple(tenant.organisation() for tenant in told.tenants),
             told.limits.limits(),
+            frozenset(service.name for service in told.services),
         )
 
-
-def _decode(decoder: msgspec.json.Decoder[_T], record: Record) -> _T | None:
-    """Return what a record holds; ``None`` if it drops its key or does not decode."""
-    if not record.value:
-        return None
+    def _decode(self, decoder: msgspec.json.Decoder[_T], record: Record) -> _T | None:
+        """Return what a record holds; ``None`` if it drops its key or does not decode."""
+        if not record.value:
+            return None
+        try:
+            found = decoder.decode(record.value)
+        except (msgspec.DecodeError, RecursionError) as error:
+            self._tell(record.key, str(error))
+            return None
+        self._told.pop(record.key, None)
+        return found
+
+    def _tell(self, key: str, error: str) -> None:
+        """Log what is wrong with an entry, unless it was so the last time too."""
+        if self._told.get(key) == error:
+            return
+        if len(self._told) >= MAX_TOLD:
+            self._told.clear()
+        self._told[key] = error
+        # A key of another writer may be no text.
+        _logger.warning("undecodable", extra={"key": ascii(key), "error": ascii(error)})
+
+
+def _is_id(name: str) -> bool:
+    plain = name.isascii() and name.isprintable() and not set(" /") & set(name)
+    return plain and 0 < len(name) <= MAX_ID
+
+
+def _is_address(address: str) -> bool:
+    """Tell whether a text is an IPv4 address and a port."""
+    host, _, port = address.rpartition(":")
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        return False
     try:
-        return decoder.decode(record.value)
-    except msgspec.DecodeError as error:
-        _logger.warning("undecodable", extra={"key": record.key, "error": str(error)})
-        return None
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
 
 
 def _queue(route: _Route) -> Queue:
--- a/src/sablemount/platform/store.py
+++ b/src/sablemount/platform/store.py
@@ -1,7 +1,13 @@
-"""The platform's store: an HTTP interface to topics of raw records."""
+"""The platform's store: an HTTP interface to topics of raw records.
+
+Others write to some of the topics, and their keys and values may be any bytes. Bytes of a key that
+are no text are kept as surrogate escapes, so that reading goes on after them.
+"""
 
 import base64
+import json
 from collections.abc import Iterator
+from urllib.parse import quote
 
 import msgspec
 
@@ -43,6 +49,7 @@
 SERVER_REFUSALS = (400, 403, 429, 503, 507)
 """Answers that say that nothing was done."""
 MS = 1000
+ANY_BYTES = "surrogateescape"
 
 
 class _Refusal(msgspec.Struct, frozen=True):
@@ -89,7 +96,7 @@
         if position > len(payload) or not body or len(body) <= body[0]:
             raise ValueError("a record is cut short")
         key_end = 1 + body[0]
-        yield Record(body[1:key_end].decode(), body[key_end:])
+        yield Record(body[1:key_end].decode(errors=ANY_BYTES), body[key_end:])
 
 
 class PlatformStore:
@@ -120,20 +127,17 @@
         """Return a page of the newest records."""
         path = f"/api/log-newest?topic={TOPICS[topic]}&part={PART}"
         if after:
-            path += f"&dependsOn={after}"
+            path += f"&dependsOn={_quoted(after)}"
         answer = await self._call("GET", path, b"", timeout)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status != OK:
             return Unavailable(f"status {answer.status}")
         try:
-            newest = _NEWEST.decode(answer.body)
-            items = [
-                PageItem(Record(item.key, base64.b64decode(item.value)), item.offset)
-                for item in newest.items
-            ]
+            newest = _decode_newest(answer.body)
         except ValueError as error:
             return Unavailable(f"undecodable: {error}")
+        items = [PageItem(Record(item.key, _value(item)), item.offset) for item in newest.items]
         return Page(items, newest.more, newest.end)
 
     async def read(self, topic: Topic, offset: int, wait: float) -> ReadResult:
@@ -167,6 +171,31 @@
             return Unavailable(str(error))
 
 
+def _decode_newest(body: bytes) -> _Newest:
+    """Decode a page, also one with keys that are no text; raises ``ValueError``."""
+    try:
+        return _NEWEST.decode(body)
+    except msgspec.DecodeError:
+        # The strict decoder takes no such key, and one would hide all others of its page.
+        return msgspec.convert(json.loads(body.decode(errors=ANY_BYTES)), _Newest)
+
+
+def _value(item: _Item) -> bytes:
+    """Return an item's value; as it stands if it is not encoded as it has to be."""
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return item.value.encode(errors="replace")
+
+
+def _quoted(key: str) -> str:
+    """Return a key as it stands in a query, whatever its bytes are."""
+    try:
+        return quote(key.encode(errors=ANY_BYTES))
+    except UnicodeEncodeError:
+        return quote(key.encode(errors="surrogatepass"))
+
+
 def _appended(answer: Answer) -> AppendResult:
     if answer.status in SERVER_REFUSALS:
         return Unavailable(f"status {answer.status}", certain=True)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -47,6 +47,8 @@
 LATE_ORDER = (0.5, 8.0)
 """Seconds after which an order whose sender has no answer is carried out."""
 MAX_NAMED = 100
+ANY_BYTES = "surrogateescape"
+"""How a key of another writer that is no text is kept."""
 
 
 class Standin:
@@ -109,7 +111,8 @@
         return (SILENCE, {}) if lost else answer
 
     async def _kept(self, request: httputil.HTTPServerRequest) -> tuple[int, object]:
-        query = {key: values[0] for key, values in parse_qs(urlsplit(request.uri).query).items()}
+        asked = parse_qs(urlsplit(request.uri).query, errors=ANY_BYTES)
+        query = {key: values[0] for key, values in asked.items()}
         topic = BY_NAME[query["topic"]]
         if request.path == "/api/log-append":
             return await self.crossing.write(lambda: self._append(topic, query, request.body))
@@ -156,7 +159,7 @@
             return 410, {"first": kept.first}
         body = kept.end.to_bytes(8, "big") + kept.first.to_bytes(8, "big")
         for record in found.records:
-            key = record.key.encode()
+            key = record.key.encode(errors=ANY_BYTES)
             body += (1 + len(key) + len(record.value)).to_bytes(4, "big")
             body += bytes([len(key)]) + key + record.value
         return 200, body
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -89,7 +89,17 @@
 
 
 def test_a_draining_worker_is_told_so() -> None:
-    entry = {"service": "s", "addr": "1.2.3.4:5", "state": "draining", "labels": ["a", "r1"]}
+    entry = {
+        "service": "s",
+        "addr": "1.2.3.4:5",
+        "zone": "z",
+        "version": "v1",
+        "slots": 8,
+        "state": "draining",
+        "capacity": {"cpu": 16000, "memMb": 65536},
+        "labels": ["a", "r1"],
+        "seq": 1,
+    }
     info = PlatformDirectory().vm(Record("i-1", json.dumps(entry).encode()))
     assert info is not None
     assert info.draining
