--- a/src/sablemount/adapters/cell_services.py
+++ b/src/sablemount/adapters/cell_services.py
@@ -6,11 +6,10 @@
 that begins after an append has ended shows it. The VM list: ``GET /vms`` answers a JSON list.
 """
 
-import time
-
 import msgspec
 from tornado import httpclient
 
+from sablemount.boottime import monotonic
 from sablemount.core.actions import AppendLog, ReadLog
 from sablemount.core.events import AppendEnded, AppendStatus, LogRead, LogReadFailed, VmListRead
 from sablemount.core.facts import VmFacts
@@ -79,7 +78,7 @@
 
     async def read(self, action: ReadLog) -> LogRead | LogReadFailed:
         """Read what follows an offset."""
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         try:
             answer = await self._client.fetch(
                 f"{self._base}/read?after={action.after}&limit={READ_LIMIT}",
--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -7,12 +7,13 @@
 """
 
 import asyncio
-import time
 from collections.abc import Mapping
 
 import msgspec
 from tornado import http1connection, httputil, iostream, tcpclient
 
+from sablemount.boottime import monotonic
+
 __all__ = ["Answer", "CutShort", "NotSent", "UpstreamPool"]
 
 IDLE_SECONDS = 4.0
@@ -124,13 +125,13 @@
         may be handed to the network, and ``waits`` the seconds for which the upstream is asked to
         hold its answer back. Raises ``NotSent`` or ``CutShort``.
         """
-        deadline = time.monotonic() + timeout
+        deadline = monotonic() + timeout
         stream = await self._take(address, deadline)
         # Checked at the last moment: the process may have been paused while it connected.
-        if time.monotonic() > not_after:
+        if monotonic() > not_after:
             self._put_back(address, stream)
             raise NotSent("the lease is over")
-        now = time.monotonic()
+        now = monotonic()
         awaited = _Awaited(now, now + waits + SUSPECT_AFTER)
         self._awaited.setdefault(address, set()).add(awaited)
         try:
@@ -179,7 +180,7 @@
             connection.write_headers(start, fields, body)
             connection.finish()
             # A timeout in place costs no task of its own, as waiting for one would.
-            async with asyncio.timeout(max(0.0, deadline - time.monotonic())):
+            async with asyncio.timeout(max(0.0, deadline - monotonic())):
                 await connection.read_response(collector)
         except (
             TimeoutError,
@@ -193,7 +194,7 @@
         return Answer(collector.status, collector.headers, b"".join(collector.chunks))
 
     async def _take(self, address: str, deadline: float) -> iostream.IOStream:
-        now = time.monotonic()
+        now = monotonic()
         self._distrust_overdue(address, now)
         trusted_from = max(now - self._idle_seconds, self._distrusted.get(address, 0.0))
         idle = self._idle.get(address, [])
@@ -211,7 +212,7 @@
         self._open[address] = self._open.get(address, 0) + 1
         try:
             connecting = self._client.connect(host, int(port))
-            stream = await asyncio.wait_for(connecting, max(0.0, deadline - time.monotonic()))
+            stream = await asyncio.wait_for(connecting, max(0.0, deadline - monotonic()))
         except (TimeoutError, OSError, iostream.StreamClosedError) as error:
             self._open[address] -= 1
             raise NotSent(type(error).__name__, _is_refusal(error)) from error
@@ -226,7 +227,7 @@
         if stream.closed():
             self._open[address] -= 1
         else:
-            self._idle.setdefault(address, []).append((time.monotonic(), stream))
+            self._idle.setdefault(address, []).append((monotonic(), stream))
 
     def _discard(self, address: str, stream: iostream.IOStream) -> None:
         self._open[address] -= 1
--- a/src/sablemount/adapters/workers.py
+++ b/src/sablemount/adapters/workers.py
@@ -6,11 +6,10 @@
 report of use lags. It keeps the outcome of a run until it is acknowledged.
 """
 
-import time
-
 import msgspec
 
 from sablemount.adapters.upstream import Answer, CutShort, NotSent, UpstreamPool
+from sablemount.boottime import monotonic
 from sablemount.core.actions import Poll, Serve, StartRun
 from sablemount.core.events import PollEnded, RequestEnded, RunReport, StartEnded, StartStatus
 from sablemount.core.meter import Meter
@@ -68,7 +67,7 @@
 
     async def poll(self, action: Poll, address: str) -> PollEnded:
         """Renew, acknowledge, command and ask."""
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         body = _ENCODER.encode(action)
         try:
             answer = await self._pool.fetch(
@@ -82,7 +81,7 @@
 
     async def serve(self, action: Serve, address: str) -> RequestEnded:
         """Serve a request."""
-        started = time.monotonic()
+        started = monotonic()
         headers = {REQUEST_HEADER: action.request}
         try:
             answer = await self._pool.fetch(
@@ -97,11 +96,11 @@
             failure = Failure(Verdict.NOT_RUN, Reason.UPSTREAM_UNREACHABLE, str(error))
             return RequestEnded(action.request, action.vm, failure, True)
         except CutShort as error:
-            late = time.monotonic() >= action.deadline
+            late = monotonic() >= action.deadline
             reason = Reason.DEADLINE if late else Reason.UPSTREAM_CUT_SHORT
             failure = Failure(Verdict.MAY_HAVE_RUN, reason, str(error))
             return RequestEnded(action.request, action.vm, failure, False)
-        return self._answered(action, answer, time.monotonic() - started)
+        return self._answered(action, answer, monotonic() - started)
 
     def _answered(self, action: Serve, answer: Answer, elapsed: float) -> RequestEnded:
         failure = None
--- a/src/sablemount/cli/app.py
+++ b/src/sablemount/cli/app.py
@@ -14,6 +14,7 @@
 import typer
 from result import Err
 
+from sablemount.boottime import monotonic
 from sablemount.cli import burn
 from sablemount.cli.client import Client, Problem
 from sablemount.cli.output import show_json, show_rows
@@ -224,13 +225,13 @@
     seconds: Annotated[float, typer.Option(help="How long to wait.")] = 60.0,
 ) -> None:
     """Wait until all tasks of a job have ended."""
-    deadline = time.monotonic() + seconds
+    deadline = monotonic() + seconds
     while True:
         rows = _call(context, "GET", f"/v1/tasks?job={job}")
         missing = [row for row in rows if not row["verdict"]]
         if rows and not missing:
             break
-        if time.monotonic() > deadline:
+        if monotonic() > deadline:
             _stop(Problem(f"{len(missing)} of {len(rows)} tasks have not ended", EXIT_TASK))
         time.sleep(POLL_SECONDS)
     bad = [row for row in rows if row["verdict"] != "DONE" or row["reason"]]
--- a/src/sablemount/daemon.py
+++ b/src/sablemount/daemon.py
@@ -11,7 +11,7 @@
 import typer
 from result import Err
 
-from sablemount import logs
+from sablemount import boottime, logs
 from sablemount.entry.application import make_server
 from sablemount.runtime import Runtime
 from sablemount.settings import Settings, load_settings, settings_schema
@@ -95,7 +95,7 @@
         typer.echo(f"{settings}: ok")
         return
     logs.configure(loaded.ok_value.logging)
-    sys.exit(asyncio.run(serve(loaded.ok_value)))
+    sys.exit(boottime.run(serve(loaded.ok_value)))
 
 
 def main() -> None:
--- a/src/sablemount/entry/handler.py
+++ b/src/sablemount/entry/handler.py
@@ -1,12 +1,12 @@
 """Base of the HTTP handlers: typed bodies in, typed bodies out, failures with a verdict."""
 
 import logging
-import time
 from typing import Any, TypeVar
 
 import msgspec
 from tornado import web
 
+from sablemount.boottime import monotonic
 from sablemount.core.verdict import Failure, Reason, Verdict
 from sablemount.entry.answers import (
     REQUEST_HEADER,
@@ -71,7 +71,7 @@
         if not 0 < wanted <= limits.max_deadline:
             detail = f"$.deadline_seconds: got {wanted}; expected 0 to {limits.max_deadline:g}"
             raise Refused(Failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
-        return time.monotonic() + wanted
+        return monotonic() + wanted
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an exception; the framework's own refusals have run nothing."""
--- a/src/sablemount/entry/requests.py
+++ b/src/sablemount/entry/requests.py
@@ -6,11 +6,11 @@
 """
 
 import math
-import time
 
 from result import Ok
 from tornado import httputil, web
 
+from sablemount.boottime import monotonic
 from sablemount.core.events import RequestArrived
 from sablemount.core.verdict import Failure, Reason, Served, ServeResult, Verdict
 from sablemount.entry.answers import (
@@ -116,7 +116,7 @@
         arrival = RequestArrived(
             self._id,
             self._path[len(PREFIX) :].partition("?")[0],
-            time.monotonic() + seconds,
+            monotonic() + seconds,
             b"".join(self._chunks),
             self._headers.get(KEY_HEADER, ""),
         )
--- a/src/sablemount/peer/link.py
+++ b/src/sablemount/peer/link.py
@@ -1,11 +1,11 @@
 """Links between schedulers over gRPC: messages that are sent once, and forwarded requests."""
 
-import time
 from collections.abc import Awaitable, Callable
 
 import grpc
 from result import Err, Ok
 
+from sablemount.boottime import monotonic
 from sablemount.core.actions import Forward, SendPeer
 from sablemount.core.events import RequestArrived, RequestEnded
 from sablemount.core.messages import PeerMessage, decode_message, encode_message
@@ -58,7 +58,7 @@
     async def forward(self, action: Forward) -> RequestEnded:
         """Forward a request once."""
         arrival = action.arrival
-        remaining = arrival.deadline - time.monotonic()
+        remaining = arrival.deadline - monotonic()
         request = peer_pb2.ForwardRequest(
             request=arrival.request,
             template=arrival.template,
@@ -126,7 +126,7 @@
         arrival = RequestArrived(
             request.request,
             request.template,
-            time.monotonic() + request.remaining,
+            monotonic() + request.remaining,
             request.body,
             request.key,
             True,
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -6,12 +6,12 @@
 import random
 import signal
 import sys
-import time
 
 from result import Err
 
-from sablemount import structured_logs
+from sablemount import boottime, structured_logs
 from sablemount.adapters.upstream import UpstreamPool
+from sablemount.boottime import monotonic
 from sablemount.control.background import Background, error_logger
 from sablemount.control.leader import LeaderPorts
 from sablemount.control.member import Member
@@ -106,13 +106,13 @@
 
     async def _wind_down(self) -> None:
         """Hand over, serve what still comes, finish what is in flight."""
-        started = time.monotonic()
+        started = monotonic()
         _logger.info("stopping", extra={"in_flight": self.front.in_flight})
         self.front.closing = True
         await self.member.stop()
         last = started + self.boot.bounds.grace_s - STOP_MARGIN
-        while time.monotonic() < last:
-            served = time.monotonic() - started > STOP_SERVING
+        while monotonic() < last:
+            served = monotonic() - started > STOP_SERVING
             if served and not self.front.in_flight:
                 break
             await asyncio.sleep(STOP_POLL)
@@ -143,7 +143,7 @@
         return EXIT_SETTINGS
     # What the imports made lives as long as the process; collections need not look at it.
     gc.freeze()
-    return asyncio.run(serve(loaded.ok_value, log))
+    return boottime.run(serve(loaded.ok_value, log))
 
 
 if __name__ == "__main__":
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -1,11 +1,11 @@
 """The platform's workers: orders and looks over HTTP."""
 
-import time
 from collections.abc import Sequence
 
 import msgspec
 
 from sablemount.adapters.upstream import Answer, CutShort, NotSent, UpstreamPool
+from sablemount.boottime import monotonic
 from sablemount.control.messages import AdviceReply
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult
 from sablemount.jobs.actions import EndReport, Heard, PaceRun, RunReport, StartRun, StopRun
@@ -94,7 +94,7 @@
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
         """Hold and look."""
         body = _Hold(call.fence, call.acked_end, call.until_ms, int(call.wait * MS))
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         answer = await self._call(call.address, "/api/hold", body, call.vm, timeout, call.wait)
         if isinstance(answer, CallError):
             return answer
--- a/src/sablemount/report.py
+++ b/src/sablemount/report.py
@@ -4,12 +4,12 @@
 in one-minute steps. The report adds up what the schedulers return and names the missing ones.
 """
 
-import time
 from collections import Counter, deque
 from collections.abc import Iterable
 
 import msgspec
 
+from sablemount.boottime import monotonic
 from sablemount.core.documents import Objective, TemplateDocument
 from sablemount.core.state import State
 from sablemount.core.verdict import Reason
@@ -121,7 +121,7 @@
 
 def burn_of(state: State, counters: Counter[tuple[str, str]], history: BurnHistory) -> BurnPart:
     """Return this scheduler's part of the report."""
-    history.note(time.monotonic(), counters)
+    history.note(monotonic(), counters)
     objectives = {
         key: row.document.objective
         for key, row in state.ledger.documents.items()
--- a/src/sablemount/runtime.py
+++ b/src/sablemount/runtime.py
@@ -19,6 +19,7 @@
 from sablemount.adapters.ports import LogPort, VmListPort, WorkerPort
 from sablemount.adapters.upstream import UpstreamPool
 from sablemount.adapters.workers import HttpWorkers
+from sablemount.boottime import monotonic
 from sablemount.core import actions, events
 from sablemount.core.messages import PeerMessage
 from sablemount.core.records import Writer
@@ -55,7 +56,7 @@
             settings.hall,
             names,
             random.Random(),
-            time.monotonic(),
+            monotonic(),
             self.meter,
         )
         self._pool = UpstreamPool(settings.limits.worker_connections)
@@ -127,7 +128,7 @@
     async def _tick_forever(self) -> None:
         while True:
             self.dispatch(events.Tick())
-            self.burn.note(time.monotonic(), self.meter.counters)
+            self.burn.note(monotonic(), self.meter.counters)
             await asyncio.sleep(self.settings.core.tick)
 
     async def _list_forever(self) -> None:
@@ -147,7 +148,7 @@
         self._running = True
         try:
             while self._events:
-                for action in self.scheduler.handle(self._events.popleft(), time.monotonic()):
+                for action in self.scheduler.handle(self._events.popleft(), monotonic()):
                     self._perform(action)
         except Exception as error:
             self._fail(error)
--- a/src/sablemount/structured_logs.py
+++ b/src/sablemount/structured_logs.py
@@ -9,12 +9,13 @@
 import logging
 import os
 import sys
-import time
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+from sablemount.boottime import monotonic
+
 __all__ = ["RUN_LOGGER", "BoundedHandler", "Budget", "StructuredFormatter", "configure"]
 
 RUN_LOGGER = "sablemount.jobs.runs"
@@ -88,7 +89,7 @@
 class BoundedHandler(logging.Handler):
     """Writes lines within their budgets to a descriptor that does not block."""
 
-    def __init__(self, descriptor: int, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, descriptor: int, clock: Callable[[], float] = monotonic) -> None:
         super().__init__()
         self._descriptor = descriptor
         self.decisions = Budget(DECISION_BYTES_A_SECOND, DECISION_BURST, clock)
--- a/tests/fakes/servers.py
+++ b/tests/fakes/servers.py
@@ -9,6 +9,7 @@
 
 from sablemount.adapters.cell_services import ReadReply
 from sablemount.adapters.workers import REFUSED_HEADER, REQUEST_HEADER, PollReply
+from sablemount.boottime import monotonic
 from sablemount.core.actions import Poll, StartRun
 from sablemount.core.documents import Shape
 from sablemount.core.facts import VmFacts
@@ -120,7 +121,7 @@
 class _Runs(_WorkerHandler):
     def post(self) -> None:
         action = msgspec.json.decode(self.request.body, type=StartRun)
-        now = time.monotonic()
+        now = monotonic()
         started = self.worker.start(action.run, action.shape, action.lease, action.seconds, now)
         if not started:
             self.set_status(503)
@@ -132,7 +133,7 @@
         action = msgspec.json.decode(self.request.body, type=Poll)
         worker = self.worker
         reports = worker.poll(
-            action.renew, action.acknowledge, action.commands, action.lease, time.monotonic()
+            action.renew, action.acknowledge, action.commands, action.lease, monotonic()
         )
         reply = PollReply(worker.boot, worker.leaving, reports, tuple(worker.requests))
         self.finish(msgspec.json.encode(reply))
@@ -141,7 +142,7 @@
 class _Serve(_WorkerHandler):
     async def post(self) -> None:
         request = self.request.headers[REQUEST_HEADER]
-        self.worker.begin(request, time.monotonic())
+        self.worker.begin(request, monotonic())
         try:
             if self.owner.service_time:
                 await asyncio.sleep(self.owner.service_time)
