--- /dev/null
+++ b/tests/jobs/test_capacity.py
@@ -0,0 +1,90 @@
+"""A VM's capacity may shrink and grow while it runs, and old words of it come late.
+
+A list that was some seconds old gave a VM back the room that it had lost since, so that it was
+started over its capacity.
+"""
+
+import json
+
+import msgspec
+import pytest
+
+from sablemount.jobs.model import Shape, StepSpec
+from sablemount.jobs.records import Record
+from sablemount.platform.directory import PlatformDirectory
+from tests.jobs.rig import CAPACITY, CORE, Rig, spec
+from tests.platform.test_foreign_entries import ENTRY
+
+SMALL = Shape(4_000, 64_000, 2)
+
+
+def _told(rig: Rig, capacity: Shape, revision: int, listed: bool = False) -> None:
+    info = rig.scheduler.state.vms["w0"].info
+    info = msgspec.structs.replace(info, capacity=capacity, revision=revision)
+    if listed:
+        rig.scheduler.listed([info])
+    else:
+        rig.scheduler.told(info)
+
+
+def _starts(rig: Rig, name: str, count: int) -> int:
+    before = len(rig.started())
+    rig.accept(name, spec(StepSpec(count, CORE)))
+    rig.run_all()
+    return len(rig.started()) - before
+
+
+def test_a_vm_that_has_shrunk_takes_what_fits_into_the_rest() -> None:
+    rig = Rig(vms=1)
+    _told(rig, SMALL, 2)
+    assert _starts(rig, "a", 20) == 4
+
+
+def test_a_vm_that_has_shrunk_below_what_runs_there_takes_nothing_more() -> None:
+    rig = Rig(vms=1)
+    assert _starts(rig, "a", 10) == 10
+    _told(rig, SMALL, 2)
+    assert _starts(rig, "b", 1) == 0
+    assert rig.scheduler.state.vms["w0"].room.cores == -6_000
+    _told(rig, CAPACITY, 3)
+    rig.wait(0.3)
+    assert len(rig.started()) == 11
+
+
+def test_what_is_being_stopped_still_takes_room() -> None:
+    rig = Rig(vms=1)
+    _starts(rig, "a", 4)
+    _told(rig, SMALL, 2)
+    rig.scheduler.cancel("a")
+    assert _starts(rig, "b", 4) == 0
+
+
+@pytest.mark.parametrize("listed", [False, True], ids=["told", "listed"])
+def test_an_old_word_gives_no_room_back(listed: bool) -> None:
+    rig = Rig(vms=1)
+    _told(rig, CAPACITY, 7)
+    _told(rig, SMALL, 8)
+    _told(rig, CAPACITY, 7, listed)
+    assert _starts(rig, "a", 20) == 4
+
+
+def test_a_word_that_comes_again_is_taken_for_present() -> None:
+    rig = Rig(vms=1)
+    _told(rig, CAPACITY, 7)
+    rig.scheduler.left_list("w0")
+    _told(rig, CAPACITY, 7)
+    assert rig.scheduler.state.vms["w0"].listed
+
+
+def test_a_heartbeat_that_changes_nothing_frees_no_room() -> None:
+    rig = Rig(vms=1)
+    _told(rig, CAPACITY, 7)
+    freed = rig.scheduler.state.freed
+    _told(rig, CAPACITY, 8)
+    assert rig.scheduler.state.freed == freed
+
+
+def test_the_order_of_a_vms_words_is_read_from_its_entry() -> None:
+    found = PlatformDirectory().vm(Record("i-1", json.dumps(ENTRY).encode()))
+    assert found is not None
+    assert found.revision == ENTRY["seq"]
