An old word of a VM gives it no room back; a line tells when a VM shrinks or grows

Cause: the entries of one life were taken in the order in which they were read, and a list may be some seconds old.

--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -209,6 +209,8 @@
     machine: str = ""
     leaves_in: float = 0.0
     """Seconds that are left of a life that drains, at least; 0 if it has not told."""
+    revision: int = 0
+    """Orders what one life tells of itself: a list may be some seconds old."""
 
     @property
     def rack(self) -> str:
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -54,14 +54,19 @@
     def told(self, info: VmInfo) -> VmRow | None:
         """Take what a VM says of itself; return its row if it is new."""
         leaves_at = self._state.now + info.leaves_in if info.leaves_in > 0 else None
-        # Told anew with each heartbeat, it is no change of the VM.
-        info = msgspec.structs.replace(info, leaves_in=0.0)
+        revision = info.revision
+        # Told anew with each heartbeat, these are no change of the VM.
+        info = msgspec.structs.replace(info, leaves_in=0.0, revision=0)
         row = self._state.vms.get(info.name)
+        if row is not None and revision < row.revision:
+            # An old list would give back the room that a VM has lost since.
+            return None
         if row is not None:
+            row.revision = revision
             self._changed(row, info)
             row.leaves_at = _earlier(row.leaves_at, leaves_at)
             return None
-        row = VmRow(info, room=info.capacity, leaves_at=leaves_at)
+        row = VmRow(info, room=info.capacity, leaves_at=leaves_at, revision=revision)
         self._state.vms[info.name] = row
         self._state.vms_changed += 1
         self._log("VM listed", row)
@@ -72,7 +77,8 @@
             # A list may be some seconds old; a life that drains never gets well again.
             info = msgspec.structs.replace(info, draining=True)
         if info.capacity != row.info.capacity:
-            # Known so far only from a record that does not tell its capacity.
+            # It has shrunk or grown, or was known only from a record that does not tell.
+            self._log("VM's capacity", row, was=row.info.capacity, now=info.capacity)
             self._state.resize(row, info.capacity)
         if info.draining and not row.info.draining:
             self._log("VM drains", row)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -287,6 +287,8 @@
     listed: bool = True
     unlisted_at: float | None = None
     """When its entry was found to be missing; ``None`` while it is there or no list was read."""
+    revision: int = 0
+    """Of the newest word that it has told of itself."""
     room: Shape = Shape()
     runs: dict[tuple[str, int], RunRow] = field(default_factory=dict)
     heard_at: float = NEVER
--- a/src/sablemount/platform/directory.py
+++ b/src/sablemount/platform/directory.py
@@ -193,6 +193,7 @@
             told.state == DRAINING,
             told.machine,
             told.remaining_ms / MS,
+            told.seq,
         )
 
     def configuration(self, record: Record) -> Configuration | None:
