--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 job-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.job_soak
 	$(BIN)/python -m benchmarks.job_soak --kind store
+	$(BIN)/python -m benchmarks.job_soak --kind vms
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -2,6 +2,7 @@
 
 python -m benchmarks.job_soak --first 0 --count 500
 python -m benchmarks.job_soak --kind store --first 0 --count 1000
+python -m benchmarks.job_soak --kind vms --first 0 --count 500
 """
 
 import enum
@@ -14,6 +15,7 @@
 import typer
 
 from tests.emulator import faults as kinds
+from tests.emulator import vm_faults
 from tests.emulator.loop import run
 from tests.emulator.mixes import play, play_organisations, play_store
 from tests.emulator.store_faults import draw
@@ -27,6 +29,7 @@
 
     ALL = "all"
     STORE = "store"
+    VMS = "vms"
 
 
 class Played(msgspec.Struct):
@@ -53,6 +56,17 @@
     return Played(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def play_one_vms(seed: int) -> Played:
+    """Play the mix about VMs and members of a seed; every third one over organisations."""
+    chosen = vm_faults.draw(seed)
+    played = play if seed % 3 else play_organisations
+    wrong = run(played(seed, chosen, advice=seed % 2 == 0))
+    return Played(seed, [fault.__name__ for fault in chosen], wrong)
+
+
+PLAYS = {Kind.ALL: play_one, Kind.STORE: play_one_store, Kind.VMS: play_one_vms}
+
+
 def main(
     first: Annotated[int, typer.Option(help="First seed.")] = 0,
     count: Annotated[int, typer.Option(help="How many seeds.")] = 200,
@@ -61,9 +75,8 @@
     """Play some mixes and print those that break an invariant."""
     began = time.monotonic()
     bad = 0
-    play_mix = play_one_store if kind is Kind.STORE else play_one
     with Pool(PROCESSES) as pool:
-        for played in pool.imap_unordered(play_mix, range(first, first + count)):
+        for played in pool.imap_unordered(PLAYS[kind], range(first, first + count)):
             if played.wrong:
                 bad += 1
                 typer.echo(f"seed {played.seed} {played.faults}: {played.wrong[:3]}")
--- a/benchmarks/job_verdicts.py
+++ b/benchmarks/job_verdicts.py
@@ -6,6 +6,8 @@
 
 ACCEPTED = (200, 201, 202)
 GONE = 410
+CRASHES_GIVE_UP = 2
+"""VMs that have to crash under a task for its job to be shown as failed."""
 VISIBLE_AFTER = 3.0
 """Seconds after its acknowledgement from which every process has to know a job."""
 
@@ -34,6 +36,8 @@
             self._gone(job, asked_at, node)
         elif state == "succeeded":
             self._succeeded(job, node)
+        elif state == "failed" and self._given_up(job):
+            return
         elif state == "failed" or (state == "cancelled" and job not in self.cancelled):
             self.wrong.append(f"{node} shows {job} as {state} without a cause")
 
@@ -58,4 +62,12 @@
 
     def ended_as_due(self, job: str, state: str) -> bool:
         """Tell whether an accepted job's state is a good one once all has settled."""
+        if state == "failed":
+            return self._given_up(job)
         return state == "succeeded" or (state == "cancelled" and job in self.cancelled)
+
+    def _given_up(self, job: str) -> bool:
+        """Tell whether a job may be shown as failed: a task of it crashes VMs, and two crashed."""
+        under = self._cell.crashed_under
+        found = [count for task, count in under.items() if task.startswith(f"{job}.")]
+        return self._cell.crashes_vms(job) and max(found, default=0) >= CRASHES_GIVE_UP
--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -12,7 +12,7 @@
 from sablemount.control.store import Topic
 from tests.platform.standin import Standin
 
-__all__ = ["FAULTS", "Fault", "Target"]
+__all__ = ["FAULTS", "VM_FAULTS", "Fault", "Target"]
 
 STOP_LIMIT = 6.0
 """Seconds that a planned stop may take: the grace of the processes' settings."""
@@ -295,3 +295,54 @@
     orders_late,
     vm_crash,
 )
+
+
+async def tasks_crash(target: Target) -> None:
+    """Let some of the jobs that come now have a task that crashes each VM that starts it."""
+    target.standin.cell.crash_share = 0.1
+    await asyncio.sleep(target.rng.uniform(2.0, 5.0))
+    target.standin.cell.crash_share = 0.0
+
+
+async def capacity_shrinks(target: Target) -> None:
+    """Let a VM shrink, and grow to what it was."""
+    vm = target.rng.choice([vm for vm in target.standin.cell.vms.values() if vm.up])
+    whole = vm.info.capacity
+    for cores in (target.rng.randint(1_000, 12_000), WHOLE_CORES):
+        target.standin.resize_worker(vm, msgspec.structs.replace(whole, cores=cores))
+        await asyncio.sleep(target.rng.uniform(1.0, 6.0))
+
+
+async def foreign_entries(target: Target) -> None:
+    """Let another writer put things beside the VMs' entries, and take them out."""
+    keys = ("\udcff\udcfe", "a b&c=d", "~")
+    for key in keys:
+        target.standin.list_foreign(key, target.rng.choice(FOREIGN))
+    await asyncio.sleep(target.rng.uniform(1.0, 6.0))
+    for key in keys:
+        target.standin.list_foreign(key, b"")
+
+
+async def leader_frozen(target: Target) -> None:
+    """Stop the leader, again and again; where its clock stands still it is suspended."""
+    for _ in range(target.rng.randint(1, 3)):
+        node = target.leader()
+        if node is not None:
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(target.rng.uniform(0.5, 6.0))
+            node.signal(signal.SIGCONT)
+        await asyncio.sleep(target.rng.uniform(0.2, 2.0))
+
+
+WHOLE_CORES = 16_000
+FOREIGN = (b"\xff\xfe", b"{}", b"null", b'{"service":"desk","addr":7}', b"[" * 2_000)
+
+VM_FAULTS: tuple[Fault, ...] = (
+    tasks_crash,
+    capacity_shrinks,
+    foreign_entries,
+    leader_frozen,
+    leaders_killed,
+)
+"""Faults of VMs and of what runs on them, beside changes of leader; a table of their own, so that
+what a seed draws from the other stays what it was."""
--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -14,6 +14,7 @@
 
 __all__ = ["Node", "Nodes"]
 
+ROOT = Path(__file__).parents[1]
 SOURCE = Path(__file__).parents[1] / "src" / "sablemount_node.py"
 LOOPBACK = "127.{}.0.{}"
 """Each process of each soak has a loopback address of its own: the port of its metrics is fixed."""
@@ -26,8 +27,12 @@
 class Node:
     """One process, started again and again under the same name and addresses."""
 
-    def __init__(self, name: str, host: str, folder: Path, standin: Standin) -> None:
+    def __init__(
+        self, name: str, host: str, folder: Path, standin: Standin, suspendable: bool = False
+    ) -> None:
         self.name = name
+        self._program = ["-m", "benchmarks.suspendable"] if suspendable else []
+        """What runs the program; a stop then stands for a suspension of its machine."""
         self.front = f"{host}:{free_port()}"
         self.ready = f"{host}:{free_port()}"
         self.process: asyncio.subprocess.Process | None = None
@@ -65,7 +70,9 @@
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
+                *self._program,
                 str(SOURCE),
+                cwd=ROOT,
                 env={**os.environ, "SABLEMOUNT_BOOT": str(self._settings)},
                 stdout=log,
                 stderr=log,
@@ -127,7 +134,13 @@
     def __init__(self, count: int, folder: Path, standin: Standin) -> None:
         network, self._guard = _free_network()
         self.rows = [
-            Node(f"n{number}", LOOPBACK.format(network, number + 1), folder, standin)
+            Node(
+                f"n{number}",
+                LOOPBACK.format(network, number + 1),
+                folder,
+                standin,
+                suspendable=number % 2 == 1,
+            )
             for number in range(count)
         ]
 
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -23,7 +23,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from benchmarks.job_verdicts import ACCEPTED, Verdicts
-from benchmarks.node_faults import FAULTS, Fault, Target
+from benchmarks.node_faults import FAULTS, VM_FAULTS, Fault, Target
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
 from sablemount.platform.front import decode_job
@@ -175,7 +175,7 @@
         """Return what a caller hands in, and its key."""
         body = self._job()
         owner = self.rng.choice(list(KEYS))
-        self.standin.cell.jobs[job] = decode_job(json.dumps(body).encode())
+        self.standin.cell.hand_in(job, decode_job(json.dumps(body).encode()))
         self.standin.cell.owners[job] = owner
         return body, KEYS[owner]
 
@@ -360,7 +360,9 @@
 
 
 def _chosen(names: str) -> tuple[Fault, ...]:
-    by_name = {fault.__name__: fault for fault in FAULTS}
+    by_name = {fault.__name__: fault for fault in FAULTS + VM_FAULTS}
+    if names == "vms":
+        return FAULTS + VM_FAULTS * 2
     try:
         return tuple(by_name[name] for name in names.split(",")) if names else FAULTS
     except KeyError as error:
@@ -373,7 +375,7 @@
     processes: Annotated[int, typer.Option(min=1, help="How many processes.")] = PROCESSES,
     vms: Annotated[int, typer.Option(min=1, help="How many VMs.")] = VMS,
     fault_every: Annotated[float, typer.Option(help="Mean seconds between faults.")] = FAULT_EVERY,
-    faults: Annotated[str, typer.Option(help="Faults to play, by comma; all of them.")] = "",
+    faults: Annotated[str, typer.Option(help="Faults, by comma; vms: those of VMs too.")] = "",
 ) -> None:
     """Play one soak and print what came of it."""
     folder = Path(tempfile.mkdtemp(prefix="sablemount-soak-"))
--- a/tests/emulator/advice.py
+++ b/tests/emulator/advice.py
@@ -6,6 +6,7 @@
 
 from sablemount.control.messages import AdviceReply
 from sablemount.jobs.actions import StartRun
+from tests.emulator.loop import outside
 
 VALID = 2.0
 DECIDE = 0.005
@@ -49,7 +50,7 @@
         self._waiting += 1
         loop = asyncio.get_running_loop()
         # It works on a call also when its caller has given it up.
-        work = loop.create_task(self._decide(step, tuple(vms)))
+        work = loop.create_task(self._decide(step, tuple(vms)), context=outside())
         work.add_done_callback(self._left)
         try:
             async with asyncio.timeout(timeout):
--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -25,6 +25,7 @@
     WrongSequence,
 )
 from sablemount.jobs.records import Record
+from tests.emulator.loop import outside
 
 PAGE = 500
 PAGE_BYTES = READ_BYTES = 1_048_576
@@ -37,7 +38,7 @@
 
 
 def _size(record: Record) -> int:
-    return 1 + len(record.key.encode()) + len(record.value)
+    return 1 + len(record.key.encode(errors="surrogateescape")) + len(record.value)
 
 
 @dataclass
@@ -209,7 +210,7 @@
         answer: asyncio.Future[AppendResult] = loop.create_future()
         there, back = self._travel()
         carry_out = partial(self._state.append, topic, records, producer, at)
-        loop.call_later(there, self._arrived, topic, carry_out, back, answer)
+        loop.call_later(there, self._arrived, topic, carry_out, back, answer, context=outside())
         try:
             async with asyncio.timeout(timeout):
                 return await answer
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -1,6 +1,7 @@
 """The emulated system: members that are started and killed, callers, and what must hold."""
 
 import asyncio
+import contextvars
 import random
 from collections.abc import Callable
 from functools import partial
@@ -27,6 +28,7 @@
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.advice import EmulatedAdvice
+from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.network import Wires
 from tests.emulator.transit import DelayedStore, Transit
 from tests.emulator.vms import Cell, Vm
@@ -56,7 +58,10 @@
     def vm(self, record: Record) -> VmInfo | None:
         if not record.value:
             return None
-        return msgspec.msgpack.decode(record.value, type=VmInfo)
+        try:
+            return msgspec.msgpack.decode(record.value, type=VmInfo)
+        except msgspec.DecodeError:
+            return None
 
     def configuration(self, record: Record) -> Configuration | None:
         if record.key != "config" or not record.value:
@@ -106,6 +111,7 @@
             (Queue(HOST, prefix, terms, public),),
             keyed=organisations is not None,
             organisations=organisations or (),
+            pools=frozenset({"pool"}),
         )
         self.cell.configured(configuration.organisations, loop_time())
         value = msgspec.msgpack.encode(configuration)
@@ -115,6 +121,10 @@
         value = msgspec.msgpack.encode(vm.info)
         self.store.topics[Topic.VMS].add([Record(vm.info.name, value)])
 
+    def list_foreign(self, key: str, value: bytes) -> None:
+        """Let another writer put something beside the VMs' entries."""
+        self.store.topics[Topic.VMS].add([Record(key, value)])
+
     def unlist_vm(self, vm: Vm) -> None:
         self.store.topics[Topic.VMS].add([Record(vm.info.name)])
 
@@ -134,11 +144,25 @@
     def _vm_back(self, vm: Vm) -> None:
         info = vm.info
         self.store.topics[Topic.VMS].add([Record(info.name)])
-        self.list_vm(self.cell.add(info.machine, info.rack, info.capacity))
+        self.list_vm(self.cell.add(info.machine, info.rack, CAPACITY))
 
     # -- Members -----------------------------------------------------------------------------
 
+    def suspend(self, name: str) -> None:
+        """Let nothing of a member run, while time goes by and nobody hears of it."""
+        self.wires.silent.add(name)
+        suspend(name)
+
+    def resume(self, name: str) -> None:
+        """Let a suspended member go on where it was."""
+        if resume(name):
+            self.wires.silent.discard(name)
+
     def start(self, name: str) -> None:
+        contextvars.copy_context().run(self._start, name)
+
+    def _start(self, name: str) -> None:
+        OWNER.set(name)
         self._life += 1
         ports = LeaderPorts(
             DelayedStore(self.store, name, self.transit),
@@ -159,6 +183,7 @@
 
     def kill(self, name: str, back_after: float | None) -> None:
         member = self.members.pop(name, None)
+        resume(name, run=False)
         if member is not None:
             member.close()
         if back_after is not None:
@@ -300,6 +325,8 @@
         self.transit.calm()
         self.cell.late_orders = 0.0
         self.cell.crash_share = 0.0
+        for name in self.names:
+            self.resume(name)
         self.wires.cuts.clear()
         self.wires.silent.clear()
         for vm in self.cell.vms.values():
--- a/tests/emulator/transit.py
+++ b/tests/emulator/transit.py
@@ -18,6 +18,7 @@
     Unavailable,
 )
 from sablemount.jobs.records import Record
+from tests.emulator.loop import outside
 from tests.emulator.store import EmulatedStore, StoreState
 
 __all__ = ["DelayedStore", "Transit"]
@@ -119,7 +120,7 @@
                 if not answer.done():
                     answer.set_result(result)
 
-        loop.call_later(delay, arrive)
+        loop.call_later(delay, arrive, context=outside())
         return answer
 
     async def newest(self, topic: Topic, after: str, timeout: float) -> Page | Unavailable:
--- a/tests/emulator/vm_faults.py
+++ b/tests/emulator/vm_faults.py
@@ -6,9 +6,13 @@
 import asyncio
 import random
 
+import msgspec
+
+from sablemount.jobs.model import Shape, VmInfo
 from tests.emulator.faults import FAULTS, Fault
 from tests.emulator.store_faults import leaders_killed
-from tests.emulator.system import System
+from tests.emulator.system import CAPACITY, System, loop_time
+from tests.emulator.vms import Vm
 
 __all__ = ["VM_FAULTS", "draw"]
 
@@ -31,9 +35,91 @@
     system.cell.crash_share = 0.0
 
 
+async def capacity_shrinks(system: System, rng: random.Random) -> None:
+    """Let some VMs shrink, once or again and again, and grow to what they were."""
+    vms = [vm for vm in system.cell.vms.values() if vm.up]
+    for vm in rng.sample(vms, max(1, len(vms) // 2)):
+        asyncio.create_task(_shrink(system, rng, vm))
+
+
+async def _shrink(system: System, rng: random.Random, vm: Vm) -> None:
+    for _ in range(rng.randint(1, 3)):
+        _resize(system, vm, Shape(int(CAPACITY.cores * rng.uniform(0.1, 0.8)), CAPACITY.memory))
+        await asyncio.sleep(rng.uniform(0.5, 7.0))
+    _resize(system, vm, CAPACITY)
+
+
+def _resize(system: System, vm: Vm, capacity: Shape) -> None:
+    if not vm.up:
+        return
+    before = msgspec.msgpack.encode(vm.info)
+    vm.resize(capacity, loop_time())
+    system.list_vm(vm)
+    if system.rng.random() < OLD_WORD:
+        # An old word comes once more, and then the present one.
+        system.list_foreign(vm.info.name, before)
+        asyncio.get_running_loop().call_later(1.0, system.list_vm, vm)
+
+
+async def capacity_shrinks_beside_leaders_killed(system: System, rng: random.Random) -> None:
+    """Let some VMs shrink, while one leader after the other is killed."""
+    await capacity_shrinks(system, rng)
+    await leaders_killed(system, rng)
+
+
+async def leader_suspended(system: System, rng: random.Random) -> None:
+    """Suspend the leader for some seconds, and its successor too at times."""
+    for _ in range(rng.randint(1, 3)):
+        name = system.leader() or rng.choice(system.names)
+        if name in system.members:
+            system.suspend(name)
+            asyncio.get_running_loop().call_later(rng.uniform(0.3, 9.0), system.resume, name)
+        await asyncio.sleep(rng.uniform(0.1, 3.0))
+
+
+async def members_suspended(system: System, rng: random.Random) -> None:
+    """Suspend some members at once, all of them at times."""
+    names = rng.sample(system.names, rng.randint(1, len(system.names)))
+    for name in names:
+        if name in system.members:
+            system.suspend(name)
+            asyncio.get_running_loop().call_later(rng.uniform(0.3, 6.0), system.resume, name)
+
+
+async def foreign_entries(system: System, rng: random.Random) -> None:
+    """Let another writer put things beside the VMs' entries, and take them out, as leaders change.
+
+    The keys come before, between and after the VMs' own.
+    """
+    keys = ["", "\udcff\udcfe", "a b&c=d", "w0-", "~", "x" * 250]
+    for key in rng.sample(keys, 4):
+        system.list_foreign(key, rng.choice(FOREIGN))
+    if rng.random() < 0.5:
+        await leaders_killed(system, rng)
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    for key in keys:
+        system.list_foreign(key, b"")
+
+
+FOREIGN = (
+    b"\xff\xfe\x00",
+    b"{}",
+    b"null",
+    msgspec.msgpack.encode({"name": 7}),
+    msgspec.msgpack.encode(VmInfo("stranger", "nowhere", "another pool", Shape(16_000, 64_000))),
+)
+"""The last one is whole, of a pool that is not named."""
+OLD_WORD = 0.3
+"""Share of the changes of a capacity after which an old word of it comes once more."""
+
 VM_FAULTS: tuple[Fault, ...] = (
     tasks_crash,
     tasks_crash_beside_leaders_killed,
+    capacity_shrinks,
+    capacity_shrinks_beside_leaders_killed,
+    leader_suspended,
+    members_suspended,
+    foreign_entries,
 )
 
 
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -8,6 +8,7 @@
 from sablemount.control.ports import CallError, HoldCall, HoldResult, StartResult
 from sablemount.jobs.actions import Heard, PaceRun, RunReport, StartRun, StopRun
 from sablemount.jobs.scheduler import StartRefusal
+from tests.emulator.loop import outside
 from tests.emulator.vms import Cell, Vm
 
 LATENCY = 0.002
@@ -60,7 +61,7 @@
             return CallError.NO_ANSWER
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+        task = asyncio.get_running_loop().create_task(work, context=outside())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from sablemount.control.ports import CallError, HoldCall, Started, StartResult
 from sablemount.jobs.actions import EndReport, StartRun
 from sablemount.jobs.model import JobSpec, Organisation, Shape, StepSpec, VmInfo
@@ -19,6 +21,8 @@
 GANG_TIMEOUT = 3.0
 APPLY_TIME = 3.0
 """Seconds for which a configuration may be in force after the next one was acknowledged."""
+SHRUNK_AFTER = 4.5
+"""Seconds after which a capacity that has shrunk binds: contact, and a beat."""
 CRASHES_TOLD = 3
 """VMs that have to crash under a task before its further starts are counted."""
 STARTS_AFTER = 3
@@ -70,6 +74,8 @@
     clock_rate: float
     clock_start: float
     up: bool = True
+    capacities: list[tuple[float, Shape]] = field(default_factory=list)
+    """Capacities that it has had before, each with the time up to which."""
     cut: bool = False
     unhealthy: float = 0.0
     """Share of its calls that it turns away, doing nothing."""
@@ -93,6 +99,17 @@
     def clock_ms(self, now: float) -> float:
         return float(int(self.clock_start + now * 1000.0 * self.clock_rate))
 
+    def resize(self, capacity: Shape, now: float) -> None:
+        """Shrink or grow; what runs goes on."""
+        self.capacities.append((now, self.info.capacity))
+        revision = self.info.revision + 1
+        self.info = msgspec.structs.replace(self.info, capacity=capacity, revision=revision)
+
+    def holds(self, shape: Shape, now: float) -> bool:
+        """Tell whether a shape fits into a capacity that may still be taken to be there."""
+        late = [capacity for until, capacity in self.capacities if until > now - SHRUNK_AFTER]
+        return any(shape.fits(capacity) for capacity in [self.info.capacity, *late])
+
     def used(self) -> Shape:
         total = Shape()
         for run in self.runs.values():
@@ -318,7 +335,8 @@
 
     def _check(self, vm: Vm, action: StartRun, charge: Shape) -> None:
         job, repetition, step, _ = action.task.split(".")
-        if not charge.plus(vm.used()).fits(vm.info.capacity):
+        now = asyncio.get_running_loop().time()
+        if not vm.holds(charge.plus(vm.used()), now):
             self.violations.append(f"over capacity: {action.task} on {vm.info.name}")
         if action.task in self.noted:
             self.violations.append(f"started after its end was noted: {action.task}")
--- /dev/null
+++ b/tests/jobs/test_vm_mixes.py
@@ -0,0 +1,62 @@
+"""Seeded mixes of what befalls VMs and members beside changes of leader.
+
+Tasks that crash VMs, capacity that shrinks, suspended members, another writer's entries.
+``CRASHES_LOST`` started a task three times more after three VMs had crashed under it, with counts
+that were recorded with its job alone: leaders ended before they knew of the crash.
+``TRIED_BESIDE_ANOTHER`` had a job given up whose task only ran beside one that crashes VMs late.
+"""
+
+import pytest
+
+from tests.emulator import faults as kinds
+from tests.emulator.faults import Fault
+from tests.emulator.loop import run
+from tests.emulator.mixes import play, play_organisations
+from tests.emulator.vm_faults import VM_FAULTS, draw, tasks_crash, tasks_crash_beside_leaders_killed
+
+SEEDS = range(8)
+CRASHES_LOST: dict[int, list[Fault]] = {
+    14: [
+        tasks_crash,
+        tasks_crash_beside_leaders_killed,
+        tasks_crash,
+        kinds.history_forgotten,
+        tasks_crash_beside_leaders_killed,
+    ],
+    29: [
+        tasks_crash_beside_leaders_killed,
+        tasks_crash_beside_leaders_killed,
+        tasks_crash_beside_leaders_killed,
+        tasks_crash,
+        kinds.stop_member,
+    ],
+}
+TRIED_BESIDE_ANOTHER: dict[int, list[Fault]] = {
+    30: [
+        tasks_crash_beside_leaders_killed,
+        kinds.store_turns_away,
+        kinds.power_off,
+        tasks_crash,
+        kinds.vm_unhealthy,
+    ],
+}
+
+
+def _played(seed: int, chosen: list[Fault]) -> list[str]:
+    played = play if seed % 3 else play_organisations
+    return run(played(seed, chosen, advice=seed % 2 == 0))
+
+
+@pytest.mark.parametrize("fault", VM_FAULTS, ids=lambda fault: fault.__name__)
+def test_each_fault_twice(fault: Fault) -> None:
+    assert run(play(3, [fault, fault], advice=True)) == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_mixes(seed: int) -> None:
+    assert _played(seed, draw(seed)) == []
+
+
+@pytest.mark.parametrize(("seed", "chosen"), {**CRASHES_LOST, **TRIED_BESIDE_ANOTHER}.items())
+def test_mixes_that_showed_a_fault(seed: int, chosen: list[Fault]) -> None:
+    assert _played(seed, chosen) == []
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -60,6 +60,7 @@
         self.page = 2
         """Records in one page of the newest ones: few, so that little data has several pages."""
         self.cell = Cell(random.Random(2))
+        self.cell.on_crash = self._crashed
         self.cell.fail_share = 0.0
         self.cell.advised = True
         self.cell.seconds = 0.1
@@ -210,21 +211,42 @@
         address = self._listen(serve)
         self._server_of[worker.info.name] = self._servers[-1]
         self._addresses[worker.info.name] = address
+        self._list(worker)
+        return worker
+
+    def _list(self, worker: Vm) -> None:
+        """Write what a worker says of itself."""
+        capacity = worker.info.capacity
         entry = {
             "service": SERVICE,
-            "addr": address,
+            "addr": self.address_of(worker),
             "zone": "z",
             "version": "v1",
             "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
-            "capacity": {"cpu": 16000, "memMb": 65536, "gpu": 0},
-            "labels": ["a", rack],
-            "seq": 1,
+            "capacity": {"cpu": capacity.cores, "memMb": capacity.memory, "gpu": 0},
+            "labels": list(worker.info.labels),
+            "seq": worker.info.revision + 1,
         }
-        record = Record(worker.info.name, json.dumps(entry).encode())
-        self.store.topics[Topic.VMS].add([record])
-        return worker
+        self.list_foreign(worker.info.name, json.dumps(entry).encode())
+
+    def list_foreign(self, key: str, value: bytes) -> None:
+        """Write anything beside the workers' entries; no value drops a key."""
+        self.store.topics[Topic.VMS].add([Record(key, value)])
+
+    def resize_worker(self, worker: Vm, capacity: Shape) -> None:
+        """Let a worker shrink or grow while it runs."""
+        if worker.up:
+            worker.resize(capacity, loop_time())
+            self._list(worker)
+
+    def _crashed(self, worker: Vm) -> None:
+        """Take that a task has crashed its worker, which is back some seconds later."""
+        self.crash_worker(worker)
+        after = self.cell.rng.uniform(0.5, 3.0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(after, self.add_worker, worker.info.rack)
 
     def address_of(self, worker: Vm) -> str:
         """Return where a worker listens."""
