A trial ends after 10 s of work, so that what lasts keeps its VM from nobody for good

Cause: found on reading the change: a VM was on trial for as long as the tried run went on, and one that lasts goes on until its job is cancelled. The new case of test_trials.py failed before, 41 of 41 cases of test_trials.py, test_crashes.py and test_vm_mixes.py pass after.

--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -16,6 +16,8 @@
 """Share of the usable VMs that are on trial at once at most."""
 TRIAL_WAIT = 1.5
 """Seconds for which a VM is kept for a trial that does not begin."""
+TRIAL_TIME = 10.0
+"""Seconds of work after which a trial is over: what lasts would keep its VM for good."""
 PATIENCE = 2.2
 """Seconds of waiting after which a task starts without a trial: below the 3 s for which nothing
 of a job may run while there is room for it."""
@@ -48,7 +50,7 @@
         for task in step.tasks:
             for run in task.runs if task.on_trial else ():
                 row = self._state.vms.get(run.vm)
-                if row is not None and not row.trial:
+                if row is not None and not row.trial and _on_trial(run, row):
                     self._take(row, step.job.name)
 
     def _goes_on(self, name: str) -> bool:
@@ -58,7 +60,9 @@
             return False
         for run in row.runs.values():
             task = self._state.task(run.task)
-            if task is not None and task.on_trial and task.step.job is job:
+            if task is None or task.step.job is not job:
+                continue
+            if task.on_trial and _on_trial(run, row):
                 return True
         return self._state.now - self._since[name] < TRIAL_WAIT
 
@@ -132,6 +136,10 @@
     return run.task.partition(".")[0]
 
 
+def _on_trial(run: RunRow, row: VmRow) -> bool:
+    return run.worked(row.heard_at) < TRIAL_TIME
+
+
 def _proven(run: RunRow, row: VmRow) -> bool:
     """Tell whether a VM's last word has a run at work for a while."""
     return run.worked(row.heard_at) > PROVEN_AFTER
--- a/tests/jobs/test_trials.py
+++ b/tests/jobs/test_trials.py
@@ -1,7 +1,7 @@
 """Where tasks start under which VMs have crashed."""
 
 from sablemount.jobs.model import Shape, StepSpec
-from sablemount.jobs.systems.trials import PATIENCE
+from sablemount.jobs.systems.trials import PATIENCE, TRIAL_TIME
 from sablemount.jobs.tables import JobRow
 from tests.jobs.rig import CAPACITY, CORE, Rig, spec
 
@@ -113,3 +113,15 @@
     assert set(_vms(job)) == {"w1"}
     rig.wait(0.3)
     assert "w0" in _vms(job)
+
+
+def test_a_task_that_has_long_been_at_work_holds_its_vm_for_nobody() -> None:
+    rig = Rig(vms=1)
+    tried = _suspected(rig, "a", 2, StepSpec(1, CORE, lasting=True))
+    rig.run_all()
+    others = rig.accept("b", spec(StepSpec(1, CORE)))
+    rig.wait(TRIAL_TIME / 2)
+    assert (_vms(tried), _vms(others)) == (["w0"], [])
+    rig.wait(TRIAL_TIME / 2)
+    rig.wait(0.3)
+    assert _vms(others) == ["w0"]
