--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -314,6 +314,9 @@
             worker.news.clear()
             waiting = asyncio.ensure_future(worker.news.wait())
             await asyncio.wait([waiting], timeout=told.get("waitMs", 0) / 1000)
+        if not worker.up:
+            # One that has crashed meanwhile says nothing, least of all that it runs nothing.
+            return NO_ANSWER, {}
         now = asyncio.get_running_loop().time()
         running = [
             [
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -94,3 +94,23 @@
         standin.close()
 
     asyncio.run(scenario())
+
+
+def test_a_worker_that_crashes_while_it_is_looked_at_says_nothing() -> None:
+    async def scenario() -> None:
+        standin = Standin()
+        worker = standin.add_worker("r0")
+        address = standin.address_of(worker)
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = json.dumps({"fence": 1, "ackedUpto": 0, "waitMs": 300}).encode()
+        head = f"POST /api/hold HTTP/1.1\r\nHost: x\r\nExpect-Instance: {worker.info.name}\r\n"
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        while not standin.seen:
+            await asyncio.sleep(0.01)
+        standin.crash_worker(worker)
+        assert await reader.read() == b""
+        writer.close()
+        standin.close()
+
+    asyncio.run(scenario())
