--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -114,7 +114,9 @@
         """Tell whether a step has waited long enough; what waits for tickets does not count."""
         if not step.waiting or step.booked or not self._placement.ready(step):
             return False
-        if step.spec.lasting or any(task.on_trial for task in step.tasks):
+        if step.spec.lasting:
+            return False
+        if step.job.watched and any(task.on_trial for task in step.tasks):
             # What is on trial waits for its VM, and room on another is of no use to it.
             return False
         patience = min(MOST_PATIENCE, PATIENCE_SHARE * self._urgency.spare(step))
--- a/tests/emulator/store_faults.py
+++ b/tests/emulator/store_faults.py
@@ -171,6 +171,11 @@
 
 def draw(seed: int) -> list[Fault]:
     """Return the faults of a seed's mix: most of them of this module, the others of any kind."""
+    return draw_mostly(seed, STORE_FAULTS, SHARE)
+
+
+def draw_mostly(seed: int, own: tuple[Fault, ...], share: float) -> list[Fault]:
+    """Return the faults of a seed's mix: a share of them of one table, the others of any kind."""
     rng = random.Random(seed)
-    tables = (STORE_FAULTS if rng.random() < SHARE else FAULTS for _ in range(FAULTS_A_MIX))
+    tables = (own if rng.random() < share else FAULTS for _ in range(FAULTS_A_MIX))
     return [rng.choice(table) for table in tables]
--- a/tests/emulator/vm_faults.py
+++ b/tests/emulator/vm_faults.py
@@ -9,14 +9,13 @@
 import msgspec
 
 from sablemount.jobs.model import Shape, VmInfo
-from tests.emulator.faults import FAULTS, Fault
-from tests.emulator.store_faults import leaders_killed
+from tests.emulator.faults import Fault
+from tests.emulator.store_faults import draw_mostly, leaders_killed
 from tests.emulator.system import CAPACITY, System, loop_time
 from tests.emulator.vms import Vm
 
 __all__ = ["VM_FAULTS", "draw"]
 
-FAULTS_A_MIX = 5
 SHARE = 0.6
 """Share of a mix's faults that are drawn from this table."""
 
@@ -125,6 +124,4 @@
 
 def draw(seed: int) -> list[Fault]:
     """Return the faults of a seed's mix: most of them of this module, the others of any kind."""
-    rng = random.Random(seed)
-    tables = (VM_FAULTS if rng.random() < SHARE else FAULTS for _ in range(FAULTS_A_MIX))
-    return [rng.choice(table) for table in tables]
+    return draw_mostly(seed, VM_FAULTS, SHARE)
