Test: a failing test is reported whatever finalizers run meanwhile; it fails

CPython 3.11's parser keeps its depth in one place: 'AST constructor recursion depth mismatch (before=129, after=180)'. Ruled out: the tests themselves, load (the machine was quiet).

--- /dev/null
+++ b/tests/test_whole_reports.py
@@ -0,0 +1,56 @@
+"""A failing test is reported, and the run goes on, whatever finalizers run meanwhile.
+
+The report of a failing test parses its source. Where the garbage collector ran at that moment, and
+a finalizer logged a traceback, which parses too, the parser of CPython 3.11 failed: "AST
+constructor recursion depth mismatch (before=129, after=180)". The run ended there, after 476 of
+1,150 tests, though only a test had failed that was known to.
+"""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+TIMEOUT = 60.0
+"""Seconds."""
+CONFTEST = "from tests.whole_reports import pytest_runtest_makereport\n"
+FAILING = '''
+import ast
+import gc
+
+
+class Noisy:
+    def __init__(self):
+        self.cycle = self
+
+    def __del__(self):
+        Noisy()
+        deep(15)
+
+
+def deep(frames):
+    return deep(frames - 1) if frames else ast.parse("1 + 1")
+
+
+def test_fails():
+    gc.set_threshold(10)
+    Noisy()
+    assert False
+
+
+def test_passes():
+    gc.set_threshold(700)
+'''
+
+
+def test_a_test_that_fails_beside_busy_finalizers_ends_no_run(tmp_path: Path) -> None:
+    (tmp_path / "conftest.py").write_text(CONFTEST)
+    (tmp_path / "test_noisy.py").write_text(FAILING)
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", str(tmp_path)]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    done = subprocess.run(
+        command, cwd=tmp_path, env=environment, capture_output=True, text=True, timeout=TIMEOUT
+    )
+    assert "INTERNALERROR" not in done.stdout
+    assert "1 failed, 1 passed" in done.stdout
