--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -236,7 +236,7 @@
 
         An organisation's callers show a key that is the digest of its name.
         """
-        self.cell.hand_in(name, spec)
+        spec = self.cell.hand_in(name, spec)
         self.cell.owners[name] = caller
         digest = key_digest(caller.encode()) if caller else None
         self.open_calls += 1
@@ -258,8 +258,7 @@
 
     async def hand_in(self, member: str, name: str) -> CallerReply:
         """Hand in a job of a random kind, once and at one member."""
-        spec = self.job()
-        self.cell.hand_in(name, spec)
+        spec = self.cell.hand_in(name, self.job())
         call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
         return await self.members[member].serve(call, TIMEOUT)
 
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -178,12 +178,19 @@
                 run.timer.cancel()
         vm.runs.clear()
 
-    def hand_in(self, name: str, spec: JobSpec) -> None:
-        """Take a job that a caller is about to hand in, some with a task that crashes VMs."""
-        known = name in self.jobs
+    def hand_in(self, name: str, spec: JobSpec) -> JobSpec:
+        """Take a job that a caller is about to hand in, some with a task that crashes VMs.
+
+        Return the one that is handed in: under an id that came before, the one of then.
+        """
+        if name in self.jobs:
+            return self.jobs[name]
         self.jobs[name] = spec
-        if known or not self.crash_share or self.rng.random() >= self.crash_share:
-            return
+        if self.crash_share and self.rng.random() < self.crash_share:
+            self._draw_crashing(name, spec)
+        return spec
+
+    def _draw_crashing(self, name: str, spec: JobSpec) -> None:
         number = self.rng.randrange(len(spec.steps))
         index = self.rng.randrange(spec.steps[number].count)
         self.crashing[f"{name}.0.{number}.{index}"] = self.rng.choice(CRASH_AFTER)
