--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -110,3 +110,37 @@
         assert len(state.topics[Topic.JOBS].records) == 4
 
     run(scenario())
+
+
+SLOW_TIMES = [(0.05, 0.05), (0.1, 0.1), (0.24, 0.24), (0.36, 0.36), (0.01, 0.18), (0.05, 0.24)]
+"""Seconds for the way and for each append."""
+FLOODED = 19
+"""Times that four appends arrive at most, with those that came before their turn."""
+FLOODED_UNTIL_ANSWERED = 25
+"""The same in a store that was quick before, and still reads soon: until it answers an append it
+looks like one that loses them."""
+
+
+async def _turns(seed: int, way: float, each: float, before: int) -> int:
+    """Return how many appends arrive for four, as a store gets slow after some."""
+    state = StoreState(random.Random(seed))
+    committer = Committer(EmulatedStore(state, "m"), 1, random.Random(seed + 3))
+    await committer.open()
+    for number in range(before):
+        await committer.append([Record(f"w{number}", b"value")])
+    state.latency, state.append_time = way, each
+    await asyncio.gather(*[committer.append([Record(f"k{n}", b"value")]) for n in range(4)])
+    await asyncio.sleep(3.0)
+    assert len(state.topics[Topic.JOBS].records) == before + 4
+    return state.turns
+
+
+@pytest.mark.parametrize("before", [0, 30])
+@pytest.mark.parametrize(("way", "each"), SLOW_TIMES)
+def test_four_appends_flood_no_store_however_slow_it_is(
+    way: float, each: float, before: int
+) -> None:
+    """Up to 41 arrived for four where the store reads soon and appends in turn."""
+    turns = [run(_turns(seed, way, each, before)) for seed in range(20)]
+    soon = way < 0.1 * each and before
+    assert max(turns) <= (FLOODED_UNTIL_ANSWERED if soon else FLOODED)
