A store that is slow at appends is told from one that loses them by what it answers meanwhile

Cause: a read that came back in an append's usual time was taken as proof that a missing append was lost. In a store that takes appends in turn each one takes longer than the one before, and the usual time lags behind; appends were sent again every 30 ms, which made the store slower.

Now a read proves something only if no append has been answered for as long as makes one overdue, nor while the read was on its way; an answer that comes after all takes the verdict back; and what is overdue is held against the newest answer's time too.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -291,6 +291,8 @@
         if isinstance(result, Appended):
             self.end = result.end if self.end is None else max(self.end, result.end)
             self._losses.answered(seconds)
+        elif isinstance(result, WrongSequence):
+            self._losses.out_of_order(seconds)
         return Answer(result, sent_at, seconds)
 
     def _confirmed(self, sent_at: float) -> None:
--- a/src/sablemount/control/lost_writes.py
+++ b/src/sablemount/control/lost_writes.py
@@ -19,6 +19,8 @@
 """Seconds for which the store counts as one that loses writes, after the last proof of that."""
 OVERDUE_FACTOR = 4.0
 """An answer is overdue after this many times the usual time."""
+NEWEST_FACTOR = 2.0
+"""The same beside the newest answer's time: a store that has just become slow is not yet usual."""
 PROBE_AFTER = 0.05
 """Seconds without an answer after which something is read, to see whether the store is quick."""
 SMOOTHING = 0.2
@@ -43,6 +45,10 @@
     def __init__(self, store: Store) -> None:
         self._store = store
         self._until = -1e9
+        self._answered_at = -1e9
+        """When an append was last answered after its turn (local time)."""
+        self._newest = 0.0
+        """Seconds that the newest such answer took."""
         self.usual = FIRST_USUAL
         """Seconds that an append usually takes."""
 
@@ -52,12 +58,32 @@
 
     def overdue(self) -> float:
         """Return the seconds after which a missing answer is more than a little late."""
-        return OVERDUE_FACTOR * self.usual
+        return max(OVERDUE_FACTOR * self.usual, NEWEST_FACTOR * self._newest)
 
     def answered(self, seconds: float) -> None:
         """Take how long an append took that the store has carried out."""
+        self._in_turn(seconds)
         self.usual += SMOOTHING * (seconds - self.usual)
 
+    def out_of_order(self, seconds: float) -> None:
+        """Take how long an append took that the store has refused for its number.
+
+        It is refused at once by a store that has lost the one before it, and in its turn by a slow
+        one.
+        """
+        if seconds > self.overdue():
+            self._in_turn(seconds)
+
+    def _in_turn(self, seconds: float) -> None:
+        if seconds > self.overdue() and self.happen():
+            # What was taken as lost has an answer after all.
+            self._until = -1e9
+            _logger.info(
+                "the store is slow and loses nothing", extra={"seconds": round(seconds, 4)}
+            )
+        self._answered_at = monotonic()
+        self._newest = seconds
+
     # -- Proofs ------------------------------------------------------------------------------
 
     def done(self, answers: Iterable[Answer], others: Iterable[float]) -> None:
@@ -72,12 +98,29 @@
             self._note()
 
     async def probe(self) -> None:
-        """Read something, for an append that has no answer by the time that one is overdue."""
-        await asyncio.sleep(max(PROBE_AFTER, self.overdue()))
-        sent_at = monotonic()
-        page = await self._store.newest(Topic.LEADER, "", self.overdue())
-        if not isinstance(page, Unavailable) and monotonic() - sent_at < self.overdue():
-            self._note()
+        """Read something, for an append that has no answer by the time that one is overdue.
+
+        A store that takes appends in turn answers one after the other, each later than the one
+        before: while any is answered it is slow, and a quicker read proves nothing.
+        """
+        while True:
+            await self._none_answered()
+            sent_at = monotonic()
+            page = await self._store.newest(Topic.LEADER, "", self.overdue())
+            if isinstance(page, Unavailable) or monotonic() - sent_at >= self.overdue():
+                return
+            if self._answered_at < sent_at:
+                self._note()
+                return
+
+    async def _none_answered(self) -> None:
+        """Wait until no append has been answered for as long as makes one overdue."""
+        since = monotonic()
+        while (left := max(since, self._answered_at) + self._patience() - monotonic()) > 0:
+            await asyncio.sleep(left)
+
+    def _patience(self) -> float:
+        return max(PROBE_AFTER, self.overdue())
 
     def _quick(self, answers: Iterable[Answer]) -> bool:
         return any(answer.seconds < self.overdue() for answer in answers)
