Tests run in four processes: those in virtual time beside the others, which share one

What runs in real time stays one after the other. Ruled out: spreading the tests of real processes too, whose times would then hang on one another.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+TEST_PROCESSES := 4
 
 .PHONY: demo test lint format bench matrix soak job-soak slopes generate process-soak
 
@@ -14,7 +15,7 @@
 	$(BIN)/python -m benchmarks.demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadgroup
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Lets the run pass over the tests of KNOWN-RED.txt, and prints them.
 
-A listed test has to fail: one that passes fails the run, so that it is taken off the list.
+A listed test has to fail: one that passes fails the run, so that it is taken off the list. Where
+several processes run the tests, those in real time share one, one after the other.
 """
 
 import pytest
@@ -11,12 +12,19 @@
 __all__ = ["pytest_runtest_makereport"]
 
 
+VIRTUAL_TIME = "tests/jobs/"
+"""Where the tests are that take the same course however busy the machine is."""
+REAL_TIME_GROUP = "real time"
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     entries = known_red.read()
     for item in items:
         entry = known_red.entry_of(entries, item.nodeid)
         if entry is not None:
             item.add_marker(pytest.mark.xfail(reason=entry.cause, strict=True))
+        if not item.nodeid.startswith(VIRTUAL_TIME):
+            item.add_marker(pytest.mark.xdist_group(REAL_TIME_GROUP))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
