--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -3,13 +3,16 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
 from collections.abc import Iterable
 from pathlib import Path
+from typing import Any
 
 from benchmarks.cellproc import free_port
+from tests.platform.links import Link
 from tests.platform.standin import Standin
 
 __all__ = ["Node", "Nodes"]
@@ -34,6 +37,8 @@
         self._program = ["-m", "benchmarks.suspendable"] if suspendable else []
         """What runs the program; a stop then stands for a suspension of its machine."""
         self.front = f"{host}:{free_port()}"
+        self.called_at = self.front
+        """Where callers call: another address if a link passes their calls on."""
         self.ready = f"{host}:{free_port()}"
         self.process: asyncio.subprocess.Process | None = None
         self.exits: list[int] = []
@@ -48,7 +53,7 @@
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         port = free_port()
-        self._boot = {
+        self._boot: dict[str, Any] = {
             "nodeName": name,
             "ip": host,
             "listen": {"front": self.front, "ready": self.ready},
@@ -58,6 +63,16 @@
             "bounds": {"graceS": 6},
         }
 
+    def link(self, rng: random.Random) -> list[Link]:
+        """Have what callers, the store and the advice say to the process go over links."""
+        front = Link(self.front, rng)
+        store = Link(str(self._boot["platform"]["addr"]), rng)
+        advice = Link(str(self._boot["advice"]), rng)
+        self.called_at = front.address
+        self._boot["platform"] = {"addr": store.address}
+        self._boot["advice"] = advice.address
+        return [front, store, advice]
+
     async def start(self) -> None:
         """Start the process with its settings file, unless it runs."""
         async with self._starting:
@@ -144,6 +159,13 @@
             for number in range(count)
         ]
 
+        self.links: list[Link] = []
+
+    def link(self, rng: random.Random) -> None:
+        """Put a link before each address that the processes call or are called at by callers."""
+        for node in self.rows:
+            self.links += node.link(rng)
+
     def running(self) -> list[Node]:
         """Return those that have not ended."""
         return [node for node in self.rows if node.running]
@@ -158,6 +180,8 @@
         for node in self.running():
             node.signal(signal.SIGCONT)
             await node.kill()
+        for link in self.links:
+            link.close()
         self._guard.close()
 
 
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -23,7 +23,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from benchmarks.job_verdicts import ACCEPTED, Verdicts
-from benchmarks.node_faults import FAULTS, VM_FAULTS, Fault, Target
+from benchmarks.node_faults import FAULTS, LINK_FAULTS, VM_FAULTS, Fault, Target
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
 from sablemount.platform.front import decode_job
@@ -96,6 +96,9 @@
         self.standin.cell.seconds = TASK_SECONDS
         self.standin.cell.fail_share = 0.02
         self.nodes = Nodes(size.processes, folder, self.standin)
+        if any(fault in LINK_FAULTS for fault in size.faults):
+            self.standin.links = {}
+            self.nodes.link(random.Random(seed))
         self.target = Target(self.nodes, self.standin, self.rng)
         self.seen: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
@@ -290,7 +293,7 @@
         node = at or self.rng.choice(self.nodes.rows)
         try:
             response = await self._client.fetch(
-                f"http://{node.front}{path}",
+                f"http://{node.called_at}{path}",
                 method=method,
                 body=None if body is None else json.dumps(body),
                 headers={
@@ -360,9 +363,11 @@
 
 
 def _chosen(names: str) -> tuple[Fault, ...]:
-    by_name = {fault.__name__: fault for fault in FAULTS + VM_FAULTS}
+    by_name = {fault.__name__: fault for fault in FAULTS + VM_FAULTS + LINK_FAULTS}
     if names == "vms":
         return FAULTS + VM_FAULTS * 2
+    if names == "links":
+        return FAULTS + LINK_FAULTS * 4
     try:
         return tuple(by_name[name] for name in names.split(",")) if names else FAULTS
     except KeyError as error:
@@ -375,7 +380,7 @@
     processes: Annotated[int, typer.Option(min=1, help="How many processes.")] = PROCESSES,
     vms: Annotated[int, typer.Option(min=1, help="How many VMs.")] = VMS,
     fault_every: Annotated[float, typer.Option(help="Mean seconds between faults.")] = FAULT_EVERY,
-    faults: Annotated[str, typer.Option(help="Faults, by comma; vms: those of VMs too.")] = "",
+    faults: Annotated[str, typer.Option(help="Faults, by comma; vms, links: those too.")] = "",
 ) -> None:
     """Play one soak and print what came of it."""
     folder = Path(tempfile.mkdtemp(prefix="sablemount-soak-"))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -38,6 +38,7 @@
 from tests.emulator.vm_ports import ENDS_AT_ONCE
 from tests.emulator.vms import Cell, Run, Vm
 from tests.platform.crossing import NO_ANSWER, SILENCE, Crossing
+from tests.platform.links import Link
 
 Answering = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
 BY_NAME = {name: topic for topic, name in TOPICS.items()}
@@ -72,6 +73,8 @@
         self._servers: list[HTTPServer] = []
         self._server_of: dict[str, HTTPServer] = {}
         self._addresses: dict[str, str] = {}
+        self.links: dict[str, Link] | None = None
+        """What passes calls on to each worker, by its life, if any does: ``{}`` from the start."""
         self._tasks: set[asyncio.Future[None]] = set()
         self.store_address = self._listen(self._store)
         self.advice_address = self._listen(self._advice)
@@ -79,6 +82,8 @@
     def close(self) -> None:
         for server in self._servers:
             server.stop()
+        for link in (self.links or {}).values():
+            link.close()
 
     def _listen(self, handler: Answering) -> str:
         def take(request: httputil.HTTPServerRequest) -> None:
@@ -209,6 +214,9 @@
             return await self._worker(worker, request)
 
         address = self._listen(serve)
+        if self.links is not None:
+            link = self.links[worker.info.name] = Link(address, self.cell.rng)
+            address = link.address
         self._server_of[worker.info.name] = self._servers[-1]
         self._addresses[worker.info.name] = address
         self._list(worker)
@@ -256,6 +264,8 @@
         """End a worker's life; its entry goes, and nothing listens at its address any more."""
         self.cell.crash(worker)
         self._server_of.pop(worker.info.name).stop()
+        if self.links is not None:
+            self.links.pop(worker.info.name).close()
         self.store.topics[Topic.VMS].add([Record(worker.info.name)])
 
     async def _worker(self, worker: Vm, request: httputil.HTTPServerRequest) -> tuple[int, object]:
