--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,9 @@
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
+	$(BIN)/python -m benchmarks.process_soak --seed 2 --faults vms
+	$(BIN)/python -m benchmarks.process_soak --seed 3 --faults links
+	$(BIN)/python -m benchmarks.kept_soaks
 
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --grpc_python_out=src --pyi_out=src src/sablemount/peer/peer.proto
--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -51,7 +51,7 @@
         self.frozen: set[int] = set()
         self._starting = asyncio.Lock()
         self._settings = folder / f"{name}.json"
-        self._log = folder / f"{name}.log"
+        self.log = folder / f"{name}.log"
         port = free_port()
         self._boot: dict[str, Any] = {
             "nodeName": name,
@@ -82,7 +82,7 @@
     async def _start(self) -> None:
         self._write(json.dumps(self._boot))
         self.lives += 1
-        with self._log.open("ab") as log:
+        with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *self._program,
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -24,12 +24,13 @@
 
 from benchmarks.job_verdicts import ACCEPTED, Verdicts
 from benchmarks.node_faults import FAULTS, LINK_FAULTS, VM_FAULTS, Fault, Target
+from benchmarks.node_logs import internal_errors
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
 from sablemount.platform.front import decode_job
 from tests.platform.standin import HOST, PREFIX, Standin
 
-__all__ = ["Soak", "main"]
+__all__ = ["PROCESSES", "VMS", "Size", "Soak", "faults_named", "main", "play"]
 
 PROCESSES = 4
 VMS = 6
@@ -332,6 +333,7 @@
         wrong += [f"a caller broke off: {error!r}" for error in broken if error is not None]
         for node in self.nodes.rows:
             wrong += [f"{node.name} ended by itself with {code}" for code in node.exits]
+            wrong += [f"{node.name} told: {line}" for line in internal_errors(node.log)]
         return wrong
 
     async def _unfinished(self) -> list[str]:
@@ -362,7 +364,8 @@
     return soak, await soak.run()
 
 
-def _chosen(names: str) -> tuple[Fault, ...]:
+def faults_named(names: str) -> tuple[Fault, ...]:
+    """Return the faults of some names, by comma; raises ``ValueError`` for one that is unknown."""
     by_name = {fault.__name__: fault for fault in FAULTS + VM_FAULTS + LINK_FAULTS}
     if names == "vms":
         return FAULTS + VM_FAULTS * 2
@@ -371,7 +374,14 @@
     try:
         return tuple(by_name[name] for name in names.split(",")) if names else FAULTS
     except KeyError as error:
-        raise typer.BadParameter(f"{error}; known are {', '.join(by_name)}") from None
+        raise ValueError(f"{error}; known are {', '.join(by_name)}") from None
+
+
+def _chosen(names: str) -> tuple[Fault, ...]:
+    try:
+        return faults_named(names)
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from None
 
 
 def main(
@@ -383,8 +393,22 @@
     faults: Annotated[str, typer.Option(help="Faults, by comma; vms, links: those too.")] = "",
 ) -> None:
     """Play one soak and print what came of it."""
+    _chosen(faults)
+    if play(seed, seconds, processes, vms, fault_every, faults):
+        raise typer.Exit(1)
+
+
+def play(
+    seed: int,
+    seconds: float,
+    processes: int,
+    vms: int,
+    fault_every: float = FAULT_EVERY,
+    faults: str = "",
+) -> int:
+    """Play one soak and print what came of it; return how much was wrong."""
     folder = Path(tempfile.mkdtemp(prefix="sablemount-soak-"))
-    size = Size(seconds, processes, vms, _chosen(faults), fault_every)
+    size = Size(seconds, processes, vms, faults_named(faults), fault_every)
     soak, wrong = asyncio.run(_play(seed, size, folder))
     verdicts = soak.verdicts
     print(f"seed {seed}, {seconds:.0f} s, {processes} processes, {vms} VMs:", end=" ")
@@ -397,8 +421,9 @@
         print("  ", line)
     if wrong:
         print("logs in", folder)
-        raise typer.Exit(1)
-    shutil.rmtree(folder)
+    else:
+        shutil.rmtree(folder)
+    return len(wrong)
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -1,7 +1,8 @@
-"""A short play of real processes, sockets and signals: leaders are killed while writes are late.
+"""Short plays of real processes, sockets and signals.
 
-What is judged does not depend on how fast the machine is: what was accepted is known to every
-process and ends, no task runs twice, and a process that is told to stop ends with code 0.
+Leaders are killed while writes are late; VMs crash and shrink; and what the processes talk over
+fails. What is judged does not depend on how fast the machine is: what was accepted is known to
+every process and ends, no task runs twice, and a process that is told to stop ends with code 0.
 """
 
 import asyncio
@@ -12,19 +13,20 @@
 from benchmarks import node_faults
 from benchmarks.process_soak import Size, Soak
 
-SIZE = Size(
-    seconds=12.0,
-    faults=(node_faults.leaders_killed, node_faults.power_lost, node_faults.planned_stop),
-    fault_every=2.0,
-    least_accepted=0.0,
-)
+STOPS = (node_faults.leaders_killed, node_faults.power_lost, node_faults.planned_stop)
+FAULTS = {
+    "leaders": STOPS,
+    "vms": (*node_faults.VM_FAULTS, node_faults.planned_stop),
+    "links": (*node_faults.LINK_FAULTS, node_faults.leaders_killed, node_faults.planned_stop),
+}
 
 
-async def _played(seed: int, folder: Path) -> list[str]:
+async def _played(seed: int, kind: str, folder: Path) -> list[str]:
+    size = Size(seconds=12.0, faults=FAULTS[kind], fault_every=2.0, least_accepted=0.0)
     # The stand-in's servers belong to the loop in which they are made.
-    return await Soak(seed, SIZE, folder).run()
+    return await Soak(seed, size, folder).run()
 
 
-@pytest.mark.parametrize("seed", [1])
-def test_processes_keep_what_they_have_accepted(seed: int, tmp_path: Path) -> None:
-    assert asyncio.run(_played(seed, tmp_path)) == []
+@pytest.mark.parametrize(("seed", "kind"), [(1, "leaders"), (2, "vms"), (3, "links")])
+def test_processes_keep_what_they_have_accepted(seed: int, kind: str, tmp_path: Path) -> None:
+    assert asyncio.run(_played(seed, kind, tmp_path)) == []
