--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 
 from tests.emulator.system import System
-from tests.emulator.vms import Vm
+from tests.emulator.vm import Vm
 
 Fault = Callable[[System, random.Random], Coroutine[object, object, None]]
 
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -31,7 +31,8 @@
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.network import Wires
 from tests.emulator.transit import DelayedStore, Transit
-from tests.emulator.vms import Cell, Vm
+from tests.emulator.vm import Vm
+from tests.emulator.vms import Cell
 from tests.emulator.watch import Watch, WatchedState
 from tests.emulator.watched import WatchedMember, WatchedVms
 
--- a/tests/emulator/vm_faults.py
+++ b/tests/emulator/vm_faults.py
@@ -12,7 +12,7 @@
 from tests.emulator.faults import Fault
 from tests.emulator.store_faults import draw_mostly, leaders_killed
 from tests.emulator.system import CAPACITY, System, loop_time
-from tests.emulator.vms import Vm
+from tests.emulator.vm import Vm
 
 __all__ = ["VM_FAULTS", "draw"]
 
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -9,7 +9,8 @@
 from sablemount.jobs.actions import Heard, PaceRun, RunReport, StartRun, StopRun
 from sablemount.jobs.scheduler import StartRefusal
 from tests.emulator.loop import outside
-from tests.emulator.vms import Cell, Vm
+from tests.emulator.vm import Vm
+from tests.emulator.vms import Cell
 
 LATENCY = 0.002
 HELD_UP = 0.25
--- a/tests/jobs/test_emulated_vms.py
+++ b/tests/jobs/test_emulated_vms.py
@@ -11,8 +11,9 @@
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from sablemount.jobs.scheduler import StartRefusal
 from tests.emulator.loop import run
+from tests.emulator.vm import Vm
 from tests.emulator.vm_ports import EmulatedVms
-from tests.emulator.vms import Cell, Vm
+from tests.emulator.vms import Cell
 
 LONG = 60.0
 FENCE = 1
--- a/tests/jobs/test_vm_checks.py
+++ b/tests/jobs/test_vm_checks.py
@@ -10,7 +10,8 @@
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.loop import run
-from tests.emulator.vms import LEASE, Cell, Vm
+from tests.emulator.vm import Vm
+from tests.emulator.vms import LEASE, Cell
 
 TASK = "job.0.0.0"
 SECONDS = 0.1
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -9,7 +9,7 @@
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.advice import ticket
 from tests.emulator.system import loop_time
-from tests.emulator.vms import Vm
+from tests.emulator.vm import Vm
 from tests.platform.standin import Standin
 
 APPEND = "/api/log-append?topic=keyed.sablemount-jobs&part=0"
