A connection that ends as a process stops is no error of the process

The wait for a next request is a task of its own; tornado's wait for it may be cancelled in the step of the loop in which it ends, and nobody took its end then. It is taken always now, with a line of level debug.

--- a/src/sablemount/adapters/caller_server.py
+++ b/src/sablemount/adapters/caller_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -31,6 +32,8 @@
 FIELD_BYTES = 4
 """Bytes of a header's line beside its name and value."""
 
+_logger = logging.getLogger("sablemount.adapters.caller_server")
+
 Refuse = Callable[[httputil.HTTPConnection, HTTPStatus, str], None]
 """Answers a request that is not read any further."""
 
@@ -64,8 +67,11 @@
         read = stream.read_until_regex
 
         def read_headers(regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
-            reading = self._read_headers(stream, lambda: read(regex, max_bytes))
-            return asyncio.ensure_future(reading)
+            reading = asyncio.ensure_future(
+                self._read_headers(stream, lambda: read(regex, max_bytes))
+            )
+            reading.add_done_callback(_ended)
+            return reading
 
         stream.read_until_regex = read_headers  # type: ignore[method-assign]
         super().handle_stream(stream, address)
@@ -90,6 +96,16 @@
         return _Bounded(super().start_request(server_conn, request_conn), request_conn, self)
 
 
+def _ended(reading: "asyncio.Future[bytes]") -> None:
+    """Take the end of a wait for a request, for which nobody may wait any more as a process stops.
+
+    The end of a connection would be told as an error of the process then.
+    """
+    error = None if reading.cancelled() else reading.exception()
+    if error is not None:
+        _logger.debug("connection ended", extra={"error": repr(error)})
+
+
 class _Bounded(httputil.HTTPMessageDelegate):
     """Takes one request, as far as it keeps to the bounds."""
 
