Emulated VM: its capacity is judged by arithmetic of its own

The check of LIMIT called the scheduler's Shape.fits, so that a fault in that would have gone unseen. On the code as it is: tests of the emulated VMs pass.

--- a/tests/emulator/vm.py
+++ b/tests/emulator/vm.py
@@ -51,6 +51,13 @@
     return task.rpartition(".")[0] if gang else task
 
 
+def _within(shape: Shape, capacity: Shape) -> bool:
+    """Tell whether a capacity holds a shape; the scheduler's own judgement is what is checked."""
+    cores = shape.cores <= capacity.cores
+    memory = shape.memory <= capacity.memory
+    return cores and memory and shape.accelerators <= capacity.accelerators
+
+
 @dataclass
 class Vm:
     """One life of a VM."""
@@ -93,7 +100,7 @@
     def holds(self, shape: Shape, now: float) -> bool:
         """Tell whether a shape fits into a capacity that may still be taken to be there."""
         late = [capacity for until, capacity in self.capacities if until > now - SHRUNK_AFTER]
-        return any(shape.fits(capacity) for capacity in [self.info.capacity, *late])
+        return any(_within(shape, capacity) for capacity in [self.info.capacity, *late])
 
     def used(self) -> Shape:
         total = Shape()
