--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -24,6 +24,8 @@
 """How many leaders are killed in a series."""
 ACCEPTANCE_LIMIT = 5.0
 """Seconds for which a loss of power waits for a job to be accepted."""
+RESET_SHARE = 0.5
+"""Share of the silent links whose connections are reset in the end."""
 
 
 class Target:
@@ -396,6 +398,5 @@
     link.calm()
 
 
-RESET_SHARE = 0.5
 LINK_FAULTS: tuple[Fault, ...] = (link_slow, link_silent, links_reset, link_reset_at_a_byte)
 """Faults of what the processes talk over, but for what they say to one another."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Lets the run pass over the tests of KNOWN-RED.txt, and prints them.
 
 A listed test has to fail: one that passes fails the run, so that it is taken off the list. Where
-several processes run the tests, those in real time share one, one after the other.
+several processes run the tests, those in real time share two, one after the other in each.
 """
 
 import pytest
@@ -14,7 +14,7 @@
 
 VIRTUAL_TIME = "tests/jobs/"
 """Where the tests are that take the same course however busy the machine is."""
-REAL_TIME_GROUP = "real time"
+PLATFORM = "tests/platform/"
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
@@ -24,7 +24,8 @@
         if entry is not None:
             item.add_marker(pytest.mark.xfail(reason=entry.cause, strict=True))
         if not item.nodeid.startswith(VIRTUAL_TIME):
-            item.add_marker(pytest.mark.xdist_group(REAL_TIME_GROUP))
+            group = "platform" if item.nodeid.startswith(PLATFORM) else "real time"
+            item.add_marker(pytest.mark.xdist_group(group))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
