--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -10,10 +10,11 @@
 from benchmarks.node_processes import Node, Nodes
 from sablemount.control.messages import LeaderRecord
 from sablemount.control.store import Topic
-from tests.platform.links import Direction, Link
+from tests.emulator.vm import Vm
+from tests.platform.links import Link
 from tests.platform.standin import Standin
 
-__all__ = ["FAULTS", "LINK_FAULTS", "VM_FAULTS", "Fault", "Target"]
+__all__ = ["FAULTS", "VM_FAULTS", "Fault", "Target"]
 
 STOP_LIMIT = 6.0
 """Seconds that a planned stop may take: the grace of the processes' settings."""
@@ -24,8 +25,6 @@
 """How many leaders are killed in a series."""
 ACCEPTANCE_LIMIT = 5.0
 """Seconds for which a loss of power waits for a job to be accepted."""
-RESET_SHARE = 0.5
-"""Share of the silent links whose connections are reset in the end."""
 
 
 class Target:
@@ -56,6 +55,11 @@
             return leader
         return self.rng.choice(running) if running else None
 
+    def vm(self) -> Vm | None:
+        """Return some VM that is up."""
+        up = [vm for vm in self.standin.cell.vms.values() if vm.up]
+        return self.rng.choice(up) if up else None
+
     def link(self) -> Link:
         """Return some link: of callers, to the store, to the advice or to a VM."""
         links = self.nodes.links + list((self.standin.links or {}).values())
@@ -274,10 +278,9 @@
 
 async def vm_crash(target: Target) -> None:
     """End a VM's life; a new one comes at another address."""
-    vms = [vm for vm in target.standin.cell.vms.values() if vm.up]
-    if not vms:
+    vm = target.vm()
+    if vm is None:
         return
-    vm = target.rng.choice(vms)
     target.standin.crash_worker(vm)
     await asyncio.sleep(target.rng.uniform(0.2, 3.0))
     target.standin.add_worker(vm.info.rack)
@@ -316,10 +319,9 @@
 
 async def capacity_shrinks(target: Target) -> None:
     """Let a VM shrink, and grow to what it was."""
-    vms = [vm for vm in target.standin.cell.vms.values() if vm.up]
-    if not vms:
+    vm = target.vm()
+    if vm is None:
         return
-    vm = target.rng.choice(vms)
     whole = vm.info.capacity
     for cores in (target.rng.randint(1_000, 12_000), WHOLE_CORES):
         target.standin.resize_worker(vm, msgspec.structs.replace(whole, cores=cores))
@@ -359,44 +361,3 @@
 )
 """Faults of VMs and of what runs on them, beside changes of leader; a table of their own, so that
 what a seed draws from the other stays what it was."""
-
-
-async def link_slow(target: Target) -> None:
-    """Hold each piece back that goes over a link, for a time of its own."""
-    link = target.link()
-    link.delay = target.rng.choice((0.05, 0.3, 1.0))
-    await asyncio.sleep(target.rng.uniform(1.0, 6.0))
-    link.calm()
-
-
-async def link_silent(target: Target) -> None:
-    """Hold back what goes over a link, one way or both; its connections may not outlive it."""
-    link = target.link()
-    ways = target.rng.choice(([Direction.THERE], [Direction.BACK], list(Direction)))
-    for way in ways:
-        link.silence(way)
-    await asyncio.sleep(target.rng.uniform(0.5, 8.0))
-    if target.rng.random() < RESET_SHARE:
-        link.reset()
-    link.calm()
-
-
-async def links_reset(target: Target) -> None:
-    """Reset all connections of some links, again and again."""
-    for _ in range(target.rng.randint(1, 8)):
-        target.link().reset()
-        await asyncio.sleep(target.rng.uniform(0.0, 0.5))
-
-
-async def link_reset_at_a_byte(target: Target) -> None:
-    """Reset each connection of a link at a byte of its own: in a head, a body or between two."""
-    link = target.link()
-    end = asyncio.get_running_loop().time() + target.rng.uniform(1.0, 5.0)
-    while asyncio.get_running_loop().time() < end:
-        link.reset_after = target.rng.choice((0, 1, target.rng.randint(2, 400), 4_000))
-        await asyncio.sleep(target.rng.uniform(0.05, 0.5))
-    link.calm()
-
-
-LINK_FAULTS: tuple[Fault, ...] = (link_slow, link_silent, links_reset, link_reset_at_a_byte)
-"""Faults of what the processes talk over, but for what they say to one another."""
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -23,7 +23,8 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from benchmarks.job_verdicts import ACCEPTED, Verdicts
-from benchmarks.node_faults import FAULTS, LINK_FAULTS, VM_FAULTS, Fault, Target
+from benchmarks.link_faults import LINK_FAULTS
+from benchmarks.node_faults import FAULTS, VM_FAULTS, Fault, Target
 from benchmarks.node_logs import internal_errors
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -11,13 +11,14 @@
 import pytest
 
 from benchmarks import node_faults
+from benchmarks.link_faults import LINK_FAULTS
 from benchmarks.process_soak import Size, Soak
 
 STOPS = (node_faults.leaders_killed, node_faults.power_lost, node_faults.planned_stop)
 FAULTS = {
     "leaders": STOPS,
     "vms": (*node_faults.VM_FAULTS, node_faults.planned_stop),
-    "links": (*node_faults.LINK_FAULTS, node_faults.leaders_killed, node_faults.planned_stop),
+    "links": (*LINK_FAULTS, node_faults.leaders_killed, node_faults.planned_stop),
 }
 
 
