--- a/tests/jobs/test_starts.py
+++ b/tests/jobs/test_starts.py
@@ -146,3 +146,15 @@
     rig.commit()
     assert _orders(rig) == []
     assert rig.stopped() == []
+
+
+def test_a_vm_is_let_go_only_once_the_crash_that_it_stood_for_is_noted() -> None:
+    """What a crash counts for stands with the VM until the job's own record has it."""
+    rig, vm = _lost()
+    rig.scheduler.state.settings = msgspec.structs.replace(
+        rig.scheduler.state.settings, call_bytes=100
+    )
+    rig.tick(0.6)
+    while VM_PREFIX + vm in rig.store:
+        rig.commit()
+    assert decode_progress(rig.store[PROGRESS_PREFIX + "a"]).crashes == {"0.0.0": (vm,)}
