A crash is noted before its VM's record goes, also where a batch is full

Symptom: none seen; found as the same fault elsewhere: a leader that ends leaves no trace of a crash. Cause: a batch took the records of VMs first, also those that are dropped, and the progress of jobs as far as it had room. Now a VM's record is dropped once no progress is left for a later batch.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -106,11 +106,13 @@
         It is bounded in its bytes, so that something may be pending still.
         """
         filling = _Filling(self._state)
-        self._add_vms(filling)
+        self._add_vms(filling, in_use=True)
         self._add_dropped(filling)
         self._add_accepted(filling)
         self._add_progress(filling)
         if not self._state.dirty:
+            # A crash may be known by its VM's record alone until the progress of jobs has it.
+            self._add_vms(filling, in_use=False)
             # What the ends have changed is in this batch or in one before.
             self._add_ends(filling.batch)
             self._add_noted(filling.batch)
@@ -122,9 +124,11 @@
             batch.noted = self._noting
             self._noting = []
 
-    def _add_vms(self, filling: "_Filling") -> None:
-        while self._vms:
-            name, row = next(iter(self._vms.items()))
+    def _add_vms(self, filling: "_Filling", in_use: bool) -> None:
+        """Add the records of VMs that may run something, or of those that do not any more."""
+        for name, row in list(self._vms.items()):
+            if row.recorded is not in_use:
+                continue
             record = Record(VM_PREFIX + name, self._vm_value(row))
             if not filling.room_for([record]):
                 return
