--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -163,3 +163,21 @@
     assert record_size(record) <= 120_000
     assert kept.crashes == progress.crashes
     assert 0 < len(kept.steps["0.0"].failures) < 4_000
+
+
+def test_a_noted_start_counts_once_its_machine_has_another_life_at_another_address() -> None:
+    """Nothing answers where the VM was, and its entry went before the later leader came."""
+    rig = Rig(vms=2)
+    for number, vm in enumerate(rig.listed):
+        info = rig.scheduler.state.vms[vm].info
+        rig.scheduler.told(msgspec.structs.replace(info, machine=f"m{number}"))
+    run = _running(rig, "a").runs[0]
+    rig.commit()
+    info = rig.scheduler.state.vms.pop(run.vm).info
+    later = rig.successor()
+    later.listed.remove(run.vm)
+    later.scheduler.told(msgspec.structs.replace(info, name="again", address="elsewhere"))
+    later.listed.append("again")
+    for _ in range(20):
+        later.wait(0.6)
+    assert later.scheduler.state.jobs["a"].steps[TASK].tasks[0].crashes == [run.vm]
