The record of a VM names its machine: a noted start counts wherever its next life answers

Cause: a later leader that finds no entry of a VM knew its address alone; with the next life at another one, a crash could not be told from a cut, and what was noted of it was dropped with the VM.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -139,7 +139,8 @@
     def _vm_value(self, row: VmRow) -> bytes:
         if not row.recorded:
             return b""
-        return encode(VmRecord(row.info.address, row.info.pool, self._suspects(row)))
+        info = row.info
+        return encode(VmRecord(info.address, info.pool, self._suspects(row), info.machine))
 
     def _suspects(self, row: VmRow) -> tuple[str, ...]:
         """Return the tasks that a crash of a VM would count for, the latest first."""
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -74,6 +74,8 @@
     pool: str
     suspects: tuple[str, ...] = ()
     """Tasks that its crash would count for: what was started of late, or all once it is silent."""
+    machine: str = ""
+    """By which another life of it is known, wherever that answers."""
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -203,7 +203,7 @@
 
     def _load_vm(self, name: str, value: bytes) -> None:
         noted = decode_vm(value)
-        info = VmInfo(name, noted.address, noted.pool, Shape())
+        info = VmInfo(name, noted.address, noted.pool, Shape(), machine=noted.machine)
         row = self.vms.told(info)
         if row is not None:
             row.listed = False
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -141,7 +141,8 @@
         out = []
         for row in list(self._state.vms.values()):
             silent = now - row.heard_at > self._state.settings.fresh
-            if row.gone or (silent and row.runs and self._leases_over(row)):
+            used = bool(row.runs) or row.name in self._state.doubts
+            if row.gone or (silent and used and self._leases_over(row)):
                 if self._reborn(row):
                     self.on_crash(row)
                 self._drop_runs(row)
