What VMs have crashed under is ordered at a VM that has just been heard

Symptom: a job was given up beside whose task three VMs crashed, as a fourth, which had crashed 0.44 s before, took no start of it. Cause: a VM's last word is up to 1 s old, so that a crash before an order can't be told from one by it. Now the VM is looked at once the order is noted, and has 0.35 s to answer; else it is avoided for 0.5 s and the task placed anew.

Ruled out: counting such crashes less, or counting to five (a first order may go unnoted, so that six starts could follow).

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -25,7 +25,7 @@
 from sablemount.control.roster import Roster
 from sablemount.control.store import PageItem, Store, Topic
 from sablemount.control.vm_calls import VmCalls
-from sablemount.jobs.actions import Action, PaceRun, StartRun, StopRun
+from sablemount.jobs.actions import Action, LookAt, PaceRun, StartRun, StopRun
 from sablemount.jobs.model import Configuration
 from sablemount.jobs.records import Record
 from sablemount.jobs.scheduler import JobScheduler
@@ -290,6 +290,9 @@
         elif isinstance(action, PaceRun):
             self.figures.count("pace")
             self.calls.pace(action)
+        elif isinstance(action, LookAt):
+            self.figures.count("look_at_once")
+            self.calls.look_at_once(action)
         else:
             self._background.spawn(self._advice.ask(action))
 
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -9,7 +9,7 @@
 from sablemount.control.background import Background, error_logger
 from sablemount.control.clock import monotonic
 from sablemount.control.ports import CallError, HoldCall, Started, VmPort
-from sablemount.jobs.actions import Heard, PaceRun, StartRun, StopRun
+from sablemount.jobs.actions import Heard, LookAt, PaceRun, StartRun, StopRun
 from sablemount.jobs.scheduler import JobScheduler, StartRefusal
 from sablemount.jobs.tables import VmRow
 
@@ -102,14 +102,23 @@
         finally:
             self._followed.pop(row.name, None)
 
-    async def _look(self, row: VmRow) -> bool:
+    def look_at_once(self, action: LookAt) -> None:
+        """Look at a VM without waiting for an end there."""
+        row = self._scheduler.state.vms.get(action.vm)
+        if row is not None and self._authority():
+            self._background.spawn(self._look_at_once(row))
+
+    async def _look_at_once(self, row: VmRow) -> None:
+        await self._look(row, at_once=True)
+
+    async def _look(self, row: VmRow, at_once: bool = False) -> bool:
         """Look once; return whether the VM answered."""
         scheduler = self._scheduler
         scheduler.now()
         known = row.first_heard_at > 0
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING
         until = scheduler.vms.lease_until(row) if known and not silent else 0
-        wait = self._wait(row) if known and not silent else 0.0
+        wait = self._wait(row) if known and not silent and not at_once else 0.0
         call = HoldCall(row.name, row.info.address, self._fence, until, row.acked_end, wait)
         timeout = self._timeout(known, silent, wait)
         sent_at = monotonic()
--- a/src/sablemount/jobs/actions.py
+++ b/src/sablemount/jobs/actions.py
@@ -9,6 +9,7 @@
     "AskAdvice",
     "EndReport",
     "Heard",
+    "LookAt",
     "PaceRun",
     "RunReport",
     "StartRun",
@@ -54,7 +55,13 @@
     cost: float
 
 
-Action: TypeAlias = StartRun | StopRun | PaceRun | AskAdvice
+class LookAt(msgspec.Struct, frozen=True):
+    """Look at a VM at once, beside the look that waits for an end there."""
+
+    vm: str
+
+
+Action: TypeAlias = StartRun | StopRun | PaceRun | AskAdvice | LookAt
 
 
 class RunReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -3,14 +3,18 @@
 What may have been started before is ordered only once the store has it, with all crashes that came
 before. Else a leader that ends within a second of the order leaves no trace of it, and a task that
 crashes each VM is started anew under each leader.
+
+Under what VMs have crashed is ordered only at a VM that has just been heard: one that had crashed
+before would count for it too, as nothing tells whether its start came first.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from math import inf
 
 import msgspec
 
-from sablemount.jobs.actions import StartRun
+from sablemount.jobs.actions import LookAt, StartRun
 from sablemount.jobs.journal import Journal
 from sablemount.jobs.state import NOT_ORDERED, State
 from sablemount.jobs.systems.advice import Advice
@@ -23,6 +27,10 @@
 MS = 1000.0
 SETTLE = 0.3
 """Seconds that a VM's clock may be ahead of what is known of it."""
+HEARD_WITHIN = 0.35
+"""Seconds within which a VM has to be heard before an order: a look takes as long at most."""
+UNHEARD_PAUSE = 0.5
+"""Seconds without new work for a VM that was not: by then its usual look tells what it is."""
 
 
 class _Start(msgspec.Struct, frozen=True):
@@ -33,12 +41,27 @@
     saved: str
 
 
-class _Held(msgspec.Struct, frozen=True):
+@dataclass(slots=True)
+class _Held:
     """Starts of a step that are ordered together, or not at all."""
 
     step: StepRow
     starts: list[_Start]
     since: float
+    suspected: bool
+    """Whether VMs have crashed under its tasks."""
+    looked_at: float | None = None
+    """When its VMs were asked for a word, once the store had noted it."""
+
+    @property
+    def noted(self) -> bool:
+        """Tell whether the store has all of it."""
+        return all(start.run.noted for start in self.starts)
+
+    def heard(self) -> bool:
+        """Tell whether all its VMs have been heard since they were asked."""
+        asked_at = self.looked_at
+        return asked_at is not None and all(start.row.heard_at >= asked_at for start in self.starts)
 
 
 def _ignore(seconds: float) -> None:
@@ -78,7 +101,8 @@
             self._journal.note_runs(start.row)
         if first:
             self._journal.note_first([start.run for start in starts])
-            self._held.append(_Held(step, starts, self._state.now))
+            suspected = any(task.crashes for task in tasks)
+            self._held.append(_Held(step, starts, self._state.now, suspected))
         else:
             self._order(step, starts)
 
@@ -92,7 +116,7 @@
         """Order what the store has noted, and give up what it does not come to note."""
         held, self._held = self._held, []
         for group in held:
-            if not all(start.run.noted for start in group.starts) and self._state.noting:
+            if self._waits(group):
                 self._held.append(group)
             elif self._may_be_ordered(group):
                 self.on_noted(self._state.now - group.since)
@@ -100,10 +124,31 @@
             else:
                 self._give_up(group)
 
+    def _waits(self, group: _Held) -> bool:
+        """Tell whether the store or a VM may yet say what an order waits for."""
+        if not group.noted:
+            return self._state.noting
+        if not group.suspected or group.heard():
+            return False
+        if group.looked_at is None:
+            group.looked_at = self._state.now
+            for name in sorted({start.row.name for start in group.starts}):
+                self._state.emit(LookAt(name))
+        return self._state.now - group.looked_at < HEARD_WITHIN
+
     def _may_be_ordered(self, group: _Held) -> bool:
         """Tell whether the VMs may still get what was chosen for them before."""
+        if group.suspected and not group.heard():
+            self._avoid_silent(group)
+            return False
         return all(self._may_start(group.step, start) for start in group.starts)
 
+    def _avoid_silent(self, group: _Held) -> None:
+        until = self._state.now + UNHEARD_PAUSE
+        for start in group.starts:
+            if group.looked_at is not None and start.row.heard_at < group.looked_at:
+                start.row.avoid_until = max(start.row.avoid_until, until)
+
     def _may_start(self, step: StepRow, start: _Start) -> bool:
         run, row = start.run, start.row
         entered = row.runs.get((run.task, run.number)) is run
@@ -121,7 +166,8 @@
         extra = {
             "step": group.step.key,
             "runs": len(group.starts),
-            "noted": all(start.run.noted for start in group.starts),
+            "noted": group.noted,
+            "heard": group.heard() if group.suspected else None,
             "seconds": round(self._state.now - group.since, 3),
         }
         self._state.logger.info("start given up before its order", extra=extra)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -160,7 +160,7 @@
         noted. Only the first of a task's orders may go without, so that one crash at most counts
         for nothing.
         """
-        return self.lost or self.step.job.former
+        return self.lost or bool(self.crashes) or self.step.job.former
 
 
 @dataclass(slots=True)
--- a/tests/jobs/rig.py
+++ b/tests/jobs/rig.py
@@ -5,6 +5,7 @@
     AskAdvice,
     EndReport,
     Heard,
+    LookAt,
     RunReport,
     StartRun,
     StopRun,
@@ -106,6 +107,11 @@
         if self.notes_at_once and self.scheduler.starts.waiting():
             self.commit()
             actions += self.scheduler.tick()
+        looks = [action.vm for action in actions if isinstance(action, LookAt)]
+        for vm in sorted(set(looks) & set(self.listed)):
+            self.hear(vm)
+        if looks:
+            actions += self.scheduler.tick()
         self.actions += actions
         return actions
 
