--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -144,3 +144,70 @@
     turns = [run(_turns(seed, way, each, before)) for seed in range(20)]
     soon = way < 0.1 * each and before
     assert max(turns) <= (FLOODED_UNTIL_ANSWERED if soon else FLOODED)
+
+
+IN_FLIGHT = 4
+"""Appends that go together in these tests."""
+SENT_TWICE = 2 * IN_FLIGHT + IN_FLIGHT - 1
+"""Arrivals where each append is sent again once, since its answer is late, and each but the first
+has come before its turn once, put there by the way: what a slow store need not do more than."""
+HUNDREDFOLD = 0.2
+"""Seconds of the way and of an append in a store that is 100 times slower than usual, with some to
+spare: one that is slower still may be taken as silent."""
+DEADLINE = 3.0
+"""Seconds that callers wait for their job to be accepted, on each deployment."""
+
+
+async def _arrivals_and_seconds(
+    seed: int, way: float, each: float, before: int
+) -> tuple[int, float]:
+    """Return how many appends arrive for four, and after what time all four are answered."""
+    state = StoreState(random.Random(seed))
+    committer = Committer(EmulatedStore(state, "m"), 1, random.Random(seed + 3))
+    await committer.open()
+    for number in range(before):
+        await committer.append([Record(f"w{number}", b"value")])
+    state.latency, state.append_time = way, each
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    await asyncio.gather(*[committer.append([Record(f"k{n}", b"value")]) for n in range(IN_FLIGHT)])
+    seconds = loop.time() - began
+    await asyncio.sleep(3.0)
+    return state.turns, seconds
+
+
+def _worst(way: float, each: float, before: int) -> tuple[int, float]:
+    played = [run(_arrivals_and_seconds(seed, way, each, before)) for seed in range(20)]
+    return max(turns for turns, _ in played), max(seconds for _, seconds in played)
+
+
+@pytest.mark.parametrize("before", [0, 30])
+@pytest.mark.parametrize(
+    ("way", "each"), [times for times in SLOW_TIMES if max(times) <= HUNDREDFOLD]
+)
+def test_each_of_four_appends_is_sent_again_once_at_most(
+    way: float, each: float, before: int
+) -> None:
+    arrivals, _ = _worst(way, each, before)
+    assert arrivals <= SENT_TWICE
+
+
+def _can_be_in_time(way: float, each: float) -> bool:
+    """Tell whether a store takes four appends by the deadline, if each comes there twice."""
+    return 2 * way + 2 * IN_FLIGHT * each <= DEADLINE
+
+
+@pytest.mark.parametrize("before", [0, 30])
+@pytest.mark.parametrize(
+    ("way", "each"), [times for times in SLOW_TIMES if _can_be_in_time(*times)]
+)
+def test_four_appends_are_in_a_slow_store_before_callers_give_up(
+    way: float, each: float, before: int
+) -> None:
+    """What is sent again delays what waits behind it.
+
+    Where the store reads soon and appends in 0.24 s, four appends took 4.4 s: each quick read was
+    taken as proof that the first was lost, and it was sent eight times.
+    """
+    _, seconds = _worst(way, each, before)
+    assert seconds <= DEADLINE
