--- a/tests/jobs/test_slow_store.py
+++ b/tests/jobs/test_slow_store.py
@@ -112,6 +112,8 @@
     run(scenario())
 
 
+IN_FLIGHT = 4
+"""Appends that go together in these tests."""
 SLOW_TIMES = [(0.05, 0.05), (0.1, 0.1), (0.24, 0.24), (0.36, 0.36), (0.01, 0.18), (0.05, 0.24)]
 """Seconds for the way and for each append."""
 FLOODED = 19
@@ -121,18 +123,23 @@
 looks like one that loses them."""
 
 
-async def _turns(seed: int, way: float, each: float, before: int) -> int:
-    """Return how many appends arrive for four, as a store gets slow after some."""
+async def _arrivals_and_seconds(
+    seed: int, way: float, each: float, before: int
+) -> tuple[int, float]:
+    """Return how many appends arrive for four, and after what time all four are answered."""
     state = StoreState(random.Random(seed))
     committer = Committer(EmulatedStore(state, "m"), 1, random.Random(seed + 3))
     await committer.open()
     for number in range(before):
         await committer.append([Record(f"w{number}", b"value")])
     state.latency, state.append_time = way, each
-    await asyncio.gather(*[committer.append([Record(f"k{n}", b"value")]) for n in range(4)])
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    await asyncio.gather(*[committer.append([Record(f"k{n}", b"value")]) for n in range(IN_FLIGHT)])
+    seconds = loop.time() - began
     await asyncio.sleep(3.0)
-    assert len(state.topics[Topic.JOBS].records) == before + 4
-    return state.turns
+    assert len(state.topics[Topic.JOBS].records) == before + IN_FLIGHT
+    return state.turns, seconds
 
 
 @pytest.mark.parametrize("before", [0, 30])
@@ -141,13 +148,11 @@
     way: float, each: float, before: int
 ) -> None:
     """Up to 41 arrived for four where the store reads soon and appends in turn."""
-    turns = [run(_turns(seed, way, each, before)) for seed in range(20)]
+    turns = [run(_arrivals_and_seconds(seed, way, each, before))[0] for seed in range(20)]
     soon = way < 0.1 * each and before
     assert max(turns) <= (FLOODED_UNTIL_ANSWERED if soon else FLOODED)
 
 
-IN_FLIGHT = 4
-"""Appends that go together in these tests."""
 SENT_TWICE = 2 * IN_FLIGHT + IN_FLIGHT - 1
 """Arrivals where each append is sent again once, since its answer is late, and each but the first
 has come before its turn once, put there by the way: what a slow store need not do more than."""
@@ -158,24 +163,6 @@
 """Seconds that callers wait for their job to be accepted, on each deployment."""
 
 
-async def _arrivals_and_seconds(
-    seed: int, way: float, each: float, before: int
-) -> tuple[int, float]:
-    """Return how many appends arrive for four, and after what time all four are answered."""
-    state = StoreState(random.Random(seed))
-    committer = Committer(EmulatedStore(state, "m"), 1, random.Random(seed + 3))
-    await committer.open()
-    for number in range(before):
-        await committer.append([Record(f"w{number}", b"value")])
-    state.latency, state.append_time = way, each
-    loop = asyncio.get_running_loop()
-    began = loop.time()
-    await asyncio.gather(*[committer.append([Record(f"k{n}", b"value")]) for n in range(IN_FLIGHT)])
-    seconds = loop.time() - began
-    await asyncio.sleep(3.0)
-    return state.turns, seconds
-
-
 def _worst(way: float, each: float, before: int) -> tuple[int, float]:
     played = [run(_arrivals_and_seconds(seed, way, each, before)) for seed in range(20)]
     return max(turns for turns, _ in played), max(seconds for _, seconds in played)
