The lead goes to machines that carry it: by core, link, descriptors and memory

Callers saw: calls refused for want of a leader and work that waited, as machines with a link of 10 Mbit/s led in turn beside six with 200 and each was replaced for silences of 0.65 to 0.79 s while none had gone. Cause: only cores counted, and any machine above 0.9 was as good as another; a silence was judged without the answers before it. Now: members claim after the best machine that is known to be there, a small leader hands over to a clearly better one in calm times, and a leader whose answers had come late may be silent for three times as long as they took. Ruled out: loss of the leaders (none was killed before 15 s), the store (slow only from 8.2 s on).

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -12,8 +12,9 @@
 from sablemount.control.figures import Figures
 from sablemount.control.hedge import hedged
 from sablemount.control.leader_link import LeaderLink
-from sablemount.control.member_settings import ENOUGH_CORES, MemberSettings
+from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, LeaderView
+from sablemount.control.standing import claim_delay
 from sablemount.control.store import (
     Appended,
     AppendResult,
@@ -41,8 +42,6 @@
 """Seconds between two claims of one member, on average."""
 PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
-WEAK_PATIENCE = 0.4
-"""Seconds for which a member with few cores leaves a claim to stronger ones."""
 FIRST_CLAIM = 0.1
 """Seconds after its start before which a member does not claim the first leadership."""
 STORE_TRIAL = 0.4
@@ -111,8 +110,7 @@
         self._on_claim = on_claim
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._started_at = monotonic()
-        weak = settings.cores < ENOUGH_CORES
-        self._patience = rng.uniform(0.0, PATIENCE) + (WEAK_PATIENCE if weak else 0.0)
+        self._chance = rng.uniform(0.0, PATIENCE)
         self._end = 0
         self._known = False
         self._asked_by: int | None = None
@@ -171,6 +169,10 @@
         self._asked_by = None
         await self._claim(doubt)
 
+    def _patience(self) -> float:
+        """Return the seconds for which this member leaves a claim to others."""
+        return self._chance + claim_delay(self._settings.standing, self._link.best)
+
     def _reason(self) -> str | None:
         now = monotonic()
         if not self._known or now < self._pause_until:
@@ -179,7 +181,7 @@
             return ClaimReason.ASKED
         record = self._link.record
         if record is None:
-            waited = now - self._started_at > FIRST_CLAIM + self._patience
+            waited = now - self._started_at > FIRST_CLAIM + self._patience()
             return ClaimReason.NO_LEADER if waited else None
         resting = now < self._rest_until
         if record.name == self._settings.name:
@@ -187,7 +189,7 @@
         suspicion = self._link.suspicion
         if resting and not suspicion.alone_too_long(now):
             return None
-        return suspicion.reason(now, self._patience)
+        return suspicion.reason(now, self._patience())
 
     async def _confirmed(self, reason: str) -> bool:
         """Tell whether what this member can find out speaks for the claim."""
--- a/src/sablemount/control/hand_over.py
+++ b/src/sablemount/control/hand_over.py
@@ -1,4 +1,7 @@
-"""The planned change of leader: a leader that is being stopped asks a member to take over."""
+"""The planned change of leader: a leader that is being stopped asks a member to take over.
+
+So does one on a small machine while a clearly better one is there and all is calm.
+"""
 
 import asyncio
 import logging
@@ -8,10 +11,10 @@
 from sablemount.control.leader import Leader
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.messages import TakeOver, TakeOverReply
-from sablemount.control.network import CallFailed
+from sablemount.control.network import CallFailed, Link
 from sablemount.control.preload import Preload
 
-__all__ = ["Successor", "hand_over"]
+__all__ = ["Successor", "hand_over", "relieve"]
 
 YIELD_TIMEOUT = 0.5
 """Seconds that a member has to say whether it takes over."""
@@ -25,12 +28,20 @@
 """Seconds that a leader that is being stopped waits for its successor to claim, by an append; that
 took 0.5 s in a store 91 times slower than usual, in virtual time."""
 
+RELIEF_INTERVAL = 1.0
+"""Seconds between looks at whether a better machine is there."""
+RELIEF_PAUSE = 5.0
+"""Seconds after the lead was taken, or offered in vain, until it is offered."""
+CALM_STORE = 0.1
+"""Seconds for which the store may owe an answer while all is calm: a change of leader waits for
+several of its answers."""
+
 _logger = logging.getLogger("sablemount.control.member")
 
 
 async def hand_over(leader: Leader) -> None:
     """Have another member lead if one takes over, and end a leadership."""
-    if await _asked_others(leader):
+    if await _asked(leader, leader.members.successors()):
         # It serves and gives orders until its successor has claimed.
         await set_within(leader.over, TAKE_OVER_TIME)
     if not leader.over.is_set():
@@ -38,10 +49,30 @@
     leader.end("planned stop")
 
 
-async def _asked_others(leader: Leader) -> bool:
+async def relieve(leader: Leader, own: float) -> None:
+    """Offer the lead to clearly better machines than this one, of standing ``own``, as they come.
+
+    It leads on if none of them takes it.
+    """
+    await asyncio.sleep(RELIEF_PAUSE)
+    while not leader.over.is_set():
+        better = leader.members.better(own) if _calm(leader) else []
+        if not better:
+            await asyncio.sleep(RELIEF_INTERVAL)
+            continue
+        if await _asked(leader, better):
+            await set_within(leader.over, TAKE_OVER_TIME)
+        await asyncio.sleep(RELIEF_PAUSE)
+
+
+def _calm(leader: Leader) -> bool:
+    return leader.authority() and not leader.closing and leader.committer.owed_for() < CALM_STORE
+
+
+async def _asked(leader: Leader, members: list[tuple[str, Link]]) -> bool:
     """Ask one member after the other to take over; return whether one does."""
     last = monotonic() + HAND_OVER_LIMIT
-    for name, link in leader.members.successors():
+    for name, link in members:
         if monotonic() > last:
             break
         try:
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -17,6 +17,7 @@
     ViewCall,
 )
 from sablemount.control.network import CallFailed, Handler, Link, Network
+from sablemount.control.standing import FULL
 from sablemount.control.suspicion import Suspicion
 
 __all__ = ["LeaderLink"]
@@ -74,6 +75,9 @@
         """Version of them that the leader has given."""
         self.cell = 0
         """How many members the last leader counted, itself included; 0 if none has told."""
+        self.best = FULL
+        """Standing of the best member that could take over, as the last leader told; before that
+        one that has enough of everything may be there."""
         self.configuration = -1
         """Version of the configuration here, which pings tell."""
         self.on_pong: Callable[[Pong, float], None] = _ignore_pong
@@ -208,14 +212,14 @@
             settings.rpc_address,
             epoch,
             uptime,
-            settings.cores,
+            settings.standing,
             self.stopping,
             self._roster,
             self.configuration,
             self.cell,
         )
         asked_at = monotonic()
-        pong = await link.call(ping, PING_TIMEOUT)
+        pong = await link.call(ping, PING_TIMEOUT + self.suspicion.lateness())
         # If another leader has become known meanwhile, this answer tells nothing of it.
         if isinstance(pong, Pong) and self.epoch == epoch:
             self._heard(pong, asked_at)
@@ -225,7 +229,7 @@
         if pong.leader is not None and pong.leader.epoch > self.epoch:
             self.on_leader(pong.leader)
             return
-        self.suspicion.heard(pong, now)
+        self.suspicion.heard(pong, now, now - asked_at)
         self.leads = pong.leading and pong.epoch == self.epoch
         if pong.members is not None:
             self.addresses = pong.members
@@ -233,4 +237,5 @@
         if self.leads:
             self.heard_leading_at = now
             self.cell = pong.cell or self.cell
+            self.best = pong.best
             self.on_pong(pong, asked_at)
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -13,7 +13,7 @@
 from sablemount.control.election import Election
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
-from sablemount.control.hand_over import Successor, hand_over
+from sablemount.control.hand_over import Successor, hand_over, relieve
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_calls import MemberCalls
@@ -214,10 +214,12 @@
         announcing = self._background.spawn(
             announce(record, self._link, lambda: leader.leading, leader.members.heard)
         )
+        relieving = self._background.spawn(relieve(leader, self.settings.standing))
         try:
             await leader.run()
         finally:
             announcing.cancel()
+            relieving.cancel()
             self.leader = None
             self._link.cell = leader.members.size
             self._election.rest()
--- a/src/sablemount/control/member_calls.py
+++ b/src/sablemount/control/member_calls.py
@@ -101,6 +101,7 @@
             configuration_age=self._feed.age,
             wants_configuration=self._feed.wants(ping.configuration),
             cell=0 if ping.cell == leader.members.size else leader.members.size,
+            best=leader.members.best_standing(),
         )
 
     async def _serve(self, call: CallerCall) -> CallerReply:
--- a/src/sablemount/control/member_settings.py
+++ b/src/sablemount/control/member_settings.py
@@ -2,12 +2,10 @@
 
 import msgspec
 
+from sablemount.control.standing import MachineLimits, standing
 from sablemount.jobs.settings import JobSettings
 
-__all__ = ["ENOUGH_CORES", "MemberSettings"]
-
-ENOUGH_CORES = 0.9
-"""Share of a processor core below which a member leaves the lead to others if it can."""
+__all__ = ["MemberSettings"]
 
 
 class MemberSettings(msgspec.Struct, frozen=True):
@@ -16,9 +14,14 @@
     name: str
     rpc_address: str
     jobs: JobSettings
-    cores: float = 1.0
-    """Share of a processor core that it may use: weak members leave the lead to others."""
+    limits: MachineLimits = MachineLimits()
+    """What its machine gives it: weak members leave the lead to others."""
     fail_closed: bool = False
     """Whether callers are refused once the configuration has not been confirmed for a while."""
     revoke_after: float = 5.0
     """Seconds after which it counts as not confirmed."""
+
+    @property
+    def standing(self) -> float:
+        """Return how well its machine carries the lead."""
+        return standing(self.limits)
--- a/src/sablemount/control/members.py
+++ b/src/sablemount/control/members.py
@@ -8,9 +8,9 @@
 
 from sablemount.control.authority import AUTHORITY_LIMIT
 from sablemount.control.clock import monotonic
-from sablemount.control.member_settings import ENOUGH_CORES
 from sablemount.control.messages import Ping
 from sablemount.control.network import Link
+from sablemount.control.standing import FULL, clearly_better
 
 __all__ = ["Members"]
 
@@ -23,6 +23,11 @@
 """Seconds after a leadership's begin within which members tell how many its predecessor counted."""
 SUCCESSOR_AGE = 0.5
 """Seconds since its start after which a member may be asked to take over."""
+BEST_INTERVAL = 0.1
+"""Seconds for which the best standing is kept: each member's ping asks for it."""
+SETTLED_AGE = 3.0
+"""Seconds since its start after which the lead is handed to a member without need: one that is
+started again and again would have it each time."""
 
 
 @dataclass(slots=True)
@@ -32,7 +37,7 @@
     link: Link
     heard_at: float
     uptime: float
-    cores: float
+    standing: float
     stopping: bool
 
 
@@ -47,6 +52,8 @@
         self._counted: set[str] = set()
         self.size = max(1, size)
         """How many members there are, this one included."""
+        self._best = FULL
+        self._best_at = -BEST_INTERVAL
 
     def pinged(self, link: Link, ping: Ping) -> None:
         """Take a member's sign of life."""
@@ -55,7 +62,7 @@
         self._heard_at[ping.name] = now
         if now - self._since < JOIN_TIME:
             self.size = max(self.size, ping.cell)
-        self._rows[ping.name] = _Member(link, now, ping.uptime, ping.cores, ping.stopping)
+        self._rows[ping.name] = _Member(link, now, ping.uptime, ping.standing, ping.stopping)
 
     def link_closed(self, link: Link) -> None:
         """Forget the member at the other end, unless it has a newer link."""
@@ -105,17 +112,36 @@
     def successors(self) -> list[tuple[str, Link]]:
         """Return the members and links in the order in which they are asked to take over.
 
-        Of those that are strong enough, the one that started last goes first: when all are stopped
-        in turn, it has had its turn. One that is being stopped itself is left out.
+        Of those that carry the lead best, the one that started last goes first: when all are
+        stopped in turn, it has had its turn. One that is being stopped itself is left out.
         """
         grown = [
             (name, row)
             for name, row in self._rows.items()
             if row.uptime > SUCCESSOR_AGE and not row.stopping
         ]
-        grown.sort(key=lambda pair: (pair[1].cores < ENOUGH_CORES, pair[1].uptime))
+        grown.sort(key=lambda pair: (-pair[1].standing, pair[1].uptime))
         return [(name, row.link) for name, row in grown]
 
+    def best_standing(self) -> float:
+        """Return the highest standing of the members that could take over; ``FULL`` without one."""
+        now = monotonic()
+        if now - self._best_at >= BEST_INTERVAL:
+            self._best_at = now
+            rows = self._rows.values()
+            there = (row for row in rows if now - row.heard_at < HEARD_WITHIN and not row.stopping)
+            self._best = max((row.standing for row in there), default=FULL)
+        return self._best
+
+    def better(self, own: float) -> list[tuple[str, Link]]:
+        """Return the members that stand clearly higher than the leader, and have for a while."""
+        rows = self._rows
+        return [
+            (name, link)
+            for name, link in self.successors()
+            if clearly_better(rows[name].standing, own) and rows[name].uptime > SETTLED_AGE
+        ]
+
     def close_links(self) -> None:
         """Close all links."""
         for row in list(self._rows.values()):
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sablemount.control.standing import FULL
 from sablemount.jobs.model import Configuration, JobSpec
 
 __all__ = [
@@ -74,8 +75,8 @@
     epoch: int
     uptime: float = 0.0
     """Seconds since the member's process started."""
-    cores: float = 1.0
-    """Share of a processor core that the member may use."""
+    standing: float = FULL
+    """How well the member's machine carries the lead."""
     stopping: bool = False
     """Whether the member is being stopped, so that it can't take over."""
     roster: int = 0
@@ -173,6 +174,8 @@
     """Whether the leader wants the member's, which is newer."""
     cell: int = 0
     """How many members the leader counts, itself included; 0 if the ping has told that number."""
+    best: float = FULL
+    """Standing of the best member that could take over."""
 
 
 class LeaderView(msgspec.Struct, frozen=True, tag=True):
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -21,6 +21,15 @@
 STORE_LOST_AFTER = 0.2
 """Seconds for which the store may owe the leader an answer, 50 times a usual one; a claim is due
 only if the store answers this member in its usual time, which is tried first."""
+LATE = 0.1
+"""Seconds above which an answer was late: 20 times a usual one."""
+LATE_FACTOR = 3.0
+"""By how much more than its late answers a late leader may stay silent: the queue of its link or
+core grows from answer to answer, and one that has gone stops at once."""
+MOST_LATE = 1.0
+"""Seconds that this adds at most: callers are refused meanwhile if it has gone."""
+LATE_FADES = 0.9
+"""What each answer leaves of an earlier one's lateness: half of it after a second."""
 ALONE_AFTER = 4.0
 """Seconds of suspicion after which a member that hears nobody else claims all the same."""
 
@@ -49,10 +58,13 @@
     store_lost_since: float = NEVER
     store_silent: float = 0.0
     """For how long the store owed the leader an answer when it was last heard."""
+    took: float = 0.0
+    """How long the leader's late answers took of late."""
 
-    def heard(self, pong: Pong, now: float) -> None:
-        """Take an answer of the leader."""
+    def heard(self, pong: Pong, now: float, took: float = 0.0) -> None:
+        """Take an answer of the leader that took some seconds."""
         self.heard_at = now
+        self.took = max(took, self.took * LATE_FADES)
         self.refused_since = NEVER
         busy = pong.leading or pong.loading
         self.idle_since = NEVER if busy else self._first(self.idle_since, now)
@@ -60,6 +72,10 @@
         lost = pong.leading and pong.store_silent > STORE_LOST_AFTER
         self.store_lost_since = self._first(self.store_lost_since, now) if lost else NEVER
 
+    def lateness(self) -> float:
+        """Return the seconds that the next answer may take beyond the usual."""
+        return min(MOST_LATE, LATE_FACTOR * self.took) if self.took > LATE else 0.0
+
     def refused(self, now: float) -> None:
         """Take that nothing listens at the leader's address."""
         self.refused_since = self._first(self.refused_since, now)
@@ -77,7 +93,7 @@
         silent = self.heard_age(now)
         if self.refused_since != NEVER and now - self.refused_since > REFUSED_AFTER + patience:
             return ClaimReason.REFUSED
-        if silent > SILENT_AFTER + patience:
+        if silent > SILENT_AFTER + self.lateness() + patience:
             return ClaimReason.SILENT
         if self.idle_since != NEVER and now - self.idle_since > IDLE_AFTER + patience:
             return ClaimReason.IDLE
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from sablemount.control.member_settings import MemberSettings
+from sablemount.control.standing import MachineLimits
 from sablemount.jobs.settings import JobSettings
 
 __all__ = ["BootSettings", "SettingsFault", "load", "member_settings"]
@@ -46,11 +47,14 @@
     quota_overage: float = 0.0
 
 
-class MachineLimits(_Wire, frozen=True):
+class Limits(_Wire, frozen=True):
     """What the machine gives: ``cores`` times as fast, for ``cpu_share`` of the time."""
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
+    link_mbps: float = 0.0
 
 
 class Service(_Wire, frozen=True):
@@ -72,7 +76,7 @@
     advice: str | None = None
     bounds: Bounds = Bounds()
     contracts: tuple[str, ...] = ()
-    limits: MachineLimits = MachineLimits()
+    limits: Limits = Limits()
 
     @property
     def keyed(self) -> bool:
@@ -113,12 +117,15 @@
         record_bytes=boot.platform.record_bytes,
         call_bytes=boot.platform.call_bytes,
     )
-    cores = boot.limits.cpu_share * boot.limits.cores
+    given = boot.limits
+    limits = MachineLimits(
+        given.cpu_share * given.cores, given.link_mbps, given.max_fds, given.memory_mb
+    )
     return MemberSettings(
         boot.node_name,
         f"{boot.ip}:{boot.port_range[0]}",
         jobs,
-        cores,
+        limits,
         bounds.fail_closed,
         bounds.revoke_ms / MS,
     )
--- a/tests/jobs/test_suspicion.py
+++ b/tests/jobs/test_suspicion.py
@@ -39,3 +39,28 @@
     assert seen.reason(1.2, PATIENCE) == ClaimReason.STORE_LOST
     seen.heard(Pong(1, True, 0.0), 1.3)
     assert seen.reason(1.3, PATIENCE) is None
+
+
+def test_a_leader_whose_answers_come_later_and_later_is_not_taken_to_have_gone() -> None:
+    """Its link or core is full; it was replaced for 0.65 to 0.79 s of silence, and had not gone."""
+    seen = Suspicion(0.0)
+    now = 0.0
+    for took in (0.01, 0.15, 0.25, 0.4, 0.6, 0.79):
+        assert seen.reason(now + took, PATIENCE) is None
+        now += took
+        seen.heard(Pong(1, True, 0.0), now, took)
+
+
+def test_a_leader_that_falls_silent_at_once_is_suspected_as_soon_as_ever() -> None:
+    seen = Suspicion(0.0)
+    for tick in range(40):
+        seen.heard(Pong(1, True, 0.0), tick * 0.15, 0.02)
+    assert seen.reason(39 * 0.15 + 0.71, PATIENCE) == ClaimReason.SILENT
+
+
+def test_lateness_is_forgotten_once_answers_are_in_time_again() -> None:
+    seen = Suspicion(0.0)
+    seen.heard(Pong(1, True, 0.0), 0.0, 0.8)
+    for tick in range(1, 27):
+        seen.heard(Pong(1, True, 0.0), tick * 0.15, 0.005)
+    assert seen.reason(26 * 0.15 + 0.71, PATIENCE) == ClaimReason.SILENT
