--- a/src/sablemount/jobs/systems/headroom.py
+++ b/src/sablemount/jobs/systems/headroom.py
@@ -15,12 +15,11 @@
 INTERVAL = 0.1
 """Seconds between two looks at all that runs: rounds are up to fifty a second."""
 FADES = 0.05
-"""Share of the room used at once that is forgotten in a second while less is used: a burst that
-has gone leaves its room to others within some ten seconds."""
+"""Share of the room used at once that is forgotten in a second while less is used: half of a burst
+after 14 s."""
 MOST_HELD = 0.05
 """Share of all cores that is left free at most: urgent work beyond it has room made for it, and
-work that others wait for in vain is a loss too."""
-
+room that others wait for in vain is a loss too."""
 LEAST_HELD = 1_000.0
 """Cores (thousandths) below which no VM is held."""
 LEAST_LEFT = 0.5
--- a/src/sablemount/jobs/systems/speeds.py
+++ b/src/sablemount/jobs/systems/speeds.py
@@ -59,8 +59,8 @@
 LATE_COST = 6.0
 """Cost of a VM on which a step is late, where a free VM costs 2 and a far one 10."""
 FAST_COST = 3.0
-"""Cost of a VM for each time that it is faster than another, for work that has time: it is kept for
-work that has not."""
+"""Cost of a VM that is 2.7 times as fast as another, beside that: it is kept for work without
+time."""
 LEAST_LEFT = 0.05
 """Seconds to its objective below which a step is late on any VM."""
 
@@ -86,12 +86,14 @@
 
 
 class Speeds:
-    """Estimates speeds, and tells which VMs are fast enough for a step."""
+    """Estimates speeds, and tells which VMs are fast enough for a step.
+
+    ``note`` has a VM's record written anew.
+    """
 
     def __init__(self, state: State, note: Callable[[VmRow], None]) -> None:
         self._state = state
         self._note = note
-        """Has a VM's record written anew."""
         self._found: dict[str, _Estimate] = {}
         """By machine, whose speed outlasts its lives, or by VM where no machine is told."""
         self._trusted: dict[str, float] = {}
