--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -88,11 +88,8 @@
 
     @property
     def contended(self) -> bool:
-        """Tell whether work competes in a way that priorities and objectives do not settle.
-
-        So it is where organisations share the cell, or where VMs are uneven.
-        """
-        return bool(self.organisations) or self.uneven
+        """Tell whether organisations compete for the cell, which priorities alone do not settle."""
+        return bool(self.organisations)
 
     # -- Output ------------------------------------------------------------------------------
 
