--- a/src/sablemount/control/standing.py
+++ b/src/sablemount/control/standing.py
@@ -12,10 +12,9 @@
 __all__ = ["FULL", "MachineLimits", "claim_delay", "clearly_better", "standing"]
 
 ENOUGH_CORES = 0.9
-"""Share of a processor core with which a leader of 41 members and 176 VMs keeps up."""
+"""Share of a processor core with which a leader of some 200 VMs keeps up."""
 ENOUGH_LINK = 50.0
-"""Mbit/s with which its link has no queue: it sends 7 on average, and bursts of several times that
-as a step of a hundred tasks is placed."""
+"""Mbit/s with which its link has no queue while a step of a hundred tasks is placed."""
 ENOUGH_DESCRIPTORS = 2_000
 """Descriptors that it keeps open: those to the VMs, the members, the store and its callers."""
 ENOUGH_MEMORY = 96.0
@@ -56,7 +55,7 @@
         * _share(limits.descriptors, ENOUGH_DESCRIPTORS)
         * _share(limits.memory, ENOUGH_MEMORY)
     )
-    # The very object is left out of messages.
+    # A message leaves a field out only if it is the very object that is its default.
     return FULL if found >= FULL else max(LEAST, found)
 
 
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -24,8 +24,8 @@
 LATE = 0.1
 """Seconds above which an answer was late: 20 times a usual one."""
 LATE_FACTOR = 3.0
-"""By how much more than its late answers a late leader may stay silent: the queue of its link or
-core grows from answer to answer, and one that has gone stops at once."""
+"""How many times what its late answers took a leader may be silent for beyond the usual: the queue
+of its link or core grows from answer to answer, and one that has gone stops at once."""
 MOST_LATE = 1.0
 """Seconds that this adds at most: callers are refused meanwhile if it has gone."""
 LATE_FADES = 0.9
@@ -59,7 +59,7 @@
     store_silent: float = 0.0
     """For how long the store owed the leader an answer when it was last heard."""
     took: float = 0.0
-    """How long the leader's late answers took of late."""
+    """Seconds that its answers took of late, at most; earlier ones count less and less."""
 
     def heard(self, pong: Pong, now: float, took: float = 0.0) -> None:
         """Take an answer of the leader that took some seconds."""
