VMs are uneven where fifths of them are twice apart for a second

Now a sixth that a fault slows makes no cell uneven, and a few ends by chance don't. Weighed: quarters (a third of slow VMs is seen late), 8 s of steadiness (the first seconds of the uneven deployment are lost).

--- a/src/sablemount/jobs/systems/speeds.py
+++ b/src/sablemount/jobs/systems/speeds.py
@@ -43,14 +43,16 @@
 INTERVAL = 0.5
 """Seconds between two judgements of whether the VMs are uneven."""
 LEAST_KNOWN = 18
-"""VMs whose speeds have to be known for that: of fewer, a sixth is one or two that differ by
+"""VMs whose speeds have to be known for that: of fewer, a fifth is one or two that differ by
 chance."""
-UNEVEN = math.log(1.8)
-"""From where on VMs are taken to be uneven, between the slowest and the fastest sixth: an objective
-of 1.5 times the work bears less."""
-EVEN = math.log(1.5)
+UNEVEN = math.log(2.0)
+"""From where on VMs are taken to be uneven, between the slowest and the fastest fifth: an objective
+of 1.5 times the work bears less, and VMs that differ by that differ by more now and then."""
+EVEN = math.log(1.6)
 """Below which they are taken to be even again."""
-SIXTH = 6
+STEADY = 1.0
+"""Seconds for which they have to differ so, since a few ends may say so by chance."""
+FIFTH = 5
 MARGIN = math.log(1.2)
 """By how much a task may take longer than expected on a VM that is good enough for it."""
 SPAN = math.log(1.5)
@@ -109,6 +111,8 @@
         """How far expected times are off of late, as a logarithm."""
         self._middle = 0.0
         """Between the slow VMs and the fast ones."""
+        self._steady_at = state.now + STEADY
+        """When VMs are taken to be uneven if they differ until then."""
 
     # -- Learning ----------------------------------------------------------------------------
 
@@ -168,13 +172,15 @@
         for key in self._found.keys() - keys - self._trusted.keys():
             del self._found[key]
         known = sorted(self._trusted[key] for key in keys & self._trusted.keys())
-        sixth = len(known) // SIXTH
-        between = known[-1 - sixth] - known[sixth] if len(known) >= LEAST_KNOWN else 0.0
-        self._middle = (known[-1 - sixth] + known[sixth]) / 2 if known else 0.0
+        part = len(known) // FIFTH
+        between = known[-1 - part] - known[part] if len(known) >= LEAST_KNOWN else 0.0
+        self._middle = (known[-1 - part] + known[part]) / 2 if known else 0.0
         self.ratio = math.exp(between)
-        uneven = between > (EVEN if self._state.uneven else UNEVEN)
-        if uneven != self._state.uneven:
-            self._state.uneven = uneven
+        if between <= UNEVEN:
+            self._steady_at = state.now + STEADY
+        uneven = between > EVEN if state.uneven else state.now >= self._steady_at
+        if uneven != state.uneven:
+            state.uneven = uneven
             state.freed += 1
             extra = {"uneven": uneven, "ratio": round(self.ratio, 2), "known": len(known)}
             state.logger.info("speeds of VMs", extra=extra)
@@ -194,9 +200,13 @@
                 self._note(row)
 
     def restore(self, row: VmRow) -> None:
-        """Take the speed that a VM's record has, until it is learned anew."""
+        """Take the speed that a VM's record has, until it is learned anew.
+
+        A former leader has noted it since VMs were uneven then.
+        """
         if row.noted_speed:
             now = self._state.now
+            self._steady_at = now
             self._found[_key(row)] = _Estimate(row.noted_speed, RESTORED_WEIGHT, now)
 
     def _goes_on(self, key: str) -> bool:
