--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -33,8 +33,6 @@
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
-CORE = 1000.0
-"""Thousandths of a core."""
 CONFIRMATIONS = 4
 """How often the configuration is confirmed in the time after which it would count as not so."""
 
@@ -167,9 +165,6 @@
             figures["vms"] = float(len(state.vms))
             figures["runs"] = float(sum(len(row.runs) for row in state.vms.values()))
             speeds = leader.scheduler.speeds
-            placement = leader.scheduler.placement
-            figures["late_steps"] = float(placement.order.late())
-            figures["headroom_cores"] = placement.headroom.wanted / CORE
             figures["vm_speed_ratio"] = speeds.ratio
             figures["vms_uneven"] = float(state.uneven)
             figures["expected_time_error"] = speeds.error
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -86,11 +86,6 @@
         self.logger = logging.getLogger("sablemount.jobs")
         self.run_logger = logging.getLogger(RUN_LOGGER)
 
-    @property
-    def contended(self) -> bool:
-        """Tell whether organisations compete for the cell, which priorities alone do not settle."""
-        return bool(self.organisations)
-
     # -- Output ------------------------------------------------------------------------------
 
     def emit(self, action: Action) -> None:
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -10,8 +10,6 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.choice import Assignment, Choice
-from sablemount.jobs.systems.headroom import Headroom
-from sablemount.jobs.systems.order import Order
 from sablemount.jobs.systems.reservation import Reservation
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.starts import Starts
@@ -48,8 +46,6 @@
         self._advice = advice
         self._starts = starts
         self._speeds = speeds
-        self.order = Order(state)
-        self.headroom = Headroom(state, speeds)
         self._trials = Trials(state)
         self._choice = Choice(state, advice, self._trials, speeds)
         self._looked_at = -RETRY_INTERVAL
@@ -74,7 +70,6 @@
         self._most = _most_room(usable)
         self._trials.begin(usable)
         self._reservation.begin()
-        self.headroom.begin(usable)
         self._caps.begin()
         for step in self.in_order():
             if not step.waiting:
@@ -86,7 +81,10 @@
 
     def in_order(self) -> list[StepRow]:
         """Return the open steps, the most urgent first."""
-        return self.order.sorted()
+        return sorted(self._state.open_steps.values(), key=self._order)
+
+    def _order(self, step: StepRow) -> tuple[int, float]:
+        return (self._state.terms_of(step.job).priority, step.job.objective_at)
 
     def usable_rows(self) -> list[VmRow]:
         """Return the VMs that may get new work at all."""
@@ -157,14 +155,13 @@
         now = self._state.now
         priority = self._state.terms_of(step.job).priority
         good = None if step.advice is None else step.advice.good
-        found = [
+        return [
             row
             for row in self._candidates(step, usable)
             if (good is None or row.name in good)
             and not row.kept_from(step, priority, now)
             and row.trial in ("", step.job.name)
         ]
-        return self.headroom.left_to(step, found)
 
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the usable VMs of a step's pool and label, found once a round."""
