--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -35,7 +35,14 @@
 
 
 class CutShort(Exception):
-    """The request may have arrived, and no whole answer came."""
+    """The request may have arrived, and no whole answer came.
+
+    ``received`` is how many bytes of its body did.
+    """
+
+    def __init__(self, reason: str, received: int = 0) -> None:
+        super().__init__(reason)
+        self.received = received
 
 
 def _is_refusal(error: Exception) -> bool:
@@ -72,6 +79,11 @@
         self.status = start_line.code
         self.headers = headers
 
+    @property
+    def received(self) -> int:
+        """Return how many bytes of the body have come."""
+        return sum(len(chunk) for chunk in self.chunks)
+
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
         self.chunks.append(chunk)
@@ -188,9 +200,10 @@
             iostream.StreamClosedError,
             httputil.HTTPInputError,
         ) as error:
-            raise CutShort(type(error).__name__) from error
+            raise CutShort(type(error).__name__, collector.received) from error
         if not collector.complete:
-            raise CutShort("the connection closed before the end of the answer")
+            reason = "the connection closed before the end of the answer"
+            raise CutShort(reason, collector.received)
         return Answer(collector.status, collector.headers, b"".join(collector.chunks))
 
     async def _take(self, address: str, deadline: float) -> iostream.IOStream:
--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -25,6 +25,7 @@
 """Seconds between two reads, so that changes that come one by one are read together."""
 RETRY_PAUSE = 0.15
 """Seconds after a failure until the next try; half as long again after each further one."""
+NO_PAGE = "no page in time"
 MAX_PAUSE = 0.5
 """Seconds between two tries at most, so that the end of an outage is seen soon."""
 
@@ -37,8 +38,8 @@
 
 async def read_newest(
     store: Store, topic: Topic, timeout: float, interval: float, limit: float
-) -> tuple[list[PageItem], int] | None:
-    """Return the newest record of each key, and from where to read on; ``None`` without an answer.
+) -> tuple[list[PageItem], int] | Unavailable:
+    """Return the newest record of each key, and from where to read on.
 
     Each page is asked for again every ``interval`` seconds up to ``limit``: what was read of the
     others is kept, and many pages may take longer. They are no snapshot: what changed after the
@@ -48,9 +49,10 @@
     after = ""
     end = -1
     while True:
-        page = await hedged(lambda at=after: _page(store, topic, at, timeout), interval, limit)  # type: ignore[misc]
+        tries = _Tries(store, topic, after, timeout)
+        page = await hedged(tries.page, interval, limit)
         if page is None:
-            return None
+            return tries.failed
         items.extend(page.items)
         end = page.end if end < 0 else end
         last = page.items[-1].record.key if page.items else after
@@ -59,9 +61,23 @@
         after = last
 
 
-async def _page(store: Store, topic: Topic, after: str, timeout: float) -> Page | None:
-    page = await store.newest(topic, after, timeout)
-    return None if isinstance(page, Unavailable) else page
+class _Tries:
+    """Tries of one page; ``failed`` is what became of the one that ended last without it."""
+
+    def __init__(self, store: Store, topic: Topic, after: str, timeout: float) -> None:
+        self._store = store
+        self._topic = topic
+        self._after = after
+        self._timeout = timeout
+        self.failed = Unavailable(NO_PAGE)
+
+    async def page(self) -> Page | None:
+        """Read the page once."""
+        page = await self._store.newest(self._topic, self._after, self._timeout)
+        if isinstance(page, Unavailable):
+            self.failed = page
+            return None
+        return page
 
 
 class Follower:
@@ -107,10 +123,10 @@
         newest = await read_newest(
             self._store, self._topic, PAGE_TIMEOUT, PAGE_INTERVAL, PAGE_LIMIT
         )
-        if newest is None:
-            self._note(False)
+        if isinstance(newest, Unavailable):
+            self._failed(newest, asked_at)
             return False
-        self._note(True)
+        self._answers()
         items, end = newest
         self._on_all(items, end)
         self._on_answer(asked_at)
@@ -122,9 +138,9 @@
             asked_at = monotonic()
             result = await self._store.read(self._topic, end, min(left, self._longest_wait))
             if isinstance(result, Unavailable):
-                self._note(False)
+                self._failed(result, asked_at)
                 return False
-            self._note(True)
+            self._answers()
             if not isinstance(result, Records):
                 return True
             if result.records:
@@ -135,8 +151,19 @@
                 await asyncio.sleep(GATHER_PAUSE)
         return True
 
-    def _note(self, reachable: bool) -> None:
-        if reachable != self._reachable:
-            self._reachable = reachable
-            text = "store answers" if reachable else "store does not answer"
-            _logger.info(text, extra={"topic": self._topic.value})
+    def _answers(self) -> None:
+        if self._reachable is not True:
+            self._reachable = True
+            _logger.info("store answers", extra={"topic": self._topic.value})
+
+    def _failed(self, failed: Unavailable, asked_at: float) -> None:
+        if self._reachable is False:
+            return
+        self._reachable = False
+        extra = {
+            "topic": self._topic.value,
+            "why": failed.reason,
+            "received": failed.received,
+            "seconds": round(monotonic() - asked_at, 3),
+        }
+        _logger.info("store does not answer", extra=extra)
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -9,6 +9,7 @@
 from sablemount.control.caller_route import CallerRoute
 from sablemount.control.clock import monotonic, set_within
 from sablemount.control.configuration_feed import ConfigurationFeed
+from sablemount.control.counted_store import CountedStore
 from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
 from sablemount.control.figures import Figures
@@ -50,10 +51,12 @@
         rng: random.Random,
     ) -> None:
         self.settings = settings
+        self.figures = Figures()
+        store = CountedStore(ports.store, self.figures)
+        ports = LeaderPorts(store, ports.vms, ports.advice, ports.codec)
         self.ports = ports
         self.leader: Leader | None = None
         self.stopping = False
-        self.figures = Figures()
         self._rng = rng
         self._network = network
         self._listener: Listener | None = None
--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -5,13 +5,14 @@
 """
 
 import asyncio
+import logging
 
 import msgspec
 
 from sablemount.control.clock import monotonic
 from sablemount.control.follow import read_newest
 from sablemount.control.hedge import hedged
-from sablemount.control.store import Records, Store, Topic
+from sablemount.control.store import Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
 
 __all__ = ["Preload", "Reading", "load_records"]
@@ -26,6 +27,9 @@
 """Seconds for which pages are worth bringing up to date: a change of leader in a slow store."""
 
 
+_logger = logging.getLogger("sablemount.control.preload")
+
+
 class Reading(msgspec.Struct, frozen=True):
     """The newest record of each key, and the offset from where to read on."""
 
@@ -75,7 +79,9 @@
 
 async def _newest(store: Store) -> Reading | None:
     loaded = await read_newest(store, Topic.JOBS, PAGE_TIMEOUT, INTERVAL, LIMIT)
-    if loaded is None:
+    if isinstance(loaded, Unavailable):
+        extra = {"why": loaded.reason, "received": loaded.received}
+        _logger.info("records not read", extra=extra)
         return None
     items, end = loaded
     return Reading([item.record for item in items], end)
--- a/src/sablemount/control/store.py
+++ b/src/sablemount/control/store.py
@@ -70,10 +70,14 @@
 
 
 class Unavailable(msgspec.Struct, frozen=True):
-    """No usable answer; if ``certain``, nothing was done."""
+    """No usable answer; if ``certain``, nothing was done.
+
+    ``received`` is how many bytes of an answer came.
+    """
 
     reason: str
     certain: bool = False
+    received: int = 0
 
 
 AppendResult: TypeAlias = Appended | Fenced | WrongSequence | Conflict | Unavailable
--- a/src/sablemount/platform/store.py
+++ b/src/sablemount/platform/store.py
@@ -168,7 +168,7 @@
         except NotSent as error:
             return Unavailable(str(error), certain=True)
         except CutShort as error:
-            return Unavailable(str(error))
+            return Unavailable(str(error), received=error.received)
 
 
 def _decode_newest(body: bytes) -> _Newest:
