--- /dev/null
+++ b/tests/emulator/narrow.py
@@ -0,0 +1,86 @@
+"""A member's link that carries so many bytes a second, and the store behind it."""
+
+import asyncio
+import math
+
+import msgspec
+
+from sablemount.control.progress import Progress
+from sablemount.control.store import Page, ReadResult, Records, Topic, Unavailable
+from tests.emulator.store import EmulatedStore, StoreState
+
+__all__ = ["NarrowLink", "NarrowStore"]
+
+PART = 16_384
+"""Bytes that one answer gets of the link before another has its turn."""
+BASE64 = 4 / 3
+
+
+class NarrowLink:
+    """Shares its bytes a second evenly among the answers that are on their way."""
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self.bytes_per_second = bytes_per_second
+        self.carried = 0
+        self.silent = False
+        """Whether what is on its way comes no further."""
+        self._turn = asyncio.Lock()
+
+    async def carry(self, size: int, progress: Progress | None, silence: float) -> bool:
+        """Bring an answer; return whether it came without a pause longer than ``silence``."""
+        for _ in range(math.ceil(size / PART)):
+            try:
+                async with asyncio.timeout(silence):
+                    await self._part()
+            except TimeoutError:
+                return False
+            if progress is not None:
+                progress.arrived(PART)
+        return True
+
+    async def _part(self) -> None:
+        if self.silent:
+            await asyncio.Event().wait()
+        async with self._turn:
+            await asyncio.sleep(PART / self.bytes_per_second)
+            self.carried += PART
+
+
+class NarrowStore(EmulatedStore):
+    """The store behind a narrow link: what it answers takes its time there.
+
+    A reader that follows no progress waits for the whole answer up to its time-out.
+    """
+
+    def __init__(self, state: StoreState, member: str, link: NarrowLink) -> None:
+        super().__init__(state, member)
+        self._link = link
+
+    async def newest(
+        self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+    ) -> Page | Unavailable:
+        page = await super().newest(topic, after, timeout)
+        if isinstance(page, Unavailable):
+            return page
+        size = sum(len(item.record.key) + len(item.record.value) for item in page.items)
+        came = await self._bring(math.ceil(size * BASE64), progress, timeout)
+        return page if came else Unavailable("no answer in time")
+
+    async def read(
+        self, topic: Topic, offset: int, wait: float, progress: Progress | None = None
+    ) -> ReadResult:
+        found = await super().read(topic, offset, wait)
+        if not isinstance(found, Records):
+            return found
+        size = len(msgspec.msgpack.encode(found.records))
+        came = await self._bring(size, progress, 0.8)
+        return found if came else Unavailable("no answer in time")
+
+    async def _bring(self, size: int, progress: Progress | None, timeout: float) -> bool:
+        if progress is not None:
+            return await self._link.carry(size, progress, timeout)
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._link.carry(size, None, timeout)
+        except TimeoutError:
+            return False
