A leader reads the configuration once, by the reader that every member has

Cause: beside the member's own reader a leader had another one of the same topic, which listed all each second. 1.1 MB a second are more than such a link carries, so that nothing else came over it, the load of its records included. The mend: the member's reader asks each second while this process leads, which costs a short question where nothing has changed; a long read is not followed by a list of what it brought. tests/jobs/test_narrow_cell.py: members behind links of 5 Mbit/s, a configuration of 0.72 MB.

--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -29,17 +29,9 @@
 """Seconds between two tries at most, so that the end of an outage is seen soon."""
 LIST_SHARE = 4.0
 """How many times as long as a list took the next one is at least away: a link has other uses."""
-QUIET = 0.5
-"""Seconds without a record after which it is asked whether one was missed before all are read."""
-MAX_PAUSE = 0.5
-"""Seconds between two tries at most, so that the end of an outage is seen soon."""
-LIST_SHARE = 4.0
-"""How many times as long as a list took the next one is at least away: a link has other uses."""
-QUIET = 0.5
-"""Seconds without a record after which it is asked whether one was missed before all are read."""
-LAST_KEY = "\U0010ffff"
-"""What no key follows."""
-NO_PAGE = "no page in time"
+BUSY_READS = 4
+"""Reads with records since the last fresh start from which on a topic goes on growing while it is
+asked where it ends."""
 
 _logger = logging.getLogger("sablemount.control.follow")
 
@@ -77,8 +69,8 @@
         self._reachable: bool | None = None
         self._end: int | None = None
         """Where to read on; ``None`` before all was read."""
-        self._changed_at = monotonic()
-        """When records last came."""
+        self._changes = 0
+        """Reads with records since the last fresh start."""
         self._patience = 1
         """How many times the usual limit the next list has: it grows while lists fail."""
         self._reading: asyncio.Future[ReadResult] | None = None
@@ -113,8 +105,8 @@
         return await self._read_on(max(self._fresh_start, LIST_SHARE * took))
 
     async def _missed_nothing(self) -> bool:
-        """Tell whether the topic ends where reading it has led; not asked while it changes."""
-        if self._end is None or monotonic() - self._changed_at < QUIET:
+        """Tell whether the topic ends where reading it has led; not asked while it is busy."""
+        if self._end is None or self._changes >= BUSY_READS:
             return False
         end = await topic_end(self._store, self._topic, PAGE_INTERVAL, PAGE_LIMIT)
         return end == self._end
@@ -134,6 +126,7 @@
     async def _read_on(self, seconds: float) -> bool:
         """Read what follows for some seconds; return whether the store answered."""
         last = monotonic() + seconds
+        self._changes = 0
         while (left := last - monotonic()) > 0:
             asked_at = monotonic()
             result = await self._read(min(left, self._longest_wait))
@@ -148,7 +141,7 @@
                 return True
             if result.records:
                 self._end = result.end
-                self._changed_at = monotonic()
+                self._changes += 1
                 self._on_records(result.records, result.end)
             self._on_answer(asked_at)
             if result.records:
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -189,18 +189,8 @@
             await asyncio.sleep(LOAD_PAUSE)
 
     def _follow(self) -> None:
-        store = self.ports.store
         self._stop_listening = self._feed.listen(self._configured)
-        config = Follower(
-            store,
-            Topic.CONFIGURATION,
-            self._feed.listed,
-            self._feed.told,
-            FRESH_START,
-            self._feed.confirmed,
-        )
-        vms = Follower(store, Topic.VMS, self._vms_listed, self._vms_told, FRESH_START)
-        self._background.spawn(config.run())
+        vms = Follower(self.ports.store, Topic.VMS, self._vms_listed, self._vms_told, FRESH_START)
         self._background.spawn(vms.run())
 
     def _failed(self, error: BaseException) -> None:
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -30,6 +30,8 @@
 
 WATCH_FRESH_START = 8.0
 """Seconds after which who leads is listed anew: its record may be dropped before it was read."""
+LEADING_FRESH_START = 1.0
+"""The same for the configuration while this process leads: members ask it what is in force."""
 WATCH_INTERVAL = 0.05
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
@@ -101,9 +103,14 @@
             self.feed.told,
             WATCH_FRESH_START,
             self.feed.confirmed,
-            settings.revoke_after / CONFIRMATIONS if settings.fail_closed else float("inf"),
+            self._longest_wait(),
         )
 
+    def _longest_wait(self) -> float:
+        """Return for how many seconds a read of the configuration may wait for a new one."""
+        settings = self.settings
+        return settings.revoke_after / CONFIRMATIONS if settings.fail_closed else float("inf")
+
     # -- Life --------------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -216,6 +223,9 @@
             self._link.cell,
         )
         self.leader = leader
+        self._configurations.pace(
+            LEADING_FRESH_START, min(LEADING_FRESH_START, self._longest_wait())
+        )
         record = self._link.record
         assert record is not None
         announcing = self._background.spawn(
@@ -228,6 +238,7 @@
             announcing.cancel()
             relieving.cancel()
             self.leader = None
+            self._configurations.pace(WATCH_FRESH_START, self._longest_wait())
             self._link.cell = leader.members.size
             self._election.rest()
             leader.members.close_links()
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -4,7 +4,7 @@
 import contextvars
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import pairwise
 
@@ -32,7 +32,9 @@
 from sablemount.platform.workers import PlatformAdvice
 from tests.emulator.advice import AdviceNetwork, EmulatedAdvice
 from tests.emulator.loop import OWNER, resume, suspend
+from tests.emulator.narrow import NarrowLink, NarrowStore
 from tests.emulator.network import Wires
+from tests.emulator.store import EmulatedStore
 from tests.emulator.transit import DelayedStore, Transit
 from tests.emulator.vm import Vm
 from tests.emulator.vms import Cell, loop_time
@@ -106,6 +108,8 @@
         """Whether VMs that crash start again under their ids."""
         self.limits: dict[str, MachineLimits] = {}
         """What the machines of some members give them; the others have enough of everything."""
+        self.links: dict[str, NarrowLink] = {}
+        """Links of some members to the store; those of the others carry all at once."""
         self._life = 0
         self.cell.advised = advice
         self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
@@ -122,12 +126,16 @@
         prefix: str = PREFIX,
         organisations: tuple[Organisation, ...] | None = None,
         public: bool = False,
+        idle: int = 0,
     ) -> None:
-        """Write a configuration; callers need keys once it names organisations."""
+        """Write a configuration; callers need keys once it names organisations.
+
+        ``idle`` is how many queues it has that nobody calls.
+        """
         terms = QueueTerms("work", "pool", 0, self.cell.max_attempts, 2.0, 1000.0, self._advice)
         configuration = Configuration(
             version,
-            (Queue(HOST, prefix, terms, public),),
+            (Queue(HOST, prefix, terms, public), *_idle_queues(terms, idle)),
             keyed=organisations is not None,
             organisations=organisations or (),
             pools=frozenset({"pool"}),
@@ -206,7 +214,7 @@
         self._life += 1
         advice = EmulatedAdvice(lambda vm: self.cell.newest(vm).life)
         ports = LeaderPorts(
-            DelayedStore(self.store, name, self.transit),
+            self._store_of(name),
             WatchedVms(self.cell, self.watch, partial(self.wires.parted, name)),
             PlatformAdvice("advice", AdviceNetwork(advice)),  # type: ignore[arg-type]
             Codec(),
@@ -218,6 +226,12 @@
         self.members[name] = member
         member.start()
 
+    def _store_of(self, name: str) -> EmulatedStore:
+        link = self.links.get(name)
+        if link is None:
+            return DelayedStore(self.store, name, self.transit)
+        return NarrowStore(self.store, name, link)
+
     def start_all(self) -> None:
         for name in self.names:
             if name not in self.members:
@@ -441,4 +455,9 @@
         ]
 
 
+def _idle_queues(terms: QueueTerms, count: int) -> Iterator[Queue]:
+    for number in range(count):
+        yield Queue(f"idle{number}.example", f"/q{number}/", terms)
+
+
 Fault = Callable[["System"], None]
