The emulation's links may have a bandwidth

Frames of members pass links of so many bytes a second, one after the other and in each direction, by their encoded size; an answer takes its time of the link also if its caller waits no longer. Off unless a test asks for it, so that all other runs stay as they were.

--- a/tests/emulator/network.py
+++ b/tests/emulator/network.py
@@ -1,14 +1,39 @@
-"""Connections between emulated members, with cuts."""
+"""Connections between emulated members, with cuts, and with links of some bandwidth."""
 
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from sablemount.control.messages import Message, Reply
 from sablemount.control.network import CallFailed, Handler, Link
 
 DELAY = 0.0015
 
 
+class Pipe:
+    """One direction of a member's link: frames pass it one after the other."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        """Bytes a second."""
+        self.bytes = 0
+        """What has been sent into it so far."""
+        self._free_at = 0.0
+
+    def passed_at(self, size: int) -> float:
+        """Take a frame, and return when its last byte has passed."""
+        now = asyncio.get_running_loop().time()
+        self.bytes += size
+        self._free_at = max(now, self._free_at) + size / self.rate
+        return self._free_at
+
+    @property
+    def backlog(self) -> float:
+        """Return the seconds for which a frame that is sent now waits."""
+        return max(0.0, self._free_at - asyncio.get_running_loop().time())
+
+
 class MemoryLink:
     """One side of a connection."""
 
@@ -37,24 +62,27 @@
             await asyncio.wait([task, ended], timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
         finally:
             ended.cancel()
-            if not task.done():
+            if not task.done() and not self._network.limited:
+                # Over a link of some bandwidth an answer comes also if nobody awaits it any more.
                 task.cancel()
         if task.done() and not task.cancelled() and task.exception() is None:
             return task.result()
         raise CallFailed("no answer", True, closed=self.closed)
 
     async def _exchange(self, message: Message) -> Reply:
-        await self._travel()
+        await self._travel(message)
         other = self.other
         assert other is not None
         if other.closed:
             self.close()
             await asyncio.Event().wait()
         reply = await other._handler(other, message)
-        await other._travel()
+        await other._travel(reply)
         return reply
 
-    async def _travel(self) -> None:
+    async def _travel(self, frame: Message | Reply) -> None:
+        if self._network.limited and not self.closed:
+            await self._network.pass_links(self.here, self.there, frame)
         await asyncio.sleep(DELAY)
         if self.mute:
             await asyncio.Event().wait()
@@ -103,6 +131,28 @@
         self.listening: dict[str, _Listening] = {}
         self.silent: set[str] = set()
         self.cuts: set[frozenset[str]] = set()
+        self.out: dict[str, Pipe] = {}
+        """What members send passes these, if they have links of some bandwidth."""
+        self.into: dict[str, Pipe] = {}
+        """The same for what they are sent."""
+
+    @property
+    def limited(self) -> bool:
+        """Tell whether some member has a link of some bandwidth."""
+        return bool(self.out)
+
+    def limit(self, name: str, rate: float) -> None:
+        """Give a member a link of so many bytes a second in each direction."""
+        self.out[name] = Pipe(rate)
+        self.into[name] = Pipe(rate)
+
+    async def pass_links(self, here: str, there: str, frame: Message | Reply) -> None:
+        """Wait until a frame has passed its sender's link, and then its receiver's."""
+        size = len(msgspec.msgpack.encode(frame))
+        for pipe in (self.out.get(here), self.into.get(there)):
+            if pipe is not None:
+                left = pipe.passed_at(size) - asyncio.get_running_loop().time()
+                await asyncio.sleep(left)
 
     def parted(self, one: str, other: str) -> bool:
         if one in self.silent or other in self.silent:
