A configuration goes from process to process in parts

Callers of members behind links of 5 Mbit/s were refused for good after the configuration had grown to 4,245 queues, and in the end nobody was served: such a member asked the leader for the whole, some 0.8 MB in one answer, gave it 0.5 s where the link needs 1.4 s, and asked again. No answer was ever of use, the leader's link was full of answers that nobody awaited, its pings were late behind them, and it was taken for gone.

It now goes over compressed, in parts of 24 KB, each asked for once the one before is there. What has come is kept when a part is lost or the leader changes, since each process packs the same bytes, and dropped when the store brings the version. A process serves as many at a time as fill 0.1 s of its own link, in the order in which they came; others are told to ask again. So what is on its way is bounded by the link, whoever asks and however often. A leader that is behind asks a member in the same way. Callers whose member can't have the version in time are asked at once to come back. Older processes get and give the whole; what they are given is bounded too.

--- a/src/sablemount/control/caller_route.py
+++ b/src/sablemount/control/caller_route.py
@@ -83,6 +83,8 @@
             limit = UNCERTAIN_WAIT if uncertain else HAND_OVER_WAIT
             if not reply.changing or monotonic() - began > limit:
                 break
+            if not await self._feed.reach(reply.version, began + limit - monotonic()):
+                break
             await asyncio.sleep(HAND_OVER_POLL)
         if uncertain and reply.outcome in REFUSALS:
             return CallerReply(Outcome.UNKNOWN, reason=reply.reason)
@@ -106,8 +108,6 @@
         if self._settings.fail_closed and self._feed.age > self._settings.revoke_after:
             return not_taken(UNCONFIRMED)
         reply = await self._ask_leader(admitted, timeout)
-        if reply.version > admitted.version:
-            await self._feed.reach(reply.version)
         if reply.outcome is Outcome.DONE:
             return reply
         return msgspec.structs.replace(reply, organisation=admitted.organisation)
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -78,7 +78,13 @@
         self._asked = asyncio.Event()
         """Set when the leader has asked this member to take over."""
         self._background = Background(error_logger(_logger))
-        self.feed = ConfigurationFeed(ports.codec, self._link, self.figures, self._background.spawn)
+        self.feed = ConfigurationFeed(
+            ports.codec,
+            self._link,
+            self.figures,
+            self._background.spawn,
+            settings.limits.link,
+        )
         self._link.on_pong = self.feed.heard
         self._calls = MemberCalls(
             self._link,
--- a/src/sablemount/control/member_calls.py
+++ b/src/sablemount/control/member_calls.py
@@ -65,7 +65,7 @@
         if isinstance(message, CallerCall):
             return await self._serve(message)
         if isinstance(message, ConfigurationCall):
-            return self._feed.newer_than(message.version)
+            return await self._feed.source.answer(link.peer, message)
         if isinstance(message, ConfigurationNews):
             self._feed.offer(message.configuration, "member")
             return ConfigurationReply()
@@ -89,6 +89,7 @@
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
         leader.members.pinged(link, ping)
+        self._feed.pinged(link, ping.configuration)
         roster = leader.roster
         roster.note(ping.name, ping.address)
         return Pong(
@@ -99,7 +100,6 @@
             roster=roster.version,
             configuration=self._feed.version,
             configuration_age=self._feed.age,
-            wants_configuration=self._feed.wants(ping.configuration),
             cell=0 if ping.cell == leader.members.size else leader.members.size,
             best=leader.members.best_standing(),
         )
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -115,14 +115,22 @@
     timeout: float
 
 
-class ConfigurationCall(msgspec.Struct, frozen=True, tag=True):
-    """A member asks the leader for a configuration that is newer than some version."""
+class ConfigurationCall(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """A process asks another for a configuration that is newer than some version."""
 
     version: int
+    parts: bool = False
+    """Whether it takes it in parts; a process that knows of none sends it whole."""
+    of: int = -1
+    """Version of which it has some parts."""
+    check: int = 0
+    """Checksum of that as it is sent."""
+    offset: int = 0
+    """How many bytes of it have come."""
 
 
 class ConfigurationNews(msgspec.Struct, frozen=True, tag=True):
-    """A member gives the leader the newer configuration that it wants."""
+    """A member gives a leader that takes no parts the newer configuration that it wants."""
 
     configuration: Configuration
 
@@ -171,7 +179,7 @@
     configuration_age: float = 0.0
     """Seconds since it was last known to be the newest one."""
     wants_configuration: bool = False
-    """Whether the leader wants the member's, which is newer."""
+    """Whether a leader that takes no parts wants the member's, which is newer."""
     cell: int = 0
     """How many members the leader counts, itself included; 0 if the ping has told that number."""
     best: float = FULL
@@ -222,10 +230,22 @@
     valid_ms: float = 0.0
 
 
-class ConfigurationReply(msgspec.Struct, frozen=True, tag=True):
-    """A newer configuration, or ``None`` if there is none."""
+class ConfigurationReply(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """A newer configuration or a part of it; nothing if there is none."""
 
     configuration: Configuration | None = None
+    """The whole, for a process that takes no parts."""
+    part: bytes = b""
+    """What follows an offset, compressed."""
+    of: int = -1
+    """Version of which this is a part."""
+    check: int = 0
+    """Checksum of all parts together."""
+    offset: int = 0
+    size: int = 0
+    """Bytes of all parts together."""
+    later: float = 0.0
+    """Seconds after which to ask again, as others have their turn."""
 
 
 class TakeOverReply(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/tests/jobs/test_large_configuration.py
@@ -0,0 +1,281 @@
+"""A configuration that takes longer than a second of a small member's link.
+
+The store tells the members with small links nothing of it, so that they get it from the leader, and
+the leader's answers to pings go over the same links.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from sablemount.control.messages import CallerCall, Operation, Outcome
+from sablemount.control.standing import MachineLimits
+from sablemount.control.store import Topic
+from sablemount.jobs.model import Configuration, Queue, QueueTerms
+from sablemount.jobs.records import Record
+from tests.emulator.loop import run
+from tests.emulator.system import HOST, PREFIX, TIMEOUT, System
+
+SMALL = 600_000.0
+"""Bytes a second of a small link, of 5 Mbit/s."""
+LARGE = 12_000_000.0
+"""The same of one of 100 Mbit/s."""
+SMALL_MACHINE = MachineLimits(link=5.0)
+LARGE_MACHINE = MachineLimits(link=100.0)
+QUEUES = 4_245
+SUSPECTED = 0.6
+"""Seconds without an answer after which a leader is suspected."""
+
+
+def _configuration(version: int, seed: int = 1, queues: int = QUEUES) -> Configuration:
+    """Return a configuration of some 0.8 MB, of names that hardly shrink."""
+    rng = random.Random(seed)
+    terms = QueueTerms("work", "pool", 0, 1, 2.0, 1000.0)
+    found = [Queue(HOST, PREFIX, terms)]
+    for _ in range(queues - 1):
+        name = f"{rng.getrandbits(160):040x}"
+        named = msgspec.structs.replace(terms, name=name, pool=f"{rng.getrandbits(80):020x}")
+        found.append(Queue("other.example", f"/queue/{name}/", named))
+    return Configuration(version, tuple(found), pools=frozenset({"pool"}))
+
+
+def _publish(system: System, configuration: Configuration) -> None:
+    value = msgspec.msgpack.encode(configuration)
+    system.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
+
+
+async def _started(small: int, large: int, seed: int = 5) -> tuple[System, str]:
+    """Return a system whose small members hear of no new configuration, and who leads."""
+    system = System(seed, members=small + large, vms=3)
+    for number, name in enumerate(system.names):
+        is_small = number < small
+        system.limits[name] = SMALL_MACHINE if is_small else LARGE_MACHINE
+        system.wires.limit(name, SMALL if is_small else LARGE)
+    system.start_all()
+    await asyncio.sleep(4.0)
+    leader = system.leader()
+    assert leader is not None
+    assert not large or leader in system.names[small:]
+    system.store.blind |= set(system.names[:small]) - {leader}
+    return system, leader
+
+
+def _behind(system: System, version: int) -> list[str]:
+    return [name for name, member in system.members.items() if member.feed.version < version]
+
+
+def _silence(system: System, leader: str) -> float:
+    """Return for how long a member has not heard the leader, at most."""
+    now = asyncio.get_running_loop().time()
+    others = (member for name, member in system.members.items() if name != leader)
+    return max(member._link.suspicion.heard_age(now) for member in others)
+
+
+async def _until(done: Callable[[], bool], seconds: float, look: Callable[[], None]) -> float:
+    """Look again and again until something is done; return the seconds."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while not done() and loop.time() - began < seconds:
+        look()
+        await asyncio.sleep(0.02)
+    return loop.time() - began
+
+
+def _sent(system: System, name: str) -> int:
+    return system.members[name].figures.counters[("configuration_bytes", "sent")]
+
+
+def _parts(system: System, name: str) -> int:
+    return system.members[name].figures.counters[("configuration_part", "served")]
+
+
+# -- From the leader -------------------------------------------------------------------------
+
+
+def test_members_with_small_links_get_it_and_the_leader_stays_quick() -> None:
+    async def scenario() -> None:
+        system, leader = await _started(33, 8)
+        claims = list(system.store.claims)
+        silences = [0.0]
+        _publish(system, _configuration(18))
+        took = await _until(
+            lambda: not _behind(system, 18),
+            10.0,
+            lambda: silences.append(_silence(system, leader)),
+        )
+        assert not _behind(system, 18)
+        assert took < 4.0
+        assert max(silences) < SUSPECTED / 2
+        assert system.store.claims == claims
+        assert system.leader() == leader
+
+    run(scenario())
+
+
+def test_a_leader_with_a_small_link_sends_no_more_than_it_can() -> None:
+    async def scenario() -> None:
+        system, leader = await _started(34, 0)
+        claims = list(system.store.claims)
+        silences, backlogs = [0.0], [0.0]
+
+        def look() -> None:
+            silences.append(_silence(system, leader))
+            backlogs.append(system.wires.out[leader].backlog)
+
+        _publish(system, _configuration(18))
+        await _until(lambda: not _behind(system, 18), 60.0, look)
+        assert not _behind(system, 18)
+        assert max(silences) < SUSPECTED / 2
+        assert max(backlogs) < 0.2
+        assert system.store.claims == claims
+
+    run(scenario())
+
+
+def test_members_are_served_one_after_the_other_so_that_some_have_it_early() -> None:
+    async def scenario() -> None:
+        system, _ = await _started(34, 0)
+        _publish(system, _configuration(18))
+        half = await _until(lambda: len(_behind(system, 18)) <= 17, 60.0, lambda: None)
+        rest = await _until(lambda: not _behind(system, 18), 60.0, lambda: None)
+        assert not _behind(system, 18)
+        assert half < 1.5 * rest
+
+    run(scenario())
+
+
+def test_what_was_got_is_kept_while_the_way_to_the_leader_is_cut(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "sablemount.control.configuration")
+
+    async def scenario() -> None:
+        system, leader = await _started(1, 3)
+        behind = system.names[0]
+        _publish(system, _configuration(18))
+        await _until(lambda: _parts(system, leader) >= 8, 5.0, lambda: None)
+        cut = frozenset((behind, leader))
+        system.wires.cuts.add(cut)
+        await asyncio.sleep(1.0)
+        system.wires.cuts.discard(cut)
+        await _until(lambda: not _behind(system, 18), 10.0, lambda: None)
+        assert not _behind(system, 18)
+        got = system.members[behind].figures.counters[("configuration_bytes", "got")]
+        assert _sent(system, leader) < 1.2 * got
+        assert system.leader() == leader
+        counters = system.members[behind].figures.counters
+        assert counters[("configuration_transfer", "begun")] == 1
+        assert counters[("configuration_transfer", "ended")] == 1
+
+    run(scenario())
+    lines = [record.message for record in caplog.records]
+    assert lines.count("configuration arrives") == 1
+    assert lines.count("configuration waits") == 1
+    assert lines.count("configuration arrived") == 1
+
+
+def test_a_later_version_is_begun_anew() -> None:
+    async def scenario() -> None:
+        system, leader = await _started(1, 3)
+        _publish(system, _configuration(18))
+        await _until(lambda: _parts(system, leader) >= 4, 5.0, lambda: None)
+        _publish(system, _configuration(21, seed=2))
+        await _until(lambda: not _behind(system, 21), 10.0, lambda: None)
+        assert system.members[system.names[0]].feed.gate.configuration == _configuration(21, 2)
+
+    run(scenario())
+
+
+def test_another_leader_goes_on_where_the_former_one_was() -> None:
+    async def scenario() -> None:
+        system, leader = await _started(1, 3)
+        behind = system.names[0]
+        _publish(system, _configuration(18))
+        await _until(lambda: _parts(system, leader) >= 8, 5.0, lambda: None)
+        served = _sent(system, leader)
+        system.kill(leader, None)
+        await _until(lambda: not _behind(system, 18), 10.0, lambda: None)
+        assert not _behind(system, 18)
+        later = system.leader()
+        assert later is not None
+        got = system.members[behind].figures.counters[("configuration_bytes", "got")]
+        assert served + _sent(system, later) < 1.2 * got
+
+    run(scenario())
+
+
+def test_what_the_store_brings_ends_a_transfer() -> None:
+    async def scenario() -> None:
+        system, leader = await _started(1, 3)
+        behind = system.names[0]
+        configuration = _configuration(18)
+        _publish(system, configuration)
+        await _until(lambda: _parts(system, leader) >= 4, 5.0, lambda: None)
+        system.members[behind].feed.offer(configuration, "store")
+        parts = _parts(system, leader)
+        await asyncio.sleep(1.0)
+        assert _parts(system, leader) <= parts + 1
+
+    run(scenario())
+
+
+# -- To the leader ---------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", [5, 6])
+def test_a_leader_that_is_behind_gets_it_over_small_links(seed: int) -> None:
+    async def scenario() -> None:
+        system, leader = await _started(8, 0, seed)
+        claims = list(system.store.claims)
+        system.store.blind = {leader}
+        silences = [0.0]
+        _publish(system, _configuration(18))
+        took = await _until(
+            lambda: not _behind(system, 18),
+            20.0,
+            lambda: silences.append(_silence(system, leader)),
+        )
+        assert not _behind(system, 18)
+        assert took < 4.0
+        assert max(silences) < SUSPECTED / 2
+        assert system.store.claims == claims
+
+    run(scenario())
+
+
+# -- Callers meanwhile -----------------------------------------------------------------------
+
+
+def test_callers_of_a_member_that_is_behind_are_asked_in_time_to_come_back() -> None:
+    async def scenario() -> None:
+        system, leader = await _started(4, 3)
+        behind = system.names[0]
+        _publish(system, _configuration(18))
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        took, refused = [], 0
+        last = loop.time() + 10.0
+        while _behind(system, 18) and loop.time() < last:
+            began = loop.time()
+            call = CallerCall(Operation.STATE, HOST, PREFIX)
+            replies = await asyncio.gather(
+                *(system.members[behind].serve(call, TIMEOUT) for _ in range(20))
+            )
+            took.append(loop.time() - began)
+            for reply in replies:
+                assert reply.outcome in (Outcome.DONE, Outcome.NOT_TAKEN)
+                refused += reply.outcome is Outcome.NOT_TAKEN
+                assert reply.outcome is Outcome.DONE or reply.retry_after > 0
+            await asyncio.sleep(0.05)
+        assert refused
+        assert not _behind(system, 18)
+        assert max(took) < 0.45
+        assert min(took) < 0.1
+        got = system.members[behind].figures.counters[("configuration_bytes", "got")]
+        assert _sent(system, leader) < 4.4 * got
+
+    run(scenario())
