Callers of queues that stay are served while their member is a version behind

Each change of the configuration stopped all callers of members that had not read it yet: the leader took a call only if both had the same version, and a new version of 0.8 MB takes a member behind 5 Mbit/s a second or more. Beside that, such a member refused callers of a new queue with 404, and new keys with 401, though the leader had told it that there was a newer version.

The leader now keeps its two versions before, and takes a call that one of them has admitted if it is admitted just so by its own: the call's queue is equal in both, and the table of keys too. What is decided is what the newest version decides, so that no caller sees an older one. A member that a leader has told of a newer version refuses nobody by its own: it waits for the newer one as for a call that the leader turned away, or answers 503 with a time to come back.

Two tests with members that get 0.8 MB over 5 Mbit/s failed before: the one member answered 404 for a queue that was there, the other one turned its first caller away.

--- a/src/sablemount/control/caller_route.py
+++ b/src/sablemount/control/caller_route.py
@@ -11,7 +11,14 @@
 from sablemount.control.leader import Leader
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
-from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome, not_taken
+from sablemount.control.messages import (
+    CallerCall,
+    CallerReply,
+    Operation,
+    Outcome,
+    not_taken,
+    other_version,
+)
 from sablemount.control.network import CallFailed
 
 __all__ = ["CallerRoute"]
@@ -104,7 +111,7 @@
         """Admit a call and ask the leader, which takes it only if both know one configuration."""
         admitted = self._feed.gate.admit(call, digest)
         if isinstance(admitted, CallerReply):
-            return admitted if self._current() else not_taken(UNCONFIRMED, changing=True)
+            return self._refusal(admitted)
         if self._settings.fail_closed and self._feed.age > self._settings.revoke_after:
             return not_taken(UNCONFIRMED)
         reply = await self._ask_leader(admitted, timeout)
@@ -112,6 +119,13 @@
             return reply
         return msgspec.structs.replace(reply, organisation=admitted.organisation)
 
+    def _refusal(self, refused: CallerReply) -> CallerReply:
+        """Return the answer to a call that is not admitted by the version here."""
+        if not self._current():
+            return not_taken(UNCONFIRMED, changing=True)
+        newer = self._feed.told_of
+        return other_version(newer) if newer > self._feed.version else refused
+
     def _current(self) -> bool:
         """Tell whether this process leads or hears the leader, so that it knows what is in force.
 
--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -4,11 +4,16 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
-
 from sablemount.control.clock import monotonic
 from sablemount.control.commit_loop import CommitLoop
-from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome, not_taken
+from sablemount.control.messages import (
+    CallerCall,
+    CallerReply,
+    Operation,
+    Outcome,
+    not_taken,
+    other_version,
+)
 from sablemount.jobs.caps import cap_fault
 from sablemount.jobs.model import JobSpec, Queue, SpecError, check_spec, queue_for
 from sablemount.jobs.scheduler import JobScheduler, Submission
@@ -57,7 +62,7 @@
         if configuration.version < 0:
             return not_taken("no configuration yet", changing=True)
         if call.version != configuration.version:
-            return _other_version(configuration.version)
+            return other_version(configuration.version)
         queue = queue_for(configuration, call.host, call.path)
         if queue is None:
             return CallerReply(Outcome.NO_QUEUE, reason="no queue at this host and prefix")
@@ -162,12 +167,6 @@
         return CallerReply(Outcome.DONE, state=job.shown.name.lower())
 
 
-def _other_version(version: int) -> CallerReply:
-    """Return the answer to a call that was admitted by another version of the configuration."""
-    reply = not_taken("the configuration is changing", changing=True)
-    return msgspec.structs.replace(reply, version=version)
-
-
 def _fault(name: str, spec: JobSpec | None) -> SpecError | None:
     if not (0 < len(name) <= MAX_NAME and name.isascii() and name.isalnum()):
         return SpecError("$.id", "not a name of a job")
--- a/src/sablemount/control/configuration_feed.py
+++ b/src/sablemount/control/configuration_feed.py
@@ -6,9 +6,12 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import TypeAlias
 
+import msgspec
+
 from sablemount.control.clock import monotonic, set_within
 from sablemount.control.configuration_parts import Arriving, BrokenParts
 from sablemount.control.configuration_source import ConfigurationSource
@@ -16,6 +19,7 @@
 from sablemount.control.gate import Gate
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.messages import (
+    CallerCall,
     ConfigurationCall,
     ConfigurationNews,
     ConfigurationReply,
@@ -44,6 +48,8 @@
 because the link is full."""
 GIVE_TIMEOUT = 2.0
 """Seconds that a leader has to take a whole configuration: 0.8 MB need 1.3 s of 5 Mbit/s."""
+FORMER = 2
+"""Earlier versions that are kept, as a member is behind by few: 2.5 MB each for 4,000 queues."""
 WANTED_INTERVAL = 0.3
 """Seconds between two members that a leader asks for their newer configuration."""
 
@@ -87,6 +93,10 @@
         self._behind_since: float | None = None
         self._wanted_at = -WANTED_INTERVAL
         self.gate = Gate(Configuration())
+        self._former: deque[Gate] = deque(maxlen=FORMER)
+        """Those of the versions before, the newest one last."""
+        self.told_of = -1
+        """The newest version that a leader has told of."""
         self.source = ConfigurationSource(mbits, figures, lambda: self.gate.configuration)
         self.confirmed_at = -1e9
         """Local time at which the version in force was last known to be the newest one."""
@@ -129,6 +139,7 @@
         """Take a configuration; tell whether it is newer than the one in force."""
         if configuration.version <= self.version:
             return False
+        self._former.append(self.gate)
         self.gate = Gate(configuration)
         self._link.configuration = configuration.version
         self._behind_since = None
@@ -165,11 +176,24 @@
         self._wanted_at = now
         self._pull_once(link.call, "member")
 
+    def as_now(self, call: CallerCall) -> CallerCall:
+        """Return a call that an earlier version has admitted as the one in force does.
+
+        It stays as it is where both would not admit it alike.
+        """
+        for former in self._former:
+            if former.configuration.version == call.version and self.gate.admits_alike(
+                former, call
+            ):
+                return msgspec.structs.replace(call, version=self.version)
+        return call
+
     # -- A member's side ---------------------------------------------------------------------
 
     def heard(self, pong: Pong, asked_at: float) -> None:
         """Take what the leader, asked at a local time, has told of its version."""
         now = monotonic()
+        self.told_of = max(self.told_of, pong.configuration)
         if pong.configuration <= self.version:
             self._behind_since = None
             if pong.configuration == self.version:
--- a/src/sablemount/control/gate.py
+++ b/src/sablemount/control/gate.py
@@ -43,6 +43,17 @@
             call, organisation=organisation, version=configuration.version
         )
 
+    def admits_alike(self, former: "Gate", call: CallerCall) -> bool:
+        """Tell whether what another version has admitted is admitted just so by this one.
+
+        So it is if its queue is the same in both, and no key has come, gone or changed hands.
+        """
+        here, there = self.configuration, former.configuration
+        if here.keyed != there.keyed or self._names != former._names:
+            return False
+        queue = queue_for(here, call.host, call.path)
+        return queue is not None and queue == queue_for(there, call.host, call.path)
+
 
 def _names(configuration: Configuration) -> dict[bytes, str]:
     """Return the organisations by the digests of their keys.
--- a/src/sablemount/control/member_calls.py
+++ b/src/sablemount/control/member_calls.py
@@ -108,4 +108,4 @@
         leader = self._leader()
         if leader is None or not leader.leading:
             return not_taken("this member does not lead", changing=True)
-        return await leader.serve(call)
+        return await leader.serve(self._feed.as_now(call))
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -29,6 +29,7 @@
     "TakeOverReply",
     "ViewCall",
     "not_taken",
+    "other_version",
 ]
 
 RETRY_AFTER = 1.0
@@ -222,6 +223,12 @@
     return CallerReply(Outcome.NOT_TAKEN, reason=reason, retry_after=RETRY_AFTER, changing=changing)
 
 
+def other_version(version: int) -> CallerReply:
+    """Return the answer to a call that was judged by another version than the leader's."""
+    reply = not_taken("the configuration is changing", changing=True)
+    return msgspec.structs.replace(reply, version=version)
+
+
 class AdviceReply(msgspec.Struct, frozen=True, tag=True):
     """Tickets by VM, or none with ``ok`` false if there was no usable answer."""
 
--- a/tests/jobs/test_keys.py
+++ b/tests/jobs/test_keys.py
@@ -341,3 +341,45 @@
             assert (await _ask(system, name, b"rueda", _call())).outcome is Outcome.NO_JOB
 
     run(scenario())
+
+
+# -- One version behind ----------------------------------------------------------------------
+
+
+def _gates(before: Configuration, after: Configuration) -> bool:
+    return Gate(after).admits_alike(Gate(before), CallerCall(Operation.STATE, HOST, PREFIX))
+
+
+def _with(version: int, *queues: Queue, keyed: bool = True, keys: bytes = b"") -> Configuration:
+    own = Organisation("own", (key_digest(b"own" + keys),))
+    return Configuration(version, queues, keyed=keyed, organisations=(own,))
+
+
+SAME = Queue(HOST, PREFIX, TERMS)
+
+
+def test_a_call_is_admitted_alike_if_neither_its_queue_nor_any_key_has_changed() -> None:
+    other = Queue("other", PREFIX, TERMS)
+    assert _gates(_with(3, SAME), _with(4, SAME, other))
+    assert _gates(_with(3, other, SAME), _with(4, SAME))
+
+
+@pytest.mark.parametrize(
+    "after",
+    [
+        _with(4),
+        _with(4, Queue(HOST, PREFIX, TERMS, public=True)),
+        _with(4, Queue(HOST, PREFIX, QueueTerms("work", "other"))),
+        _with(4, SAME, Queue(HOST, PREFIX + "x", TERMS)),
+        _with(4, SAME, keyed=False),
+        _with(4, SAME, keys=b"new"),
+        _with(4, Queue("other", PREFIX, TERMS)),
+    ],
+)
+def test_a_call_is_not_admitted_alike_if_what_it_goes_by_has_changed(after: Configuration) -> None:
+    call = CallerCall(Operation.STATE, HOST, PREFIX + "xy")
+    assert not Gate(after).admits_alike(Gate(_with(3, SAME)), call)
+
+
+def test_without_a_queue_nothing_is_admitted_alike() -> None:
+    assert not _gates(_with(3), _with(4))
--- a/tests/jobs/test_large_configuration.py
+++ b/tests/jobs/test_large_configuration.py
@@ -279,3 +279,49 @@
         assert _sent(system, leader) < 4.4 * got
 
     run(scenario())
+
+
+NEW_PREFIX = "/new/"
+
+
+def _with_new_queue(configuration: Configuration) -> Configuration:
+    queue = Queue(HOST, NEW_PREFIX, QueueTerms("new", "pool"))
+    return msgspec.structs.replace(configuration, queues=(*configuration.queues, queue))
+
+
+def test_a_member_that_knows_that_it_is_behind_refuses_nobody_by_what_it_has() -> None:
+    async def scenario() -> None:
+        system, _ = await _started(4, 3)
+        behind = system.names[0]
+        _publish(system, _with_new_queue(_configuration(18)))
+        await asyncio.sleep(0.2)
+        assert behind in _behind(system, 18)
+        outcomes = []
+        for _ in range(50):
+            call = CallerCall(Operation.STATE, HOST, NEW_PREFIX)
+            outcomes.append((await system.members[behind].serve(call, TIMEOUT)).outcome)
+            await asyncio.sleep(0.05)
+        assert set(outcomes) == {Outcome.DONE, Outcome.NOT_TAKEN}
+        assert outcomes[-1] is Outcome.DONE
+
+    run(scenario())
+
+
+def test_queues_that_stay_are_served_while_a_member_is_behind() -> None:
+    async def scenario() -> None:
+        system, _ = await _started(4, 3)
+        behind = system.names[0]
+        staying = system.members[behind].feed.gate.configuration.queues
+        configuration = _configuration(18)
+        queues = (*staying, *configuration.queues[1:])
+        _publish(system, msgspec.structs.replace(configuration, queues=queues))
+        await asyncio.sleep(0.1)
+        outcomes = []
+        while behind in _behind(system, 18) and len(outcomes) < 50:
+            reply = await system.hand_in(behind, f"c{len(outcomes):04x}")
+            outcomes.append(reply.outcome)
+            await asyncio.sleep(0.05)
+        assert len(outcomes) > 5
+        assert set(outcomes) == {Outcome.DONE}
+
+    run(scenario())
