--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -28,7 +28,8 @@
 MAX_PAUSE = 0.5
 """Seconds between two tries at most, so that the end of an outage is seen soon."""
 LIST_SHARE = 4.0
-"""How many times as long as a list took the next one is at least away: a link has other uses."""
+"""How many times as long as a list took to arrive the next one is at least away: a link has other
+uses."""
 BUSY_READS = 4
 """Reads with records since the last fresh start from which on a topic goes on growing while it is
 asked where it ends."""
@@ -95,14 +96,14 @@
     async def _round(self) -> bool:
         """Read all, or make sure that nothing was missed, and what follows for a while."""
         asked_at = monotonic()
-        failed = None if await self._missed_nothing() else await self._list()
+        progress = Progress()
+        failed = None if await self._missed_nothing() else await self._list(progress)
         if failed is not None:
             self._failed(failed, asked_at)
             return False
         self._answers()
         self._on_answer(asked_at)
-        took = monotonic() - asked_at
-        return await self._read_on(max(self._fresh_start, LIST_SHARE * took))
+        return await self._read_on(max(self._fresh_start, LIST_SHARE * progress.seconds))
 
     async def _missed_nothing(self) -> bool:
         """Tell whether the topic ends where reading it has led; not asked while it is busy."""
@@ -111,10 +112,10 @@
         end = await topic_end(self._store, self._topic, PAGE_INTERVAL, PAGE_LIMIT)
         return end == self._end
 
-    async def _list(self) -> Unavailable | None:
+    async def _list(self, progress: Progress) -> Unavailable | None:
         """Read all; return why that failed, if it did."""
         limit = min(LONGEST_PAGE, PAGE_LIMIT * self._patience)
-        newest = await read_newest(self._store, self._topic, PAGE_INTERVAL, limit)
+        newest = await read_newest(self._store, self._topic, PAGE_INTERVAL, limit, progress)
         if isinstance(newest, Unavailable):
             self._patience *= 2
             return newest
