A doubt is void once the leader has been heard again

Cause: a doubt is formed, then some others are asked for their view, which takes up to 0.4 s over full links; an answer of the leader that came meanwhile was held against neither. Now the reason is looked at once more before the claim.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -74,7 +74,7 @@
     """Why a claim may be due, and the leadership that the reason was formed on.
 
     ``end`` is where the leaders' topic ended then. Once either has moved the doubt is void: it says
-    nothing of a later leader.
+    nothing of a later leader. So it is once the leader has answered and gives no reason any more.
     """
 
     reason: str
@@ -163,12 +163,17 @@
         if not await self._confirmed(reason):
             self._pause_until = monotonic() + CLAIM_PAUSE
             return
-        if (self._link.epoch, self._end) != (doubt.epoch, doubt.end):
+        if self._void(doubt):
             self._figures.count("doubt dropped", reason)
             return
         self._asked_by = None
         await self._claim(doubt)
 
+    def _void(self, doubt: Doubt) -> bool:
+        """Tell whether a doubt holds no more: a later leader is there, or this one was heard."""
+        moved = (self._link.epoch, self._end) != (doubt.epoch, doubt.end)
+        return moved or self._reason() is None
+
     def _patience(self) -> float:
         """Return the seconds for which this member leaves a claim to others."""
         return self._chance + claim_delay(self._settings.standing, self._link.best)
