Who has claimed leads as soon as it reads its own claim

Callers of a very slow store (1.1 s an answer, in virtual time) waited for two or three changes of leader in a row, and what the first one had read was thrown away.

Cause: the answer to a claim takes as long as the store, and that of its second try is a refusal, after which the member looks again. The others read of the claim meanwhile, ping a process that neither leads nor loads, and replace it after 0.4 s: "the named leader does not lead". The claim is in the topic that each member follows, so that the one that made it reads it when the others do, and begins then. Each epoch is begun once.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -117,6 +117,8 @@
         """Epoch of the leader that has asked this member to take over."""
         self._store_failed_at = NEVER
         """When the store last gave no answer, or a slow one, to this member's own trial."""
+        self._won = 0
+        """The last epoch that this member has won."""
         self._rest_until = 0.0
         self._pause_until = 0.0
 
@@ -142,6 +144,8 @@
             _logger.warning("undecodable leader record")
             return
         self._on_leader(seen)
+        # The answer to a claim may come late, or be that of a second try, which is refused.
+        self._lead_if_mine(seen.epoch)
 
     # -- Whether to claim --------------------------------------------------------------------
 
@@ -293,7 +297,10 @@
 
     def _lead_if_mine(self, epoch: int) -> None:
         record = self._link.record
-        if record is not None and (record.epoch, record.incarnation) == (epoch, self._incarnation):
+        if record is None or (record.epoch, record.incarnation) != (epoch, self._incarnation):
+            return
+        if epoch > self._won:
+            self._won = epoch
             self._on_won(epoch)
 
 
