A leader whose load does not get on is replaced by a member that has read all

While the named leader loads, its pongs say so, and members left it alone however long that took. A load that failed began anew without a line.

A pong tells now how far the load is: bytes read by the farthest try, so that what is read again is no progress. After 2 s without progress (twice that for each leader in a row that was not heard to lead, 16 s at most) members read all that lasts themselves, the best machines first, and one that has it claims: "the leader does not get on with its load". Progress meanwhile voids the doubt. Nobody claims who can't load, so that nobody does while nobody can; where the store is slow for the claimer too, a load may stand for 8 s, and the store has to have answered the claimer for 2 s. A leader of an earlier release does not tell how far it is, and is left alone as before. A leadership that ends while it loads ends at once.

Lines: load begins, epoch set, load failed (why), loaded, load given up. Figure: load.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -14,6 +14,7 @@
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, LeaderView
+from sablemount.control.preload import Reading
 from sablemount.control.standing import claim_delay
 from sablemount.control.store import (
     Appended,
@@ -55,6 +56,14 @@
 STORE_BACK_GRACE = 0.8
 """Seconds after the store last failed to answer this member for which a leader without it is not
 to blame: it asks each 0.35 s, and its next pong tells a member within 0.15 s."""
+SLOW_STORE_STUCK = 8.0
+"""Seconds for which a load may not get on in a store that is slow for this member too: twice the
+time after which a page is given up."""
+STORE_BACK_LOAD = 2.0
+"""Seconds after the store last failed to answer this member for which a leader's load that does not
+get on is not to blame."""
+READ_LOOK = 0.25
+"""Seconds that a look at whether all is read waits for it; a usual load takes a tenth."""
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 VIEWS_ASKED = 5
@@ -85,8 +94,8 @@
 class Election:
     """Reads the leader's records and writes the next one when that is due.
 
-    ``on_leader`` is told of each newer record, ``on_won`` of the epoch that this member has won,
-    and ``on_claim`` of each claim that is about to be made.
+    ``on_leader`` is told of each newer record, and ``on_won`` of the epoch that this member has
+    won. ``read`` begins to read what lasts, as a claim is about to be made.
     """
 
     def __init__(
@@ -98,7 +107,7 @@
         figures: Figures,
         on_leader: Callable[[LeaderRecord], None],
         on_won: Callable[[int], None],
-        on_claim: Callable[[], object],
+        read: "Callable[[], asyncio.Task[Reading | None]]",
     ) -> None:
         self._settings = settings
         self._store = store
@@ -107,7 +116,9 @@
         self._figures = figures
         self._on_leader = on_leader
         self._on_won = on_won
-        self._on_claim = on_claim
+        self._read = read
+        self._reading: asyncio.Task[Reading | None] | None = None
+        """What this member reads in place of a leader whose load does not get on."""
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._started_at = monotonic()
         self._chance = rng.uniform(0.0, PATIENCE)
@@ -160,6 +171,8 @@
 
     async def consider(self) -> None:
         """Claim if that is due, unless others still hear the leader."""
+        if not self._link.suspicion.load_stuck(monotonic(), self._patience()):
+            self._reading = None
         reason = self._reason()
         if reason is None:
             return
@@ -206,8 +219,48 @@
             return await self._others_agree()
         if reason == ClaimReason.STORE_LOST:
             return await self._store_reached()
+        if reason == ClaimReason.LOAD_STUCK:
+            return await self._has_read()
         return True
 
+    async def _has_read(self) -> bool:
+        """Tell whether this member has read all that the leader does not get on with.
+
+        A member that can't would only take its turn in vain.
+        """
+        if not await self._store_well():
+            return False
+        if self._reading is None:
+            self._reading = self._read()
+        await asyncio.wait([self._reading], timeout=READ_LOOK)
+        if not self._reading.done():
+            return False
+        if self._reading.result() is None:
+            self._reading = None
+            self._store_failed_at = monotonic()
+            return False
+        await self._link.look(STORE_SECOND_LOOK)
+        return True
+
+    async def _store_well(self) -> bool:
+        """Tell whether a load has been possible here while the leader's has not got on."""
+        began = monotonic()
+        page = await self._page(CLAIM_TIMEOUT)
+        now = monotonic()
+        if page is None:
+            self._store_failed_at = now
+            return False
+        self.listed(page.items, page.end)
+        slow = now - began > QUICK_ANSWER
+        if slow and self._link.suspicion.load_stuck_for(now) < SLOW_STORE_STUCK:
+            return False
+        return now - self._store_failed_at >= STORE_BACK_LOAD
+
+    def take_reading(self) -> "asyncio.Task[Reading | None] | None":
+        """Return what was read before a claim, and forget it; ``None`` without that."""
+        reading, self._reading = self._reading, None
+        return reading
+
     async def _store_reached(self) -> bool:
         """Tell whether the store answers here while the leader is still without it."""
         began = monotonic()
@@ -253,7 +306,8 @@
 
         Only one claim can do so, and none that was formed on an earlier leadership.
         """
-        self._on_claim()
+        if self._reading is None:
+            self._read()
         epoch = doubt.epoch + 1
         settings = self._settings
         claim = LeaderRecord(epoch, settings.name, settings.rpc_address, self._incarnation)
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -18,10 +18,11 @@
 from sablemount.control.configuration_feed import ConfigurationFeed
 from sablemount.control.figures import Figures
 from sablemount.control.follow import Follower
+from sablemount.control.load import Load, Progress
 from sablemount.control.members import Members
 from sablemount.control.messages import CallerCall, CallerReply, Outcome
 from sablemount.control.ports import AdvicePort, DirectoryCodec, VmPort
-from sablemount.control.preload import Reading, load_records
+from sablemount.control.preload import Reading
 from sablemount.control.roster import Roster
 from sablemount.control.store import PageItem, Store, Topic
 from sablemount.control.vm_calls import VmCalls
@@ -38,8 +39,6 @@
 """Seconds between ticks when nothing happens."""
 COALESCE = 0.004
 """Seconds that an event waits for others before the systems run."""
-LOAD_PAUSE = 0.1
-"""Seconds after a failed load until the next one."""
 FRESH_START = 1.0
 """Seconds after which lists are read anew: a record may be dropped before it was read."""
 DRAIN_TIME = 0.5
@@ -78,9 +77,14 @@
         reading: "asyncio.Task[Reading | None] | None" = None,
         roster: Roster | None = None,
         cell: int = 0,
+        progress: Progress | None = None,
     ) -> None:
         self.name = name
         self._reading = reading
+        self.progress = progress or Progress()
+        """How far the load is."""
+        self.progress.begin()
+        self._loading: asyncio.Task[None] | None = None
         self.epoch = epoch
         self.ports = ports
         self.figures = figures
@@ -132,28 +136,32 @@
             # The store may take a while, and all that is read does not depend on each other.
             self._follow()
             alive = self._background.spawn(self._tick_while_loading())
-            await self._load()
+            loaded = await self._load()
             alive.cancel()
-            self._take_early()
-            self.leading = True
-            _logger.info("leading", extra={"epoch": self.epoch, **self._sizes()})
-            self._background.spawn(self.commits.run())
-            self._background.spawn(self._tick_forever())
-            await self.over.wait()
-        except LostLeadership as lost:
-            self.end(str(lost))
+            if loaded:
+                self._begin()
+                await self.over.wait()
         finally:
             self.leading = False
             self._close()
         _logger.info("leads no more", extra={"epoch": self.epoch, "why": self.why})
         return self.why
 
+    def _begin(self) -> None:
+        self._take_early()
+        self.leading = True
+        _logger.info("leading", extra={"epoch": self.epoch, **self._sizes()})
+        self._background.spawn(self.commits.run())
+        self._background.spawn(self._tick_forever())
+
     def end(self, why: str) -> None:
         """End the leadership; no order is given from now on."""
         if not self.over.is_set():
             self.why = why
             self.leading = False
             self.over.set()
+            if self._loading is not None:
+                self._loading.cancel()
 
     async def drain(self) -> None:
         """Take no more calls, and wait a little until those taken before are in the store."""
@@ -176,17 +184,19 @@
         sizes = {"jobs": len(state.jobs), "live": len(state.live), "vms": len(state.vms)}
         return {"end": self.committer.end, **sizes}
 
-    async def _load(self) -> None:
-        await self.committer.open()
-        reading = self._reading
-        while not self.over.is_set():
-            records = await load_records(self.ports.store, reading, self.committer.end)
-            if records is not None:
-                self.scheduler.now()
-                self.scheduler.load(records)
-                return
-            reading = None
-            await asyncio.sleep(LOAD_PAUSE)
+    async def _load(self) -> bool:
+        """Load what lasts; return whether it is there before the leadership ends."""
+        load = Load(self.epoch, self.ports.store, self.progress, self.figures)
+        self._loading = self._background.spawn(self._take_records(load))
+        await asyncio.wait([self._loading])
+        if self.over.is_set():
+            load.given_up()
+        return not self.over.is_set()
+
+    async def _take_records(self, load: Load) -> None:
+        records = await load.run(self.committer, self._reading)
+        self.scheduler.now()
+        self.scheduler.load(records)
 
     def _follow(self) -> None:
         store = self.ports.store
--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -97,18 +97,25 @@
         """Take who leads; return whether it is news."""
         if seen.epoch <= self.epoch:
             return False
+        unled = self._unled()
         if self.record is not None:
             # It pings nobody, and no later leader would hear of it.
             self.addresses[self.record.name] = self.record.address
         self.record = seen
         self._roster = 0
-        self.suspicion = Suspicion(monotonic())
+        self.suspicion = Suspicion(monotonic(), unled)
         self.leads = False
         _logger.info("leader known", extra={"leader": seen.name, "epoch": seen.epoch})
         self.close()
         self._leader_changed.set()
         return True
 
+    def _unled(self) -> int:
+        """Return how many leaders in a row, the present one included, were not heard to lead."""
+        if self.record is None or self.heard_leading_at >= self.suspicion.since:
+            return 0
+        return self.suspicion.unled + 1
+
     def other_members(self) -> list[str]:
         """Return the addresses of the members that are neither this one nor the leader."""
         apart = {self._settings.name, "" if self.record is None else self.record.name}
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -16,6 +16,7 @@
 from sablemount.control.hand_over import Successor, hand_over, relieve
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.leader_link import LeaderLink
+from sablemount.control.load import CountedStore, Progress
 from sablemount.control.member_calls import MemberCalls
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import CallerCall, CallerReply, LeaderRecord, Message, Reply
@@ -59,7 +60,8 @@
         self._listener: Listener | None = None
         self._led_at = -1e9
         self._link = LeaderLink(settings, network, self._handle)
-        self._preload = Preload(ports.store)
+        self._progress = Progress()
+        self._preload = Preload(CountedStore(ports.store, self._progress))
         self._election = Election(
             settings,
             ports.store,
@@ -200,6 +202,7 @@
     async def _lead(self, epoch: int) -> None:
         if self.leader is not None or self.stopping:
             return
+        read_before = self._preload.take()
         leader = Leader(
             self.settings.name,
             epoch,
@@ -208,9 +211,10 @@
             self._rng,
             self.figures,
             self.feed,
-            self._preload.take(),
+            self._election.take_reading() or read_before,
             Roster(self._link.addresses),
             self._link.cell,
+            self._progress,
         )
         self.leader = leader
         record = self._link.record
--- a/src/sablemount/control/member_calls.py
+++ b/src/sablemount/control/member_calls.py
@@ -84,7 +84,9 @@
         leader = self._leader()
         if leader is None or not leader.leading:
             loading = leader is not None and not leader.over.is_set()
-            return Pong(self._link.epoch, False, 0.0, loading, leader=self._link.record)
+            loaded = leader.progress.far if leader is not None and loading else -1
+            record = self._link.record
+            return Pong(self._link.epoch, False, 0.0, loading, leader=record, loaded=loaded)
         if ping.epoch > leader.epoch:
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -178,6 +178,8 @@
     """How many members the leader counts, itself included; 0 if the ping has told that number."""
     best: float = FULL
     """Standing of the best member that could take over."""
+    loaded: int = -1
+    """How far it is with what it reads, a number that grows; -1 if it does not tell."""
 
 
 class LeaderView(msgspec.Struct, frozen=True, tag=True):
--- a/src/sablemount/control/suspicion.py
+++ b/src/sablemount/control/suspicion.py
@@ -21,6 +21,13 @@
 STORE_LOST_AFTER = 0.2
 """Seconds for which the store may owe the leader an answer, 50 times a usual one; a claim is due
 only if the store answers this member in its usual time, which is tried first."""
+LOAD_STUCK_AFTER = 2.0
+"""Seconds for which a leader's load may not get on: longer than a page of a slow store takes."""
+LOAD_SPREAD = 4.0
+"""How many times its patience a member leaves that to others: each reads all that lasts first."""
+MOST_DOUBLINGS = 3
+"""Each leader in a row that has not come to lead doubles the time that the next one has for a page,
+so often at most: where nobody loads sooner, turns would only throw loads away."""
 LATE = 0.1
 """Seconds above which an answer was late: 20 times a usual one."""
 LATE_FACTOR = 3.0
@@ -43,6 +50,7 @@
     SILENT = "the leader does not answer"
     IDLE = "the named leader does not lead"
     STORE_LOST = "the leader has lost the store"
+    LOAD_STUCK = "the leader does not get on with its load"
     ASKED = "the leader asked for it"
 
 
@@ -52,12 +60,18 @@
 
     since: float
     """When this leader became known here."""
+    unled: int = 0
+    """How many leaders in a row before it were not heard to lead."""
     heard_at: float = NEVER
     refused_since: float = NEVER
     idle_since: float = NEVER
     store_lost_since: float = NEVER
     store_silent: float = 0.0
     """For how long the store owed the leader an answer when it was last heard."""
+    loaded: int = -1
+    """How far its load was when it last got on."""
+    load_stuck_since: float = NEVER
+    """When its load last got on; ``NEVER`` while it does not load."""
     took: float = 0.0
     """Seconds that its answers took of late, at most; earlier ones count less and less."""
 
@@ -71,6 +85,15 @@
         self.store_silent = pong.store_silent
         lost = pong.leading and pong.store_silent > STORE_LOST_AFTER
         self.store_lost_since = self._first(self.store_lost_since, now) if lost else NEVER
+        self._load_told(pong, now)
+
+    def _load_told(self, pong: Pong, now: float) -> None:
+        """Take how far the leader's load is; one of an earlier release does not tell."""
+        if not pong.loading or pong.loaded < 0:
+            self.load_stuck_since = NEVER
+        elif pong.loaded > self.loaded:
+            self.load_stuck_since = now
+        self.loaded = pong.loaded
 
     def lateness(self) -> float:
         """Return the seconds that the next answer may take beyond the usual."""
@@ -99,8 +122,19 @@
             return ClaimReason.IDLE
         if self.store_lost_since != NEVER and now - self.store_lost_since > patience:
             return ClaimReason.STORE_LOST
+        if self.load_stuck(now, patience):
+            return ClaimReason.LOAD_STUCK
         return None
 
+    def load_stuck(self, now: float, patience: float) -> bool:
+        """Tell whether the leader's load has not got on for too long."""
+        allowed: float = LOAD_STUCK_AFTER * 2 ** min(self.unled, MOST_DOUBLINGS)
+        return self.load_stuck_for(now) > allowed + LOAD_SPREAD * patience
+
+    def load_stuck_for(self, now: float) -> float:
+        """Return for how many seconds the leader's load has not got on."""
+        return 0.0 if self.load_stuck_since == NEVER else now - self.load_stuck_since
+
     def alone_too_long(self, now: float) -> bool:
         """Tell whether a claim is due though no other member could be asked."""
         return self.heard_age(now) > ALONE_AFTER
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -18,12 +18,13 @@
     TakeOverReply,
 )
 from sablemount.control.network import Link
+from sablemount.control.preload import Preload
 from sablemount.control.store import AppendResult, Topic, Unavailable
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.loop import run
 from tests.emulator.network import Wires
-from tests.emulator.store import StoreState
+from tests.emulator.store import EmulatedStore, StoreState
 from tests.jobs.stores import ArrangedStore
 
 VIEW_TAKES = 0.1
@@ -67,7 +68,7 @@
             Figures(),
             self._seen,
             self.won.append,
-            lambda: None,
+            Preload(EmulatedStore(self.state, "mine")).begin,
         )
 
     def _seen(self, record: LeaderRecord) -> None:
--- /dev/null
+++ b/tests/jobs/test_load.py
@@ -0,0 +1,103 @@
+"""How far a load is, and what is told of it."""
+
+import asyncio
+import logging
+import random
+
+import pytest
+
+from sablemount.control.commit import Committer
+from sablemount.control.figures import Figures
+from sablemount.control.load import CountedStore, Load, Progress
+from sablemount.control.preload import Preload
+from sablemount.control.store import Topic
+from sablemount.jobs.records import Record
+from tests.emulator.loop import run
+from tests.emulator.store import EmulatedStore, StoreState
+
+KEYS = 1_200
+"""They take three pages."""
+HALF = "k0900"
+"""A key on the second page."""
+
+
+def _filled() -> StoreState:
+    state = StoreState(random.Random(1))
+    keys = [Record(f"k{number:04d}", b"12345") for number in range(KEYS)]
+    state.topics[Topic.JOBS].add(keys)
+    return state
+
+
+def test_what_is_read_again_is_no_progress() -> None:
+    progress = Progress()
+    progress.again()
+    progress.kept(10)
+    progress.kept(10)
+    for _ in range(3):
+        progress.again()
+        progress.kept(10)
+        progress.arrived(9)
+        assert progress.far == 20
+    progress.arrived(11)
+    assert progress.far == 21
+
+
+def test_a_part_of_an_answer_counts_once() -> None:
+    progress = Progress()
+    progress.arrived(4)
+    progress.arrived(3)
+    assert progress.far == 4
+    progress.kept(5)
+    assert progress.far == 5
+    progress.arrived(1)
+    assert progress.far == 6
+
+
+def test_a_leadership_begins_with_what_was_read_of_late() -> None:
+    progress = Progress()
+    progress.kept(100)
+    progress.again()
+    progress.kept(10)
+    progress.begin()
+    assert progress.far == 10
+
+
+def test_pages_read_before_and_after_the_claim_are_progress() -> None:
+    async def scenario() -> None:
+        state = _filled()
+        state.latency = 0.1
+        progress = Progress()
+        preload = Preload(CountedStore(EmulatedStore(state, "m"), progress))
+        preload.begin()
+        await asyncio.sleep(0.15)
+        progress.begin()
+        before = progress.far
+        assert before > 0
+        committer = Committer(EmulatedStore(state, "m"), 1, random.Random(3))
+        load = Load(1, EmulatedStore(state, "m"), progress, Figures())
+        records = await load.run(committer, preload.take())
+        assert len(records) == KEYS
+        assert progress.far > before
+
+    run(scenario())
+
+
+def test_a_load_tells_its_tries_and_its_length(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        state = _filled()
+        state.unread["m"] = HALF
+        store = EmulatedStore(state, "m")
+        figures = Figures()
+        load = Load(7, store, Progress(), figures)
+        asyncio.get_running_loop().call_later(6.0, state.unread.clear)
+        await load.run(Committer(store, 7, random.Random(3)), None)
+        assert figures.cumulative("load")[-1] == 1
+
+    with caplog.at_level(logging.INFO, "sablemount.control.leader"):
+        run(scenario())
+    told = {record.getMessage(): record.__dict__ for record in caplog.records}
+    assert list(told) == ["load begins", "epoch set", "load failed", "loaded"]
+    assert told["load failed"]["why"] == "no answer"
+    assert 0 < told["load failed"]["bytes"] < KEYS * 10
+    assert (told["loaded"]["tries"], told["loaded"]["records"]) == (2, KEYS)
+    assert told["loaded"]["bytes"] == KEYS * 10
--- a/tests/jobs/test_suspicion.py
+++ b/tests/jobs/test_suspicion.py
@@ -64,3 +64,54 @@
     for tick in range(1, 27):
         seen.heard(Pong(1, True, 0.0), tick * 0.15, 0.005)
     assert seen.reason(26 * 0.15 + 0.71, PATIENCE) == ClaimReason.SILENT
+
+
+def _hears_load(seen: Suspicion, loaded: list[int], since: float = 0.0) -> float:
+    """Hear how far the leader's load is each 0.2 s; return when it was last heard."""
+    for tick, far in enumerate(loaded):
+        seen.heard(Pong(1, False, 0.0, loading=True, loaded=far), since + tick * 0.2)
+    return since + (len(loaded) - 1) * 0.2
+
+
+def test_a_load_that_gets_on_is_left_alone_however_long_it_takes() -> None:
+    seen = Suspicion(0.0)
+    # Each step takes 1.8 s.
+    now = _hears_load(seen, [tick // 9 for tick in range(1000)])
+    assert seen.reason(now, PATIENCE) is None
+
+
+def test_a_load_that_does_not_get_on_is_suspected() -> None:
+    seen = Suspicion(0.0)
+    now = _hears_load(seen, [0, 7, *[7] * 11])
+    assert seen.reason(now, PATIENCE) is None
+    now = _hears_load(seen, [7] * 5, now)
+    assert seen.reason(now, PATIENCE) == ClaimReason.LOAD_STUCK
+    seen.heard(Pong(1, False, 0.0, loading=True, loaded=8), now)
+    assert seen.reason(now, PATIENCE) is None
+
+
+def test_a_leader_that_has_loaded_is_suspected_no_more() -> None:
+    seen = Suspicion(0.0)
+    now = _hears_load(seen, [7] * 20)
+    assert seen.reason(now, PATIENCE) == ClaimReason.LOAD_STUCK
+    seen.heard(Pong(1, True, 0.0), now)
+    assert seen.reason(now, PATIENCE) is None
+
+
+def test_a_leader_of_an_earlier_release_tells_nothing_of_its_load() -> None:
+    seen = Suspicion(0.0)
+    for tick in range(100):
+        seen.heard(Pong(1, False, 0.0, loading=True), tick * 0.2)
+    assert seen.reason(99 * 0.2, PATIENCE) is None
+
+
+def test_each_leader_in_a_row_that_has_not_come_to_lead_gives_the_next_one_more_time() -> None:
+    times = []
+    for unled in range(6):
+        seen = Suspicion(0.0, unled)
+        tick = 0
+        while seen.reason(tick * 0.2, 0.0) is None:
+            tick += 1
+            seen.heard(Pong(1, False, 0.0, loading=True, loaded=7), tick * 0.2)
+        times.append(round(tick * 0.2))
+    assert times == [2, 4, 8, 16, 16, 16]
