A member whose own reads fail claims only once it has read the records

A member whose configuration nobody has confirmed for 8 s now reads all that lasts before it claims for silence or refusal; others, whose reads are answered, claim as before and without any delay. Where all members are like that, the first that has read the jobs claims.

Nobody's configuration confirmed: another member leads within 0.5 s, before and after.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -95,7 +95,8 @@
     """Reads the leader's records and writes the next one when that is due.
 
     ``on_leader`` is told of each newer record, and ``on_won`` of the epoch that this member has
-    won. ``read`` begins to read what lasts, as a claim is about to be made.
+    won. ``read`` begins to read what lasts, as a claim is about to be made. ``well`` tells whether
+    this member's own reads of the store have been answered of late.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         on_leader: Callable[[LeaderRecord], None],
         on_won: Callable[[int], None],
         read: "Callable[[], asyncio.Task[Reading | None]]",
+        well: Callable[[], bool],
     ) -> None:
         self._settings = settings
         self._store = store
@@ -117,8 +119,9 @@
         self._on_leader = on_leader
         self._on_won = on_won
         self._read = read
+        self._well = well
         self._reading: asyncio.Task[Reading | None] | None = None
-        """What this member reads in place of a leader whose load does not get on."""
+        """What this member reads before it claims, where it may not be able to."""
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._started_at = monotonic()
         self._chance = rng.uniform(0.0, PATIENCE)
@@ -171,7 +174,7 @@
 
     async def consider(self) -> None:
         """Claim if that is due, unless others still hear the leader."""
-        if not self._link.suspicion.load_stuck(monotonic(), self._patience()):
+        if self._link.leads:
             self._reading = None
         reason = self._reason()
         if reason is None:
@@ -216,20 +219,18 @@
     async def _confirmed(self, reason: str) -> bool:
         """Tell whether what this member can find out speaks for the claim."""
         if reason in FROM_AFAR:
-            return await self._others_agree()
+            return (self._well() or await self._has_read()) and await self._others_agree()
         if reason == ClaimReason.STORE_LOST:
             return await self._store_reached()
         if reason == ClaimReason.LOAD_STUCK:
-            return await self._has_read()
+            return await self._store_well() and await self._has_read()
         return True
 
     async def _has_read(self) -> bool:
-        """Tell whether this member has read all that the leader does not get on with.
+        """Tell whether this member has read all that lasts, and see how the leader is then.
 
         A member that can't would only take its turn in vain.
         """
-        if not await self._store_well():
-            return False
         if self._reading is None:
             self._reading = self._read()
         await asyncio.wait([self._reading], timeout=READ_LOOK)
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -34,6 +34,9 @@
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
+UNCONFIRMED_AFTER = 8.0
+"""Seconds without a confirmed configuration after which this member's own reads are taken to fail:
+the leader's answers confirm it all the while, and a slow store does in less."""
 CONFIRMATIONS = 4
 """How often the configuration is confirmed in the time after which it would count as not so."""
 
@@ -71,6 +74,7 @@
             self._follow,
             self._won,
             self._preload.begin,
+            lambda: self.feed.age < UNCONFIRMED_AFTER,
         )
         self._link.on_leader = self._follow
         self._discovery = Discovery(self._link, rng, self._leads_or_knows, self._follow)
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -69,6 +69,7 @@
             self._seen,
             self.won.append,
             Preload(EmulatedStore(self.state, "mine")).begin,
+            lambda: True,
         )
 
     def _seen(self, record: LeaderRecord) -> None:
--- a/tests/jobs/test_stuck_load.py
+++ b/tests/jobs/test_stuck_load.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sablemount.control.messages import Outcome
+from sablemount.control.messages import ConfigurationCall, Outcome
 from sablemount.control.standing import MachineLimits
 from sablemount.control.store import Topic
 from tests.emulator.loop import run
@@ -148,3 +148,59 @@
         assert system.store.claims == [1, 2]
 
     run(scenario())
+
+
+def _answers_no_configuration_call(system: System, name: str) -> None:
+    place = system.wires.listening[name]
+    handler = place.handler
+
+    async def without(link, message):  # type: ignore[no-untyped-def]
+        if isinstance(message, ConfigurationCall):
+            await asyncio.Event().wait()
+        return await handler(link, message)
+
+    place.handler = without
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_member_whose_own_reads_fail_leaves_the_claim_to_others(seed: int) -> None:
+    """It would claim first, as its machine is the best of those that are left."""
+
+    async def scenario() -> None:
+        system = System(seed, members=MEMBERS)
+        first, second = system.names[:2]
+        system.limits = dict.fromkeys(system.names[2:], SMALL)
+        system.start(first)
+        _answers_no_configuration_call(system, first)
+        await asyncio.sleep(0.5)
+        assert await begun(system) == first
+        system.store.blind.add(second)
+        system.store.unread[second] = ""
+        system.configure(2)
+        await asyncio.sleep(12.0)
+        system.kill(first, None)
+        assert await _until(lambda: system.leader() is not None, 2.0) is not None
+        await asyncio.sleep(5.0)
+        assert system.leader() not in (None, second)
+        assert system.store.claims == [1, 2]
+
+    run(scenario())
+
+
+def test_members_whose_configurations_are_not_confirmed_claim_all_the_same() -> None:
+    """Reading the jobs is enough, and takes no longer than a load."""
+
+    async def scenario() -> None:
+        system = System(1, members=MEMBERS)
+        first = system.names[0]
+        system.start(first)
+        _answers_no_configuration_call(system, first)
+        await asyncio.sleep(0.5)
+        assert await begun(system) == first
+        system.store.blind.update(system.names)
+        system.configure(2)
+        await asyncio.sleep(12.0)
+        system.kill(first, None)
+        assert await _until(lambda: system.leader() is not None, 0.5) is not None
+
+    run(scenario())
