--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -14,6 +14,7 @@
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, LeaderView
+from sablemount.control.preload import Reading
 from sablemount.control.standing import claim_delay
 from sablemount.control.store import (
     Appended,
@@ -55,6 +56,14 @@
 STORE_BACK_GRACE = 0.8
 """Seconds after the store last failed to answer this member for which a leader without it is not
 to blame: it asks each 0.35 s, and its next pong tells a member within 0.15 s."""
+SLOW_STORE_STUCK = 8.0
+"""Seconds for which a load may not get on in a store that is slow for this member too: twice the
+time after which a page is given up."""
+STORE_BACK_LOAD = 2.0
+"""Seconds after the store last failed to answer this member for which a leader's load that does not
+get on is not to blame."""
+READ_LOOK = 0.25
+"""Seconds that a look at whether all is read waits for it; a usual load takes a tenth."""
 REST_AFTER_LEADING = 3.5
 """Seconds for which a former leader leaves the lead to others, so that no turns are taken."""
 VIEWS_ASKED = 5
@@ -74,7 +83,7 @@
     """Why a claim may be due, and the leadership that the reason was formed on.
 
     ``end`` is where the leaders' topic ended then. Once either has moved the doubt is void: it says
-    nothing of a later leader.
+    nothing of a later leader. So it is once the leader has answered and gives no reason any more.
     """
 
     reason: str
@@ -85,8 +94,9 @@
 class Election:
     """Reads the leader's records and writes the next one when that is due.
 
-    ``on_leader`` is told of each newer record, ``on_won`` of the epoch that this member has won,
-    and ``on_claim`` of each claim that is about to be made.
+    ``on_leader`` is told of each newer record, and ``on_won`` of the epoch that this member has
+    won. ``read`` begins to read what lasts, as a claim is about to be made. ``well`` tells whether
+    this member's own reads of the store have been answered of late.
     """
 
     def __init__(
@@ -98,7 +108,8 @@
         figures: Figures,
         on_leader: Callable[[LeaderRecord], None],
         on_won: Callable[[int], None],
-        on_claim: Callable[[], object],
+        read: "Callable[[], asyncio.Task[Reading | None]]",
+        well: Callable[[], bool],
     ) -> None:
         self._settings = settings
         self._store = store
@@ -107,7 +118,10 @@
         self._figures = figures
         self._on_leader = on_leader
         self._on_won = on_won
-        self._on_claim = on_claim
+        self._read = read
+        self._well = well
+        self._reading: asyncio.Task[Reading | None] | None = None
+        """What this member reads before it claims, where it may not be able to."""
         self._incarnation = uuid.UUID(int=rng.getrandbits(128)).hex
         self._started_at = monotonic()
         self._chance = rng.uniform(0.0, PATIENCE)
@@ -117,6 +131,8 @@
         """Epoch of the leader that has asked this member to take over."""
         self._store_failed_at = NEVER
         """When the store last gave no answer, or a slow one, to this member's own trial."""
+        self._won = 0
+        """The last epoch that this member has won."""
         self._rest_until = 0.0
         self._pause_until = 0.0
 
@@ -142,6 +158,8 @@
             _logger.warning("undecodable leader record")
             return
         self._on_leader(seen)
+        # The answer to a claim may come late, or be that of a second try, which is refused.
+        self._lead_if_mine(seen.epoch)
 
     # -- Whether to claim --------------------------------------------------------------------
 
@@ -156,6 +174,8 @@
 
     async def consider(self) -> None:
         """Claim if that is due, unless others still hear the leader."""
+        if self._link.leads:
+            self._reading = None
         reason = self._reason()
         if reason is None:
             return
@@ -163,12 +183,17 @@
         if not await self._confirmed(reason):
             self._pause_until = monotonic() + CLAIM_PAUSE
             return
-        if (self._link.epoch, self._end) != (doubt.epoch, doubt.end):
+        if self._void(doubt):
             self._figures.count("doubt dropped", reason)
             return
         self._asked_by = None
         await self._claim(doubt)
 
+    def _void(self, doubt: Doubt) -> bool:
+        """Tell whether a doubt holds no more: a later leader is there, or this one was heard."""
+        moved = (self._link.epoch, self._end) != (doubt.epoch, doubt.end)
+        return moved or self._reason() is None
+
     def _patience(self) -> float:
         """Return the seconds for which this member leaves a claim to others."""
         return self._chance + claim_delay(self._settings.standing, self._link.best)
@@ -194,11 +219,49 @@
     async def _confirmed(self, reason: str) -> bool:
         """Tell whether what this member can find out speaks for the claim."""
         if reason in FROM_AFAR:
-            return await self._others_agree()
+            return (self._well() or await self._has_read()) and await self._others_agree()
         if reason == ClaimReason.STORE_LOST:
             return await self._store_reached()
+        if reason == ClaimReason.LOAD_STUCK:
+            return await self._store_well() and await self._has_read()
+        return True
+
+    async def _has_read(self) -> bool:
+        """Tell whether this member has read all that lasts, and see how the leader is then.
+
+        A member that can't would only take its turn in vain.
+        """
+        if self._reading is None:
+            self._reading = self._read()
+        await asyncio.wait([self._reading], timeout=READ_LOOK)
+        if not self._reading.done():
+            return False
+        if self._reading.result() is None:
+            self._reading = None
+            self._store_failed_at = monotonic()
+            return False
+        await self._link.look(STORE_SECOND_LOOK)
         return True
 
+    async def _store_well(self) -> bool:
+        """Tell whether a load has been possible here while the leader's has not got on."""
+        began = monotonic()
+        page = await self._page(CLAIM_TIMEOUT)
+        now = monotonic()
+        if page is None:
+            self._store_failed_at = now
+            return False
+        self.listed(page.items, page.end)
+        slow = now - began > QUICK_ANSWER
+        if slow and self._link.suspicion.load_stuck_for(now) < SLOW_STORE_STUCK:
+            return False
+        return now - self._store_failed_at >= STORE_BACK_LOAD
+
+    def take_reading(self) -> "asyncio.Task[Reading | None] | None":
+        """Return what was read before a claim, and forget it; ``None`` without that."""
+        reading, self._reading = self._reading, None
+        return reading
+
     async def _store_reached(self) -> bool:
         """Tell whether the store answers here while the leader is still without it."""
         began = monotonic()
@@ -244,7 +307,8 @@
 
         Only one claim can do so, and none that was formed on an earlier leadership.
         """
-        self._on_claim()
+        if self._reading is None:
+            self._read()
         epoch = doubt.epoch + 1
         settings = self._settings
         claim = LeaderRecord(epoch, settings.name, settings.rpc_address, self._incarnation)
@@ -288,7 +352,10 @@
 
     def _lead_if_mine(self, epoch: int) -> None:
         record = self._link.record
-        if record is not None and (record.epoch, record.incarnation) == (epoch, self._incarnation):
+        if record is None or (record.epoch, record.incarnation) != (epoch, self._incarnation):
+            return
+        if epoch > self._won:
+            self._won = epoch
             self._on_won(epoch)
 
 
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -17,6 +17,7 @@
 from sablemount.control.hand_over import Successor, hand_over, relieve
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.leader_link import LeaderLink
+from sablemount.control.load import LoadProgress, LoadStore
 from sablemount.control.member_calls import MemberCalls
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import CallerCall, CallerReply, LeaderRecord, Message, Reply
@@ -36,6 +37,9 @@
 """Seconds between looks at whether to claim, a small part of the silence that is waited for."""
 READY_GRACE = 1.0
 """Seconds after it last could serve for which a member still calls itself ready."""
+UNCONFIRMED_AFTER = 8.0
+"""Seconds without a confirmed configuration after which this member's own reads are taken to fail:
+the leader's answers confirm it all the while, and a slow store does in less."""
 CONFIRMATIONS = 4
 """How often the configuration is confirmed in the time after which it would count as not so."""
 
@@ -64,7 +68,8 @@
         self._listener: Listener | None = None
         self._led_at = -1e9
         self._link = LeaderLink(settings, network, self._handle)
-        self._preload = Preload(ports.store)
+        self._progress = LoadProgress()
+        self._preload = Preload(LoadStore(ports.store, self._progress))
         self._election = Election(
             settings,
             ports.store,
@@ -74,6 +79,7 @@
             self._follow,
             self._won,
             self._preload.begin,
+            lambda: self.feed.age < UNCONFIRMED_AFTER,
         )
         self._link.on_leader = self._follow
         self._discovery = Discovery(self._link, rng, self._leads_or_knows, self._follow)
@@ -216,6 +222,7 @@
     async def _lead(self, epoch: int) -> None:
         if self.leader is not None or self.stopping:
             return
+        read_before = self._preload.take()
         leader = Leader(
             self.settings.name,
             epoch,
@@ -224,9 +231,10 @@
             self._rng,
             self.figures,
             self.feed,
-            self._preload.take(),
+            self._election.take_reading() or read_before,
             Roster(self._link.addresses),
             self._link.cell,
+            self._progress,
         )
         self.leader = leader
         self._configurations.pace(
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -137,9 +137,11 @@
 
 
 class TakeOver(msgspec.Struct, frozen=True, tag=True):
-    """The leader stops and asks a member to lead."""
+    """The leader asks a member to lead."""
 
     epoch: int
+    once_read: bool = False
+    """Whether there is time to read all that lasts first: this leader does not stop."""
 
 
 class Announce(msgspec.Struct, frozen=True, tag=True):
@@ -185,6 +187,8 @@
     """How many members the leader counts, itself included; 0 if the ping has told that number."""
     best: float = FULL
     """Standing of the best member that could take over."""
+    loaded: int = -1
+    """How far it is with what it reads, a number that grows; -1 if it does not tell."""
 
 
 class LeaderView(msgspec.Struct, frozen=True, tag=True):
--- a/src/sablemount/control/pages.py
+++ b/src/sablemount/control/pages.py
@@ -15,7 +15,7 @@
 from sablemount.control.progress import Progress
 from sablemount.control.store import Page, PageItem, Store, Topic, Unavailable
 
-__all__ = ["Newest", "read_newest", "topic_end"]
+__all__ = ["LAST_KEY", "Newest", "read_newest", "topic_end"]
 
 LAST_KEY = "\U0010ffff"
 """What no key follows."""
