Questions that fail at once beside a silent one do not follow one another without a pause

Cause: a question is asked again each 0.35 s while one is under way, but its wait ended with the first that failed. With all connections to the store in use each new one failed at once, and the next followed: 222 attempts in 1.4 s of virtual time where 5 are due. A list did the same: 64 questions in 6 s, 40 at most by the test. Both tests failed before. The mend: the next one is due an interval after the last one was begun, whatever ends meanwhile, and a list is asked for again only if the store has answered a short question.

--- a/src/sablemount/control/hedge.py
+++ b/src/sablemount/control/hedge.py
@@ -22,7 +22,7 @@
 
     A further attempt is begun every ``interval`` seconds up to ``limit``; ``None`` is an attempt's
     failure, and once all have failed none is begun any more: what is refused at once would be
-    again.
+    again. Nor is one begun sooner because another has failed beside one that is under way.
 
     ``progress`` tells what has arrived of the attempts' answers. While something arrives no other
     attempt is begun, since copies of a long answer would share the link with it, and the limit
@@ -30,14 +30,16 @@
     """
     loop = asyncio.get_running_loop()
     progress = progress or Progress()
-    began = loop.time()
+    began = next_at = loop.time()
     pending: set[asyncio.Future[Any]] = set()
     try:
         while loop.time() < min(max(began, progress.at) + limit, began + longest):
-            if not (pending and progress.within(interval)):
+            next_at = max(next_at, progress.at + interval)
+            if not pending or loop.time() >= next_at:
                 pending.add(asyncio.ensure_future(attempt()))
+                next_at = loop.time() + interval
             ended, pending = await asyncio.wait(
-                pending, timeout=interval, return_when=asyncio.FIRST_COMPLETED
+                pending, timeout=next_at - loop.time(), return_when=asyncio.FIRST_COMPLETED
             )
             answers = [call.result() for call in ended if call.result() is not None]
             if answers:
--- a/src/sablemount/control/pages.py
+++ b/src/sablemount/control/pages.py
@@ -91,29 +91,28 @@
         self._interval = interval
         self._limit = limit
         self._progress = progress
-        self._began_at = monotonic()
+        self._began_at = self._tried_at = monotonic()
+        self._gap = interval
+        """Seconds from a try, or the last part, to the next try."""
+        self._there = False
+        """Whether the store has answered a short question."""
         self._sent = 0
         self._tries: set[asyncio.Future[Page | Unavailable]] = set()
         self._failed = Unavailable(NO_PAGE)
 
     async def read(self) -> Page | Unavailable:
         """Return the page, or what became of the last try."""
-        gap = self._interval
         try:
             self._try()
             while self._time_left() > 0:
-                page = await self._wait(self._tries, gap)
+                page = await self._wait(self._tries, self._next_at() - monotonic())
                 if page is not None or not self._tries:
                     return page or self._failed
-                if self._progress.within(gap):
+                if monotonic() < self._next_at():
                     continue
-                if self._sent >= UNPROBED:
-                    page = await self._probe()
+                page = await self._again()
                 if page is not None or not self._tries:
                     return page or self._failed
-                if self._time_left() > 0 and not self._progress.within(self._interval):
-                    self._try()
-                    gap *= GAP_GROWTH
             return self._failed
         finally:
             for attempt in self._tries:
@@ -124,18 +123,37 @@
         heard_at = max(self._began_at, self._progress.at)
         return min(heard_at + self._limit, self._began_at + LONGEST_PAGE) - now
 
+    def _next_at(self) -> float:
+        """Return when the page may be asked for again."""
+        return max(self._tried_at, self._progress.at) + self._gap
+
+    async def _again(self) -> Page | None:
+        """Ask for the page once more, if the store is there; return it if it comes meanwhile."""
+        if self._sent < UNPROBED:
+            self._try()
+            return None
+        page = await self._probe()
+        if page is None and self._there and monotonic() >= self._next_at():
+            self._gap *= GAP_GROWTH
+            self._try()
+        return page
+
     def _try(self) -> None:
+        self._tried_at = monotonic()
         page = self._store.newest(self._topic, self._after, self._limit, self._progress)
         self._tries.add(asyncio.ensure_future(page))
         self._sent += 1
 
     async def _probe(self) -> Page | None:
-        """Wait until the store is there, or the page is."""
-        probe = asyncio.ensure_future(
-            topic_end(self._store, self._topic, self._interval, self._time_left())
-        )
+        """Ask whether the store is there; return the page if it comes first."""
+        end = topic_end(self._store, self._topic, self._interval, self._time_left())
+        probe = asyncio.ensure_future(end)
         try:
-            return await self._wait({*self._tries, probe}, None)
+            page = await self._wait({*self._tries, probe}, None)
+            self._there = probe.done() and probe.result() is not None
+            if page is None and not self._there:
+                page = await self._wait(self._tries, self._interval)
+            return page
         finally:
             probe.cancel()
 
--- a/tests/jobs/test_hedge.py
+++ b/tests/jobs/test_hedge.py
@@ -74,3 +74,19 @@
         assert len(asyncio.all_tasks()) == 1
 
     run(scenario())
+
+
+def test_attempts_that_fail_at_once_beside_a_silent_one_do_not_follow_one_another() -> None:
+    async def scenario() -> None:
+        calls = 0
+
+        async def first_is_silent() -> str | None:
+            nonlocal calls
+            calls += 1
+            await asyncio.sleep(TIMEOUT if calls == 1 else 0.005)
+            return None
+
+        await hedged(first_is_silent, INTERVAL, 1.4)
+        assert calls <= 6
+
+    run(scenario())
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -7,8 +7,10 @@
 import pytest
 
 from sablemount.control.follow import Follower
+from sablemount.control.pages import read_newest
 from sablemount.control.preload import load_records
-from sablemount.control.store import PageItem, Topic
+from sablemount.control.progress import Progress
+from sablemount.control.store import Page, PageItem, Topic, Unavailable
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
 from tests.emulator.narrow import NarrowLink, NarrowStore
@@ -110,3 +112,25 @@
         assert link.carried < 1.1 * 4 / 3 * sum(len(key.value) + len(key.key) for key in keys)
 
     run(scenario())
+
+
+class _Crowded(NarrowStore):
+    """Leaves the first list without an answer, and refuses all that is asked beside it."""
+
+    asked = 0
+
+    async def newest(
+        self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+    ) -> Page | Unavailable:
+        self.asked += 1
+        await asyncio.sleep(timeout if self.asked == 1 else 0.005)
+        return Unavailable("all connections to the upstream are in use", certain=True)
+
+
+def test_a_list_beside_one_that_is_silent_is_not_asked_for_without_a_pause() -> None:
+    async def scenario() -> None:
+        store = _Crowded(StoreState(random.Random(1)), "m", NarrowLink(LINK))
+        await read_newest(store, Topic.JOBS, 0.35, 6.0)
+        assert store.asked <= 40
+
+    run(scenario())
