A reading before a claim is not begun anew nor dropped because it takes long

What is read before a claim counted as fresh for 3 s from its begin, so that 5 MB over a link of 5 Mbit/s were begun anew with each doubt and thrown away with the claim. It counts from its end now; one that failed is begun anew at once.

--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -26,7 +26,7 @@
 LONGEST = 30.0
 """Seconds that what follows may take in all."""
 FRESH = 3.0
-"""Seconds for which pages are worth bringing up to date: a change of leader in a slow store."""
+"""Seconds for which a reading is worth bringing up to date: a change of leader in a slow store."""
 
 
 _logger = logging.getLogger("sablemount.control.preload")
@@ -44,22 +44,31 @@
 
     def __init__(self, store: Store) -> None:
         self._store = store
-        self._begun_at = -FRESH
+        self._read_at = -FRESH
+        """When the last reading has ended."""
         self._reading: asyncio.Task[Reading | None] | None = None
 
     def begin(self) -> "asyncio.Task[Reading | None]":
-        """Begin to read, unless that was begun of late; return the reading."""
-        if self._reading is None or monotonic() - self._begun_at >= FRESH:
-            self._begun_at = monotonic()
-            self._reading = asyncio.get_running_loop().create_task(_newest(self._store))
+        """Begin to read, unless that goes on or has ended of late; return the reading."""
+        if self._reading is None or self._aged(self._reading):
+            self._reading = asyncio.get_running_loop().create_task(self._read())
         return self._reading
 
-    def take(self) -> "asyncio.Task[Reading | None] | None":
-        """Return the reading begun of late and forget it; ``None`` without one."""
-        reading = self._reading if monotonic() - self._begun_at < FRESH else None
-        self._reading = None
+    async def _read(self) -> Reading | None:
+        reading = await _newest(self._store)
+        self._read_at = monotonic()
         return reading
 
+    def _aged(self, reading: "asyncio.Task[Reading | None]") -> bool:
+        if not reading.done():
+            return False
+        return reading.result() is None or monotonic() - self._read_at >= FRESH
+
+    def take(self) -> "asyncio.Task[Reading | None] | None":
+        """Return the reading that goes on or has ended of late, and forget it; else ``None``."""
+        reading, self._reading = self._reading, None
+        return None if reading is None or self._aged(reading) else reading
+
 
 async def load_records(
     store: Store,
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -8,7 +8,7 @@
 
 from sablemount.control.follow import Follower
 from sablemount.control.pages import read_newest
-from sablemount.control.preload import load_records
+from sablemount.control.preload import FRESH, Preload, load_records
 from sablemount.control.progress import Progress
 from sablemount.control.store import Page, PageItem, Topic, Unavailable
 from sablemount.jobs.records import Record
@@ -134,3 +134,34 @@
         assert store.asked <= 40
 
     run(scenario())
+
+
+def test_a_reading_that_takes_long_is_neither_begun_anew_nor_dropped() -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        keys = [Record(f"k{number:05d}", b"x" * 2_000) for number in range(2_500)]
+        state.topics[Topic.JOBS].add(keys)
+        preload = Preload(NarrowStore(state, "m", NarrowLink(LINK)))
+        reading = preload.begin()
+        await asyncio.sleep(2 * FRESH)
+        assert not reading.done()
+        assert preload.begin() is reading
+        assert preload.take() is reading
+        assert await reading is not None
+
+    run(scenario())
+
+
+def test_a_reading_that_has_aged_is_made_anew() -> None:
+    async def scenario() -> None:
+        preload = Preload(NarrowStore(StoreState(random.Random(1)), "m", NarrowLink(LINK)))
+        reading = preload.begin()
+        await reading
+        await asyncio.sleep(FRESH + 0.1)
+        other = preload.begin()
+        assert other is not reading
+        await other
+        await asyncio.sleep(FRESH + 0.1)
+        assert preload.take() is None
+
+    run(scenario())
