A step that waits says what holds it back, in a busy cell too

The line now has a pace of its own, four steps each half second, those that were told of longest ago first. It has for each VM of the step's pool the first thing that keeps the step from it, and for how long no machine was free to ask for advice for it. Only the steps that are told of are held against all VMs, so that placement itself does no more than before.

--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -70,6 +70,8 @@
         self._state = state
         self._lanes: dict[str, _Lane] = {}
         self._wanted: dict[str, tuple[StepRow, tuple[str, ...]]] = {}
+        self._unmet: dict[str, float] = {}
+        """Steps whose wishes find no lane, and since when."""
         self._good: dict[str, float] = {}
         """Share of the VMs that may run a step, by queue, as answers have told."""
         self._renewing = Every(RENEW_INTERVAL)
@@ -163,17 +165,20 @@
             self._renew()
 
     def _answer_wishes(self) -> None:
-        if not self._wanted:
-            return
         for key in sorted(self._wanted, key=self._urgency):
             step, vms = self._wanted[key]
             if self._ask(step, vms):
                 del self._wanted[key]
+        self._unmet = {key: self._unmet.get(key, self._state.now) for key in self._wanted}
         # What found no lane is wished for again when placement still needs it.
         for step, _ in self._wanted.values():
             self._state.touch(step)
         self._wanted.clear()
 
+    def unmet_for(self, step: StepRow) -> float:
+        """Return the seconds for which a step's wish has found no lane."""
+        return self._state.now - self._unmet.get(step.key, self._state.now)
+
     def _renew(self) -> None:
         """Renew, over lanes that nobody needs, the tickets of the most urgent steps that wait.
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -10,6 +10,8 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.choice import Assignment, Choice
+from sablemount.jobs.systems.every import Every
+from sablemount.jobs.systems.held_back import HeldBack
 from sablemount.jobs.systems.reservation import Reservation
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.starts import Starts
@@ -21,6 +23,10 @@
 
 TELL_AFTER = 3.0
 """Seconds after which a step that waits is logged, again and again."""
+TELL_INTERVAL = 0.5
+"""Seconds between two looks for such steps."""
+TOLD_AT_ONCE = 4
+"""Steps that are logged at each look at most: what holds one back takes a look at all VMs."""
 NO_ROOM = Shape()
 RETRY_INTERVAL = 0.25
 """Seconds after which a step that found no room is looked at again in any case."""
@@ -48,6 +54,8 @@
         self._speeds = speeds
         self._trials = Trials(state)
         self._choice = Choice(state, advice, self._trials, speeds)
+        self._held_back = HeldBack(state, vms, advice, reservation, self._trials)
+        self._telling = Every(TELL_INTERVAL)
         self._looked_at = -RETRY_INTERVAL
         self._most = Shape()
         """The most cores, memory and accelerators that are free on any one usable VM, or more."""
@@ -61,6 +69,7 @@
         state = self._state
         if state.now - self._looked_at > RETRY_INTERVAL:
             state.freed += 1
+        if self._telling.due(state.now):
             self._tell_of_waiting()
         if state.freed == state.placed_at_freed and not state.touched:
             return
@@ -175,32 +184,45 @@
         return found
 
     def _tell_of_waiting(self) -> None:
-        """Log the steps that have waited for long, now and then, with what they wait for."""
+        """Log some of the steps that have waited for long, with what they wait for."""
+        now = self._state.now
+        late = [
+            step
+            for step in self._state.open_steps.values()
+            if step.waiting and now - max(step.opened_at, step.told_at) >= TELL_AFTER
+        ]
+        late.sort(key=lambda step: (step.told_at, step.opened_at))
+        for step in late[:TOLD_AT_ONCE]:
+            step.told_at = now
+            self._tell_of(step, len(late))
+
+    def _tell_of(self, step: StepRow, late: int) -> None:
         state = self._state
-        for step in state.open_steps.values():
-            since = max(step.opened_at, step.told_at)
-            if not step.waiting or state.now - since < TELL_AFTER:
-                continue
-            step.told_at = state.now
-            advice = step.advice
-            organisation = self._caps.organisation(step)
-            capped = organisation is not None and self._caps.places(step) < step.waiting
-            state.logger.info(
-                "step waits",
-                extra={
-                    "organisation": step.job.organisation,
-                    "cap": organisation.cap if organisation is not None and capped else None,
-                    "in_use": state.usage.of(step.job.organisation) if capped else None,
-                    "version": state.configuration.version,
-                    "step": step.key,
-                    "waits": step.waiting,
-                    "of": step.open_tasks,
-                    "ready": self.ready(step),
-                    "asking": 0 if advice is None else advice.asking,
-                    "good": -1 if advice is None else len(advice.good),
-                    "bad": -1 if advice is None else len(advice.bad),
-                },
-            )
+        advice = step.advice
+        organisation = self._caps.organisation(step)
+        capped = organisation is not None and self._caps.places(step) < step.waiting
+        state.logger.info(
+            "step waits",
+            extra={
+                "organisation": step.job.organisation,
+                "cap": organisation.cap if organisation is not None and capped else None,
+                "in_use": state.usage.of(step.job.organisation) if capped else None,
+                "version": state.configuration.version,
+                "step": step.key,
+                "waits": step.waiting,
+                "of": step.open_tasks,
+                "ready": self.ready(step),
+                "noting": state.noting,
+                "crashes": max(len(task.crashes) for task in step.tasks),
+                "booked": len(step.booked),
+                "asking": 0 if advice is None else advice.asking,
+                "unasked_for": round(self._advice.unmet_for(step), 3),
+                "good": -1 if advice is None else len(advice.good),
+                "bad": -1 if advice is None else len(advice.bad),
+                "held": self._held_back.by(step),
+                "late": late,
+            },
+        )
 
     # -- Advice ------------------------------------------------------------------------------
 
