Advice: a wish that has found no lane for a second gets one of a quarter of them

Each life of a VM is new to each step that waits, VMs started again four times a second, and wishes go by priority alone; a slow question needs more than a third of the lanes free.

Now a quarter of the lanes, one at least, takes wishes that have found none for a second, longest first, urgent or not. Urgent work keeps three quarters of the lanes whatever waits.

The tests failed before: no question of the less urgent steps within 3 s.

--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -20,6 +20,12 @@
 """Calls expected to take longer than this (seconds) leave some lanes to others."""
 KEPT_SHARE = 3
 """One lane of this many is kept for quick calls."""
+OVERDUE_AFTER = 1.0
+"""Seconds after which a wish that has found no lane is overdue: with the call and the start that
+follow, below the 3 s for which nothing of a job may run while there is room for it."""
+OVERDUE_SHARE = 4
+"""One lane of this many works for overdue wishes first. Where VMs start again faster than all that
+waits can ask for them, urgent work would take every lane for as long as that goes on."""
 MAX_NAMED = 100
 """VMs named in one call at most, as the platform's pages say."""
 SPLIT_SHARE = 0.4
@@ -61,6 +67,8 @@
     pause_until: float = NEVER
     step: StepRow | None = None
     """The step that it asks for."""
+    overdue: bool = False
+    """Whether it does so since the step's wish was overdue."""
 
 
 class Advice:
@@ -165,6 +173,7 @@
             self._renew()
 
     def _answer_wishes(self) -> None:
+        self._answer_overdue()
         for key in sorted(self._wanted, key=self._urgency):
             step, vms = self._wanted[key]
             if self._ask(step, vms):
@@ -175,6 +184,24 @@
             self._state.touch(step)
         self._wanted.clear()
 
+    def _answer_overdue(self) -> None:
+        """Hand some lanes to the wishes that have found none for longest, urgent or not."""
+        overdue = [key for key in self._wanted if self._overdue(key)]
+        if not overdue:
+            return
+        busy = sum(1 for lane in self._lanes.values() if lane.step and lane.overdue)
+        most = max(1, len(self._lanes) // OVERDUE_SHARE) - busy
+        free = self._free_lanes()[: max(0, most)]
+        overdue.sort(key=self._unmet.__getitem__)
+        for key, name in zip(overdue, free, strict=False):
+            step, vms = self._wanted.pop(key)
+            self._send(name, step, vms[:MAX_NAMED])
+            self._lanes[name].overdue = True
+
+    def _overdue(self, key: str) -> bool:
+        now = self._state.now
+        return now - self._unmet.get(key, now) >= OVERDUE_AFTER
+
     def unmet_for(self, step: StepRow) -> float:
         """Return the seconds for which a step's wish has found no lane."""
         return self._state.now - self._unmet.get(step.key, self._state.now)
@@ -246,6 +273,7 @@
         lane = self._lanes[name]
         cost = self.cost(step, len(vms))
         lane.step = step
+        lane.overdue = False
         lane.busy_until = state.now + 2 * cost + CALL_SLACK
         if not row.asking:
             row.asked_at = state.now
--- /dev/null
+++ b/tests/jobs/test_crowded_lanes.py
@@ -0,0 +1,96 @@
+"""Questions where VMs come and go faster than all that waits can ask for them.
+
+Under tasks that crash VMs each life is new to all steps, and each of them asked for each life at
+once, the most urgent first: what was less urgent found no lane while that went on, with room free.
+"""
+
+from sablemount.jobs.actions import AskAdvice
+from sablemount.jobs.model import AdviceTerms, Queue, Shape, StepSpec
+from sablemount.jobs.systems.advice import OVERDUE_AFTER, OVERDUE_SHARE
+from tests.jobs.rig import CAPACITY, Rig, queue, spec
+
+QUICK = queue("quick", 0, AdviceTerms(13.0, 0.2, 2000.0))
+SLOW = queue("slow", 1, AdviceTerms(490.0, 7.0, 2000.0))
+ROUND = 0.02
+LANES = 8
+HALF = Shape(CAPACITY.cores // 2, 1_000)
+LIMIT = 3.0
+"""Seconds for which nothing of a job may run while there is room for it."""
+
+
+class _Crowd:
+    """Steps that ask for VMs over some lanes; a call is answered once its time is over."""
+
+    def __init__(self, vms: int, lanes: int = LANES, good: bool = False) -> None:
+        self.rig = Rig(vms=vms, queues=(QUICK, SLOW))
+        self.rig.scheduler.advice.set_lanes({f"l{number}" for number in range(lanes)})
+        self._good = good
+        self._open: list[tuple[float, AskAdvice]] = []
+        self._seen = 0
+
+    def accept(self, name: str, to: Queue, step: StepSpec) -> None:
+        self.rig.accept(name, spec(step), to)
+
+    def all_ask(self, seconds: float, prefix: str = "") -> None:
+        """Let some seconds go by, in which each step asks for a VM again and again."""
+        advice = self.rig.scheduler.advice
+        for _ in range(round(seconds / ROUND)):
+            for step in self.rig.scheduler.state.open_steps.values():
+                if step.key.startswith(prefix):
+                    advice.want(step, ["vm"])
+            self.go(ROUND)
+
+    def go(self, seconds: float) -> None:
+        """Let some seconds go by."""
+        for _ in range(round(seconds / ROUND)):
+            self.rig.hear_all()
+            self.rig.tick(ROUND)
+            self._answer()
+
+    def _answer(self) -> None:
+        asked = self.rig.asked()
+        now = self.rig.clock.time
+        self._open += [(now + call.cost, call) for call in asked[self._seen :]]
+        self._seen = len(asked)
+        over = [row for row in self._open if row[0] <= now]
+        self._open = [row for row in self._open if row[0] > now]
+        for _, call in over:
+            good = dict.fromkeys(call.vms, "ticket") if self._good else {}
+            self.rig.scheduler.advice.answered(call.lane, call.step, call.vms, good, 2000.0)
+
+    def calls_of(self, prefix: str) -> list[AskAdvice]:
+        return [call for call in self.rig.asked() if call.step.startswith(prefix)]
+
+
+def _crowded(slow: int) -> _Crowd:
+    """Return steps without VMs yet: 60 urgent ones, and some whose questions take long."""
+    crowd = _Crowd(vms=0)
+    for number in range(60):
+        crowd.accept(f"urgent{number}", QUICK, StepSpec(1, HALF))
+    for number in range(slow):
+        crowd.accept(f"calm{number}", SLOW, StepSpec(2, HALF, expected_ms=4000.0, gang=True))
+    return crowd
+
+
+def test_less_urgent_work_asks_however_much_urgent_work_does() -> None:
+    crowd = _crowded(slow=3)
+    crowd.all_ask(LIMIT)
+    assert {call.step for call in crowd.calls_of("calm")} == {f"calm{n}.0.0" for n in range(3)}
+
+
+def test_urgent_work_keeps_most_lanes() -> None:
+    crowd = _crowded(slow=20)
+    crowd.all_ask(2 * LIMIT)
+    calm = crowd.calls_of("calm")
+    seconds = 2 * LIMIT - OVERDUE_AFTER
+    lanes = LANES // OVERDUE_SHARE
+    assert sum(call.cost for call in calm) <= lanes * (seconds + calm[0].cost)
+    assert len(crowd.calls_of("urgent")) > 0.6 * (LANES - lanes) * seconds / ROUND
+
+
+def test_a_wish_that_is_given_up_is_not_overdue_when_it_comes_back() -> None:
+    crowd = _crowded(slow=1)
+    crowd.all_ask(0.9 * OVERDUE_AFTER)
+    crowd.all_ask(0.5, "urgent")
+    crowd.all_ask(0.9 * OVERDUE_AFTER)
+    assert not crowd.calls_of("calm")
