Advice: a quick question seeks room that is there, and no more of it than three times over

Each step that waits asks for each VM that has come, though the first ones fill it before the others have their answers.

A quick question is now put only for VMs that have room for a task, and whose room is not sought three times over by questions that are on their way; a step that is put off is looked at as soon as one of these is over. Nobody asks for a VM on trial for another job. Questions that take long ask ahead as before, since room that is kept through them would be missed. Where there is room for all, all ask at once as before.

Three of the tests failed before: 20 questions for room of two tasks, a question for a full VM, one for a VM on trial.

A line on a step that waits says "full" before it says that advice is missing: nobody asks there.

--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -28,6 +28,11 @@
 waits can ask for them, urgent work would take every lane for as long as that goes on."""
 MAX_NAMED = 100
 """VMs named in one call at most, as the platform's pages say."""
+MOST_SOUGHT = 3.0
+"""Times that quick questions may seek a VM's room at once: a good part of the answers is no, but
+all that waits would ask for each VM that has just come, of which the first ones fill it."""
+LEAST_SHARE = 1e-6
+"""A sum of shares below this is none: it is left over by the way that such numbers add up."""
 SPLIT_SHARE = 0.4
 """A call is divided where naming its VMs takes more than this share of the time that it takes to
 decide: about 100 VMs were answered in 1.2 s in one call, in 0.7 s in four. Smaller parts cost lanes
@@ -69,6 +74,9 @@
     """The step that it asks for."""
     overdue: bool = False
     """Whether it does so since the step's wish was overdue."""
+    vms: tuple[str, ...] = ()
+    share: float = 0.0
+    """Share of each VM's room that the step seeks."""
 
 
 class Advice:
@@ -77,7 +85,14 @@
     def __init__(self, state: State) -> None:
         self._state = state
         self._lanes: dict[str, _Lane] = {}
-        self._wanted: dict[str, tuple[StepRow, tuple[str, ...]]] = {}
+        self._wanted: dict[str, tuple[StepRow, tuple[str, ...], float]] = {}
+        """Wishes: a step, VMs, and the share of the room of each that it seeks there."""
+        self._wished: dict[str, float] = {}
+        """Sum of the shares that are wished for, by VM."""
+        self._sought: dict[str, float] = {}
+        """The same for the calls that are on their way."""
+        self._put_off: dict[str, StepRow] = {}
+        """Steps that do not ask while others seek the same room."""
         self._unmet: dict[str, float] = {}
         """Steps whose wishes find no lane, and since when."""
         self._good: dict[str, float] = {}
@@ -104,6 +119,7 @@
         """Take that a lane's call is over, and return what is known of its step."""
         step = lane.step
         lane.step = None
+        self._seek(lane, -1)
         if step is None or step.advice is None:
             return None
         row = step.advice
@@ -115,14 +131,41 @@
 
     # -- Wishes ------------------------------------------------------------------------------
 
-    def want(self, step: StepRow, vms: list[str]) -> None:
-        """Ask for some VMs as soon as a lane is free."""
+    def want(self, step: StepRow, vms: list[str], share: float = 0.0) -> None:
+        """Ask for some VMs as soon as a lane is free, seeking a share of the room of each."""
         row = step.advice
         if row is None or row.asking or not vms:
             return
         if row.failures and self._state.now < row.asked_at + RETRY_AFTER * row.failures:
             return
-        self._wanted[step.key] = (step, tuple(vms))
+        self._wanted[step.key] = (step, tuple(vms), share)
+        if share:
+            for vm in vms:
+                self._wished[vm] = self._wished.get(vm, 0.0) + share
+
+    def sought(self, vm: str) -> bool:
+        """Tell whether as many ask for a VM as could find room there."""
+        return self._wished.get(vm, 0.0) + self._sought.get(vm, 0.0) >= MOST_SOUGHT
+
+    def put_off(self, step: StepRow) -> None:
+        """Let a step be looked at again once some call that seeks room is over."""
+        self._put_off[step.key] = step
+
+    def _seek(self, lane: _Lane, sign: int) -> None:
+        """Count what a lane's call seeks, or seeks no more."""
+        if not lane.share:
+            return
+        for vm in lane.vms:
+            left = self._sought.get(vm, 0.0) + sign * lane.share
+            if left > LEAST_SHARE:
+                self._sought[vm] = left
+            else:
+                self._sought.pop(vm, None)
+        if sign < 0:
+            lane.share = 0.0
+            for step in self._put_off.values():
+                self._state.touch(step)
+            self._put_off.clear()
 
     def valid(self, step: StepRow, vm: VmRow) -> bool:
         """Tell whether a step may be started on a VM now."""
@@ -142,6 +185,10 @@
         terms = self._state.terms_of(step.job).advice
         return 0.0 if terms is None else (terms.decide_ms + terms.each_ms * count) / MS
 
+    def takes_long(self, step: StepRow) -> bool:
+        """Tell whether room that is kept through a question of a step would be missed."""
+        return self.cost(step, 1) >= RENEW_COST
+
     def enough(self, step: StepRow) -> int:
         """Return how many VMs to ask for, so that some may run a step and have room for it.
 
@@ -175,14 +222,14 @@
     def _answer_wishes(self) -> None:
         self._answer_overdue()
         for key in sorted(self._wanted, key=self._urgency):
-            step, vms = self._wanted[key]
-            if self._ask(step, vms):
+            if self._ask(*self._wanted[key]):
                 del self._wanted[key]
         self._unmet = {key: self._unmet.get(key, self._state.now) for key in self._wanted}
         # What found no lane is wished for again when placement still needs it.
-        for step, _ in self._wanted.values():
+        for step, _, _ in self._wanted.values():
             self._state.touch(step)
         self._wanted.clear()
+        self._wished.clear()
 
     def _answer_overdue(self) -> None:
         """Hand some lanes to the wishes that have found none for longest, urgent or not."""
@@ -194,8 +241,8 @@
         free = self._free_lanes()[: max(0, most)]
         overdue.sort(key=self._unmet.__getitem__)
         for key, name in zip(overdue, free, strict=False):
-            step, vms = self._wanted.pop(key)
-            self._send(name, step, vms[:MAX_NAMED])
+            step, vms, share = self._wanted.pop(key)
+            self._send(name, step, vms[:MAX_NAMED], share)
             self._lanes[name].overdue = True
 
     def _overdue(self, key: str) -> bool:
@@ -248,7 +295,7 @@
     def _step_urgency(self, step: StepRow) -> tuple[int, float]:
         return (self._state.terms_of(step.job).priority, step.job.objective_at)
 
-    def _ask(self, step: StepRow, vms: tuple[str, ...]) -> bool:
+    def _ask(self, step: StepRow, vms: tuple[str, ...], share: float = 0.0) -> bool:
         """Ask for some VMs over as many lanes as it is worth, and tell whether one was free."""
         free = self._free_lanes()
         kept = len(self._lanes) // KEPT_SHARE
@@ -256,7 +303,7 @@
             return False
         parts = min(self._parts(step, len(vms)), max(1, (len(free) - kept) // 2))
         for number, name in zip(range(parts), free, strict=False):
-            self._send(name, step, vms[number::parts][:MAX_NAMED])
+            self._send(name, step, vms[number::parts][:MAX_NAMED], share)
         return True
 
     def _parts(self, step: StepRow, count: int) -> int:
@@ -266,7 +313,7 @@
             return 1
         return max(1, math.ceil(count * terms.each_ms / (SPLIT_SHARE * terms.decide_ms + 1.0)))
 
-    def _send(self, name: str, step: StepRow, vms: tuple[str, ...]) -> None:
+    def _send(self, name: str, step: StepRow, vms: tuple[str, ...], share: float) -> None:
         state = self._state
         row = step.advice
         assert row is not None
@@ -274,6 +321,9 @@
         cost = self.cost(step, len(vms))
         lane.step = step
         lane.overdue = False
+        lane.vms = vms
+        lane.share = share
+        self._seek(lane, 1)
         lane.busy_until = state.now + 2 * cost + CALL_SLACK
         if not row.asking:
             row.asked_at = state.now
--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -68,12 +68,12 @@
             return Hold.TRIAL
         if row.kept_from(step, self._state.terms_of(step.job).priority, now):
             return Hold.KEPT
+        if not step.spec.charge.fits(row.room):
+            return Hold.FULL
         if self._advice.unknown(step, row):
             return Hold.UNKNOWN
         if step.advice is not None and row.name not in step.advice.good:
             return Hold.BAD
-        if not step.spec.charge.fits(row.room):
-            return Hold.FULL
         if not left:
             return Hold.RESERVED
         return Hold.OPEN if task is None else self._hold_of(task, row)
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -242,9 +242,37 @@
             if len(usable) == len(self._state.vms):
                 advice.known_at = self._state.vms_changed
             return
+        unknown = [row for row in unknown if self._worth_asking(step, row)]
+        if not unknown:
+            return
         needed = self._speeds.needed(step)
         unknown.sort(key=lambda row: (not self._speeds.enough(needed, row), -row.room.cores))
-        self._advice.want(step, [row.name for row in unknown[: self._advice.enough(step)]])
+        asked = unknown[: self._advice.enough(step)]
+        self._advice.want(step, [row.name for row in asked], self._share_sought(step, asked))
+
+    def _worth_asking(self, step: StepRow, row: VmRow) -> bool:
+        """Tell whether an answer for a VM could be used soon.
+
+        A step whose questions take long asks ahead of room. Others would keep each other, and all
+        that is less urgent, from asking where there is some.
+        """
+        if row.trial not in ("", step.job.name):
+            return False
+        if self._advice.takes_long(step):
+            return True
+        if not step.spec.charge.fits(row.room):
+            return False
+        if self._advice.sought(row.name):
+            self._advice.put_off(step)
+            return False
+        return True
+
+    def _share_sought(self, step: StepRow, rows: list[VmRow]) -> float:
+        """Return which share of the room of some VMs a step seeks by a quick question."""
+        if self._advice.takes_long(step):
+            return 0.0
+        places = sum(step.spec.charge.times_in(row.room) for row in rows)
+        return min(1.0, step.waiting / max(1, places))
 
     def _start_or_ask(self, step: StepRow, chosen: Assignment) -> None:
         if not chosen:
--- a/tests/jobs/test_crowded_lanes.py
+++ b/tests/jobs/test_crowded_lanes.py
@@ -94,3 +94,53 @@
     crowd.all_ask(0.5, "urgent")
     crowd.all_ask(0.9 * OVERDUE_AFTER)
     assert not crowd.calls_of("calm")
+
+
+def test_a_new_vm_is_asked_for_as_far_as_its_room_goes() -> None:
+    crowd = _Crowd(vms=1, lanes=40, good=True)
+    for number in range(20):
+        crowd.accept(f"urgent{number}", QUICK, StepSpec(1, HALF))
+    crowd.go(1.0)
+    assert len(crowd.rig.started()) == 2
+    assert len(crowd.calls_of("urgent")) <= 6
+
+
+def test_all_ask_for_a_vm_in_turn_that_the_first_may_not_use() -> None:
+    crowd = _Crowd(vms=1, lanes=40)
+    for number in range(20):
+        crowd.accept(f"urgent{number}", QUICK, StepSpec(1, HALF))
+    crowd.go(8 * ROUND)
+    assert len({call.step for call in crowd.calls_of("urgent")}) == 20
+    assert len(crowd.calls_of("urgent")) == 20
+
+
+def test_where_there_is_room_for_all_all_ask_at_once() -> None:
+    crowd = _Crowd(vms=20, lanes=40, good=True)
+    for number in range(20):
+        crowd.accept(f"urgent{number}", QUICK, StepSpec(2, HALF))
+    crowd.go(ROUND)
+    assert len({call.step for call in crowd.calls_of("urgent")}) == 20
+
+
+def test_a_quick_question_waits_until_there_is_room() -> None:
+    crowd = _Crowd(vms=1, good=True)
+    crowd.accept("first", QUICK, StepSpec(2, HALF))
+    crowd.go(0.2)
+    crowd.accept("quick", QUICK, StepSpec(1, HALF))
+    crowd.accept("slow", SLOW, StepSpec(1, HALF))
+    crowd.go(1.0)
+    assert not crowd.calls_of("quick")
+    assert crowd.calls_of("slow")
+    for start in crowd.rig.started():
+        crowd.rig.end(start, "done")
+    crowd.go(0.6)
+    assert crowd.calls_of("quick")
+
+
+def test_a_vm_on_trial_for_another_job_is_not_asked_for() -> None:
+    crowd = _Crowd(vms=2)
+    crowd.rig.scheduler.state.vms["w0"].trial = "other"
+    crowd.accept("quick", QUICK, StepSpec(8, HALF))
+    crowd.accept("slow", SLOW, StepSpec(8, HALF))
+    crowd.go(0.3)
+    assert {vm for call in crowd.rig.asked() for vm in call.vms} == {"w1"}
