No room is made for a task where it may not start beside a suspect

Such a step may have free room and not start there beside another suspect; so cheaper work yielded to it again and again, three times in 4.4 s for one that started nothing, and VMs with room were kept from all less urgent work meanwhile.

Room is now made, and kept, only on VMs where crashes let one of the step's waiting tasks start.

Both tests failed before: a free VM was kept, and cheaper work was stopped.

--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -172,6 +172,12 @@
             and row.trial in ("", step.job.name)
         ]
 
+    def lets_start(self, step: StepRow, row: VmRow) -> bool:
+        """Tell whether a VM that a step may use takes one of its tasks, as far as crashes tell."""
+        if not step.job.watched:
+            return True
+        return any(self._trials.may_start(task, row) for task in step.tasks if _waits(task))
+
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the usable VMs of a step's pool and label, found once a round."""
         kind = (self._state.terms_of(step.job).pool, step.spec.label)
@@ -321,6 +327,10 @@
     return row.info.pool == pool and (not label or label in row.info.labels)
 
 
+def _waits(task: TaskRow) -> bool:
+    return task.state is TaskState.WAITING
+
+
 def _gang_runs(step: StepRow) -> bool:
     """Tell whether some member of a gang may still run, so that none can be started yet."""
     return step.spec.gang and step.waiting < step.open_tasks
--- a/tests/jobs/test_making_room.py
+++ b/tests/jobs/test_making_room.py
@@ -3,6 +3,7 @@
 from sablemount.jobs.actions import StopRun
 from sablemount.jobs.model import Queue, QueueTerms, Shape, StepSpec
 from sablemount.jobs.systems.urgency import Urgency
+from sablemount.jobs.tables import JobRow
 from tests.jobs.rig import Rig, queue, spec
 
 HALF = Shape(8_000, 1_000)
@@ -10,6 +11,8 @@
 GANGS = queue("gangs", 1)
 CHEAP = queue("slow", 2)
 QUEUES = (URGENT, GANGS, CHEAP)
+TIGHT = Queue(URGENT.host, URGENT.prefix, QueueTerms("fast", "pool", 0, 3, 1.1, 100.0))
+"""Urgent work without slack, which others yield to at once."""
 
 
 def _full() -> Rig:
@@ -66,3 +69,54 @@
     for _ in range(40):
         rig.wait(0.1)
     assert {stop.task.partition(".")[0] for stop in rig.stopped()} == {"large"}
+
+
+def _beside_young_suspects(rig: Rig) -> None:
+    """Fill one VM with cheap work, and have another suspect's first moments on the other."""
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    rig.accept("batch", spec(StepSpec(2, HALF, expected_ms=5000.0, saves=True)), CHEAP)
+    rig.tick()
+    rig.hold_all()
+    suspect = rig.accept("other", spec(StepSpec(1, HALF)), URGENT)
+    _blame(rig, suspect)
+    rig.tick()
+    assert [start.vm for start in rig.started() if start.task == "other.0.0.0"] == ["w1"]
+
+
+def _blame(rig: Rig, job: JobRow) -> None:
+    """Have one VM crash under a job's tasks."""
+    job.watched = True
+    rig.scheduler.state.suspected[job.name] = job
+    for step in job.steps.values():
+        for task in step.tasks:
+            task.crashes = ["gone"]
+
+
+def test_no_room_is_kept_where_what_waits_may_not_start_beside_a_suspect() -> None:
+    """Calm work was kept from room that the step for which it was kept could not use."""
+    rig = Rig(vms=2, queues=QUEUES)
+    _beside_young_suspects(rig)
+    waits = rig.accept("waits", spec(StepSpec(4, HALF, expected_ms=9000.0)), TIGHT)
+    _blame(rig, waits)
+    for _ in range(5):
+        rig.tick(0.05)
+    vms = rig.scheduler.state.vms
+    assert vms["w1"].kept_until < rig.clock.time
+    calm = rig.accept("calm", spec(StepSpec(1, HALF)), CHEAP)
+    rig.tick()
+    assert [run.vm for task in calm.steps[(0, 0)].tasks for run in task.runs] == ["w1"]
+
+
+def test_cheaper_work_does_not_yield_to_what_may_not_start_there() -> None:
+    rig = Rig(vms=1, queues=QUEUES)
+    rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    rig.accept("batch", spec(StepSpec(1, HALF, expected_ms=5000.0, saves=True)), CHEAP)
+    rig.tick()
+    rig.hold_all()
+    _blame(rig, rig.accept("other", spec(StepSpec(1, HALF)), URGENT))
+    rig.tick()
+    waits = rig.accept("waits", spec(StepSpec(2, HALF, expected_ms=9000.0)), TIGHT)
+    _blame(rig, waits)
+    for _ in range(5):
+        rig.tick(0.05)
+    assert not rig.stopped()
