--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -10,6 +10,8 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.choice import Assignment, Choice
+from sablemount.jobs.systems.every import Every
+from sablemount.jobs.systems.held_back import HeldBack
 from sablemount.jobs.systems.reservation import Reservation
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.starts import Starts
@@ -21,6 +23,10 @@
 
 TELL_AFTER = 3.0
 """Seconds after which a step that waits is logged, again and again."""
+TELL_INTERVAL = 0.5
+"""Seconds between two looks for such steps."""
+TOLD_AT_ONCE = 4
+"""Steps that are logged at each look at most: what holds one back takes a look at all VMs."""
 NO_ROOM = Shape()
 RETRY_INTERVAL = 0.25
 """Seconds after which a step that found no room is looked at again in any case."""
@@ -48,6 +54,8 @@
         self._speeds = speeds
         self._trials = Trials(state)
         self._choice = Choice(state, advice, self._trials, speeds)
+        self._held_back = HeldBack(state, vms, advice, reservation, self._trials)
+        self._telling = Every(TELL_INTERVAL)
         self._looked_at = -RETRY_INTERVAL
         self._most = Shape()
         """The most cores, memory and accelerators that are free on any one usable VM, or more."""
@@ -61,6 +69,7 @@
         state = self._state
         if state.now - self._looked_at > RETRY_INTERVAL:
             state.freed += 1
+        if self._telling.due(state.now):
             self._tell_of_waiting()
         if state.freed == state.placed_at_freed and not state.touched:
             return
@@ -163,6 +172,12 @@
             and row.trial in ("", step.job.name)
         ]
 
+    def lets_start(self, step: StepRow, row: VmRow) -> bool:
+        """Tell whether a VM that a step may use takes one of its tasks, as far as crashes tell."""
+        if not step.job.watched:
+            return True
+        return any(self._trials.may_start(task, row) for task in step.tasks if _waits(task))
+
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the usable VMs of a step's pool and label, found once a round."""
         kind = (self._state.terms_of(step.job).pool, step.spec.label)
@@ -175,32 +190,45 @@
         return found
 
     def _tell_of_waiting(self) -> None:
-        """Log the steps that have waited for long, now and then, with what they wait for."""
+        """Log some of the steps that have waited for long, with what they wait for."""
+        now = self._state.now
+        late = [
+            step
+            for step in self._state.open_steps.values()
+            if step.waiting and now - max(step.opened_at, step.told_at) >= TELL_AFTER
+        ]
+        late.sort(key=lambda step: (step.told_at, step.opened_at))
+        for step in late[:TOLD_AT_ONCE]:
+            step.told_at = now
+            self._tell_of(step, len(late))
+
+    def _tell_of(self, step: StepRow, late: int) -> None:
         state = self._state
-        for step in state.open_steps.values():
-            since = max(step.opened_at, step.told_at)
-            if not step.waiting or state.now - since < TELL_AFTER:
-                continue
-            step.told_at = state.now
-            advice = step.advice
-            organisation = self._caps.organisation(step)
-            capped = organisation is not None and self._caps.places(step) < step.waiting
-            state.logger.info(
-                "step waits",
-                extra={
-                    "organisation": step.job.organisation,
-                    "cap": organisation.cap if organisation is not None and capped else None,
-                    "in_use": state.usage.of(step.job.organisation) if capped else None,
-                    "version": state.configuration.version,
-                    "step": step.key,
-                    "waits": step.waiting,
-                    "of": step.open_tasks,
-                    "ready": self.ready(step),
-                    "asking": 0 if advice is None else advice.asking,
-                    "good": -1 if advice is None else len(advice.good),
-                    "bad": -1 if advice is None else len(advice.bad),
-                },
-            )
+        advice = step.advice
+        organisation = self._caps.organisation(step)
+        capped = organisation is not None and self._caps.places(step) < step.waiting
+        state.logger.info(
+            "step waits",
+            extra={
+                "organisation": step.job.organisation,
+                "cap": organisation.cap if organisation is not None and capped else None,
+                "in_use": state.usage.of(step.job.organisation) if capped else None,
+                "version": state.configuration.version,
+                "step": step.key,
+                "waits": step.waiting,
+                "of": step.open_tasks,
+                "ready": self.ready(step),
+                "noting": state.noting,
+                "crashes": max(len(task.crashes) for task in step.tasks),
+                "booked": len(step.booked),
+                "asking": 0 if advice is None else advice.asking,
+                "unasked_for": round(self._advice.unmet_for(step), 3),
+                "good": -1 if advice is None else len(advice.good),
+                "bad": -1 if advice is None else len(advice.bad),
+                "held": self._held_back.by(step),
+                "late": late,
+            },
+        )
 
     # -- Advice ------------------------------------------------------------------------------
 
@@ -220,9 +248,37 @@
             if len(usable) == len(self._state.vms):
                 advice.known_at = self._state.vms_changed
             return
+        unknown = [row for row in unknown if self._worth_asking(step, row)]
+        if not unknown:
+            return
         needed = self._speeds.needed(step)
         unknown.sort(key=lambda row: (not self._speeds.enough(needed, row), -row.room.cores))
-        self._advice.want(step, [row.name for row in unknown[: self._advice.enough(step)]])
+        asked = unknown[: self._advice.enough(step)]
+        self._advice.want(step, [row.name for row in asked], self._share_sought(step, asked))
+
+    def _worth_asking(self, step: StepRow, row: VmRow) -> bool:
+        """Tell whether an answer for a VM could be used soon.
+
+        While lanes are short, only a step whose questions take long asks ahead of room. Others
+        would keep each other, and all that is less urgent, from asking where there is some.
+        """
+        if row.trial not in ("", step.job.name):
+            return False
+        if self._advice.takes_long(step) or not self._advice.crowded:
+            return True
+        if not step.spec.charge.fits(row.room):
+            return False
+        if self._advice.sought(row.name):
+            self._advice.put_off(step)
+            return False
+        return True
+
+    def _share_sought(self, step: StepRow, rows: list[VmRow]) -> float:
+        """Return which share of the room of some VMs a step seeks by a quick question."""
+        if self._advice.takes_long(step):
+            return 0.0
+        places = sum(step.spec.charge.times_in(row.room) for row in rows)
+        return min(1.0, step.waiting / places) if places else 0.0
 
     def _start_or_ask(self, step: StepRow, chosen: Assignment) -> None:
         if not chosen:
@@ -271,6 +327,10 @@
     return row.info.pool == pool and (not label or label in row.info.labels)
 
 
+def _waits(task: TaskRow) -> bool:
+    return task.state is TaskState.WAITING
+
+
 def _gang_runs(step: StepRow) -> bool:
     """Tell whether some member of a gang may still run, so that none can be started yet."""
     return step.spec.gang and step.waiting < step.open_tasks
