A list of which all tries end while the store is asked whether it is there has failed

A reader whose lists were all reset while a short question was under way raised ValueError (asyncio.wait of an empty set). That ended the follower's task for good: the member read neither the configuration nor who leads any more, and the election or the load ended in the same way. Cause: after a short question without an answer the page was awaited for one interval more, also if no try of it was left. The list now counts as failed, and is begun anew after the usual pause.

--- a/src/sablemount/control/pages.py
+++ b/src/sablemount/control/pages.py
@@ -151,7 +151,7 @@
         try:
             page = await self._wait({*self._tries, probe}, None)
             self._there = probe.done() and probe.result() is not None
-            if page is None and not self._there:
+            if page is None and not self._there and self._tries:
                 page = await self._wait(self._tries, self._interval)
             return page
         finally:
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sablemount.control.follow import Follower
-from sablemount.control.pages import read_newest
+from sablemount.control.pages import LAST_KEY, read_newest
 from sablemount.control.preload import load_records
 from sablemount.control.progress import Progress
 from sablemount.control.store import Page, PageItem, Topic, Unavailable
@@ -134,3 +134,54 @@
         assert store.asked <= 40
 
     run(scenario())
+
+
+class _Resetting(NarrowStore):
+    """Answers nothing; after a while it resets the connections of all lists."""
+
+    def __init__(self, state: StoreState, member: str, link: NarrowLink) -> None:
+        super().__init__(state, member, link)
+        self._reset_at = asyncio.get_running_loop().time() + 1.0
+
+    @property
+    def left(self) -> float:
+        """Return the seconds until then; below 0 after it."""
+        return self._reset_at - asyncio.get_running_loop().time()
+
+    async def newest(
+        self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+    ) -> Page | Unavailable:
+        await asyncio.sleep(timeout if after == LAST_KEY else max(0.0, self.left))
+        return Unavailable("the connection was reset")
+
+
+def test_a_list_of_which_all_tries_end_while_the_store_is_silent_has_failed() -> None:
+    async def scenario() -> None:
+        store = _Resetting(StoreState(random.Random(1)), "m", NarrowLink(LINK))
+        result = await read_newest(store, Topic.JOBS, 0.35, 6.0)
+        assert isinstance(result, Unavailable)
+        assert result.reason == "the connection was reset"
+
+    run(scenario())
+
+
+def test_a_reader_whose_list_was_reset_reads_on_once_the_store_is_back() -> None:
+    class Back(_Resetting):
+        """Is well a second after that."""
+
+        async def newest(
+            self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+        ) -> Page | Unavailable:
+            if self.left > -1.0:
+                return await super().newest(topic, after, timeout, progress)
+            return await NarrowStore.newest(self, topic, after, timeout, progress)
+
+    async def scenario() -> None:
+        reader = _Reader()
+        reader.store = Back(reader.state, "m", reader.link)
+        reader.write(b"1")
+        reader.follow()
+        await asyncio.sleep(8.0)
+        assert reader.version == b"1"
+
+    run(scenario())
