What took long to read is not read anew for the claim

A member that was offered the lead read all that lasts for up to 2.5 s, and claimed; where that and the claim took more than 3 s from the reading's begin, what was read was thrown away, and read again while nobody led. The same befell a load that was still under way. Cause: how fresh a reading is counted from its begin, so that from a size on none ever is. It counts from its end now; one that is under way is kept, and one that failed is begun anew at once (before it was handed out again for 3 s).

--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -26,7 +26,8 @@
 LONGEST = 30.0
 """Seconds that what follows may take in all."""
 FRESH = 3.0
-"""Seconds for which pages are worth bringing up to date: a change of leader in a slow store."""
+"""Seconds after they were read for which pages are worth bringing up to date: a change of leader in
+a slow store. How long they took to read counts not: it grows with what lasts."""
 
 
 _logger = logging.getLogger("sablemount.control.preload")
@@ -44,22 +45,36 @@
 
     def __init__(self, store: Store) -> None:
         self._store = store
-        self._begun_at = -FRESH
+        self._read_at = -FRESH
+        """When the reading was done (local time)."""
         self._reading: asyncio.Task[Reading | None] | None = None
 
     def begin(self) -> "asyncio.Task[Reading | None]":
-        """Begin to read, unless that was begun of late; return the reading."""
-        if self._reading is None or monotonic() - self._begun_at >= FRESH:
-            self._begun_at = monotonic()
-            self._reading = asyncio.get_running_loop().create_task(_newest(self._store))
-        return self._reading
+        """Begin to read, unless that is under way or was done of late; return the reading."""
+        reading = self._fresh()
+        if reading is None:
+            reading = asyncio.get_running_loop().create_task(_newest(self._store))
+            reading.add_done_callback(self._done)
+            self._reading = reading
+        return reading
 
     def take(self) -> "asyncio.Task[Reading | None] | None":
-        """Return the reading begun of late and forget it; ``None`` without one."""
-        reading = self._reading if monotonic() - self._begun_at < FRESH else None
+        """Return the reading that is under way or fresh, and forget it; ``None`` without one."""
+        reading = self._fresh()
         self._reading = None
         return reading
 
+    def _done(self, reading: "asyncio.Task[Reading | None]") -> None:
+        if reading is self._reading:
+            self._read_at = monotonic()
+
+    def _fresh(self) -> "asyncio.Task[Reading | None] | None":
+        reading = self._reading
+        if reading is None or not reading.done():
+            return reading
+        failed = reading.cancelled() or reading.exception() is not None or reading.result() is None
+        return None if failed or monotonic() - self._read_at >= FRESH else reading
+
 
 async def load_records(
     store: Store,
--- a/tests/jobs/test_preload.py
+++ b/tests/jobs/test_preload.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sablemount.control.preload import Preload, load_records
+from sablemount.control.preload import FRESH, Preload, load_records
 from sablemount.control.progress import Progress
 from sablemount.control.store import Page, Topic, Unavailable
 from sablemount.jobs.records import Record
@@ -100,3 +100,30 @@
         assert store.asked == 6
 
     run(scenario())
+
+
+def test_what_took_long_to_read_is_not_read_anew_for_the_claim() -> None:
+    async def scenario() -> None:
+        state = _filled()
+        state.latency = 1.2
+        store = EmulatedStore(state, "m")
+        preload = Preload(store)
+        reading = preload.begin()
+        assert await reading is not None
+        assert preload.begin() is reading
+        assert preload.take() is reading
+
+    run(scenario())
+
+
+def test_what_has_aged_is_read_anew() -> None:
+    async def scenario() -> None:
+        preload = Preload(EmulatedStore(_filled(), "m"))
+        reading = preload.begin()
+        await reading
+        await asyncio.sleep(FRESH)
+        assert preload.begin() is not reading
+        await asyncio.sleep(FRESH + 1.0)
+        assert preload.take() is None
+
+    run(scenario())
