A store that is busy with all members' lists is not asked for each of them twice

Cause: the second try of a list was sent after 0.35 s without a sign that the store is idle, and a list was given up after 6 s without a byte, while its turn had not come; both were read all the same. A reader now sends one list, asks with the short question, and sends the second only if that is answered; and waits up to the 30 s of a page. The doubled patience is not needed any more. The load of a leader, which one member reads, is as it was. The test (60 members, 5 and 10 s of reading for all) failed before for both; at 1.5 s it passed. A reader that gets nothing at all says so after 30 s now in place of 6 s.

--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -19,8 +19,11 @@
 
 PAGE_INTERVAL = 0.35
 """Seconds without a part of a page after which it is asked whether the store is there."""
-PAGE_LIMIT = 6.0
-"""Seconds without a part of a page after which a list is given up and begun anew."""
+PAGE_LIMIT = LONGEST_PAGE
+"""Seconds without a part of a page after which a list is given up and begun anew: all members read
+the same at once, and a store that is busy with that reads also what nobody awaits any more."""
+UNPROBED = 1
+"""Tries of a page for which it is not asked whether the store is there, for the same reason."""
 GATHER_PAUSE = 0.1
 """Seconds between two reads, so that changes that come one by one are read together."""
 RETRY_PAUSE = 0.15
@@ -72,8 +75,6 @@
         """Where to read on; ``None`` before all was read."""
         self._changes = 0
         """Reads with records since the last fresh start."""
-        self._patience = 1
-        """How many times the usual limit the next list has: it grows while lists fail."""
         self._reading: asyncio.Future[ReadResult] | None = None
 
     def pace(self, fresh_start: float, longest_wait: float) -> None:
@@ -114,12 +115,11 @@
 
     async def _list(self, progress: Progress) -> Unavailable | None:
         """Read all; return why that failed, if it did."""
-        limit = min(LONGEST_PAGE, PAGE_LIMIT * self._patience)
-        newest = await read_newest(self._store, self._topic, PAGE_INTERVAL, limit, progress)
+        newest = await read_newest(
+            self._store, self._topic, PAGE_INTERVAL, PAGE_LIMIT, progress, UNPROBED
+        )
         if isinstance(newest, Unavailable):
-            self._patience *= 2
             return newest
-        self._patience = 1
         items, self._end = newest
         self._on_all(items, self._end)
         return None
--- a/src/sablemount/control/pages.py
+++ b/src/sablemount/control/pages.py
@@ -39,20 +39,22 @@
     interval: float,
     limit: float,
     progress: Progress | None = None,
+    unprobed: int = UNPROBED,
 ) -> Newest | Unavailable:
     """Return the newest record of each key, and from where to read on.
 
     ``interval`` is after how many seconds without a part of a page it is asked whether the store
     is there, and ``limit`` after how many the page is given up. What was read of the others is
     kept until then. They are no snapshot: what changed after the first one follows its end.
-    ``progress`` takes what arrives.
+    ``progress`` takes what arrives. ``unprobed`` is how many tries of a page may be made without
+    asking that: one where many read the same at once, for a store that is busy with all of them.
     """
     progress = progress or Progress()
     items: list[PageItem] = []
     after = ""
     end = -1
     while True:
-        page = await _PageReader(store, topic, after, interval, limit, progress).read()
+        page = await _PageReader(store, topic, after, interval, limit, progress, unprobed).read()
         if isinstance(page, Unavailable):
             return page
         items.extend(page.items)
@@ -84,6 +86,7 @@
         interval: float,
         limit: float,
         progress: Progress,
+        unprobed: int,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -91,6 +94,7 @@
         self._interval = interval
         self._limit = limit
         self._progress = progress
+        self._unprobed = unprobed
         self._began_at = self._tried_at = monotonic()
         self._gap = interval
         """Seconds from a try, or the last part, to the next try."""
@@ -129,7 +133,7 @@
 
     async def _again(self) -> Page | None:
         """Ask for the page once more, if the store is there; return it if it comes meanwhile."""
-        if self._sent < UNPROBED:
+        if self._sent < self._unprobed:
             self._try()
             return None
         page = await self._probe()
--- a/tests/emulator/narrow.py
+++ b/tests/emulator/narrow.py
@@ -9,7 +9,7 @@
 from sablemount.control.store import Page, ReadResult, Records, Topic, Unavailable
 from tests.emulator.store import EmulatedStore, StoreState
 
-__all__ = ["NarrowLink", "NarrowStore"]
+__all__ = ["BusyStore", "NarrowLink", "NarrowStore", "Reads"]
 
 PART = 16_384
 """Bytes that one answer gets of the link before another has its turn."""
@@ -84,3 +84,45 @@
                 return await self._link.carry(size, None, timeout)
         except TimeoutError:
             return False
+
+
+class Reads:
+    """What a store reads in a second, for all members together and in the order in which they ask.
+
+    What it has begun or has to do is done also if nobody waits for it any more.
+    """
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self.bytes_per_second = bytes_per_second
+        self.read = 0
+        self._free_at = 0.0
+
+    async def take_turn(self, size: int, seconds: float) -> bool:
+        """Wait until some bytes are read; return whether they are within some seconds."""
+        now = asyncio.get_running_loop().time()
+        self.read += size
+        self._free_at = max(now, self._free_at) + size / self.bytes_per_second
+        await asyncio.sleep(min(seconds, self._free_at - now))
+        return self._free_at - now <= seconds
+
+
+class BusyStore(NarrowStore):
+    """The store behind a narrow link, which reads so many bytes a second for all."""
+
+    def __init__(self, state: StoreState, member: str, link: NarrowLink, reads: Reads) -> None:
+        super().__init__(state, member, link)
+        self._reads = reads
+        self._until = 0.0
+        """When the read that is under way is given up if nothing of it has come."""
+
+    async def read(
+        self, topic: Topic, offset: int, wait: float, progress: Progress | None = None
+    ) -> ReadResult:
+        self._until = asyncio.get_running_loop().time() + wait + 0.8
+        return await super().read(topic, offset, wait, progress)
+
+    async def _bring(self, size: int, progress: Progress | None, timeout: float) -> bool:
+        now = asyncio.get_running_loop().time()
+        if not await self._reads.take_turn(size, max(timeout, self._until - now)):
+            return False
+        return await super()._bring(size, progress, timeout)
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -13,7 +13,7 @@
 from sablemount.control.store import Page, PageItem, Topic, Unavailable
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
-from tests.emulator.narrow import NarrowLink, NarrowStore
+from tests.emulator.narrow import BusyStore, NarrowLink, NarrowStore, Reads
 from tests.emulator.store import StoreState
 
 LINK = 625_000
@@ -185,3 +185,33 @@
         assert reader.version == b"1"
 
     run(scenario())
+
+
+@pytest.mark.parametrize("seconds", [1.5, 5.0, 10.0])
+def test_each_long_record_is_known_though_the_store_needs_long_for_all_members(
+    seconds: float,
+) -> None:
+    async def scenario() -> None:
+        members = 60
+        rng = random.Random(3)
+        state = StoreState(random.Random(1))
+        reads = Reads(members * LONG / seconds)
+        topic = state.topics[Topic.CONFIGURATION]
+        topic.add([Record("config", b"1")])
+        readers = []
+        for number in range(members):
+            reader = _Reader()
+            reader.state = state
+            reader.store = BusyStore(state, f"m{number}", reader.link, reads)
+            readers.append(reader)
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            reader.follow()
+        await asyncio.sleep(2 * FRESH_START)
+        for version in (b"2", b"3"):
+            reads.read = 0
+            topic.add([Record("config", version * LONG)])
+            await asyncio.sleep(5 * seconds + 5.0)
+            assert [reader.version for reader in readers] == [version] * members
+            assert reads.read < 4 * members * LONG
+
+    run(scenario())
