A leader on a small link gives its appends the time that the link needs

In virtual time, a leader whose link carries 5 Mbit/s: an append of 1 MB, half of what the store takes in a call, was not done after 60 s, and 37 MB had gone over the link; one of 0.2 MB made members count the store as lost to the leader (0.52 s owed, 0.2 s are allowed), and so replace it. 0.2 MB are 50 jobs handed in together, or what waits after an outage. An append was sent again after 0.15 s, taken for lost beside a quick read and sent up to 8 times at once, and each try given up after 2 s, 0.3 s once writes count as lost; the copies shared the link. All these times are counted now from when the link has had time for what has no answer yet, at half its rate. Left: what waits is still begun all at once, so that pongs wait behind it on a link that serves in order.

--- a/src/sablemount/control/commit.py
+++ b/src/sablemount/control/commit.py
@@ -17,6 +17,7 @@
     WrongSequence,
 )
 from sablemount.jobs.records import Record
+from sablemount.jobs.sizes import call_size
 
 __all__ = ["Committer", "GivenUp", "LostLeadership"]
 
@@ -58,6 +59,8 @@
 WORD_DELAY = 1.0
 """Seconds after it was sent up to which an answer counts from when it came. A later one is older
 than it looks: orders go on for 1.5 s, and a new leader waits 2.5 s for them to end."""
+UPLINK_SHARE = 0.5
+"""Share of the own link that appends have at least: answers and orders need the rest."""
 MAX_PAUSE = 0.2
 """Seconds after a refusal until the next try at most."""
 FIRST_SEQUENCE = 0
@@ -89,11 +92,13 @@
     The store takes them in the order of their sequence numbers, so that one that is done tells that
     all earlier ones are. It lets an epoch's records begin at any number, though, so that this holds
     only once the first batch is there. ``good_at`` is when the store last took something (local
-    time).
+    time). ``uplink`` is how many bytes the own link carries a second, 0 without a limit: nothing is
+    late, lost or sent again while it may still be on its way there.
     """
 
-    def __init__(self, store: Store, epoch: int, rng: random.Random) -> None:
+    def __init__(self, store: Store, epoch: int, rng: random.Random, uplink: float = 0.0) -> None:
         self._store = store
+        self._uplink = uplink
         self._epoch = epoch
         self._rng = rng
         self._sequence = FIRST_SEQUENCE
@@ -125,7 +130,15 @@
     def unanswered_for(self) -> float:
         """Return for how many seconds an answer has been due and none has come."""
         since = self.waiting_since
-        return monotonic() - max(since, self.good_at) if since > 0 else 0.0
+        if since <= 0:
+            return 0.0
+        return max(0.0, monotonic() - max(since, self.good_at) - self._on_the_way())
+
+    def _on_the_way(self) -> float:
+        """Return the seconds that the link needs for what has no answer."""
+        if not self._uplink:
+            return 0.0
+        return sum(entry.size for entry in self._open) / (UPLINK_SHARE * self._uplink)
 
     def owed_for(self) -> float:
         """Return for how many seconds the store has owed an answer, as members are told.
@@ -173,7 +186,8 @@
 
     async def _settle(self, records: list[Record], sequence: int) -> None:
         """Send the same append until it is known to be done; raises ``LostLeadership``."""
-        entry = _Open(sequence, monotonic(), asyncio.get_running_loop().create_future())
+        done = asyncio.get_running_loop().create_future()
+        entry = _Open(sequence, monotonic(), done, call_size(records))
         self._open.append(entry)
         try:
             if sequence > FIRST_SEQUENCE:
@@ -205,7 +219,7 @@
         settled_by = BY_LATER
         interval = self._patience()
         producer = Producer(PRODUCER, self._epoch, entry.sequence)
-        tries = _Tries(entry.done, asyncio.ensure_future(self._losses.probe()))
+        tries = _Tries(entry.done, asyncio.ensure_future(self._losses.probe(self._on_the_way)))
         try:
             while not entry.done.done():
                 if self._may_send(entry.sequence, tries.in_flight, interval):
@@ -226,7 +240,8 @@
                 if answers:
                     # Refused at once: as if its time had gone by.
                     await asyncio.sleep(min(pause, MAX_PAUSE))
-                longer = min(self._max_interval(entry.sequence), interval * 2)
+                longest = self._max_interval(entry.sequence) + self._on_the_way()
+                longer = min(longest, interval * 2)
                 interval = max(interval, longer, self._patience())
         finally:
             tries.cancel()
@@ -238,7 +253,7 @@
         The former call goes on: a slow store answers it, and what is sent twice is done once.
         """
         least = LOSSY_INTERVAL if self._losses.happen() else FIRST_INTERVAL
-        return max(least, self._losses.overdue())
+        return max(least, self._losses.overdue()) + self._on_the_way()
 
     async def _too_early(self, sequence: int, answers: list[Answer], interval: float) -> None:
         """Wait for the append before, which may be lost: then this one is tried again soon."""
@@ -288,8 +303,9 @@
         timeout = TRY_TIMEOUT
         if self._losses.happen():
             timeout = max(LOSSY_TIMEOUT, self._losses.overdue())
-        result = await self._store.append(Topic.JOBS, records, timeout, producer)
-        seconds = monotonic() - sent_at
+        way = self._on_the_way()
+        result = await self._store.append(Topic.JOBS, records, timeout + way, producer)
+        seconds = max(0.0, monotonic() - sent_at - way)
         if isinstance(result, Appended | WrongSequence):
             self._confirmed(sent_at)
         if isinstance(result, Appended):
@@ -347,10 +363,13 @@
 class _Open:
     """An append without an answer: when it was first and last sent, and what its end sets."""
 
-    __slots__ = ("done", "sequence", "since", "tried_at")
+    __slots__ = ("done", "sequence", "since", "size", "tried_at")
 
-    def __init__(self, sequence: int, since: float, done: "asyncio.Future[None]") -> None:
+    def __init__(
+        self, sequence: int, since: float, done: "asyncio.Future[None]", size: int
+    ) -> None:
         self.sequence = sequence
+        self.size = size
         self.since = self.tried_at = since
         self.done = done
 
--- a/src/sablemount/control/configuration_source.py
+++ b/src/sablemount/control/configuration_source.py
@@ -11,7 +11,7 @@
 from sablemount.control.messages import ConfigurationCall, ConfigurationReply
 from sablemount.jobs.model import Configuration
 
-__all__ = ["ConfigurationSource"]
+__all__ = ["BYTES_OF_MBIT", "ConfigurationSource"]
 
 NO_LIMIT = 100.0
 """Mbit/s that a link counts as that has no limit."""
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -78,6 +78,7 @@
         roster: Roster | None = None,
         cell: int = 0,
         progress: LoadProgress | None = None,
+        uplink: float = 0.0,
     ) -> None:
         self.name = name
         self._reading = reading
@@ -97,7 +98,7 @@
         self.scheduler.reconcile.on_outcome = self._count_end
         self.scheduler.vms.on_next_life = partial(figures.count, "next_life")
         self.scheduler.starts.on_noted = partial(figures.observe, "note_start")
-        self.committer = Committer(ports.store, epoch, rng)
+        self.committer = Committer(ports.store, epoch, rng, uplink)
         self.commits = CommitLoop(
             self.scheduler, self.committer, figures, self._confirmed, self._background.keep
         )
--- a/src/sablemount/control/lost_writes.py
+++ b/src/sablemount/control/lost_writes.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from sablemount.control.clock import monotonic
@@ -35,6 +35,11 @@
 _logger = logging.getLogger("sablemount.control.commit")
 
 
+def _no_time() -> float:
+    """Return that nothing is on its way for long."""
+    return 0.0
+
+
 class Answer(NamedTuple):
     """What became of one try, when it was sent (local seconds) and how long it took."""
 
@@ -117,14 +122,16 @@
             self._note()
             self._shown_until = self._until
 
-    async def probe(self) -> None:
+    async def probe(self, on_the_way: Callable[[], float] = _no_time) -> None:
         """Read something, for an append that has no answer by the time that one is overdue.
 
+        ``on_the_way`` tells for how many seconds what has no answer may be on its way to the store.
+
         A store that takes appends in turn answers one after the other, each later than the one
         before: while any is answered it is slow, and a quicker read proves nothing.
         """
         while True:
-            await self._none_answered()
+            await self._none_answered(on_the_way)
             sent_at = monotonic()
             page = await self._store.newest(Topic.LEADER, "", self.overdue())
             if isinstance(page, Unavailable) or monotonic() - sent_at >= self.overdue():
@@ -133,10 +140,13 @@
                 self._note()
                 return
 
-    async def _none_answered(self) -> None:
+    async def _none_answered(self, on_the_way: Callable[[], float]) -> None:
         """Wait until no append has been answered for as long as makes one overdue."""
         since = monotonic()
-        while (left := max(since, self._answered_at) + self._patience() - monotonic()) > 0:
+        while True:
+            due_at = max(since, self._answered_at) + self._patience() + on_the_way()
+            if (left := due_at - monotonic()) <= 0:
+                return
             await asyncio.sleep(left)
 
     def _patience(self) -> float:
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -9,6 +9,7 @@
 from sablemount.control.caller_route import CallerRoute
 from sablemount.control.clock import monotonic, set_within
 from sablemount.control.configuration_feed import ConfigurationFeed
+from sablemount.control.configuration_source import BYTES_OF_MBIT
 from sablemount.control.counted_store import CountedStore
 from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
@@ -235,6 +236,7 @@
             Roster(self._link.addresses),
             self._link.cell,
             self._progress,
+            self.settings.limits.link * BYTES_OF_MBIT,
         )
         self.leader = leader
         self._configurations.pace(
--- a/tests/emulator/narrow.py
+++ b/tests/emulator/narrow.py
@@ -6,10 +6,20 @@
 import msgspec
 
 from sablemount.control.progress import Progress
-from sablemount.control.store import Page, ReadResult, Records, Topic, Unavailable
+from sablemount.control.store import (
+    AppendResult,
+    Page,
+    Producer,
+    ReadResult,
+    Records,
+    Topic,
+    Unavailable,
+)
+from sablemount.jobs.records import Record
+from sablemount.jobs.sizes import call_size
 from tests.emulator.store import EmulatedStore, StoreState
 
-__all__ = ["BusyStore", "NarrowLink", "NarrowStore", "Reads"]
+__all__ = ["BusyStore", "NarrowLink", "NarrowStore", "Reads", "UplinkStore"]
 
 PART = 16_384
 """Bytes that one answer gets of the link before another has its turn."""
@@ -126,3 +136,28 @@
         if not await self._reads.take_turn(size, max(timeout, self._until - now)):
             return False
         return await super()._bring(size, progress, timeout)
+
+
+class UplinkStore(EmulatedStore):
+    """The store behind a link on which what is appended takes its time."""
+
+    def __init__(self, state: StoreState, member: str, link: NarrowLink) -> None:
+        super().__init__(state, member)
+        self._link = link
+
+    async def append(
+        self,
+        topic: Topic,
+        records: list[Record],
+        timeout: float,
+        producer: Producer | None = None,
+        at: int | None = None,
+    ) -> AppendResult:
+        last = asyncio.get_running_loop().time() + timeout
+        try:
+            async with asyncio.timeout(timeout):
+                await self._link.carry(call_size(records), None, timeout)
+        except TimeoutError:
+            return Unavailable("no answer")
+        left = last - asyncio.get_running_loop().time()
+        return await super().append(topic, records, left, producer, at)
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sablemount.control.commit import Committer
 from sablemount.control.follow import Follower
 from sablemount.control.pages import LAST_KEY, read_newest
 from sablemount.control.preload import load_records
@@ -13,7 +14,7 @@
 from sablemount.control.store import Page, PageItem, Topic, Unavailable
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
-from tests.emulator.narrow import BusyStore, NarrowLink, NarrowStore, Reads
+from tests.emulator.narrow import BusyStore, NarrowLink, NarrowStore, Reads, UplinkStore
 from tests.emulator.store import StoreState
 
 LINK = 625_000
@@ -215,3 +216,31 @@
             assert reads.read < 4 * members * LONG
 
     run(scenario())
+
+
+STORE_LOST_AFTER = 0.2
+"""Seconds for which the store may owe a leader an answer before it is replaced."""
+
+
+@pytest.mark.parametrize(("records", "batches"), [(50, 1), (100, 1), (250, 1), (25, 4), (250, 3)])
+def test_what_takes_the_uplink_long_is_appended_once(records: int, batches: int) -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        link = NarrowLink(LINK)
+        committer = Committer(UplinkStore(state, "m", link), 1, random.Random(1), LINK)
+        await committer.open()
+        await committer.append([Record("first", b"x")])
+        jobs = [
+            [Record(f"{batch}-{number}", b"x" * 4_000) for number in range(records)]
+            for batch in range(batches)
+        ]
+        size = 4_000 * records * batches
+        appends = asyncio.gather(*(committer.append(batch) for batch in jobs))
+        until = asyncio.get_running_loop().time() + 2 * size / LINK + 0.2
+        while not appends.done() and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+            assert committer.owed_for() < STORE_LOST_AFTER
+        assert appends.done()
+        assert link.carried < 1.2 * size + 20_000
+
+    run(scenario())
