What is arriving as the lead changes hands is not read anew

A member that begins or ends to lead asked at once at its new pace, and gave up the answer that was coming over its link for a list that is a third longer: 2.1 s more behind the newest version on 5 Mbit/s. It goes on while bytes come; the next read has the new pace. The test failed before.

--- a/src/sablemount/control/follow.py
+++ b/src/sablemount/control/follow.py
@@ -76,12 +76,14 @@
         self._changes = 0
         """Reads with records since the last fresh start."""
         self._reading: asyncio.Future[ReadResult] | None = None
+        self._arriving = Progress()
+        """What has come of the answer to the read that is under way."""
 
     def pace(self, fresh_start: float, longest_wait: float) -> None:
-        """Ask at other intervals from now on, and at once."""
+        """Ask at other intervals from now on, and at once unless an answer is arriving."""
         self._fresh_start = fresh_start
         self._longest_wait = longest_wait
-        if self._reading is not None:
+        if self._reading is not None and not self._arriving.within(PAGE_INTERVAL):
             self._reading.cancel()
 
     async def run(self) -> None:
@@ -152,7 +154,8 @@
     async def _read(self, wait: float) -> ReadResult | None:
         """Read what follows; ``None`` if the pace has changed meanwhile."""
         assert self._end is not None
-        read = self._store.read(self._topic, self._end, wait, Progress())
+        self._arriving = Progress()
+        read = self._store.read(self._topic, self._end, wait, self._arriving)
         reading = asyncio.ensure_future(read)
         self._reading = reading
         try:
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -34,8 +34,10 @@
         self.version = b""
 
     def follow(self) -> None:
-        follower = Follower(self.store, Topic.CONFIGURATION, self._listed, self._told, FRESH_START)
-        self.task = asyncio.create_task(follower.run())
+        self.follower = Follower(
+            self.store, Topic.CONFIGURATION, self._listed, self._told, FRESH_START
+        )
+        self.task = asyncio.create_task(self.follower.run())
 
     def _listed(self, items: Sequence[PageItem], end: int) -> None:
         self._told([item.record for item in items], end)
@@ -85,6 +87,21 @@
     run(scenario())
 
 
+def test_what_is_arriving_is_not_read_anew_as_the_lead_changes_hands() -> None:
+    async def scenario() -> None:
+        reader = _Reader()
+        reader.follow()
+        await asyncio.sleep(3.0)
+        reader.write(b"1")
+        await asyncio.sleep(0.7)
+        reader.follower.pace(1.0, 1.0)
+        await asyncio.sleep(1.0)
+        assert reader.version == b"1"
+        assert reader.link.carried < 1.1 * LONG
+
+    run(scenario())
+
+
 def test_an_answer_that_stands_still_is_asked_for_again() -> None:
     async def scenario() -> None:
         reader = _Reader()
