A new leader's lists of the members leave its link free

In virtual time, members on 5 Mbit/s links and the leader killed: with 200 of them 16 claims in 10 s, 141 of 199 ready; with 300 a claim each 0.6 s from the start on, without any fault, and no leader kept the lead. With 120 one claim. Where no lists were handed out, 300 had one claim and 299 ready. Cause: whoever misses the list of all members gets it whole with the next pong, and all do as a leader begins: 300 times 11.8 KB are 5.7 s of such a link, behind which pongs wait, so that the leader is replaced, and the next one begins anew. Lists take a fifth of the leader's own link now; who gets none is told its own version, and asks again with its next ping. A link without a limit is as before.

--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -224,6 +224,7 @@
         if self.leader is not None or self.stopping:
             return
         read_before = self._preload.take()
+        uplink = self.settings.limits.link * BYTES_OF_MBIT
         leader = Leader(
             self.settings.name,
             epoch,
@@ -233,10 +234,10 @@
             self.figures,
             self.feed,
             self._election.take_reading() or read_before,
-            Roster(self._link.addresses),
+            Roster(self._link.addresses, uplink),
             self._link.cell,
             self._progress,
-            self.settings.limits.link * BYTES_OF_MBIT,
+            uplink,
         )
         self.leader = leader
         self._configurations.pace(
--- a/src/sablemount/control/member_calls.py
+++ b/src/sablemount/control/member_calls.py
@@ -94,12 +94,13 @@
         self._feed.pinged(link, ping.configuration)
         roster = leader.roster
         roster.note(ping.name, ping.address)
+        members = roster.since(ping.roster)
         return Pong(
             leader.epoch,
             True,
             leader.committer.owed_for(),
-            members=roster.since(ping.roster),
-            roster=roster.version,
+            members=members,
+            roster=ping.roster if members is None else roster.version,
             configuration=self._feed.version,
             configuration_age=self._feed.age,
             cell=0 if ping.cell == leader.members.size else leader.members.size,
--- a/src/sablemount/control/roster.py
+++ b/src/sablemount/control/roster.py
@@ -10,13 +10,24 @@
 
 CHANGE_INTERVAL = 0.5
 """Seconds between two versions at least: members that start together are handed out together."""
+LINK_SHARE = 0.2
+"""Share of the own link that lists take: each new leader gives one to every member, and one that is
+not heard meanwhile is replaced."""
+ENTRY_BYTES = 3
+"""Bytes of a list's entry beside its name and address."""
 
 
 class Roster:
-    """Addresses by name, with a version that rises after changes; 0 is that of an empty list."""
+    """Addresses by name, with a version that rises after changes; 0 is that of an empty list.
 
-    def __init__(self, addresses: dict[str, str]) -> None:
+    ``uplink`` is how many bytes the own link carries a second, 0 without a limit.
+    """
+
+    def __init__(self, addresses: dict[str, str], uplink: float = 0.0) -> None:
         self.addresses = addresses
+        self._uplink = uplink
+        self._free_at = -1e9
+        """When the link has had time for the last list."""
         self.version = 1 if addresses else 0
         self._changed = False
         self._changed_at = -1e9
@@ -32,5 +43,17 @@
             self.version += 1
 
     def since(self, version: int) -> dict[str, str] | None:
-        """Return the addresses for a member that has some version; ``None`` if that is the last."""
-        return None if version == self.version else self.addresses
+        """Return the addresses for a member that has some version.
+
+        ``None`` if that is the last, or if others have their turn: it asks again with its next
+        ping, and knows those of the leader before meanwhile.
+        """
+        now = monotonic()
+        if version == self.version or now < self._free_at:
+            return None
+        if self._uplink:
+            self._free_at = now + self._size() / (LINK_SHARE * self._uplink)
+        return self.addresses
+
+    def _size(self) -> int:
+        return sum(ENTRY_BYTES + len(name) + len(at) for name, at in self.addresses.items())
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sablemount.control.messages import Ping, Pong
+from sablemount.control.roster import Roster
 from tests.emulator.loop import run
 from tests.emulator.system import System
 from tests.jobs.running import begun
@@ -75,3 +76,34 @@
             assert others <= set(member._link.addresses)
 
     run(scenario())
+
+
+def test_lists_leave_a_small_link_free() -> None:
+    async def scenario() -> None:
+        members = 300
+        link = 625_000
+        addresses = {f"machine-of-zone-{number}": "10.0.0.1:8240" for number in range(members)}
+        size = len(msgspec.msgpack.encode(addresses))
+        roster = Roster(addresses, link)
+        behind = set(range(members))
+        sent = 0
+        began = asyncio.get_running_loop().time()
+        while behind and asyncio.get_running_loop().time() < began + 60.0:
+            for number in sorted(behind):
+                if roster.since(0) is not None:
+                    behind.discard(number)
+                    sent += size
+            passed = asyncio.get_running_loop().time() - began
+            assert sent <= size + 0.25 * link * passed
+            await asyncio.sleep(0.05)
+        assert not behind
+
+    run(scenario())
+
+
+def test_a_link_without_a_limit_takes_all_lists_at_once() -> None:
+    async def scenario() -> None:
+        roster = Roster({"m1": "a"})
+        assert all(roster.since(0) is not None for _ in range(50))
+
+    run(scenario())
