--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -9,6 +9,7 @@
 from sablemount.control.caller_route import CallerRoute
 from sablemount.control.clock import monotonic, set_within
 from sablemount.control.configuration_feed import ConfigurationFeed
+from sablemount.control.configuration_source import BYTES_OF_MBIT
 from sablemount.control.counted_store import CountedStore
 from sablemount.control.discovery import Discovery
 from sablemount.control.election import Election
@@ -223,6 +224,7 @@
         if self.leader is not None or self.stopping:
             return
         read_before = self._preload.take()
+        uplink = self.settings.limits.link * BYTES_OF_MBIT
         leader = Leader(
             self.settings.name,
             epoch,
@@ -232,9 +234,10 @@
             self.figures,
             self.feed,
             self._election.take_reading() or read_before,
-            Roster(self._link.addresses),
+            Roster(self._link.addresses, uplink),
             self._link.cell,
             self._progress,
+            uplink,
         )
         self.leader = leader
         self._configurations.pace(
--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -26,7 +26,8 @@
 LONGEST = 30.0
 """Seconds that what follows may take in all."""
 FRESH = 3.0
-"""Seconds for which a reading is worth bringing up to date: a change of leader in a slow store."""
+"""Seconds after they were read for which pages are worth bringing up to date: a change of leader in
+a slow store. How long they took to read counts not: it grows with what lasts."""
 
 
 _logger = logging.getLogger("sablemount.control.preload")
@@ -45,29 +46,34 @@
     def __init__(self, store: Store) -> None:
         self._store = store
         self._read_at = -FRESH
-        """When the last reading has ended."""
+        """When the reading was done (local time)."""
         self._reading: asyncio.Task[Reading | None] | None = None
 
     def begin(self) -> "asyncio.Task[Reading | None]":
-        """Begin to read, unless that goes on or has ended of late; return the reading."""
-        if self._reading is None or self._aged(self._reading):
-            self._reading = asyncio.get_running_loop().create_task(self._read())
-        return self._reading
-
-    async def _read(self) -> Reading | None:
-        reading = await _newest(self._store)
-        self._read_at = monotonic()
+        """Begin to read, unless that is under way or was done of late; return the reading."""
+        reading = self._fresh()
+        if reading is None:
+            reading = asyncio.get_running_loop().create_task(_newest(self._store))
+            reading.add_done_callback(self._done)
+            self._reading = reading
         return reading
 
-    def _aged(self, reading: "asyncio.Task[Reading | None]") -> bool:
-        if not reading.done():
-            return False
-        return reading.result() is None or monotonic() - self._read_at >= FRESH
-
     def take(self) -> "asyncio.Task[Reading | None] | None":
-        """Return the reading that goes on or has ended of late, and forget it; else ``None``."""
-        reading, self._reading = self._reading, None
-        return None if reading is None or self._aged(reading) else reading
+        """Return the reading that is under way or fresh, and forget it; ``None`` without one."""
+        reading = self._fresh()
+        self._reading = None
+        return reading
+
+    def _done(self, reading: "asyncio.Task[Reading | None]") -> None:
+        if reading is self._reading:
+            self._read_at = monotonic()
+
+    def _fresh(self) -> "asyncio.Task[Reading | None] | None":
+        reading = self._reading
+        if reading is None or not reading.done():
+            return reading
+        failed = reading.cancelled() or reading.exception() is not None or reading.result() is None
+        return None if failed or monotonic() - self._read_at >= FRESH else reading
 
 
 async def load_records(
--- a/tests/jobs/test_narrow_links.py
+++ b/tests/jobs/test_narrow_links.py
@@ -6,14 +6,15 @@
 
 import pytest
 
+from sablemount.control.commit import Committer
 from sablemount.control.follow import Follower
-from sablemount.control.pages import read_newest
+from sablemount.control.pages import LAST_KEY, read_newest
 from sablemount.control.preload import FRESH, Preload, load_records
 from sablemount.control.progress import Progress
 from sablemount.control.store import Page, PageItem, Topic, Unavailable
 from sablemount.jobs.records import Record
 from tests.emulator.loop import run
-from tests.emulator.narrow import NarrowLink, NarrowStore
+from tests.emulator.narrow import BusyStore, NarrowLink, NarrowStore, Reads, UplinkStore
 from tests.emulator.store import StoreState
 
 LINK = 625_000
@@ -33,8 +34,10 @@
         self.version = b""
 
     def follow(self) -> None:
-        follower = Follower(self.store, Topic.CONFIGURATION, self._listed, self._told, FRESH_START)
-        self.task = asyncio.create_task(follower.run())
+        self.follower = Follower(
+            self.store, Topic.CONFIGURATION, self._listed, self._told, FRESH_START
+        )
+        self.task = asyncio.create_task(self.follower.run())
 
     def _listed(self, items: Sequence[PageItem], end: int) -> None:
         self._told([item.record for item in items], end)
@@ -84,6 +87,21 @@
     run(scenario())
 
 
+def test_what_is_arriving_is_not_read_anew_as_the_lead_changes_hands() -> None:
+    async def scenario() -> None:
+        reader = _Reader()
+        reader.follow()
+        await asyncio.sleep(3.0)
+        reader.write(b"1")
+        await asyncio.sleep(0.7)
+        reader.follower.pace(1.0, 1.0)
+        await asyncio.sleep(1.0)
+        assert reader.version == b"1"
+        assert reader.link.carried < 1.1 * LONG
+
+    run(scenario())
+
+
 def test_an_answer_that_stands_still_is_asked_for_again() -> None:
     async def scenario() -> None:
         reader = _Reader()
@@ -164,4 +182,111 @@
         await asyncio.sleep(FRESH + 0.1)
         assert preload.take() is None
 
+
+class _Resetting(NarrowStore):
+    """Answers nothing; after a while it resets the connections of all lists."""
+
+    def __init__(self, state: StoreState, member: str, link: NarrowLink) -> None:
+        super().__init__(state, member, link)
+        self._reset_at = asyncio.get_running_loop().time() + 1.0
+
+    @property
+    def left(self) -> float:
+        """Return the seconds until then; below 0 after it."""
+        return self._reset_at - asyncio.get_running_loop().time()
+
+    async def newest(
+        self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+    ) -> Page | Unavailable:
+        await asyncio.sleep(timeout if after == LAST_KEY else max(0.0, self.left))
+        return Unavailable("the connection was reset")
+
+
+def test_a_list_of_which_all_tries_end_while_the_store_is_silent_has_failed() -> None:
+    async def scenario() -> None:
+        store = _Resetting(StoreState(random.Random(1)), "m", NarrowLink(LINK))
+        result = await read_newest(store, Topic.JOBS, 0.35, 6.0)
+        assert isinstance(result, Unavailable)
+        assert result.reason == "the connection was reset"
+
+    run(scenario())
+
+
+def test_a_reader_whose_list_was_reset_reads_on_once_the_store_is_back() -> None:
+    class Back(_Resetting):
+        """Is well a second after that."""
+
+        async def newest(
+            self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+        ) -> Page | Unavailable:
+            if self.left > -1.0:
+                return await super().newest(topic, after, timeout, progress)
+            return await NarrowStore.newest(self, topic, after, timeout, progress)
+
+    async def scenario() -> None:
+        reader = _Reader()
+        reader.store = Back(reader.state, "m", reader.link)
+        reader.write(b"1")
+        reader.follow()
+        await asyncio.sleep(8.0)
+        assert reader.version == b"1"
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("seconds", [1.5, 5.0, 10.0])
+def test_each_long_record_is_known_though_the_store_needs_long_for_all_members(
+    seconds: float,
+) -> None:
+    async def scenario() -> None:
+        members = 60
+        rng = random.Random(3)
+        state = StoreState(random.Random(1))
+        reads = Reads(members * LONG / seconds)
+        topic = state.topics[Topic.CONFIGURATION]
+        topic.add([Record("config", b"1")])
+        readers = []
+        for number in range(members):
+            reader = _Reader()
+            reader.state = state
+            reader.store = BusyStore(state, f"m{number}", reader.link, reads)
+            readers.append(reader)
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            reader.follow()
+        await asyncio.sleep(2 * FRESH_START)
+        for version in (b"2", b"3"):
+            reads.read = 0
+            topic.add([Record("config", version * LONG)])
+            await asyncio.sleep(5 * seconds + 5.0)
+            assert [reader.version for reader in readers] == [version] * members
+            assert reads.read < 4 * members * LONG
+
+    run(scenario())
+
+
+STORE_LOST_AFTER = 0.2
+"""Seconds for which the store may owe a leader an answer before it is replaced."""
+
+
+@pytest.mark.parametrize(("records", "batches"), [(50, 1), (100, 1), (250, 1), (25, 4), (250, 3)])
+def test_what_takes_the_uplink_long_is_appended_once(records: int, batches: int) -> None:
+    async def scenario() -> None:
+        state = StoreState(random.Random(1))
+        link = NarrowLink(LINK)
+        committer = Committer(UplinkStore(state, "m", link), 1, random.Random(1), LINK)
+        await committer.open()
+        await committer.append([Record("first", b"x")])
+        jobs = [
+            [Record(f"{batch}-{number}", b"x" * 4_000) for number in range(records)]
+            for batch in range(batches)
+        ]
+        size = 4_000 * records * batches
+        appends = asyncio.gather(*(committer.append(batch) for batch in jobs))
+        until = asyncio.get_running_loop().time() + 2 * size / LINK + 0.2
+        while not appends.done() and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+            assert committer.owed_for() < STORE_LOST_AFTER
+        assert appends.done()
+        assert link.carried < 1.2 * size + 20_000
+
     run(scenario())
