Members of a large cell ping a new leader less often

While a new leader loads, each member pings it 20 ms after its last answer, so that callers wait little. An answer takes 0.09 ms of a processor core (measured over local connections): 299 members ask for 1.3 cores, where the machines that lead have 0.5 to 2.1, and the load waits behind them.

All members together now ping 2,000 times a second at most, as far as they know the cell's size, and each at least every 0.3 s: two pings fit into the silence after which a leader is suspected. Up to 40 members nothing changes for a new leader, and up to 300 for one that leads. The test failed before for 300 members and more.

--- a/src/sablemount/control/leader_link.py
+++ b/src/sablemount/control/leader_link.py
@@ -28,6 +28,11 @@
 """Seconds between pings while a new leader loads, which takes some 30 ms: callers wait for it."""
 NEW_LEADER_TIME = 1.0
 """Seconds for which a leader counts as new; loading is over by then unless the store is slow."""
+PINGS_A_SECOND = 2_000
+"""Pings of all members that a leader gets at most: a fifth of a processor core."""
+MOST_PING_INTERVAL = 0.3
+"""Seconds between pings in the largest cells: two fit into the silence after which a leader is
+suspected."""
 PING_TIMEOUT = 0.3
 """Seconds that a ping waits for its answer: after that there is time for one over a new connection
 before the leader is suspected, for the old one may have fallen silent without a reset."""
@@ -192,7 +197,8 @@
 
     def _ping_interval(self) -> float:
         new = not self.leads and monotonic() - self.suspicion.since < NEW_LEADER_TIME
-        return NEW_PING_INTERVAL if new else PING_INTERVAL
+        usual = NEW_PING_INTERVAL if new else PING_INTERVAL
+        return max(usual, min(MOST_PING_INTERVAL, self.cell / PINGS_A_SECOND))
 
     async def look(self, timeout: float) -> None:
         """Ask the leader at once how it is, for some seconds at most."""
--- /dev/null
+++ b/tests/jobs/test_many_members.py
@@ -0,0 +1,46 @@
+"""A leader of hundreds of members has time left for all else."""
+
+import asyncio
+
+import pytest
+
+from sablemount.control.leader_link import LeaderLink
+from sablemount.control.member_settings import MemberSettings
+from sablemount.control.messages import LeaderRecord, Message, Ping, Pong, Reply
+from sablemount.control.network import Link
+from sablemount.jobs.settings import JobSettings
+from tests.emulator.loop import run
+from tests.emulator.network import Wires
+
+MEMBERS = 300
+LOADING_PINGS = 2_000
+"""Pings a second that leave a new leader most of a processor core: each takes 0.09 ms of one."""
+
+
+async def _refuse(link: Link, message: Message) -> Reply:
+    raise AssertionError
+
+
+@pytest.mark.parametrize("cell", [0, 20, MEMBERS, 10 * MEMBERS])
+def test_members_of_a_large_cell_leave_a_new_leader_time_to_load(cell: int) -> None:
+    async def scenario() -> None:
+        wires = Wires()
+        pings = 0
+
+        async def answer(link: Link, message: Message) -> Reply:
+            nonlocal pings
+            pings += isinstance(message, Ping)
+            return Pong(1, False, 0.0, loading=True)
+
+        wires.port("leader").listen("leader", answer, lambda link: None)
+        settings = MemberSettings("m", "m", JobSettings())
+        member = LeaderLink(settings, wires.port("m"), _refuse)
+        member.cell = cell
+        member.follow(LeaderRecord(1, "leader", "leader", "life"))
+        serving = asyncio.get_running_loop().create_task(member.run())
+        await asyncio.sleep(0.9)
+        assert min(cell, MEMBERS) * pings / 0.9 < 1.1 * LOADING_PINGS
+        assert pings >= 3
+        serving.cancel()
+
+    run(scenario())
