A leader's address takes all members of a large cell at once

A new leader of thousands of VMs is busy for as long, so that most members did not hear it and took it for silent. Now 4,096 may wait.

--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -28,6 +28,9 @@
 QUIET_LIMIT = 5.0
 """Seconds without a frame after which a connection that a member opened is closed: that member
 pings each 0.15 s. One that has fallen silent in its direction alone would never show it here."""
+BACKLOG = 4_096
+"""Connections that may wait to be taken: all members of a large cell connect to a new leader at
+once, and one for which there is no place is tried again seconds later."""
 SWEEP_INTERVAL = 1.0
 """Seconds between looks for such connections."""
 
@@ -201,5 +204,5 @@
         """Take connections at an address."""
         server = RpcServer(handler, closed)
         host, _, port = address.rpartition(":")
-        server.listen(int(port), host)
+        server.listen(int(port), host, backlog=BACKLOG)
         return server
--- a/tests/jobs/test_many_members.py
+++ b/tests/jobs/test_many_members.py
@@ -1,13 +1,17 @@
-"""A leader of hundreds of members has time left for all else."""
+"""A leader of hundreds of members has time left, and takes them all when it is new."""
 
 import asyncio
+import errno
+import socket
 
 import pytest
+from tornado.testing import bind_unused_port
 
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, Message, Ping, Pong, Reply
 from sablemount.control.network import Link
+from sablemount.control.rpc import TcpNetwork
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.loop import run
 from tests.emulator.network import Wires
@@ -44,3 +48,29 @@
         serving.cancel()
 
     run(scenario())
+
+
+def test_all_members_of_a_large_cell_find_a_place_with_a_leader_that_is_busy() -> None:
+    async def scenario() -> None:
+        taken, port = bind_unused_port()
+        taken.close()
+        server = TcpNetwork().listen(f"127.0.0.1:{port}", _refuse, lambda link: None)
+        # The loop does not run meanwhile, so that none is taken.
+        links = [socket.socket() for _ in range(MEMBERS)]
+        for link in links:
+            link.setblocking(False)
+            assert link.connect_ex(("127.0.0.1", port)) in (0, errno.EINPROGRESS)
+        assert [link for link in links if not _stands(link)] == []
+        for link in links:
+            link.close()
+        server.close_all()
+
+    asyncio.run(scenario())
+
+
+def _stands(link: socket.socket) -> bool:
+    try:
+        link.getpeername()
+    except OSError:
+        return False
+    return True
