The addresses of a large cell's members are handed out by turns

Each member of a new leader is sent the addresses of all: 300 of them are 9 KB, so that 2.8 MB go out within the first second (the test's encoding). A machine of the callers' deployment has a link of 5 Mbit/s, which carries them in 4.5 s, and its answers to pings wait behind them: members give a ping 0.3 s, and claim after 0.6 s of silence.

A leader now hands out 6,000 addresses a second, a third of such a link, with as many more at its start. A member that has to wait keeps its version, and so asks again with its next ping; until then it goes by the addresses that it had. Cells of up to 75 members see no change. The test fails without the bound.

--- a/src/sablemount/control/member_calls.py
+++ b/src/sablemount/control/member_calls.py
@@ -89,14 +89,14 @@
             leader.end("a member knows a later leader")
             return Pong(leader.epoch, False, 0.0)
         leader.members.pinged(link, ping)
-        roster = leader.roster
-        roster.note(ping.name, ping.address)
+        leader.roster.note(ping.name, ping.address)
+        addresses, roster = leader.roster.since(ping.roster)
         return Pong(
             leader.epoch,
             True,
             leader.committer.owed_for(),
-            members=roster.since(ping.roster),
-            roster=roster.version,
+            members=addresses,
+            roster=roster,
             configuration=self._feed.version,
             configuration_age=self._feed.age,
             wants_configuration=self._feed.wants(ping.configuration),
--- a/src/sablemount/control/roster.py
+++ b/src/sablemount/control/roster.py
@@ -1,7 +1,8 @@
 """The addresses of all members, as a leader hands them out: only to those that miss a change.
 
 A list with each answer to a ping grows with the square of the members: 97 of them that ping each
-0.15 s had 2 MB a second sent to them, 297 had 20 MB.
+0.15 s had 2 MB a second sent to them, 297 had 20 MB. One for each member of a new leader grows so
+too, and its answers would wait behind them in a narrow link, so that they are handed out by turns.
 """
 
 from sablemount.control.clock import monotonic
@@ -10,6 +11,9 @@
 
 CHANGE_INTERVAL = 0.5
 """Seconds between two versions at least: members that start together are handed out together."""
+ADDRESSES_A_SECOND = 6_000
+"""Addresses handed out at most, each some 35 bytes: a third of a link of 5 Mbit/s. Members that
+wait for theirs go by those that they know of before."""
 
 
 class Roster:
@@ -20,6 +24,9 @@
         self.version = 1 if addresses else 0
         self._changed = False
         self._changed_at = -1e9
+        self._left = float(ADDRESSES_A_SECOND)
+        """Addresses that may be handed out now."""
+        self._left_at = -1e9
 
     def note(self, name: str, address: str) -> None:
         """Take where a member is."""
@@ -31,6 +38,19 @@
             self._changed_at = monotonic()
             self.version += 1
 
-    def since(self, version: int) -> dict[str, str] | None:
-        """Return the addresses for a member that has some version; ``None`` if that is the last."""
-        return None if version == self.version else self.addresses
+    def since(self, version: int) -> tuple[dict[str, str] | None, int]:
+        """Return the addresses for a member that has some version, and the version it has then.
+
+        The addresses are ``None`` if it has the last version, or if others are handed theirs first.
+        """
+        if version == self.version or not self._may_hand_out():
+            return None, version
+        self._left -= len(self.addresses)
+        return self.addresses, self.version
+
+    def _may_hand_out(self) -> bool:
+        now = monotonic()
+        come = (now - self._left_at) * ADDRESSES_A_SECOND
+        self._left = min(ADDRESSES_A_SECOND, self._left + come)
+        self._left_at = now
+        return self._left > 0
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -5,11 +5,15 @@
 import msgspec
 
 from sablemount.control.messages import Ping, Pong
+from sablemount.control.roster import Roster
 from tests.emulator.loop import run
 from tests.emulator.system import System
 from tests.jobs.running import begun
 
 MEMBERS = 40
+MANY = 300
+LINK = 5e6 / 8
+"""Bytes a second of a narrow link."""
 
 
 async def _pongs(system: System, seconds: float) -> list[Pong]:
@@ -75,3 +79,22 @@
             assert others <= set(member._link.addresses)
 
     run(scenario())
+
+
+def test_the_members_of_a_new_leader_leave_most_of_a_narrow_link_to_all_else() -> None:
+    async def scenario() -> None:
+        names = {f"edge-north-{number}": f"10.1.{number}.13:7720" for number in range(MANY)}
+        roster = Roster(names)
+        had = dict.fromkeys(names, 0)
+        for second in range(20):
+            sent = 0
+            for _ in range(4):
+                for name, address in names.items():
+                    roster.note(name, address)
+                    addresses, had[name] = roster.since(had[name])
+                    sent += len(msgspec.msgpack.encode(addresses))
+                await asyncio.sleep(0.25)
+            assert sent < LINK * (0.7 if second == 0 else 0.4)
+        assert set(had.values()) == {roster.version}
+
+    run(scenario())
