A benchmark of what a leader's looks, pings and lists take

`python -m benchmarks.leading` measures each alone, on one core against a stand-in, and prints the shares of a core and the bytes by VMs and members.

--- /dev/null
+++ b/benchmarks/leading.py
@@ -0,0 +1,170 @@
+"""Processor time and bytes that a leader's looks, pings and lists take, by its VMs and members.
+
+Each part is measured alone on one core, against a stand-in in another process.
+"""
+
+import asyncio
+import base64
+import json
+import os
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+
+import msgspec
+
+from sablemount import boottime
+from sablemount.adapters.upstream import UpstreamPool
+from sablemount.control.messages import Message, Ping, Pong, Reply
+from sablemount.control.network import Link
+from sablemount.control.ports import HoldCall
+from sablemount.control.rpc import TcpNetwork
+from sablemount.control.vm_calls import HOLD_WAIT, LOOKS_A_SECOND, MOST_WAIT
+from sablemount.jobs.records import Record
+from sablemount.platform.directory import PlatformDirectory
+from sablemount.platform.workers import PlatformWorkers
+
+__all__ = ["main"]
+
+AT_ONCE = 200
+ROUNDS = 20
+PORT = 17_711
+SIZES = ((300, 30), (1_000, 100), (3_000, 300))
+"""VMs and members."""
+PING_INTERVAL = 0.15
+HEARTBEAT = 1.5
+"""Seconds between two writes of a VM to its entry."""
+HELD = json.dumps({"clockMs": 482113.25, "running": [], "ended": [], "born": 3}).encode()
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(HELD) + HELD
+
+
+class _Answering(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        assert isinstance(self._transport, asyncio.Transport)
+        self._transport.write(ANSWER)
+
+
+async def _stand_in() -> None:
+    await asyncio.get_running_loop().create_server(_Answering, "127.0.0.1", PORT)
+    await asyncio.Event().wait()
+
+
+async def _pong(link: Link, message: Message) -> Reply:
+    return Pong(3, True, 0.0, roster=4, configuration=7, configuration_age=0.1)
+
+
+async def _timed(times: int, work: Callable[[], Awaitable[object]]) -> float:
+    """Return the processor seconds that one of some pieces of work takes, side by side."""
+    began = time.process_time()
+    await asyncio.gather(*(work() for _ in range(times)))
+    return (time.process_time() - began) / times
+
+
+async def _looks() -> tuple[float, float]:
+    """Return the processor seconds of a look over a new connection, and over one that is kept."""
+    workers = PlatformWorkers(UpstreamPool(AT_ONCE, HEARTBEAT * ROUNDS))
+    call = HoldCall("a1b2c3", f"127.0.0.1:{PORT}", 1 << 32, 486_000, 57, HOLD_WAIT)
+    first = await _timed(AT_ONCE, lambda: workers.hold(call, 5.0))
+    kept = [await _timed(AT_ONCE, lambda: workers.hold(call, 5.0)) for _ in range(ROUNDS)]
+    return first, sum(kept) / ROUNDS
+
+
+async def _ping() -> float:
+    """Return the processor seconds of a ping's answer: half of what both sides take here."""
+    network = TcpNetwork()
+    server = network.listen(f"127.0.0.1:{PORT + 1}", _pong, lambda link: None)
+    link = await network.connect(f"127.0.0.1:{PORT + 1}", _pong, 1.0)
+    serving = asyncio.get_running_loop().create_task(link.serve())
+    ping = Ping("edge-north-1", "10.1.0.13:7720", 3, 12.0, roster=4, configuration=7)
+    both = await _timed(AT_ONCE * ROUNDS, lambda: link.call(ping, 30.0))
+    serving.cancel()
+    server.close_all()
+    return both / 2
+
+
+def _entry(number: int) -> bytes:
+    told = {
+        "service": "pool",
+        "addr": f"10.9.{number // 250}.{number % 250 + 1}:8240",
+        "zone": "north",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "seq": 4,
+        "capacity": {"cpu": 32_000, "memMb": 131_072, "gpu": 0},
+        "labels": ["a", f"r1-{number // 12}"],
+        "machine": f"machine-{number}",
+        "born": 3,
+    }
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def _list(vms: int) -> tuple[float, int, int]:
+    """Return the processor seconds and bytes of a list of VMs, and the bytes of their entries."""
+    entries = [_entry(number) for number in range(vms)]
+    items = [
+        {"key": f"i-{number:010x}", "value": base64.b64encode(value).decode(), "offset": number}
+        for number, value in enumerate(entries)
+    ]
+    body = msgspec.json.encode(items)
+    directory = PlatformDirectory()
+    began = time.process_time()
+    for item in msgspec.json.decode(body):
+        directory.vm(Record(item["key"], base64.b64decode(item["value"])))
+    return time.process_time() - began, len(body), sum(map(len, entries))
+
+
+def _stand_beside(work: Callable[[], Coroutine[object, object, None]]) -> int:
+    pid = os.fork()
+    if pid == 0:
+        asyncio.run(work())
+    return pid
+
+
+async def _measure() -> tuple[float, float, float]:
+    while True:
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        except OSError:
+            await asyncio.sleep(0.05)
+            continue
+        writer.close()
+        first, kept = await _looks()
+        return first, kept, await _ping()
+
+
+def main() -> None:
+    """Measure and print."""
+    beside = _stand_beside(_stand_in)
+    try:
+        first, kept, ping = boottime.run(_measure())
+    finally:
+        os.kill(beside, 9)
+        os.waitpid(beside, 0)
+    print(
+        f"us of a core: first look {first * 1e6:.0f}, look {kept * 1e6:.0f}, ping {ping * 1e6:.0f}"
+    )
+    print(
+        "| VMs | members | first looks, s | looks | pings | a list, s | its kB | heartbeats, kB/s |"
+    )
+    print("|---|---|---|---|---|---|---|---|")
+    for vms, members in SIZES:
+        wait = min(MOST_WAIT, max(HOLD_WAIT, vms / LOOKS_A_SECOND))
+        listed, size, entries = _list(vms)
+        cells = (
+            vms,
+            members,
+            f"{vms * first:.2f}",
+            f"{vms / wait * kept:.2f}",
+            f"{members / PING_INTERVAL * ping:.2f}",
+            f"{listed:.3f}",
+            size // 1000,
+            int(entries / HEARTBEAT) // 1000,
+        )
+        print("| " + " | ".join(map(str, cells)) + " |")
+
+
+if __name__ == "__main__":
+    main()
