Rounds of placement and preemption end after some work, and go on in the next

A round ends after 20,000 VMs were weighed, some 40 ms, and the next one goes on with the steps that have not had their turn, so that urgent ones without room do not keep the rest from it. Preemption waits until all have had theirs, and is bound alike. Small cells see no change. The first two tests failed before; the third holds what rounds in parts keep.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -270,6 +270,8 @@
             self.calls.follow_new()
         if self.scheduler.journal.pending():
             self.commits.want()
+        if self.scheduler.placement.unfinished:
+            self.kick()
 
     def _judge_members(self) -> None:
         if self._store_is_fresh():
--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -1,5 +1,7 @@
 """Which of some VMs each waiting task of a step gets: pure over the tables."""
 
+import heapq
+
 from sablemount.jobs.model import Shape
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
@@ -58,6 +60,8 @@
             return []
         room = {row.name: row.room for row in fitting}
         costs = self._speeds.costs(needed, fitting)
+        if not step.spec.spread and not any(task.failed_on or task.crashes for task in tasks):
+            return self._assign_alike(step, tasks, fitting, costs)
         counts = self._counts(step) if step.spec.spread else {}
         chosen: Assignment = []
         for task in tasks:
@@ -73,6 +77,31 @@
                 fitting.remove(best)
         return chosen
 
+    def _assign_alike(
+        self, step: StepRow, tasks: list[TaskRow], fitting: list[VmRow], costs: dict[str, float]
+    ) -> Assignment:
+        """Choose for tasks to which nothing has happened yet, with one look at each VM for all."""
+        charge = step.spec.charge
+        order = [
+            (self._score(step, row, row.room, costs[row.name]), number, row.room)
+            for number, row in enumerate(fitting)
+        ]
+        heapq.heapify(order)
+        chosen: Assignment = []
+        for task in tasks:
+            if not order:
+                break
+            _, number, room = order[0]
+            row = fitting[number]
+            chosen.append((task, row))
+            room = room.plus(charge, -1)
+            if charge.fits(room):
+                score = self._score(step, row, room, costs[row.name])
+                heapq.heapreplace(order, (score, number, room))
+            else:
+                heapq.heappop(order)
+        return chosen
+
     def _open_to(self, task: TaskRow, rows: list[VmRow], fitting: list[VmRow]) -> list[VmRow]:
         """Return the VMs with room on which what has become of a task before lets it start."""
         found = self._untried(task, rows, fitting)
@@ -107,22 +136,33 @@
         """Return the VM that is left with the least room, the wanted rack first."""
         best: VmRow | None = None
         best_score = 0.0
-        spec = step.spec
+        spread = step.spec.spread
         for row in rows:
-            if spec.spread and counts.get(row.name, 0) >= spec.spread:
+            if spread and counts.get(row.name, 0) >= spread:
                 continue
-            left = _leftover(room[row.name], row.info.capacity)
-            # What may crash its VM goes where it takes least along.
-            score = costs[row.name] + (-left if task.crashes else left)
-            if spec.rack and spec.rack not in row.info.labels:
-                score += FAR_PENALTY
-            if not self._advice.valid(step, row):
-                score += STALE_PENALTY
+            left = room[row.name]
+            score = self._score(step, row, left, costs[row.name], bool(task.crashes))
             if best is None or score < best_score:
                 best = row
                 best_score = score
         return best
 
+    def _score(
+        self, step: StepRow, row: VmRow, room: Shape, cost: float, apart: bool = False
+    ) -> float:
+        """Return what speaks against a VM with some room: the most of it free, and what it costs.
+
+        What may crash its VM (``apart``) goes where it takes least along.
+        """
+        left = _leftover(room, row.info.capacity)
+        score = cost + (-left if apart else left)
+        rack = step.spec.rack
+        if rack and rack not in row.info.labels:
+            score += FAR_PENALTY
+        if not self._advice.valid(step, row):
+            score += STALE_PENALTY
+        return score
+
     def _one_rack(self, step: StepRow, count: int, rows: list[VmRow]) -> list[VmRow]:
         """Return the VMs of one rack that holds all tasks, or all if there is none."""
         used = {
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -22,6 +22,9 @@
 TELL_AFTER = 3.0
 """Seconds after which a step that waits is logged, again and again."""
 NO_ROOM = Shape()
+MOST_WEIGHED = 20_000
+"""VMs weighed in a round, each as often as a step is held against it, after which the rest of the
+steps is left to the next round: some 40 ms of a processor core, in which nothing else is done."""
 RETRY_INTERVAL = 0.25
 """Seconds after which a step that found no room is looked at again in any case."""
 
@@ -51,6 +54,12 @@
         self._looked_at = -RETRY_INTERVAL
         self._most = Shape()
         """The most cores, memory and accelerators that are free on any one usable VM, or more."""
+        self._weighed = 0
+        """VMs weighed in this round."""
+        self._tried: set[str] = set()
+        """Steps tried since the first one was, in as many rounds as that takes."""
+        self._tried_from = -1
+        """What had been freed when the first one was."""
         self._round_of: list[VmRow] = []
         self._by_kind: dict[tuple[str, str], list[VmRow]] = {}
 
@@ -65,19 +74,46 @@
         if state.freed == state.placed_at_freed and not state.touched:
             return
         self._looked_at = state.now
-        freed = state.freed
+        if not self._tried:
+            self._tried_from = state.freed
         usable = self.usable_rows()
         self._most = _most_room(usable)
         self._trials.begin(usable)
         self._reservation.begin()
         self._caps.begin()
+        before = set(self._tried)
+        if self._round(usable):
+            # What was tried in an earlier round, and has been touched since, has another turn.
+            state.touched &= before & state.open_steps.keys()
+            self._tried.clear()
+            state.placed_at_freed = self._tried_from
+        else:
+            state.touched -= self._tried - before
+
+    @property
+    def unfinished(self) -> bool:
+        """Tell whether some steps were left to the next round."""
+        return bool(self._tried)
+
+    def _round(self, usable: list[VmRow]) -> bool:
+        """Try steps until enough VMs were weighed; return whether all have had their turn.
+
+        Those that were tried give way to the rest, also if room has become free meanwhile.
+        """
+        state = self._state
+        freed = state.freed
+        self._weighed = 0
         for step in self.in_order():
             if not step.waiting:
                 state.open_steps.pop(step.key, None)
+            elif step.key in self._tried:
+                continue
             elif step.tried_at_freed != freed or step.key in state.touched:
+                if self._weighed > MOST_WEIGHED:
+                    return False
+                self._tried.add(step.key)
                 self._place(step, usable)
-        state.touched.clear()
-        state.placed_at_freed = freed
+        return True
 
     def in_order(self) -> list[StepRow]:
         """Return the open steps, the most urgent first."""
@@ -121,6 +157,7 @@
             self._ask_unknown(step, usable)
             return
         rows = self.allowed(step, usable)
+        self._weighed += len(usable)
         self._trials.prepare(step, rows)
         chosen = self._choice.assign(step, tasks, self._reservation.left_to(step, rows))
         if len(chosen) < len(tasks):
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -20,6 +20,9 @@
 
 INTERVAL = 0.03
 """Seconds between two rounds."""
+MOST_WEIGHED = 10_000
+"""VMs weighed in a round, each as often as room is sought on it, after which the rest of the steps
+is left to the next round: some 40 ms of a processor core, in which nothing else is done."""
 MS = 1000.0
 PATIENCE_SHARE = 0.1
 """Share of its spare time that a step waits before others yield to it."""
@@ -70,24 +73,34 @@
         self._reconcile = reconcile
         self._urgency = Urgency(state)
         self._every = Every(INTERVAL)
+        self._sought: set[str] = set()
+        """Steps for which room was sought since the first one, in as many rounds as that takes."""
         self._made: dict[str, float] = {}
         """Steps for which room is being made, until when."""
 
     def run(self) -> None:
         """Make room for the most urgent steps that wait."""
         now = self._state.now
-        if not self._every.due(now) or not self._state.noting:
+        if self._placement.unfinished or not self._every.due(now) or not self._state.noting:
+            # What has not had its turn yet may find room without.
             return
         self._forget_made()
         usable: list[VmRow] | None = None
+        weighed = 0
         for step in self._placement.in_order():
             if len(self._made) >= self._at_once():
+                self._sought.clear()
                 return
-            if step.key in self._made or not self._due(step):
+            if weighed > MOST_WEIGHED:
+                return
+            if step.key in self._made or step.key in self._sought or not self._due(step):
                 continue
             if usable is None:
                 usable = self._placement.usable_rows()
+            weighed += len(usable)
+            self._sought.add(step.key)
             self._make_room(step, self._placement.allowed(step, usable))
+        self._sought.clear()
 
     def _at_once(self) -> int:
         """Return for how many steps room may be made at once."""
--- /dev/null
+++ b/tests/jobs/test_large_rounds.py
@@ -0,0 +1,73 @@
+"""Rounds of placement in a cell of many VMs take little time each, and leave nothing out."""
+
+import pytest
+
+from sablemount.jobs.model import StepSpec
+from sablemount.jobs.systems import choice
+from sablemount.jobs.systems.placement import MOST_WEIGHED
+from tests.jobs.rig import CORE, Rig, queue, spec
+
+VMS = 1_000
+JOBS = 80
+WIDE = 20
+"""Tasks of a job."""
+URGENT = queue("urgent", priority=0)
+USUAL = queue("usual", priority=5)
+
+
+@pytest.fixture
+def weighed(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """Return how often a VM was weighed for a task, as the only number of a list."""
+    count = [0]
+    leftover = choice._leftover
+
+    def counting(*shapes):  # type: ignore[no-untyped-def]
+        count[0] += 1
+        return leftover(*shapes)
+
+    monkeypatch.setattr(choice, "_leftover", counting)
+    return count
+
+
+def _waiting(jobs: int) -> Rig:
+    rig = Rig(vms=VMS, queues=(URGENT, USUAL))
+    for number in range(jobs):
+        to = URGENT if number % 2 else USUAL
+        job = spec(StepSpec(WIDE, CORE))
+        rig.scheduler.submit(f"{to.terms.name}{number}", to, job)
+    rig.commit()
+    return rig
+
+
+def test_tasks_that_are_alike_weigh_the_vms_once(weighed: list[int]) -> None:
+    rig = _waiting(1)
+    rig.tick()
+    assert len(rig.started()) == WIDE
+    assert weighed[0] <= VMS + WIDE
+
+
+def test_a_round_ends_after_some_work_and_the_next_one_goes_on(weighed: list[int]) -> None:
+    rig = _waiting(JOBS)
+    rounds = 0
+    while len(rig.started()) < JOBS * WIDE:
+        weighed[0] = 0
+        rig.tick()
+        rounds += 1
+        assert weighed[0] < 2 * MOST_WEIGHED
+        assert rounds < JOBS
+    assert rounds > 2
+    queues = [start.task.rstrip("0123456789.") for start in rig.started()]
+    assert queues == sorted(queues)
+
+
+def test_a_round_that_goes_on_reaches_all_steps_though_room_comes_all_the_time() -> None:
+    rig = _waiting(0)
+    whole = StepSpec(2 * VMS, rig.scheduler.state.vms["w0"].info.capacity, gang=True)
+    for number in range(JOBS):
+        rig.scheduler.submit(f"wide{number}", URGENT, spec(whole))
+    rig.scheduler.submit("last", USUAL, spec(StepSpec(1, CORE)))
+    rig.commit()
+    for _ in range(JOBS):
+        rig.scheduler.state.freed += 1
+        rig.tick()
+    assert [start.task for start in rig.started()] == ["last.0.0.0"]
