The time between two rounds has a bound of its own

A leader leaves as much time between two rounds as the last one took. That may also have been a pause of the process, of seconds, so that it leaves 0.05 s at most, as when nothing happens. By reading, not by a run; no test shows it.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -249,8 +249,9 @@
         took = 0.0
         while True:
             await set_within(self._kicked, TICK)
-            # However much there is to decide, half of the time is left to all else.
-            await asyncio.sleep(max(COALESCE, took))
+            # However much there is to decide, half of the time is left to all else; what took
+            # longer may have been a pause of the process.
+            await asyncio.sleep(min(TICK, max(COALESCE, took)))
             self._kicked.clear()
             began = monotonic()
             self._tick()
