--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -12,8 +12,8 @@
 course was another; ``test_next_life.py`` has why."""
 SHRUNK_UNSEEN = (1038,)
 KNOWN = (5, 2178, 2297)
-"""Mixes that meet a fault of the list by the course that they take now: with 5 three VMs crash under
-a job by chance, with the others a VM shrinks while the store is down."""
+"""Mixes that meet a listed fault by the course that they take: with 5 three VMs crash under a job
+by chance, with the others a VM shrinks while the store is down."""
 
 
 def _played(seed: int) -> list[str]:
