Tests: members that can't list who leads replace a leader that never leads

The emulated store can leave a member's reads of the leaders' topic without an answer, and counts what it refuses as a conflict.

--- a/tests/emulator/store.py
+++ b/tests/emulator/store.py
@@ -112,6 +112,10 @@
         """Members that hear of no new configuration, though the store answers them."""
         self.unread: dict[str, str] = {}
         """Key of the jobs' topic from which on members get no answer to their reads of it."""
+        self.unlisted: set[str] = set()
+        """Members that get no answer to their reads of the leaders' topic."""
+        self.conflicts = 0
+        """Appends that were refused because their topic had moved on."""
         self.latency = 0.004
         self.share_there = (0.8, 1.0)
         """Least and most share of that time after which a call is carried out."""
@@ -162,6 +166,7 @@
             if answer is not None:
                 return answer
         if at is not None and at != kept.end:
+            self.conflicts += 1
             return Conflict(kept.end)
         if producer is not None:
             if producer.epoch > kept.epoch:
@@ -292,7 +297,7 @@
         if offset >= kept.end:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(kept.changed.wait(), wait)
-        if self._away() or self._blind_to(topic):
+        if self._away() or self._blind_to(topic) or self._unlisted(topic):
             return Unavailable("the connection was lost")
         found = kept.after(offset)
         await asyncio.sleep(back)
@@ -301,7 +306,12 @@
     def _blind_to(self, topic: Topic) -> bool:
         return topic is Topic.CONFIGURATION and self._member in self._state.blind
 
+    def _unlisted(self, topic: Topic) -> bool:
+        return topic is Topic.LEADER and self._member in self._state.unlisted
+
     def _unread(self, topic: Topic, after: str) -> bool:
+        if self._unlisted(topic):
+            return True
         first = self._state.unread.get(self._member)
         return topic is Topic.JOBS and first is not None and after >= first
 
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -4,10 +4,12 @@
 import random
 
 import msgspec
+import pytest
 
 from sablemount.control.election import LEADER_KEY, Election
 from sablemount.control.figures import Figures
 from sablemount.control.leader_link import LeaderLink
+from sablemount.control.member import WATCH_INTERVAL
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import (
     LeaderRecord,
@@ -19,7 +21,8 @@
 )
 from sablemount.control.network import Link
 from sablemount.control.preload import Preload
-from sablemount.control.store import AppendResult, Topic, Unavailable
+from sablemount.control.progress import Progress
+from sablemount.control.store import AppendResult, Page, Topic, Unavailable
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.loop import run
@@ -27,6 +30,13 @@
 from tests.emulator.store import EmulatedStore, StoreState
 from tests.jobs.stores import ArrangedStore
 
+MOST_LOOKS = 15
+"""Looks in 20 s at who leads while the store refuses them: the pauses grow to some seconds."""
+TOLD_BOUND = 1.5
+"""Seconds in which a member claims that is told of a leader which nobody hears."""
+SEEN_BOUND = 9.0
+"""Seconds in which a member claims once the store tells again where the topic ends: the longest
+pause, half as long again, and what it takes to claim."""
 VIEW_TAKES = 0.1
 """Seconds that another member needs to tell its view."""
 
@@ -44,6 +54,21 @@
         return None
 
 
+class _RefusesLists(EmulatedStore):
+    """Refuses at once to tell who leads, while it takes appends."""
+
+    refuses = True
+    lists = 0
+
+    async def newest(
+        self, topic: Topic, after: str, timeout: float, progress: Progress | None = None
+    ) -> Page | Unavailable:
+        if topic is not Topic.LEADER or not self.refuses:
+            return await super().newest(topic, after, timeout, progress)
+        self.lists += 1
+        return Unavailable("status 503", certain=True)
+
+
 async def _nothing(link: Link, message: Message) -> Reply:
     return TakeOverReply(False)
 
@@ -54,21 +79,27 @@
 
 
 class _Candidate:
-    def __init__(self) -> None:
-        self.state = StoreState(random.Random(1))
+    def __init__(
+        self,
+        kind: type[EmulatedStore] = _LosesFirst,
+        state: StoreState | None = None,
+        name: str = "mine",
+    ) -> None:
+        self.state = state or StoreState(random.Random(1))
+        self.store = kind(self.state, name)
         self.won: list[int] = []
-        settings = MemberSettings("mine", "mine", JobSettings())
+        settings = MemberSettings(name, name, JobSettings())
         self.wires = Wires()
-        self.link = LeaderLink(settings, self.wires.port("mine"), _nothing)
+        self.link = LeaderLink(settings, self.wires.port(name), _nothing)
         self.election = Election(
             settings,
-            _LosesFirst(self.state, "mine"),
+            self.store,
             self.link,
             random.Random(2),
             Figures(),
             self._seen,
             self.won.append,
-            Preload(EmulatedStore(self.state, "mine")).begin,
+            Preload(EmulatedStore(self.state, name)).begin,
             lambda: True,
         )
 
@@ -90,6 +121,24 @@
         self.link.addresses = {"third": "third"}
         self.wires.port("third").listen("third", _misses_the_leader, lambda link: None)
 
+    async def consider_for(self, seconds: float) -> None:
+        """Look at whether a claim is due, again and again until this member has won one."""
+        loop = asyncio.get_running_loop()
+        last = loop.time() + seconds
+        while loop.time() < last and not self.won:
+            await self.election.consider()
+            await asyncio.sleep(WATCH_INTERVAL)
+
+    async def unseen_claim(self) -> LeaderRecord:
+        """Let another member win the next leadership, and return it; this one is told nothing."""
+        rival = _Candidate(EmulatedStore, self.state, "rival")
+        page = self.state.topics[Topic.LEADER].page("", 1)
+        rival.election.listed(page.items, page.end)
+        await asyncio.sleep(1.0)
+        await rival.election.consider()
+        assert rival.won == [2] and rival.link.record is not None
+        return rival.link.record
+
     def other_claims(self) -> None:
         """Let another member claim the same epoch, and this one hear of it."""
         claim = LeaderRecord(1, "other", "other", "another life")
@@ -146,3 +195,52 @@
         assert candidate.state.topics[Topic.LEADER].end == 1
 
     run(scenario())
+
+
+@pytest.mark.parametrize("seconds", [5.0, 20.0])
+def test_a_claim_that_cannot_succeed_is_not_repeated(seconds: float) -> None:
+    """Another member has won what this one can't read."""
+
+    async def scenario() -> None:
+        candidate = _Candidate(_RefusesLists)
+        candidate.follow("other")
+        await candidate.unseen_claim()
+        await candidate.consider_for(seconds)
+        assert candidate.state.conflicts == 1
+        assert isinstance(candidate.store, _RefusesLists)
+        assert 3 <= candidate.store.lists <= MOST_LOOKS
+
+    run(scenario())
+
+
+def test_a_member_that_is_told_of_a_later_leader_claims_after_it_unread() -> None:
+    async def scenario() -> None:
+        candidate = _Candidate(_RefusesLists)
+        candidate.follow("other")
+        later = await candidate.unseen_claim()
+        await candidate.consider_for(20.0)
+        candidate.link.follow(later)
+        await candidate.consider_for(TOLD_BOUND)
+        assert candidate.won == [3]
+        assert candidate.state.conflicts == 1
+
+    run(scenario())
+
+
+def test_a_member_that_an_earlier_release_tells_claims_once_it_can_read() -> None:
+    """It is told of the later leader, but not where the topic ends after it."""
+
+    async def scenario() -> None:
+        candidate = _Candidate(_RefusesLists)
+        candidate.follow("other")
+        later = await candidate.unseen_claim()
+        candidate.link.follow(msgspec.structs.replace(later, end=0))
+        await candidate.consider_for(20.0)
+        assert candidate.won == []
+        assert candidate.state.conflicts == 1
+        assert isinstance(candidate.store, _RefusesLists)
+        candidate.store.refuses = False
+        await candidate.consider_for(SEEN_BOUND)
+        assert candidate.won == [3]
+
+    run(scenario())
--- a/tests/jobs/test_stuck_load.py
+++ b/tests/jobs/test_stuck_load.py
@@ -18,6 +18,8 @@
 """Seconds after which another member leads at the latest; callers ask again for longer."""
 SERVED = 30.0
 """Seconds within which the jobs that were accepted before are done."""
+CLAIMS = 2
+"""Claims of one member that may be refused while it can't read who leads."""
 PAGE = 4
 """Records of one page where a load is to have many."""
 
@@ -187,6 +189,31 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_members_that_cannot_list_who_leads_replace_a_leader_that_never_leads(seed: int) -> None:
+    """They learn of it from one another, and their claims follow it all the same."""
+
+    async def scenario() -> None:
+        system, first, second = await _with_jobs(seed)
+        others = system.names[2:]
+        system.store.unlisted.update(others)
+        system.store.unread[second] = ""
+        system.kill(first, None)
+        assert await _until(lambda: _loads(system, second), 2.0) is not None
+
+        def all_know() -> bool:
+            return all(system.members[name].gauges()["epoch"] == 2.0 for name in others)
+
+        assert await _until(all_know, 2.0) is not None
+        system.kill(second, None)
+        assert await _until(lambda: system.leader() is not None, BOUND) is not None
+        assert system.store.claims == [1, 2, 3]
+        assert system.store.conflicts <= CLAIMS * len(others)
+        assert not system.watch.violations + system.cell.violations
+
+    run(scenario())
+
+
 def test_members_whose_configurations_are_not_confirmed_claim_all_the_same() -> None:
     """Reading the jobs is enough, and takes no longer than a load."""
 
