A claim follows the leader that others told of, and a refused one is not repeated

Callers were refused for as long as the store refused lists: 2,366 claims were made there, and all were refused with Conflict(end=2). Members had learnt of epoch 2 from one another, while the offset that their claims named was that of their last read, before epoch 2. Nobody could replace a leader that did not lead, and each tried again after 0.3 s.

A leader record now tells where the topic ends after it, which its writer knows before: one record at the offset that the claim names. Who has it from an announcement, a view or a pong claims there. That is safe as before: the store refuses the claim if anything followed that record. The offset is the later one of that and of the last read, which saw every record before it, so no claim is formed on an earlier leadership than the one known.

A claim that was refused because the topic had gone on can't succeed from the same position, as the topic only grows. The member only looks for the later leader then, at pauses that grow from 0.3 to 4 s, and claims again as soon as it knows one.

The field has a default: an earlier release passes over it, and a record without it leaves the offset to the last read.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -19,6 +19,7 @@
 from sablemount.control.store import (
     Appended,
     AppendResult,
+    Conflict,
     Page,
     PageItem,
     Store,
@@ -41,6 +42,10 @@
 """Seconds after which a claim without an answer is given up and begun anew."""
 CLAIM_PAUSE = 0.3
 """Seconds between two claims of one member, on average."""
+LOOK_GROWTH = 1.5
+"""How many times longer than the one before each pause between looks for a later leader is."""
+MOST_LOOK_PAUSE = 4.0
+"""Seconds between two such looks in the end, on average: the end of an outage is seen soon."""
 PATIENCE = 0.15
 """Members wait for a random time up to this many seconds, so that few claim at once."""
 FIRST_CLAIM = 0.1
@@ -79,16 +84,22 @@
 _DECODER = msgspec.msgpack.Decoder(LeaderRecord)
 
 
+class Position(msgspec.Struct, frozen=True):
+    """The last leadership known here, and where the leaders' topic ended with it."""
+
+    epoch: int
+    end: int
+
+
 class Doubt(msgspec.Struct, frozen=True):
     """Why a claim may be due, and the leadership that the reason was formed on.
 
-    ``end`` is where the leaders' topic ended then. Once either has moved the doubt is void: it says
-    nothing of a later leader. So it is once the leader has answered and gives no reason any more.
+    Once the position has moved the doubt is void: it says nothing of a later leader. So it is once
+    the leader has answered and gives no reason any more.
     """
 
     reason: str
-    epoch: int
-    end: int
+    at: Position
 
 
 class Election:
@@ -126,7 +137,12 @@
         self._started_at = monotonic()
         self._chance = rng.uniform(0.0, PATIENCE)
         self._end = 0
+        """Where the topic ended when this member last read it."""
         self._known = False
+        self._passed: Position | None = None
+        """Where a claim was refused because the topic had gone on: none made there can succeed."""
+        self._look_pause = CLAIM_PAUSE
+        self._look_at = 0.0
         self._asked_by: int | None = None
         """Epoch of the leader that has asked this member to take over."""
         self._store_failed_at = NEVER
@@ -179,7 +195,10 @@
         reason = self._reason()
         if reason is None:
             return
-        doubt = Doubt(reason, self._link.epoch, self._end)
+        doubt = Doubt(reason, self._position())
+        if doubt.at == self._passed:
+            await self._look_for_later()
+            return
         if not await self._confirmed(reason):
             self._pause_until = monotonic() + CLAIM_PAUSE
             return
@@ -191,8 +210,12 @@
 
     def _void(self, doubt: Doubt) -> bool:
         """Tell whether a doubt holds no more: a later leader is there, or this one was heard."""
-        moved = (self._link.epoch, self._end) != (doubt.epoch, doubt.end)
-        return moved or self._reason() is None
+        return self._position() != doubt.at or self._reason() is None
+
+    def _position(self) -> Position:
+        """Return where the next claim is due: a record that others told says where it ends."""
+        record = self._link.record
+        return Position(self._link.epoch, max(self._end, 0 if record is None else record.end))
 
     def _patience(self) -> float:
         """Return the seconds for which this member leaves a claim to others."""
@@ -309,12 +332,15 @@
         """
         if self._reading is None:
             self._read()
-        epoch = doubt.epoch + 1
+        at = doubt.at
+        epoch = at.epoch + 1
         settings = self._settings
-        claim = LeaderRecord(epoch, settings.name, settings.rpc_address, self._incarnation)
+        claim = LeaderRecord(
+            epoch, settings.name, settings.rpc_address, self._incarnation, at.end + 1
+        )
         record = Record(LEADER_KEY, _ENCODER.encode(claim))
         heard_ago = round(self._link.suspicion.heard_age(monotonic()), 3)
-        result = await hedged(lambda: self._append(record, doubt.end), CLAIM_INTERVAL, CLAIM_LIMIT)
+        result = await hedged(lambda: self._append(record, at.end), CLAIM_INTERVAL, CLAIM_LIMIT)
         won = isinstance(result, Appended)
         self._figures.count("claim", doubt.reason)
         _logger.info(
@@ -332,6 +358,10 @@
             # The record may have been read before the answer to the claim came.
             self._on_leader(claim)
         else:
+            if isinstance(result, Conflict) and result.end > at.end:
+                self._passed = at
+                self._look_pause = CLAIM_PAUSE
+                self._look_at = self._pause_until
             # The topic's end may have moved, or the claim may be there though its answer is lost.
             await self._look_again()
         self._lead_if_mine(epoch)
@@ -341,6 +371,14 @@
         result = await self._store.append(Topic.LEADER, [record], CLAIM_TIMEOUT, at=end)
         return None if isinstance(result, Unavailable) else result
 
+    async def _look_for_later(self) -> None:
+        """Look for the leadership that a claim has met, at growing intervals."""
+        if monotonic() < self._look_at:
+            return
+        await self._look_again()
+        self._look_at = monotonic() + self._look_pause * self._rng.uniform(0.5, 1.5)
+        self._look_pause = min(MOST_LOOK_PAUSE, self._look_pause * LOOK_GROWTH)
+
     async def _look_again(self) -> None:
         page = await hedged(lambda: self._page(CLAIM_TIMEOUT), CLAIM_INTERVAL, CLAIM_LIMIT)
         if page is not None:
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -43,6 +43,8 @@
     name: str
     address: str
     incarnation: str
+    end: int = 0
+    """Where the topic ends after it; 0 if an earlier release wrote or told it."""
 
 
 class Operation(enum.IntEnum):
