Test of claims: each candidate has a seed of its own, as each process has

Both candidates drew their incarnation from one seed, so that the one took the other's record for its own.

--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -95,7 +95,7 @@
             settings,
             self.store,
             self.link,
-            random.Random(2),
+            random.Random(name),
             Figures(),
             self._seen,
             self.won.append,
