Calls of the store without an answer are counted by the kind of their reason

A reason may quote what could not be decoded, so that each such answer would have made a counter of its own. Found in reading the change; no run has shown it. 2 cases of the test, of which the one with a quoted reason fails without this.

--- a/src/sablemount/control/counted_store.py
+++ b/src/sablemount/control/counted_store.py
@@ -62,5 +62,8 @@
         return result
 
     def _count(self, call: str, topic: Topic, result: object) -> None:
-        outcome = result.reason if isinstance(result, Unavailable) else ANSWERED
+        outcome = ANSWERED
+        if isinstance(result, Unavailable):
+            # What follows the colon differs from answer to answer.
+            outcome = result.reason.partition(":")[0]
         self._figures.count(f"store_{call}_{topic.value}", outcome)
