Calls over idle connections are answered as a process ends

Callers with an idle connection were cut in the last 0.05 to 0.2 s of each planned stop: the call was written, and the connection ended without an answer. The process left as soon as nothing was in flight; from its last look at its sockets to the end of its interpreter they were open and nobody read them. An idle connection told its caller nothing before. The hand-over was waited for before the first look at the clock, so that a silent store moved all of it.

Now each connection that idles once calls are refused gets a final 503 and is closed in the caller's direction: a call that crosses it has its answer and is not served, and who has no call on its way sees the end. The process stays until its callers have closed too, or its grace ends. What waits to be taken as the listener closes, and what has sent a part of a call by then, is answered likewise. The hand-over runs beside. The ready and metrics addresses and the own interface's server end the same way.

--- a/src/sablemount/adapters/caller_server.py
+++ b/src/sablemount/adapters/caller_server.py
@@ -4,14 +4,12 @@
 and counts the time of the headers together with the time that a connection idles before them.
 """
 
-import asyncio
-import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from tornado import httputil, iostream
-from tornado.httpserver import HTTPServer
 
+from sablemount.adapters.ending_server import EndingServer
 from sablemount.control.rpc import set_user_timeout
 from sablemount.jobs.model import RequestLimits
 
@@ -32,13 +30,11 @@
 FIELD_BYTES = 4
 """Bytes of a header's line beside its name and value."""
 
-_logger = logging.getLogger("sablemount.adapters.caller_server")
-
 Refuse = Callable[[httputil.HTTPConnection, HTTPStatus, str], None]
 """Answers a request that is not read any further."""
 
 
-class CallerServer(HTTPServer):
+class CallerServer(EndingServer):
     """Serves callers; ``refuse`` writes the answer to a request that is over a bound.
 
     Make it with ``body_timeout=BODY_SECONDS``; the other bounds are set here.
@@ -64,30 +60,17 @@
     def handle_stream(self, stream: iostream.IOStream, address: tuple[str, int]) -> None:
         """Serve a connection; one whose answers nobody acknowledges is given up."""
         set_user_timeout(stream)
-        read = stream.read_until_regex
-
-        def read_headers(regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
-            reading = asyncio.ensure_future(
-                self._read_headers(stream, lambda: read(regex, max_bytes))
-            )
-            reading.add_done_callback(_ended)
-            return reading
-
-        stream.read_until_regex = read_headers  # type: ignore[method-assign]
         super().handle_stream(stream, address)
 
-    async def _read_headers(
-        self, stream: iostream.IOStream, read: Callable[[], Awaitable[bytes]]
-    ) -> bytes:
-        """Wait for a request for as long as a connection may idle, and then for its headers."""
-        try:
-            async with asyncio.timeout(self.limits.idle_seconds):
-                first = await stream.read_bytes(1)
-            async with asyncio.timeout(self.limits.header_seconds):
-                return first + await read()
-        except TimeoutError as error:
-            stream.close()
-            raise iostream.StreamClosedError() from error
+    @property
+    def idle_seconds(self) -> float:
+        """Return for how long a connection may idle."""
+        return self.limits.idle_seconds
+
+    @property
+    def header_seconds(self) -> float:
+        """Return how long a request's headers may take from their first byte on."""
+        return self.limits.header_seconds
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -96,16 +79,6 @@
         return _Bounded(super().start_request(server_conn, request_conn), request_conn, self)
 
 
-def _ended(reading: "asyncio.Future[bytes]") -> None:
-    """Take the end of a wait for a request, for which nobody may wait any more as a process stops.
-
-    The end of a connection would be told as an error of the process then.
-    """
-    error = None if reading.cancelled() else reading.exception()
-    if error is not None:
-        _logger.debug("connection ended", extra={"error": repr(error)})
-
-
 class _Bounded(httputil.HTTPMessageDelegate):
     """Takes one request, as far as it keeps to the bounds."""
 
@@ -158,4 +131,5 @@
 
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
         self._refused = True
-        self._server.refuse(self._connection, status, reason)
+        if self._server.settled(self._connection):
+            self._server.refuse(self._connection, status, reason)
--- a/src/sablemount/daemon.py
+++ b/src/sablemount/daemon.py
@@ -39,7 +39,7 @@
         loop.add_signal_handler(number, stopper.signalled)
     await runtime.stopped.wait()
     stopper.cancel()
-    server.stop()
+    server.end()
     await runtime.close()
     await server.close_all_connections()
     if runtime.failed:
--- a/src/sablemount/entry/application.py
+++ b/src/sablemount/entry/application.py
@@ -2,13 +2,14 @@
 
 import msgspec
 from result import Err, Ok
-from tornado import httpserver, web
+from tornado import web
 
+from sablemount.adapters.ending_server import EndingServer, final_answer
 from sablemount.core import events
 from sablemount.core.documents import Document, Name, Scalar, document_key
 from sablemount.core.verdict import Failure, Reason, Verdict
 from sablemount.entry import views
-from sablemount.entry.answers import VERDICT_HEADER, status_of
+from sablemount.entry.answers import VERDICT_HEADER, failure_body, status_of
 from sablemount.entry.handler import Handler, Refused
 from sablemount.entry.requests import EntryDelegate
 from sablemount.report import burn_of
@@ -253,7 +254,11 @@
         raise web.HTTPError(NOT_FOUND, reason="no such path")
 
 
-def make_server(runtime: Runtime) -> httpserver.HTTPServer:
+STOPPED = Failure(Verdict.NOT_RUN, Reason.STOPPING, "the scheduler has stopped")
+"""What a call meets that comes as the scheduler ends."""
+
+
+def make_server(runtime: Runtime) -> EndingServer:
     """Return the HTTP server of a scheduler, not yet listening."""
     shared = {"runtime": runtime}
     routes = [
@@ -278,7 +283,8 @@
         log_function=lambda handler: None,
     )
     delegate = EntryDelegate(runtime, application)
-    return httpserver.HTTPServer(
+    return EndingServer(
         delegate,  # type: ignore[arg-type]
         max_body_size=runtime.settings.limits.max_body_bytes,
+        final=final_answer(failure_body(STOPPED, ""), {VERDICT_HEADER: STOPPED.verdict.value}),
     )
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -8,9 +8,9 @@
 
 import msgspec
 from tornado import httputil
-from tornado.httpserver import HTTPServer
 
 from sablemount.adapters.caller_server import BODY_SECONDS, DEFAULT_LIMITS, CallerServer
+from sablemount.adapters.ending_server import EndingServer, final_answer
 from sablemount.control.gate import key_digest
 from sablemount.control.member import Member
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
@@ -137,7 +137,8 @@
         """Whether new calls are refused at once, since they may take longer than the process."""
         self.in_flight = 0
         self._replies: set[asyncio.Task[CallerReply]] = set()
-        self.server = CallerServer(self._take, body_timeout=BODY_SECONDS)
+        final = final_answer(_ENCODER.encode(_Fault(STOPPING.reason)))
+        self.server = CallerServer(self._take, body_timeout=BODY_SECONDS, final=final)
         self.server.refuse = self._refuse
         self.server.set_limits(DEFAULT_LIMITS)
         member.feed.listen(lambda configuration: self.server.set_limits(configuration.limits))
@@ -178,6 +179,20 @@
         self.closing = True
         self.server.conn_params.no_keep_alive = True
 
+    def refuse(self) -> None:
+        """Refuse new calls at once, also those that may be on their way over idle connections."""
+        if not self.refusing:
+            self.refusing = True
+            _logger.info("calls refused", extra={"in_flight": self.in_flight})
+        left = self.server.leave_idle()
+        if left:
+            self._member.figures.count("connection_ended", "idle", left)
+
+    @property
+    def served_out(self) -> bool:
+        """Tell whether no call is in flight and no caller is connected."""
+        return not self.in_flight and not self.server.open_connections
+
     def cut_short(self) -> None:
         """Answer what is in flight: the process is about to end."""
         for task in self._replies:
@@ -278,7 +293,7 @@
     connection.finish()
 
 
-def ready_server(ready: Callable[[], bool]) -> HTTPServer:
+def ready_server(ready: Callable[[], bool]) -> EndingServer:
     """Return the server that tells the platform whether this process takes callers."""
 
     def answer(request: httputil.HTTPServerRequest) -> None:
@@ -286,10 +301,10 @@
         status = HTTPStatus.OK if well else HTTPStatus.SERVICE_UNAVAILABLE
         respond(request, status, b"{}", {"Content-Type": "application/json"})
 
-    return HTTPServer(answer)
+    return EndingServer(answer)
 
 
-def metrics_server(member: Member, more: Callable[[], dict[str, float]]) -> HTTPServer:
+def metrics_server(member: Member, more: Callable[[], dict[str, float]]) -> EndingServer:
     """Return the server that tells the process's own figures, with those that ``more`` gives."""
 
     def answer(request: httputil.HTTPServerRequest) -> None:
@@ -297,4 +312,4 @@
         text = member.figures.render(member.gauges() | more(), accepts)
         respond(request, HTTPStatus.OK, text, {"Content-Type": "text/plain; version=0.0.4"})
 
-    return HTTPServer(answer)
+    return EndingServer(answer)
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -105,26 +105,40 @@
         _logger.info("settings read again", extra={"node": self.boot.node_name})
 
     async def _wind_down(self) -> None:
-        """Hand over, serve what still comes for a while, answer all that is in flight."""
+        """Hand over, serve what still comes for a while, answer all that is in flight.
+
+        The process leaves once no caller is connected, or as its grace ends.
+        """
         started = monotonic()
         _logger.info("stopping", extra={"in_flight": self.front.in_flight})
         self.front.close_after_answers()
-        await self.member.stop()
+        handing_over = self._background.spawn(self.member.stop())
         last = started + self.boot.bounds.grace_s - STOP_MARGIN
         while monotonic() < last:
-            served = monotonic() - started > STOP_SERVING
-            self.front.refusing = served
-            if served and not self.front.in_flight:
-                break
-            await asyncio.sleep(STOP_POLL)
-        if self.front.in_flight:
-            self.front.cut_short()
+            if monotonic() - started > STOP_SERVING:
+                self.front.refuse()
+                if handing_over.done() and self.front.served_out:
+                    break
             await asyncio.sleep(STOP_POLL)
-        self.front.server.stop()
-        self._ready.stop()
-        self._metrics.stop()
+        await self._end(handing_over)
+
+    async def _end(self, handing_over: "asyncio.Task[None]") -> None:
+        """Answer what is in flight and what may be on its way, and close."""
+        if not handing_over.done():
+            leader = self.member.leader
+            epoch = None if leader is None else leader.epoch
+            _logger.warning("hand-over cut short", extra={"epoch": epoch})
+            handing_over.cancel()
+        self.front.cut_short()
+        left = {
+            "callers": self.front.server.end(),
+            "ready": self._ready.end(),
+            "metrics": self._metrics.end(),
+        }
+        # What is sent by now reaches its caller; what is not read would have it reset.
+        await asyncio.sleep(STOP_POLL)
         self.member.close()
-        _logger.info("stopped", extra={"in_flight": self.front.in_flight})
+        _logger.info("stopped", extra={"in_flight": self.front.in_flight, "ended": left})
 
 
 def _listen(server: object, address: str) -> None:
