A crash counts for a task as far as other VMs don't crash with it

Jobs without fault were shown as failed: three or four VMs had crashed under one of their tasks, by restarts of all VMs at once, of one VM again and again, or beside a task that does crash VMs.

Now each crash counts for as much as it tells, with the VMs on which nothing of the job ran as control, and a task is given up for what all crashes under it tell. The verdict waits until the other VMs are heard.

--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -22,6 +22,7 @@
     "StepSpec",
     "VmInfo",
     "check_spec",
+    "job_of",
     "QueueTable",
     "step_key",
     "task_key",
@@ -245,6 +246,11 @@
     return f"{job}.{repetition}.{step}.{index}"
 
 
+def job_of(task: str) -> str:
+    """Return the job that a task's name begins with."""
+    return task.partition(".")[0]
+
+
 def step_key(job: str, repetition: int, step: int) -> str:
     """Return the name that the tasks of one step and repetition share."""
     return f"{job}.{repetition}.{step}"
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -65,6 +65,8 @@
     """As in the job's own record, which is dropped at its end."""
     crashes: dict[str, tuple[str, ...]] = {}
     """VMs that have crashed under a task, by repetition, step and index, joined by dots."""
+    weights: dict[str, tuple[float, ...]] = {}
+    """What each of them tells of the task, where some tell less than a clear one."""
 
 
 class VmRecord(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/sablemount/jobs/sizes.py
+++ b/src/sablemount/jobs/sizes.py
@@ -29,8 +29,8 @@
 """Bytes of a step's progress beside its key and its mask at most: the heads of five values."""
 TABLE_BYTES = 8
 """Bytes by which the heads of a step's two tables may grow as they are filled."""
-CRASH_TABLE_BYTES = 16
-"""Bytes of the name and head of the table of crashes at most."""
+CRASH_TABLE_BYTES = 32
+"""Bytes of the names and heads of the tables of crashes and their weights at most."""
 PAIR_HEAD = 1
 """Bytes by which a pair is longer than its two values."""
 BITS = 4
@@ -81,14 +81,20 @@
 def _fill_crashes(kept: Progress, progress: Progress, room: int) -> int:
     """Add crashes as far as there is room; return what is left of it."""
     for key, vms in progress.crashes.items():
+        weights = progress.weights.get(key)
         room -= _entry_size(key, vms)
+        room -= 0 if weights is None else _entry_size(key, weights)
         if room < 0:
             return room
         kept.crashes[key] = vms
+        if weights is not None:
+            kept.weights[key] = weights
     return room
 
 
-def _entry_size(index: int | str, noted: tuple[int, ...] | tuple[str, ...] | str) -> int:
+def _entry_size(
+    index: int | str, noted: tuple[int, ...] | tuple[float, ...] | tuple[str, ...] | str
+) -> int:
     """Return the bytes of an entry of a table."""
     return len(msgspec.msgpack.encode((index, noted))) - PAIR_HEAD
 
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -4,7 +4,14 @@
 
 from sablemount.jobs.actions import Action
 from sablemount.jobs.caps import Usage
-from sablemount.jobs.model import Configuration, Organisation, QueueTerms, Shape, StepSpec
+from sablemount.jobs.model import (
+    Configuration,
+    Organisation,
+    QueueTerms,
+    Shape,
+    StepSpec,
+    job_of,
+)
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
     MAX_RUN_ENDS,
@@ -190,14 +197,14 @@
         vm.runs[(run.task, run.number)] = run
         vm.room = vm.room.plus(run.charge, -1)
         step = self.step_of(run.task)
-        job = self.jobs.get(run.task.partition(".")[0])
+        job = self.jobs.get(job_of(run.task))
         run.organisation = "" if job is None else job.organisation
         run.counted = run.charge if step is None else step.shape
         self.usage.take(run.organisation, run.counted)
 
     def note_end(self, run: RunRow, how: str) -> None:
         """Keep how a run ended for the line that tells of its job's end."""
-        job = self.jobs.get(run.task.partition(".")[0])
+        job = self.jobs.get(job_of(run.task))
         if job is None or job.shown.final or run.told:
             return
         run.told = True
--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -1,18 +1,19 @@
 """Tasks under which VMs crash: counted, noted in the store, and given up.
 
 A crash is the end of a VM's life that it has not told of, while its entry stood. It counts for all
-that ran there, since what caused it can't be told from what was beside it; ``trials.py`` has what
-is suspected started where the next crash tells. Counts last in the store, and so does what was
+that ran there, as far as it tells of each (``evidence.py``); ``trials.py`` has what is suspected
+started where the next crash tells. Counts last in the store, and so does what was
 started on a VM of late, or runs on one that has fallen silent: so a crash counts also if its leader
 ends before it was sure of it.
 """
 
 from collections.abc import Callable
 
-from sablemount.jobs.model import task_key
+from sablemount.jobs.model import job_of, task_key
 from sablemount.jobs.records import Progress
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import Every
+from sablemount.jobs.systems.evidence import CONVICTING, CONVICTING_ALONE, Evidence
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.tables import JobRow, JobState, RunRow, RunState, TaskRow, TaskState, VmRow
 
@@ -26,8 +27,10 @@
 """Share of the VMs that may be silent at once for that to be noted: with more of them the leader
 itself was away, or cut off."""
 LEAST_SILENT = 2
+JUDGE_INTERVAL = 0.3
+"""Seconds between looks at what more is known of crashes."""
 GIVEN_UP_AFTER = 3
-"""Crashes after which a task is given up, if it was on trial at the last of them."""
+"""Crashes after which a task is given up, if they tell enough and it was on trial at the last."""
 GIVEN_UP_IN_ANY_CASE = 4
 """The same, however it was started: six starts of which three follow the third crash are too many,
 and the count of one or two may be lost with a leader."""
@@ -47,20 +50,21 @@
         self._note = note
         """Has what may be lost with a VM recorded."""
         self._every = Every(INTERVAL)
+        self._judging = Every(JUDGE_INTERVAL)
+        self._evidence = Evidence(state)
 
     # -- Counting ----------------------------------------------------------------------------
 
     def crashed(self, row: VmRow) -> None:
         """Take that a VM's life has ended unplanned; call it before its runs are taken out."""
+        self._evidence.note(row, self._trial(row))
         tasks = self._under(row)
         if not tasks:
             return
         for task in tasks:
             self._count(task, row.name)
         self._tell(row, tasks)
-        for task in tasks:
-            if self._guilty(task, row):
-                self._give_up(task)
+        self._judge()
 
     def left(self, run: RunRow) -> None:
         """Take that a run ended with the life that it was ordered at, as it is not at the next."""
@@ -70,8 +74,7 @@
         self._count(task, run.left)
         extra = {"vm": run.left, "trial": "", "under": [(task.key, len(task.crashes))]}
         self._state.logger.info("VM crashed", extra=extra)
-        if len(task.crashes) >= GIVEN_UP_IN_ANY_CASE:
-            self._give_up(task)
+        self._judge()
 
     def _under(self, row: VmRow) -> list[TaskRow]:
         """Return the open tasks that a crash counts for: the tried job's alone, if it was alone."""
@@ -86,7 +89,8 @@
                 # It counts for the life that it has left, once it is known not to be here.
                 continue
             found[task.key] = task
-        tried = [task for task in found.values() if self._alone(task, row)]
+        trial = self._trial(row)
+        tried = [task for task in found.values() if task.step.job.name == trial]
         return [task for task in tried or found.values() if task.state is not TaskState.DONE]
 
     @staticmethod
@@ -94,11 +98,13 @@
         if not task.step.spec.lasting or run.worked(row.heard_at) < FORGIVEN_AFTER:
             return False
         task.crashes.clear()
+        task.weights.clear()
         return True
 
     def _count(self, task: TaskRow, vm: str) -> None:
         if vm not in task.crashes:
             task.crashes.append(vm)
+        self._evidence.blame(vm, task)
         self._watch(task.step.job)
         self._state.mark(task.step.job)
 
@@ -106,19 +112,30 @@
         job.watched = True
         self._state.suspected[job.name] = job
 
-    def _guilty(self, task: TaskRow, row: VmRow) -> bool:
-        # A VM of which an earlier life has crashed may be the cause itself.
-        clear = self._alone(task, row) and not task.crashed_before(row)
-        enough = GIVEN_UP_AFTER if clear else GIVEN_UP_IN_ANY_CASE
-        return len(task.crashes) >= enough
-
-    @staticmethod
-    def _alone(task: TaskRow, row: VmRow) -> bool:
-        """Tell whether a task was on trial, with nothing beside it but what had run for long."""
-        job = task.step.job.name
-        others = (run for run in row.runs.values() if run.task.partition(".")[0] != job)
+    def _trial(self, row: VmRow) -> str:
+        """Return the job on trial at a VM, if nothing is beside it but what has run for long."""
+        others = (run for run in row.runs.values() if job_of(run.task) != row.trial)
         ordered = (run for run in others if run.state is not RunState.NOTING)
-        return row.trial == job and all(run.worked(row.heard_at) > LONG_AT_WORK for run in ordered)
+        alone = all(run.worked(row.heard_at) > LONG_AT_WORK for run in ordered)
+        return row.trial if alone else ""
+
+    # -- Judging -----------------------------------------------------------------------------
+
+    def _judge(self) -> None:
+        """Give up the tasks that crashes are known by now to be caused by."""
+        for task in self._evidence.weigh():
+            if self._guilty(task):
+                self._give_up(task)
+
+    def _guilty(self, task: TaskRow) -> bool:
+        crash = self._evidence.crash(task.crashes[-1]) if task.crashes else None
+        if crash is None or not crash.sure:
+            return False
+        # A VM of which an earlier life has crashed may be the cause itself.
+        tried = crash.trial == task.step.job.name
+        if tried and not task.crashed_in(crash.entry, crash.vm):
+            return len(task.crashes) >= GIVEN_UP_AFTER and task.evidence() >= CONVICTING_ALONE
+        return len(task.crashes) >= GIVEN_UP_IN_ANY_CASE and task.evidence() >= CONVICTING
 
     def _give_up(self, task: TaskRow) -> None:
         job = task.step.job
@@ -126,7 +143,13 @@
             return
         self._state.logger.info(
             "job failed",
-            extra={"job": job.name, "task": task.key, "why": "VMs crash", "vms": task.crashes},
+            extra={
+                "job": job.name,
+                "task": task.key,
+                "why": "VMs crash",
+                "vms": task.crashes,
+                "weights": [task.weight(vm) for vm in task.crashes],
+            },
         )
         self._lifecycle.end(job, JobState.FAILED)
 
@@ -139,6 +162,8 @@
 
     def run(self) -> None:
         """Note what runs on VMs that have fallen silent, before it is sure that they crashed."""
+        if self._judging.due(self._state.now):
+            self._judge()
         if not self._every.due(self._state.now):
             return
         silent = [row for row in self._state.vms.values() if self._silent(row)]
@@ -163,6 +188,8 @@
             task = self._task(job, key)
             if task is not None:
                 task.crashes = list(vms)
+                weights = progress.weights.get(key, ())
+                task.weights = dict(zip(vms, weights, strict=False))
                 self._watch(job)
 
     def _task(self, job: JobRow, key: str) -> TaskRow | None:
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -255,6 +255,8 @@
             if task.crashes and task.state is not TaskState.DONE:
                 key = f"{step.repetition}.{step.number}.{task.index}"
                 progress.crashes[key] = tuple(task.crashes)
+                if any(vm in task.weights for vm in task.crashes):
+                    progress.weights[key] = tuple(map(task.weight, task.crashes))
 
 
 FORGET_FACTOR = 1.5
--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -5,6 +5,7 @@
 there once all else has run for a while, so that a crash has no other likely cause.
 """
 
+from sablemount.jobs.model import job_of
 from sablemount.jobs.state import State
 from sablemount.jobs.tables import RunRow, StepRow, TaskRow, TaskState, VmRow
 
@@ -131,7 +132,7 @@
         job = task.step.job.name
         young = [run for run in row.runs.values() if not _proven(run, row)]
         if self._waits_for_trial(task):
-            return row.trial == job and not any(_job(run) != job for run in young)
+            return row.trial == job and not any(job_of(run.task) != job for run in young)
         return not any(self._suspected(run, job) for run in young)
 
     def elsewhere(self, task: TaskRow, rows: list[VmRow], found: list[VmRow]) -> list[VmRow]:
@@ -148,16 +149,12 @@
 
     def _suspected(self, run: RunRow, job: str) -> bool:
         """Tell whether a run is one of another job's task under which a VM has crashed."""
-        if _job(run) == job:
+        if job_of(run.task) == job:
             return False
         task = self._state.task(run.task)
         return task is not None and bool(task.crashes)
 
 
-def _job(run: RunRow) -> str:
-    return run.task.partition(".")[0]
-
-
 def _on_trial(run: RunRow, row: VmRow) -> bool:
     return run.worked(row.heard_at) < TRIAL_TIME
 
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -11,6 +11,7 @@
 from sablemount.jobs.records import JobRecord
 
 __all__ = [
+    "CLEAR",
     "MAX_RUN_ENDS",
     "NEVER",
     "AdviceRow",
@@ -31,6 +32,9 @@
 """Ended runs that are kept of a job: three times its tasks at most, but for jobs that last."""
 TRIED_AFTER = 2
 """Crashes under a task after which it runs apart from other jobs."""
+CLEAR = 3.0
+"""What a crash tells of a task at most, as a logarithm of odds: there may always be another cause.
+"""
 SLOW_CLOCK = 0.98
 """Rate of the slowest clock of a VM against true time."""
 
@@ -150,6 +154,8 @@
     """When it last failed."""
     crashes: list[str] = field(default_factory=list)
     """VMs that have crashed while it ran there."""
+    weights: dict[str, float] = field(default_factory=dict)
+    """What a crash tells of it where that is less than of a clear one; see ``evidence.py``."""
     lost: bool = False
     """Whether a run of it was lost with its VM, which it may have crashed."""
 
@@ -160,8 +166,20 @@
 
     def crashed_before(self, vm: "VmRow") -> bool:
         """Tell whether an earlier life of a VM has crashed while it ran there."""
-        lives = vm.info.entry + LIFE_SEPARATOR
-        return any(name.startswith(lives) and name != vm.name for name in self.crashes)
+        return self.crashed_in(vm.info.entry, vm.name)
+
+    def crashed_in(self, entry: str, but: str) -> bool:
+        """Tell whether a life of an entry, but for one, has crashed while it ran there."""
+        lives = entry + LIFE_SEPARATOR
+        return any(name.startswith(lives) and name != but for name in self.crashes)
+
+    def weight(self, vm: str) -> float:
+        """Return what the crash of a VM's life tells of it."""
+        return self.weights.get(vm, CLEAR)
+
+    def evidence(self, but: str = "") -> float:
+        """Return what all crashes under it tell, but for that of one life."""
+        return sum(self.weight(vm) for vm in self.crashes if vm != but)
 
     @property
     def noted_first(self) -> bool:
--- a/tests/jobs/test_vm_mixes.py
+++ b/tests/jobs/test_vm_mixes.py
@@ -37,6 +37,8 @@
         kinds.stop_member,
     ],
 }
+MANY_CRASHERS = (6075, 6126)
+"""So many tasks crash VMs at a time that each crash lies beside others."""
 LATE_CRASHER_BESIDE = 1092
 """A task that crashes VMs after 2 s ran beside one on trial, twice, and did not count."""
 TRIED_BESIDE_ANOTHER: dict[int, list[Fault]] = {
@@ -69,7 +71,7 @@
     assert run(play(3, [fault, fault], advice=True)) == []
 
 
-@pytest.mark.parametrize("seed", (*SEEDS, LATE_CRASHER_BESIDE))
+@pytest.mark.parametrize("seed", (*SEEDS, *MANY_CRASHERS, LATE_CRASHER_BESIDE))
 def test_mixes(seed: int) -> None:
     assert _played(seed, draw(seed)) == []
 
