--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -178,8 +178,16 @@
         return self.weights.get(vm, CLEAR)
 
     def evidence(self, but: str = "") -> float:
-        """Return what all crashes under it tell, but for that of one life."""
-        return sum(self.weight(vm) for vm in self.crashes if vm != but)
+        """Return what all crashes under it tell, but for that of one life.
+
+        Of one VM the crash counts that tells the most: one that crashes again may do so by itself.
+        """
+        most: dict[str, float] = {}
+        for vm in self.crashes:
+            if vm != but:
+                entry = vm.partition(LIFE_SEPARATOR)[0]
+                most[entry] = max(most.get(entry, 0.0), self.weight(vm))
+        return sum(most.values())
 
     @property
     def noted_first(self) -> bool:
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -85,6 +85,15 @@
     assert beside.weight(vm) < bad.weight(vm)
 
 
+def test_a_vm_that_crashes_again_tells_nothing_more() -> None:
+    rig = Rig(vms=VMS)
+    task = _running(rig, "a")
+    task.crashes = ["w0/1", "w0/2", "w1/1"]
+    task.weights = {"w0/1": 1.0, "w0/2": 2.0}
+    assert task.evidence() == 2.0 + CLEAR
+    assert task.evidence(but="w0/2") == 1.0 + CLEAR
+
+
 def test_what_crashes_tell_lasts_over_leaders() -> None:
     rig = Rig(vms=VMS)
     task = _running(rig, "a")
