A VM's next life shows by a run that it lists its ends

A task that had ended was run again: a VM had started again under its id, and a message for its earlier life, under way as its leader ended, told the new one to forget its own first ends. The next leader cannot know of such a message; two ways to write it down were dropped, since a life so suspected stayed unused.

Now the VM is asked: the first run of a life that may have got one is leased for 0.04 s. If its end is listed the VM is used, if it is gone without one the VM starts nothing, as before.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -60,6 +60,9 @@
 """Seconds that a VM has to answer a start: 100 times a usual answer."""
 START_TRIES = 3
 """How often a start without an answer is ordered within its validity of 1.5 s."""
+PROOF_LEASE = 0.04
+"""Seconds of lease of a run that is to show whether its VM lists ends: enough for its order to
+arrive, too short for work to end. It grows with each try, as far as an order may take."""
 CALL_MARGIN = 0.05
 """Seconds of a start's validity below which it is not worth another try."""
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
@@ -151,10 +154,14 @@
         scheduler.now()
         known = row.first_heard_at > 0
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING
-        until = scheduler.vms.lease_until(row) if known and not silent else 0
+        leased = known and not silent and not row.unproven
+        until = scheduler.vms.lease_until(row) if leased else 0
         # One look at a time carries a number, so that its answer is for it.
         acked = 0 if at_once else scheduler.acks.due(row)
         wait = self._wait(row, acked) if known and not silent and not at_once else 0.0
+        if acked:
+            # Should it come to a next life, that is not to keep what shows whether it did.
+            until = 0
         fence = self._fence(row)
         call = HoldCall(row.name, row.info.address, fence, until, acked, wait)
         timeout = self._timeout(known, silent, wait)
@@ -242,7 +249,11 @@
             # Given up meanwhile: its room and its task may have been given to others.
             return
         # After its settle time a run that its VM does not list is taken never to come.
-        until = int(min(row.clock_after(monotonic()) + self._left(action) * MS, run.settle_clock))
+        until = int(
+            min(
+                row.clock_after(monotonic()) + self._length(action, row, run) * MS, run.settle_clock
+            )
+        )
         row.ordering += 1
         try:
             await self._try_start(row, run, action, until)
@@ -291,6 +302,11 @@
         self._scheduler.start_refused(action.vm, action.task, action.run, why, certain)
         self._kick()
 
+    def _length(self, action: StartRun, row: VmRow, run: RunRow) -> float:
+        """Return for how many seconds a start is valid, and what it starts leased."""
+        left = self._left(action)
+        return min(left, PROOF_LEASE * 2 ** (row.proofs - 1)) if run.proof else left
+
     @staticmethod
     def _left(action: StartRun) -> float:
         return action.not_after - monotonic()
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -37,6 +37,7 @@
 from sablemount.jobs.systems.pacing import Pacing
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.preemption import Preemption
+from sablemount.jobs.systems.proofs import Proofs
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.reservation import Reservation
 from sablemount.jobs.systems.speeds import Speeds
@@ -120,6 +121,9 @@
             self.starts,
             self.speeds,
         )
+        self.proofs = Proofs(
+            self.state, self.vms, self.placement, self.advice, self.caps, self.starts
+        )
         self.preemption = Preemption(
             self.state, self.placement, self.advice, self.reconcile, self.caps
         )
@@ -164,6 +168,7 @@
         self.crashes.run()
         self.evacuation.run()
         self.starts.run()
+        self.proofs.run()
         self.reconcile.stop_broken_gangs()
         self.placement.run()
         self.preemption.run()
@@ -232,7 +237,8 @@
             born=noted.born,
         )
         row = self.vms.load(info)
-        row.deaf = noted.deaf
+        if noted.deaf:
+            self.vms.doubted(row, 0)
         row.noted_speed = noted.speed
         self.speeds.restore(row)
         self.state.doubts[name] = noted.suspects
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -63,6 +63,8 @@
         self.open_steps: dict[str, StepRow] = {}
         """Steps with waiting tasks whose turn has come, by key."""
         self.vms: dict[str, VmRow] = {}
+        self.unproven: dict[str, VmRow] = {}
+        """VMs that are to show that they list their ends."""
         self.orphans: dict[tuple[str, str, int], RunRow] = {}
         """Runs that belong to no open task and are being stopped, by VM, task and run."""
         self.broken_gangs: list[tuple[StepRow, int]] = []
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -209,6 +209,10 @@
             and row.trial in ("", step.job.name)
         ]
 
+    def is_candidate(self, step: StepRow, row: VmRow) -> bool:
+        """Tell whether a VM is of a step's pool and label."""
+        return _is_of(row, self._state.terms_of(step.job).pool, step.spec.label)
+
     def lets_start(self, step: StepRow, row: VmRow) -> bool:
         """Tell whether a VM that a step may use takes one of its tasks, as far as crashes tell."""
         if not step.job.watched:
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -111,7 +111,9 @@
             self._ended(vm, end)
         if fresh and vm.deaf:
             # Its numbers are above what it was told to forget.
-            vm.deaf = False
+            vm.deaf = vm.unproven = False
+            state.unproven.pop(vm.name, None)
+            state.freed += 1
             self.on_hearing(vm)
         self._listed(vm, heard)
         self._missing(vm, heard)
@@ -122,7 +124,8 @@
     def _stop_all(self, vm: VmRow) -> None:
         """Stop what runs on a VM whose ends may go unlisted, so that it ends without a result."""
         for run in list(vm.runs.values()):
-            if run.state is not RunState.STOPPING:
+            # A stop that overtakes the order of a proof keeps it from being there.
+            if run.state is not RunState.STOPPING and (run.listed or not run.proof):
                 self.stop(run)
 
     def _behind(self, vm: VmRow, heard: Heard) -> None:
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -29,6 +29,8 @@
 """Seconds that a VM's clock may be ahead of what is known of it."""
 HEARD_WITHIN = 0.35
 """Seconds within which a VM has to be heard before an order: a look takes as long at most."""
+PROOF_VALID = 0.3
+"""Seconds for which the order of a proof is valid: it is given at once or later once more."""
 UNHEARD_PAUSE = 0.5
 """Seconds without new work for a VM that was not: by then its usual look tells what it is."""
 
@@ -82,8 +84,11 @@
 
     # -- Entering ----------------------------------------------------------------------------
 
-    def enter(self, step: StepRow, chosen: Assignment) -> None:
-        """Enter runs that belong together: a gang's, or one alone."""
+    def enter(self, step: StepRow, chosen: Assignment, proof: bool = False) -> None:
+        """Enter runs that belong together: a gang's, or one alone.
+
+        One is entered as a ``proof`` that is to show whether its VM lists ends.
+        """
         tasks = [task for task, _ in chosen]
         number = self._state.next_run(tasks)
         # Any member's state is good for a gang, and all go on from the same.
@@ -93,6 +98,7 @@
         for task, row in chosen:
             run = RunRow(task.key, number, row.name, step.spec.charge, self._state.now)
             run.resumed = bool(saved)
+            run.proof = proof
             if first:
                 run.state = RunState.NOTING
                 run.settle_clock = inf
@@ -158,7 +164,7 @@
             entered
             and run.noted
             and trial
-            and self._vms.usable(row)
+            and (run.proof or self._vms.usable(row))
             and self._advice.valid(step, row)
         )
 
@@ -182,7 +188,7 @@
         state = self._state
         for start in starts:
             run, row = start.run, start.row
-            valid = state.settings.start_valid
+            valid = PROOF_VALID if run.proof else state.settings.start_valid
             run.state = RunState.SENT
             run.sent_at = state.now
             run.settle_clock = row.clock_after(state.now) + (valid + SETTLE) * MS
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -120,11 +120,17 @@
 
     def usable(self, row: VmRow) -> bool:
         """Tell whether a VM may get new work at all."""
+        return not row.deaf and self._sound(row)
+
+    def provable(self, row: VmRow) -> bool:
+        """Tell whether a VM may be started something on that shows whether it lists its ends."""
+        return row.deaf and row.unproven and not row.runs and self._sound(row)
+
+    def _sound(self, row: VmRow) -> bool:
         return (
             row.in_use
             and not row.gone
             and not row.awaited
-            and not row.deaf
             and not self._acks.hold_up(row)
             and row.refused_since < row.heard_at
             and not row.info.draining
@@ -186,8 +192,9 @@
         # What was ordered of the last life may come to be here until this one is heard.
         row.loaded = True
         row.lease_end = max(row.lease_end, self._state.longest_lease_end())
-        if before.telling:
-            self.deafened(row.name, before.acked_end)
+        if before.telling or before.loaded:
+            # A number for that one may come to this one, under another leader's fence too.
+            self.doubted(row, before.acked_end)
         if before.info.born:
             self.died(before.name, NEXT_LIFE, row)
             return
@@ -200,15 +207,30 @@
         for run in list(before.runs.values()):
             self._state.move_run(run, row)
 
+    def doubted(self, row: VmRow, acked: int) -> None:
+        """Take that a life may have been told to forget the ends of the life before, and its own.
+
+        It starts nothing before it has shown that it lists its ends.
+        """
+        if row.deaf:
+            return
+        row.deaf = row.unproven = True
+        self._state.unproven[row.name] = row
+        extra = {"vm": row.name, "acked": acked}
+        self._state.logger.info("VM may not list its ends", extra=extra)
+        self.on_deaf(row)
+
     def deafened(self, name: str, acked: int) -> None:
         """Take that a life does not list its ends up to some number, and starts nothing more.
 
         It was told to forget those of the life before, and forgets its own.
         """
         row = self._state.vms.get(name)
-        if row is None or row.deaf:
+        if row is None or (row.deaf and not row.unproven):
             return
         row.deaf = True
+        row.unproven = False
+        self._state.unproven.pop(name, None)
         self._state.logger.warning("VM does not list its ends", extra={"vm": name, "acked": acked})
         self.on_deaf(row)
 
@@ -243,6 +265,7 @@
             if (row.gone or not row.listed) and not row.runs and self._leases_over(row):
                 out.append(row)
                 del self._state.vms[row.name]
+                self._state.unproven.pop(row.name, None)
                 self._lives.forget(row)
                 self._log("VM forgotten", row)
         return out
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -85,6 +85,8 @@
     state: RunState = RunState.SENT
     noted: bool = False
     """Whether the store has what has to be there before its order."""
+    proof: bool = False
+    """Whether it is there to show that its VM lists ends, and ends before it has done any work."""
     whole: bool = False
     """Whether all of its VM is charged for it, since its job is not known any more."""
     organisation: str = ""
@@ -359,6 +361,12 @@
     """Whether it is known by its answers only, and its entry is yet to come."""
     deaf: bool = False
     """Whether ends there may go unlisted, so that nothing may be started."""
+    unproven: bool = False
+    """Whether that is but feared, so that it may show that it lists them; see ``proofs.py``."""
+    proofs: int = 0
+    """How often it was to show that."""
+    prove_at: float = NEVER
+    """When it may be to show that again."""
     noted_speed: float = 0.0
     """Its speed as its record has it, or is about to."""
     follows_at: float = NEVER
