A VM's room is used for 4 s after it was read, and after an outage once the VM has told it anew

Only a VM's entry tells its room, and the last reading was used however old it was. The list of machines was tried as a second source and dropped: it tells what a machine was built with.

Now an order rests on a reading of 4 s at most, and an entry that could be read again counts once its VM has written it since. Pools that guard their room are started on all the while.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -201,7 +201,15 @@
 
     def _follow(self) -> None:
         self._stop_listening = self._feed.listen(self._configured)
-        vms = Follower(self.ports.store, Topic.VMS, self._vms_listed, self._vms_told, FRESH_START)
+        vms = Follower(
+            self.ports.store,
+            Topic.VMS,
+            self._vms_listed,
+            self._vms_told,
+            FRESH_START,
+            self.scheduler.rooms_known,
+        )
+        self.scheduler.rooms_known(monotonic())
         self._background.spawn(vms.run())
 
     def _failed(self, error: BaseException) -> None:
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -282,6 +282,11 @@
             self._use([row])
         return row
 
+    def rooms_known(self, asked_at: float) -> None:
+        """Take that the VMs' entries were read, by a question of some local time."""
+        self.now()
+        self.vms.rooms_known(asked_at)
+
     def left_list(self, entry: str) -> None:
         """Take that a VM's entry is gone, or names no VM any more."""
         self._unnamed.pop(entry, None)
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -63,6 +63,12 @@
         self.open_steps: dict[str, StepRow] = {}
         """Steps with waiting tasks whose turn has come, by key."""
         self.vms: dict[str, VmRow] = {}
+        self.rooms_at: float | None = None
+        """Up to when the VMs' entries were read; ``None`` where that is not watched."""
+        self.rooms_before = NEVER
+        """The same before they could last not be read for a while."""
+        self.rooms_back_at = NEVER
+        """When they could be read again."""
         self.unproven: dict[str, VmRow] = {}
         """VMs that are to show that they list their ends."""
         self.orphans: dict[tuple[str, str, int], RunRow] = {}
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -189,6 +189,7 @@
         for start in starts:
             run, row = start.run, start.row
             valid = PROOF_VALID if run.proof else state.settings.start_valid
+            valid = min(valid, self._vms.room_known_for(row))
             run.state = RunState.SENT
             run.sent_at = state.now
             run.settle_clock = row.clock_after(state.now) + (valid + SETTLE) * MS
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -1,6 +1,7 @@
 """Which VMs there are, what leases they have, and when what ran on a silent one is over."""
 
 from collections.abc import Callable, Sequence
+from math import inf
 
 import msgspec
 
@@ -24,6 +25,14 @@
 LEFT_AS_TOLD_AFTER = 0.3
 """The same for one that drained and is past the time that it told: two tries at its address. Its
 entry goes up to 4.5 s later, and a gang with a member there can't start again before."""
+ROOM_FRESH = 4.0
+"""Seconds after its entry was read for which a VM that does not guard its room may be told to start
+something: one that has shrunk may not be started over it 4.5 s later."""
+ROOM_GAP = 1.5
+"""Seconds without a reading of entries after which VMs may not have been able to write theirs: they
+are asked for each second."""
+ROOM_MARGIN = 0.3
+"""Seconds by which such an order may come later."""
 LOST = "lost"
 """How a run ended of which nothing can be heard any more."""
 ANOTHER_LIFE = "another life answers at its address"
@@ -84,6 +93,8 @@
             # An old list would give back the room that a VM has lost since.
             return None
         if row is not None:
+            if revision > row.revision:
+                row.told_at = self._state.now
             row.revision = revision
             self._changed(row, info)
             row.leaves_at = _earlier(row.leaves_at, leaves_at)
@@ -129,6 +140,7 @@
     def _sound(self, row: VmRow) -> bool:
         return (
             row.in_use
+            and self.room_known_for(row) > ROOM_MARGIN
             and not row.gone
             and not row.awaited
             and not self._acks.hold_up(row)
@@ -139,6 +151,32 @@
             and not self.missing(row)
         )
 
+    def room_known_for(self, row: VmRow) -> float:
+        """Return for how many seconds an order may yet rest on what is known of a VM's room.
+
+        Only its entry tells that it has shrunk. One that guards its room refuses what does not fit.
+        """
+        state = self._state
+        if state.rooms_at is None or row.info.pool in state.configuration.guarded_pools:
+            return inf
+        known_at = state.rooms_at
+        back_for = state.now - state.rooms_back_at
+        if row.told_at < state.rooms_back_at and back_for < RELISTED_WITHIN:
+            # What is read again was written before: it could not tell of itself meanwhile.
+            known_at = state.rooms_before
+        return known_at + ROOM_FRESH + ROOM_MARGIN - state.now
+
+    def rooms_known(self, asked_at: float) -> None:
+        """Take that entries were read, by a question of some local time."""
+        state = self._state
+        before = state.rooms_at
+        if before is not None and asked_at - before > ROOM_GAP:
+            state.rooms_before = before
+            state.rooms_back_at = state.now
+        state.rooms_at = asked_at if before is None else max(before, asked_at)
+        # What had to wait for that may start.
+        state.freed += 1
+
     def left_list(self, entry: str) -> None:
         """Take that a VM's entry is gone; it may still run what is leased there."""
         row = self._lives.present(entry)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -344,6 +344,8 @@
     """When its entry was found to be missing; ``None`` while it is there or no list was read."""
     revision: int = 0
     """Of the newest word that it has told of itself."""
+    told_at: float = NEVER
+    """When a newer word than before of what it tells of itself came."""
     room: Shape = Shape()
     runs: dict[tuple[str, int], RunRow] = field(default_factory=dict)
     heard_at: float = NEVER
--- /dev/null
+++ b/tests/jobs/test_rooms.py
@@ -0,0 +1,93 @@
+"""Nothing is started on a VM by an old word of its room, unless it guards that."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from sablemount.jobs.model import Shape, StepSpec
+from sablemount.jobs.systems.vms import ROOM_FRESH, ROOM_MARGIN
+from tests.emulator.loop import run
+from tests.emulator.system import System
+from tests.emulator.vm_faults import resize
+from tests.jobs.rig import CAPACITY, CORE, Rig, spec
+
+DOWN = 12.0
+"""Seconds without the store, some of them with VMs that have shrunk for longer than they may be
+started over their room."""
+
+
+def _rig(guarded: bool = False) -> Rig:
+    rig = Rig(vms=1)
+    pools = frozenset({"pool"} if guarded else ())
+    rig.scheduler.configured(
+        msgspec.structs.replace(rig.configuration, version=2, guarded_pools=pools)
+    )
+    rig.scheduler.rooms_known(rig.clock.time)
+    return rig
+
+
+def _wait(rig: Rig, seconds: float) -> None:
+    for _ in range(round(seconds / 0.5)):
+        rig.wait(0.5)
+
+
+@pytest.mark.parametrize("guarded", [False, True], ids=["unguarded", "guarded"])
+def test_nothing_is_started_by_an_old_word_where_room_is_not_guarded(guarded: bool) -> None:
+    rig = _rig(guarded)
+    _wait(rig, ROOM_FRESH + 0.5)
+    rig.accept("a", spec(StepSpec(1, CORE)))
+    rig.tick()
+    assert len(rig.started()) == guarded
+    rig.scheduler.rooms_known(rig.clock.time)
+    rig.wait(0.5)
+    assert len(rig.started()) == guarded
+    info = rig.scheduler.state.vms["w0"].info
+    rig.scheduler.told(msgspec.structs.replace(info, revision=1))
+    rig.wait(0.5)
+    assert len(rig.started()) == 1
+
+
+def test_an_entry_that_is_not_written_anew_counts_in_the_end() -> None:
+    """The platform drops it if its VM does not reach the store."""
+    rig = _rig()
+    _wait(rig, ROOM_FRESH + 0.5)
+    rig.accept("a", spec(StepSpec(1, CORE)))
+    for _ in range(6):
+        rig.scheduler.rooms_known(rig.clock.time)
+        rig.wait(0.5)
+    assert len(rig.started()) == 1
+
+
+def test_an_order_does_not_outlive_what_is_known_of_the_room() -> None:
+    rig = _rig()
+    _wait(rig, ROOM_FRESH - 0.5)
+    rig.accept("a", spec(StepSpec(1, CORE)))
+    rig.tick()
+    (start,) = rig.started()
+    assert start.not_after <= 100.0 + ROOM_FRESH + ROOM_MARGIN
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_vms_that_shrink_in_an_outage_are_not_started_over_their_room(seed: int) -> None:
+    """All VMs shrink as the store goes down, and nobody can read their entries."""
+
+    async def scenario() -> list[str]:
+        system = System(seed, vms=6)
+        system.cell.seconds = 1.0
+        system.start_all()
+        await asyncio.sleep(1.0)
+        traffic = asyncio.create_task(system.traffic("a", 120, 0.05))
+        await asyncio.sleep(4.0)
+        system.store.down = True
+        for vm in list(system.cell.vms.values()):
+            resize(system, vm, Shape(CAPACITY.cores // 4, CAPACITY.memory))
+        await asyncio.sleep(DOWN)
+        for vm in list(system.cell.vms.values()):
+            resize(system, vm, CAPACITY)
+        system.store.down = False
+        await traffic
+        await system.settle(60.0)
+        return await system.faults()
+
+    assert run(scenario()) == []
