--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -21,6 +21,8 @@
 
     SILENT = "silent"
     AVOIDED = "avoided"
+    ROOM_UNKNOWN = "room not known"
+    UNPROVEN = "to show that it lists ends"
     UNUSABLE = "unusable"
     TRIAL = "on trial"
     KEPT = "kept"
@@ -62,8 +64,10 @@
             return Hold.AVOIDED
         if not self._vms.fresh(row) or row.refused_since >= row.heard_at:
             return Hold.SILENT
+        if not self._vms.room_known(row):
+            return Hold.ROOM_UNKNOWN
         if not self._vms.usable(row):
-            return Hold.UNUSABLE
+            return Hold.UNPROVEN if row.unproven else Hold.UNUSABLE
         if row.trial not in ("", step.job.name):
             return Hold.TRIAL
         if row.kept_from(step, self._state.terms_of(step.job).priority, now):
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -140,7 +140,7 @@
     def _sound(self, row: VmRow) -> bool:
         return (
             row.in_use
-            and self.room_known_for(row) > ROOM_MARGIN
+            and self.room_known(row)
             and not row.gone
             and not row.awaited
             and not self._acks.hold_up(row)
@@ -151,6 +151,10 @@
             and not self.missing(row)
         )
 
+    def room_known(self, row: VmRow) -> bool:
+        """Tell whether a VM's room is known so well that an order may rest on it."""
+        return self.room_known_for(row) > ROOM_MARGIN
+
     def room_known_for(self, row: VmRow) -> float:
         """Return for how many seconds an order may yet rest on what is known of a VM's room.
 
@@ -173,6 +177,8 @@
         if before is not None and asked_at - before > ROOM_GAP:
             state.rooms_before = before
             state.rooms_back_at = state.now
+            extra = {"seconds": round(asked_at - before, 3)}
+            state.logger.info("VMs' entries read again", extra=extra)
         state.rooms_at = asked_at if before is None else max(before, asked_at)
         # What had to wait for that may start.
         state.freed += 1
