Room that comes while a round of placement goes on is for the most urgent first

Now half of a round's work is for the most urgent steps, anew each time, and half goes on; room is made for what has had a turn. What a round may take in a cell of thousands of VMs is as before.

Two tests, failing before.

--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -107,7 +107,8 @@
     def _round(self, usable: list[VmRow]) -> bool:
         """Try steps until enough VMs were weighed; return whether all have had their turn.
 
-        Those that were tried give way to the rest, also if room has become free meanwhile.
+        The most urgent ones are tried in each round, for what has become free meanwhile is theirs
+        first. Then those that were tried give way to the rest.
         """
         state = self._state
         freed = state.freed
@@ -115,7 +116,7 @@
         for step in self.in_order():
             if not step.waiting:
                 state.open_steps.pop(step.key, None)
-            elif step.key in self._tried:
+            elif step.key in self._tried and self._weighed > MOST_WEIGHED // 2:
                 continue
             elif step.tried_at_freed != freed or step.key in state.touched:
                 if self._weighed > MOST_WEIGHED:
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -81,8 +81,7 @@
     def run(self) -> None:
         """Make room for the most urgent steps that wait."""
         now = self._state.now
-        if self._placement.unfinished or not self._every.due(now) or not self._state.noting:
-            # What has not had its turn yet may find room without.
+        if not self._every.due(now) or not self._state.noting:
             return
         self._forget_made()
         usable: list[VmRow] | None = None
@@ -93,7 +92,10 @@
                 return
             if weighed > MOST_WEIGHED:
                 return
-            if step.key in self._made or step.key in self._sought or not self._due(step):
+            if step.key in self._made or not self._due(step):
+                continue
+            if step.key in self._sought and weighed > MOST_WEIGHED // 2:
+                # It gives way to the rest; the most urgent ones are looked at in each round.
                 continue
             if usable is None:
                 usable = self._placement.usable_rows()
@@ -127,6 +129,9 @@
         """Tell whether a step has waited long enough; what waits for tickets does not count."""
         if not step.waiting or step.booked or not self._placement.ready(step):
             return False
+        if step.tried_at_freed < 0:
+            # It has not had its turn of placement yet, and may find room without.
+            return False
         if step.spec.lasting:
             return False
         if step.job.watched and any(task.on_trial for task in step.tasks):
--- a/tests/jobs/test_large_rounds.py
+++ b/tests/jobs/test_large_rounds.py
@@ -100,3 +100,45 @@
     while rig.scheduler.placement.unfinished:
         rig.tick()
     assert weighed >= JOBS * VMS
+
+
+def test_room_that_comes_while_a_round_goes_on_is_for_the_most_urgent_first() -> None:
+    """Gangs that had had their turn saw each bit of room go to what waited behind them."""
+    rig = _waiting(0)
+    whole = rig.scheduler.state.vms["w0"].info.capacity
+    rig.accept("full", spec(StepSpec(VMS, whole)), URGENT)
+    rig.run_all()
+    rig.scheduler.submit("gang", URGENT, spec(StepSpec(2, whole, gang=True)))
+    for number in range(JOBS):
+        rig.scheduler.submit(f"late{number}", USUAL, spec(StepSpec(2, whole, gang=True)))
+    rig.commit()
+    rig.scheduler.state.freed += 1
+    rig.tick()
+    assert rig.scheduler.placement.unfinished
+    before = len(rig.started())
+    for start in rig.started()[:2]:
+        rig.end(start, "done")
+        rig.hear(start.vm)
+    rig.tick()
+    assert {start.task for start in rig.started()[before:]} == {"gang.0.0.0", "gang.0.0.1"}
+
+
+def test_room_is_made_for_the_most_urgent_while_a_round_goes_on() -> None:
+    rig = _waiting(0)
+    whole = rig.scheduler.state.vms["w0"].info.capacity
+    rig.accept("full", spec(StepSpec(VMS, whole, expected_ms=60_000.0)), USUAL)
+    rig.run_all()
+    rig.accept("gang", spec(StepSpec(2, whole, expected_ms=60_000.0, gang=True)), URGENT)
+    for number in range(JOBS):
+        rig.scheduler.submit(f"late{number}", USUAL, spec(StepSpec(2, whole, gang=True)))
+    rig.commit()
+    unfinished = 0
+    for _ in range(100):
+        # Room that comes all the time keeps a round from its end.
+        rig.scheduler.state.freed += 1
+        rig.tick(0.05)
+        unfinished += rig.scheduler.placement.unfinished
+        if rig.stopped():
+            break
+    assert unfinished
+    assert len(rig.stopped()) == 2
