--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -16,11 +16,11 @@
 
 __all__ = ["CONVICTING", "CONVICTING_ALONE", "Crash", "Evidence"]
 
-CONVICTING = 6.5
-"""What all crashes under a task have to tell for it to be their cause: odds of 650 to 1."""
-CONVICTING_ALONE = 5.0
+CONVICTING = 6.0
+"""What all crashes under a task have to tell for it to be their cause: odds of 400 to 1."""
+CONVICTING_ALONE = 4.5
 """The same once it was alone on its VM at the last of them."""
-RARE = 0.02
+RARE = 0.01
 """Share of the jobs on crashed VMs that crash VMs, as long as nothing more is known."""
 EXPLAINED = 1.5
 """What earlier crashes tell of a task that is the likely cause of the next one."""
--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -12,6 +12,7 @@
 course was another; ``test_next_life.py`` has why."""
 SHRUNK_UNSEEN = (1038,)
 CALM_JOBS_GIVEN_UP = (5, 6039, 6061, 6072, 7160)
+CRASHERS_STARTED_AGAIN = (8029, 8169, 8196)
 SHRUNK_UNSEEN_LATER = (2178, 2297)
 
 
@@ -52,3 +53,9 @@
 def test_vms_that_shrink_while_the_store_is_down_take_what_fits(seed: int) -> None:
     """As with 1038, by another course: only the entry of a VM tells that it has shrunk."""
     assert _played(seed) == []
+
+
+@pytest.mark.parametrize("seed", CRASHERS_STARTED_AGAIN)
+def test_tasks_that_crash_vms_are_not_started_again_beside_restarts(seed: int) -> None:
+    """Restarts beside it clear a task that crashes VMs, so that it is started once too often."""
+    assert _played(seed) == []
--- a/tests/jobs/test_vm_mixes.py
+++ b/tests/jobs/test_vm_mixes.py
@@ -39,6 +39,7 @@
 }
 MANY_CRASHERS = (6075, 6126)
 """So many tasks crash VMs at a time that each crash lies beside others."""
+BESIDE_CRASHERS = (8067,)
 LATE_CRASHER_BESIDE = 1092
 """A task that crashes VMs after 2 s ran beside one on trial, twice, and did not count."""
 TRIED_BESIDE_ANOTHER: dict[int, list[Fault]] = {
@@ -89,3 +90,11 @@
     crashed it: 10 ms after a start, its answer is lost in the same way.
     """
     assert _played(seed, STARTED_AFTER_THE_CRASH[seed]) == []
+
+
+@pytest.mark.parametrize("seed", BESIDE_CRASHERS)
+def test_a_job_beside_many_tasks_that_crash_vms_is_served(seed: int) -> None:
+    """With six VMs it was on four of those that crashed, never alone, and is given up."""
+    drawn = draw(seed)
+    played = play if seed % 3 else play_organisations
+    assert run(played(seed, drawn, advice=seed % 2 == 0)) == []
