Crashes of thousands of VMs at once are weighed in several rounds, and so are proofs begun

Each crash was weighed at once against all VMs and all other crashes, and again as the next one came: with 176 VMs that start again together that is half a thousand million steps, with nothing else done meanwhile. What becomes of other jobs is looked up once a round.

Found by reading; test_many_crashes_at_once_are_weighed_in_several_rounds.

--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -64,7 +64,6 @@
         for task in tasks:
             self._count(task, row.name)
         self._tell(row, tasks)
-        self._judge()
 
     def left(self, run: RunRow) -> None:
         """Take that a run ended with the life that it was ordered at, as it is not at the next."""
@@ -74,7 +73,6 @@
         self._count(task, run.left)
         extra = {"vm": run.left, "trial": "", "under": [(task.key, len(task.crashes))]}
         self._state.logger.info("VM crashed", extra=extra)
-        self._judge()
 
     def _under(self, row: VmRow) -> list[TaskRow]:
         """Return the open tasks that a crash counts for: the tried job's alone, if it was alone."""
--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -6,13 +6,11 @@
 improbable it is without the task. It is sure only once the other VMs are heard again.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import exp, log
 
-from sablemount.jobs.model import job_of
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import CLEAR, TaskRow, VmRow
+from sablemount.jobs.tables import CLEAR, NEVER, TaskRow, VmRow
 
 __all__ = ["CONVICTING", "CONVICTING_ALONE", "Crash", "Evidence"]
 
@@ -34,6 +32,8 @@
 """Seconds after which a VM that is silent since a crash counts as gone in the same moment."""
 KEPT_FOR = 15.0
 """Seconds for which a crash is known: a VM's next life is found by then, with what came there."""
+MOST_LOOKS = 100_000
+"""VMs and crashes looked at in a round, each as often as a crash is weighed."""
 UNKNOWN = 0.2
 """Share of the other VMs that may be silent as a crash is weighed for good."""
 
@@ -49,19 +49,16 @@
     noted_at: float
     trial: str
     """Job whose task was on trial there with nothing beside it that is a likely cause."""
-    under: list[str] = field(default_factory=list)
-    """Tasks that it may count for."""
+    under: dict[str, str] = field(default_factory=dict)
+    """Tasks that it may count for, with the job of each."""
     sure: bool = False
     """Whether enough is known of the other VMs."""
+    weighed_at: float = NEVER
 
     def overlaps(self, other: "Crash") -> bool:
         """Tell whether another VM may have crashed in the same moment."""
         return self.began <= other.ended and other.began <= self.ended
 
-    def is_under(self, job: str) -> bool:
-        """Tell whether something of a job ran there."""
-        return any(job_of(task) == job for task in self.under)
-
 
 class Evidence:
     """Knows the crashes of late, and weighs them."""
@@ -94,41 +91,61 @@
         crash = self._crashes.get(vm)
         if crash is None:
             return
-        if task.key not in crash.under:
-            crash.under.append(task.key)
+        crash.under[task.key] = task.step.job.name
         crash.sure = False
 
     # -- Weighing ----------------------------------------------------------------------------
 
     def weigh(self) -> list[TaskRow]:
-        """Weigh what is not sure yet; return the tasks of which more is known than before."""
+        """Weigh some of what is not sure yet; return the tasks of which more may be known.
+
+        Where thousands of VMs crash at once, that takes several rounds.
+        """
         self._forget()
+        unsure = [crash for crash in self._crashes.values() if not crash.sure]
+        if not unsure:
+            return []
+        unsure.sort(key=lambda crash: crash.weighed_at)
+        looks = len(self._state.vms) + len(self._crashes)
+        unexplained = [crash for crash in self._crashes.values() if not self._explained(crash)]
+        beside = _entries_by_job(unexplained)
         found: dict[str, TaskRow] = {}
-        for crash in self._crashes.values():
-            if not crash.sure:
-                for task in self._weigh(crash):
-                    found[task.key] = task
+        for crash in unsure[: max(1, MOST_LOOKS // looks)]:
+            crash.weighed_at = self._state.now
+            for task in self._weigh(crash, unexplained, beside):
+                found[task.key] = task
         return list(found.values())
 
     def _forget(self) -> None:
         before = self._state.now - KEPT_FOR
-        for name in [crash.vm for crash in self._crashes.values() if crash.noted_at < before]:
-            del self._crashes[name]
-
-    def _weigh(self, crash: Crash) -> Iterator[TaskRow]:
+        for crash in [each for each in self._crashes.values() if each.noted_at < before]:
+            del self._crashes[crash.vm]
+            if crash.weighed_at == NEVER:
+                self._take(crash, dict.fromkeys(crash.under.values(), 0.0))
+
+    def _weigh(
+        self, crash: Crash, unexplained: list[Crash], beside: dict[str, set[str]]
+    ) -> list[TaskRow]:
         up, silent = self._others(crash)
         over = self._state.now - crash.noted_at > OPEN_FOR
         crash.sure = over or len(silent) <= UNKNOWN * len(up)
         gone = silent if over else set()
-        for key in crash.under:
+        together = gone | {other.entry for other in unexplained if crash.overlaps(other)}
+        together.discard(crash.entry)
+        return self._take(crash, self._weights(crash, up, gone, together, beside))
+
+    def _take(self, crash: Crash, weights: dict[str, float]) -> list[TaskRow]:
+        """Take what a crash tells of each job; return the tasks that it counts for."""
+        found = []
+        for key, job in crash.under.items():
             task = self._state.task(key)
             if task is None or crash.vm not in task.crashes:
                 continue
-            weight = round(self._weight(crash, task, up, gone), 1)
-            if weight != task.weight(crash.vm):
-                task.weights[crash.vm] = weight
+            if weights[job] != task.weight(crash.vm):
+                task.weights[crash.vm] = weights[job]
                 self._state.mark(task.step.job)
-            yield task
+            found.append(task)
+        return found
 
     def _others(self, crash: Crash) -> tuple[set[str], set[str]]:
         """Return the other VMs that have outlived a crash, and those that are silent since."""
@@ -143,36 +160,40 @@
                 silent.add(row.info.entry)
         return up, silent
 
-    def _weight(self, crash: Crash, task: TaskRow, up: set[str], gone: set[str]) -> float:
-        """Return what a crash tells of a task, beside which other VMs were up or gone."""
-        job = task.step.job.name
-        together = gone | {
-            other.entry
-            for other in self._crashes.values()
-            if other.entry != crash.entry
-            and crash.overlaps(other)
-            and not other.is_under(job)
-            and not self._explained(other)
-        }
-        by_chance = (len(together) + LEAST) / (len(up | together) + 1)
+    def _weights(
+        self,
+        crash: Crash,
+        up: set[str],
+        gone: set[str],
+        together: set[str],
+        beside: dict[str, set[str]],
+    ) -> dict[str, float]:
+        """Return what a crash tells of each job, beside VMs that were up, gone, or crashed too."""
         idle = self._crashed_idle(crash)
-        by_chance = max(by_chance, idle / (idle + 1))
-        by_others = sum(self._guilt_beside(crash, job).values())
-        return min(CLEAR, -log(min(1.0, by_chance + by_others)))
+        guilt = self._guilt(crash)
+        every = len(up | together) + 1
+        weights = {}
+        for job in guilt:
+            # Where the job itself ran is no control.
+            own = (beside.get(job, set()) & together) - gone
+            by_chance = (len(together - own) + LEAST) / (every - len(own - up))
+            by_chance = max(by_chance, idle / (idle + 1))
+            by_others = sum(guilt.values()) - guilt[job]
+            weights[job] = round(min(CLEAR, -log(min(1.0, by_chance + by_others))), 1)
+        return weights
 
     def _crashed_idle(self, crash: Crash) -> int:
         """Return how often a VM has crashed of late with nothing on it that may have caused it."""
         others = (other for other in self._crashes.values() if other.entry == crash.entry)
         return sum(1 for other in others if not other.under)
 
-    def _guilt_beside(self, crash: Crash, job: str) -> dict[str, float]:
-        """Return how probable it is of each other job on a VM that it has crashed that."""
-        guilt: dict[str, float] = {}
-        for key in crash.under:
+    def _guilt(self, crash: Crash) -> dict[str, float]:
+        """Return how probable it is of each job on a VM that it has crashed that."""
+        guilt = dict.fromkeys(crash.under.values(), 0.0)
+        for key, job in crash.under.items():
             task = self._state.task(key)
-            beside = job_of(key)
-            if task is not None and beside != job:
-                guilt[beside] = max(guilt.get(beside, 0.0), _guilt(task.evidence(crash.vm)))
+            if task is not None:
+                guilt[job] = max(guilt[job], _guilt_by(task.evidence(crash.vm)))
         return guilt
 
     def _explained(self, crash: Crash) -> bool:
@@ -181,6 +202,15 @@
         return any(task.evidence(crash.vm) >= EXPLAINED for task in tasks if task is not None)
 
 
-def _guilt(evidence: float) -> float:
+def _entries_by_job(crashes: list[Crash]) -> dict[str, set[str]]:
+    """Return the VMs that have crashed with something of each job on them."""
+    found: dict[str, set[str]] = {}
+    for crash in crashes:
+        for job in crash.under.values():
+            found.setdefault(job, set()).add(crash.entry)
+    return found
+
+
+def _guilt_by(evidence: float) -> float:
     """Return how probable it is that a task crashes VMs, by what other crashes tell."""
     return RARE / (RARE + (1.0 - RARE) * exp(-evidence))
--- a/src/sablemount/jobs/systems/proofs.py
+++ b/src/sablemount/jobs/systems/proofs.py
@@ -19,6 +19,8 @@
 FIRST_PAUSE = 0.1
 """Seconds after a proof was begun until the next one at the same VM; twice as long each time."""
 MOST_PAUSE = 5.0
+MOST_AT_ONCE = 64
+"""VMs for which a task is sought in a round, each among all steps that wait."""
 
 
 class Proofs:
@@ -48,7 +50,9 @@
         # The least urgent work loses nothing by it; what may crash its VM shows nothing then.
         steps = [step for step in reversed(self._placement.in_order()) if self._serves(step)]
         steps.sort(key=lambda step: step.job.watched)
-        for row in rows:
+        for row in rows[:MOST_AT_ONCE]:
+            # One that finds nothing lets others have their turn.
+            row.prove_at = self._state.now + FIRST_PAUSE
             self._prove(row, steps)
 
     def _due(self, row: VmRow) -> bool:
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -5,7 +5,7 @@
 
 from sablemount.jobs.model import Shape, StepSpec, VmInfo
 from sablemount.jobs.records import PROGRESS_PREFIX, decode_progress
-from sablemount.jobs.systems.evidence import CONVICTING, OPEN_FOR
+from sablemount.jobs.systems.evidence import CONVICTING, KEPT_FOR, MOST_LOOKS, OPEN_FOR
 from sablemount.jobs.tables import CLEAR, JobState, TaskRow
 from tests.jobs.rig import CAPACITY, CORE, Rig, spec
 
@@ -94,6 +94,35 @@
     assert task.evidence(but="w0/2") == 1.0 + CLEAR
 
 
+def test_many_crashes_at_once_are_weighed_in_several_rounds() -> None:
+    """With all VMs of a large cell gone at once a round would take minutes."""
+    rig = Rig(vms=600)
+    rig.accept("a", spec(StepSpec(600, WHOLE)))
+    rig.run_all()
+    evidence = rig.scheduler.crashes._evidence
+    for vm in list(rig.listed):
+        rig.scheduler.vms.died(vm)
+    rig.listed.clear()
+    evidence.weigh()
+    weighed = [crash for crash in evidence._crashes.values() if crash.weighed_at > 0]
+    assert 0 < len(weighed) <= MOST_LOOKS // 600
+    for _ in range(3 * 600 // len(weighed)):
+        evidence.weigh()
+    assert all(crash.weighed_at > 0 for crash in evidence._crashes.values())
+
+
+def test_a_crash_that_was_never_weighed_tells_nothing_in_the_end() -> None:
+    rig = Rig(vms=VMS)
+    task = _running(rig, "a")
+    vm = _vm(task)
+    rig.listed.remove(vm)
+    rig.scheduler.vms.died(vm)
+    rig.clock.time += KEPT_FOR + 0.1
+    rig.scheduler.now()
+    rig.scheduler.crashes._evidence.weigh()
+    assert task.weight(vm) == 0.0
+
+
 def test_what_crashes_tell_lasts_over_leaders() -> None:
     rig = Rig(vms=VMS)
     task = _running(rig, "a")
