--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -13,7 +13,7 @@
 from sablemount.jobs.records import Progress
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import Every
-from sablemount.jobs.systems.evidence import CONVICTING, CONVICTING_ALONE, Evidence
+from sablemount.jobs.systems.evidence import CONVICTING, CONVICTING_ALONE, TELLING, Evidence
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.tables import JobRow, JobState, RunRow, RunState, TaskRow, TaskState, VmRow
 
@@ -129,8 +129,9 @@
         crash = self._evidence.crash(task.crashes[-1]) if task.crashes else None
         if crash is None or not crash.sure:
             return False
-        # A VM of which an earlier life has crashed may be the cause itself.
-        tried = crash.trial == task.step.job.name
+        # A VM of which an earlier life has crashed may be the cause itself, and a crash beside many
+        # others is no trial.
+        tried = crash.trial == task.step.job.name and task.weight(crash.vm) >= TELLING
         if tried and not task.crashed_in(crash.entry, crash.vm):
             return len(task.crashes) >= GIVEN_UP_AFTER and task.evidence() >= CONVICTING_ALONE
         return len(task.crashes) >= GIVEN_UP_IN_ANY_CASE and task.evidence() >= CONVICTING
--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -12,12 +12,14 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.tables import CLEAR, NEVER, TaskRow, VmRow
 
-__all__ = ["CONVICTING", "CONVICTING_ALONE", "Crash", "Evidence"]
+__all__ = ["CONVICTING", "CONVICTING_ALONE", "TELLING", "Crash", "Evidence"]
 
 CONVICTING = 6.0
 """What all crashes under a task have to tell for it to be their cause: odds of 400 to 1."""
 CONVICTING_ALONE = 4.5
 """The same once it was alone on its VM at the last of them."""
+TELLING = 1.5
+"""What the crash at a trial has to tell for that to count as one."""
 RARE = 0.01
 """Share of the jobs on crashed VMs that crash VMs, as long as nothing more is known."""
 EXPLAINED = 1.5
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -123,6 +123,20 @@
     assert task.weight(vm) == 0.0
 
 
+def test_a_trial_that_ends_beside_many_crashes_convicts_nobody() -> None:
+    """A soak gave a job without fault up for crashes that told 2.6, 1.7 and, on trial, 0.7."""
+    rig = Rig(vms=VMS)
+    task = _running(rig, "a")
+    vm = _vm(task)
+    task.crashes = ["gone0", "gone1"]
+    task.weights = {"gone0": 2.6, "gone1": 1.7}
+    rig.scheduler.state.vms[vm].trial = "a"
+    _crash(rig, vm, *[name for name in rig.listed if name != vm][:3])
+    rig.wait(OPEN_FOR)
+    assert 0.5 < task.weight(vm) < 1.1
+    assert task.step.job.state is not JobState.FAILED
+
+
 def test_what_crashes_tell_lasts_over_leaders() -> None:
     rig = Rig(vms=VMS)
     task = _running(rig, "a")
