Proofs ask placement what may start; idle connections are ended once as calls are refused

proofs.py spelled the check that placement has, and refuse() went over the idle connections at each look, though those that come later end by themselves. Behaviour as before.

--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -160,7 +160,7 @@
             self._caps.short(step)
             if step.spec.gang or not places:
                 return
-        tasks = [task for task in step.tasks if self._startable(task)][:places]
+        tasks = [task for task in step.tasks if self.startable(task)][:places]
         if len(tasks) < step.waiting and (step.spec.gang or not tasks):
             return
         if self._finds_none(step):
@@ -193,7 +193,7 @@
         looks = step.spec.gang or step.job.name in self._state.suspected
         return not looks and not step.spec.charge.fits(self._most)
 
-    def _startable(self, task: TaskRow) -> bool:
+    def startable(self, task: TaskRow) -> bool:
         """Tell whether a task waits for a start, and not for the store to note that first."""
         return task.state is TaskState.WAITING and (self._state.noting or not task.noted_first)
 
--- a/src/sablemount/jobs/systems/proofs.py
+++ b/src/sablemount/jobs/systems/proofs.py
@@ -12,7 +12,7 @@
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.starts import Starts
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import StepRow, TaskRow, TaskState, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow, VmRow
 
 __all__ = ["Proofs"]
 
@@ -85,11 +85,7 @@
         if step.spec.gang and not self._placement.ready(step):
             # It is a proof elsewhere, and members of one run would count as a gang.
             return None
-        waiting = (task for task in step.tasks if task.state is TaskState.WAITING)
-        return next((task for task in waiting if self._startable(task)), None)
-
-    def _startable(self, task: TaskRow) -> bool:
-        return self._state.noting or not task.noted_first
+        return next((task for task in step.tasks if self._placement.startable(task)), None)
 
     def _begin(self, row: VmRow, step: StepRow, task: TaskRow) -> None:
         row.proofs += 1
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -181,9 +181,10 @@
 
     def refuse(self) -> None:
         """Refuse new calls at once, also those that may be on their way over idle connections."""
-        if not self.refusing:
-            self.refusing = True
-            _logger.info("calls refused", extra={"in_flight": self.in_flight})
+        if self.refusing:
+            return
+        self.refusing = True
+        _logger.info("calls refused", extra={"in_flight": self.in_flight})
         left = self.server.leave_idle()
         if left:
             self._member.figures.count("connection_ended", "idle", left)
