Log why a job failed where its attempts are used up

A job can fail in two places, and the line of the second one had neither a cause nor a VM, so that a log could not tell which one had failed a blameless job. The line of used-up attempts has its cause, the last VM, all VMs and runs that failed, and the limit. A test of the line's fields (1 added).

--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -17,7 +17,7 @@
     VmRow,
 )
 
-__all__ = ["Reconcile"]
+__all__ = ["ATTEMPTS_USED_UP", "Reconcile"]
 
 DONE = "done"
 FAILED = "failed"
@@ -25,6 +25,8 @@
 """Outcome of a run that its VM does not list and that can no longer arrive there."""
 NOT_STARTED = "not started"
 NOT_LISTED = "not listed"
+ATTEMPTS_USED_UP = "attempts used up"
+"""Why a job failed: a task of it has failed as often as its queue allows."""
 MAX_LISTED_COMPLETIONS = 500
 """Most completions that a VM lists at once; at this number, a run's completion may not be listed
 yet."""
@@ -189,7 +191,7 @@
             self.on_completion(vm.name, task.step.job.name, True, self._failed_elsewhere(task, vm))
             task.failed_on.add(vm.name)
             task.failed_at = self._state.now
-            self._run_failed(task, completion.run)
+            self._run_failed(task, vm, completion.run)
 
     @staticmethod
     def _failed_elsewhere(task: TaskRow, vm: VmRow) -> bool:
@@ -209,7 +211,7 @@
                     self._state.orphan_run(run)
             member.runs.clear()
 
-    def _run_failed(self, task: TaskRow, number: int) -> None:
+    def _run_failed(self, task: TaskRow, vm: VmRow, number: int) -> None:
         step = task.step
         job = step.job
         if step.spec.lasting:
@@ -218,8 +220,18 @@
         for member in step.tasks if step.spec.gang else [task]:
             member.failed_runs.add(number)
         self._state.mark_dirty(job)
-        if len(task.failed_runs) >= self._lifecycle.max_attempts(step.spec, job.record.terms):
-            self._state.logger.info("job failed", extra={"job": job.name, "task": task.key})
+        max_attempts = self._lifecycle.max_attempts(step.spec, job.record.terms)
+        if len(task.failed_runs) >= max_attempts:
+            extra = {
+                "job": job.name,
+                "task": task.key,
+                "why": ATTEMPTS_USED_UP,
+                "vm": vm.name,
+                "failed_on": sorted(task.failed_on),
+                "failed_runs": sorted(task.failed_runs),
+                "max_attempts": max_attempts,
+            }
+            self._state.logger.info("job failed", extra=extra)
             self._lifecycle.end(job, JobState.FAILED)
 
     # -- Running tasks -----------------------------------------------------------------------
--- a/tests/jobs/test_scheduling.py
+++ b/tests/jobs/test_scheduling.py
@@ -1,8 +1,13 @@
 """Placement, gangs, advice and completions, with a single scheduler."""
 
+import logging
+
+import pytest
+
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import AdviceTerms, Shape, StepSpec
 from sablemount.jobs.scheduler import StartRefusal
+from sablemount.jobs.systems.reconcile import ATTEMPTS_USED_UP
 from sablemount.jobs.tables import JobState
 from tests.jobs.rig import CORE, Rig, queue, spec
 
@@ -132,6 +137,24 @@
     assert len({start.vm for start in rig.started()}) > 1
 
 
+def test_a_job_failed_for_its_attempts_is_logged_with_them(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Only its inputs tell this line from one that fails a job for crashes of VMs."""
+    caplog.set_level(logging.INFO)
+    rig = Rig(vms=1)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    for _ in range(3):
+        rig.tick(2.0)
+        rig.report_all()
+        rig.tick()
+        rig.complete(rig.started()[-1], "failed")
+        rig.report_all()
+    (line,) = [vars(line) for line in caplog.records if line.getMessage() == "job failed"]
+    assert (line["why"], line["vm"], line["max_attempts"]) == (ATTEMPTS_USED_UP, "w0", 3)
+    assert len(line["failed_runs"]) == 3
+
+
 def test_a_start_without_an_answer_is_settled_by_the_vms_report() -> None:
     rig = Rig(vms=1)
     rig.accept("job", spec(StepSpec(1, CORE)))
