Report the whole traceback that a soak finds, with the lines around it

A soak that found 'Traceback (most recent call last):' reported that line alone, and its logs were gone with the run ([3-links], once).

--- a/tests/platform/test_node_logs.py
+++ b/tests/platform/test_node_logs.py
@@ -33,3 +33,13 @@
     log = tmp_path / "n0.log"
     log.write_text(text)
     assert len(internal_errors(log)) == count
+
+
+def test_a_traceback_is_reported_whole_with_the_lines_around_it(tmp_path: Path) -> None:
+    """Its first line alone does not tell what failed, once the log is gone."""
+    log = tmp_path / "n0.log"
+    log.write_text(f"{STARTED}\n{TRACEBACK}\n{STORE_SILENT}\n")
+    (error,) = internal_errors(log)
+    assert error.startswith(TRACEBACK.splitlines()[0])
+    for line in (*TRACEBACK.splitlines(), STARTED, STORE_SILENT):
+        assert line.strip() in error
