Soak: send signals without reaping the process

Cause: asyncio's send_signal polls the process first. If it has just ended, the poll reaps it, and the child watcher reports 255. Change: signals go through a file descriptor of the process (pidfd), which reaps nothing. The check of exit codes is unchanged.

--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -50,6 +50,8 @@
         """Address for callers; it differs from ``front`` if a link forwards their calls."""
         self.ready = f"{host}:{free_port()}"
         self.process: asyncio.subprocess.Process | None = None
+        self._pidfd: int | None = None
+        """File descriptor of the current process, until its exit code is known."""
         self.unexpected_exit_codes: list[int] = []
         """Exit codes of processes that were neither stopped nor killed by the soak."""
         self.start_count = 0
@@ -102,10 +104,17 @@
                 stdout=log,
                 stderr=log,
             )
-        asyncio.ensure_future(self._watch(self.process, self.start_count))
+        self._pidfd = _open_pidfd(self.process.pid)
+        asyncio.ensure_future(self._watch(self.process, self._pidfd, self.start_count))
 
-    async def _watch(self, process: asyncio.subprocess.Process, start_count: int) -> None:
+    async def _watch(
+        self, process: asyncio.subprocess.Process, pidfd: int | None, start_count: int
+    ) -> None:
         code = await process.wait()
+        if pidfd is not None:
+            os.close(pidfd)
+        if self._pidfd == pidfd:
+            self._pidfd = None
         if start_count not in self.stopped | self.killed:
             self.unexpected_exit_codes.append(code)
 
@@ -132,14 +141,14 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it is running, and remember it for its exit code."""
-        if self.process is not None and self.running:
+        if self._pidfd is not None and self.running:
             if number == signal.SIGTERM:
                 self.stopped.add(self.start_count)
             elif number == signal.SIGKILL:
                 self.killed.add(self.start_count)
             elif number == signal.SIGSTOP:
                 self.frozen.add(self.start_count)
-            self.process.send_signal(number)
+            _send_signal(self._pidfd, number)
 
     async def kill(self) -> None:
         """Kill the process and wait until it has ended."""
@@ -196,6 +205,26 @@
         self._guard.close()
 
 
+def _open_pidfd(pid: int) -> int | None:
+    """Return a file descriptor of a process, or ``None`` if the process was reaped already."""
+    try:
+        return os.pidfd_open(pid)
+    except ProcessLookupError:
+        return None
+
+
+def _send_signal(pidfd: int, number: signal.Signals) -> None:
+    """Send a signal to a process unless it has ended.
+
+    ``Process.send_signal`` of asyncio reaps a process that has ended, so that the child watcher
+    cannot read the exit code and reports 255.
+    """
+    try:
+        signal.pidfd_send_signal(pidfd, number)
+    except ProcessLookupError:
+        return
+
+
 def _free_network() -> tuple[int, socket.socket]:
     """Return the number of a free loopback network, and the socket that reserves it."""
     for attempt in range(NETWORKS):
