Start no suspect before its last crash is weighed

Cause: placement runs at once, weighing every 0.3 s. In four traces the last start went out 0.07 to 0.28 s before the job failed. Change: a task with three crashes or more waits for the weight of its last one; up to 0.3 s if it may start, 3.6 s at most if the weights known so far fail it and are not final.

--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -18,10 +18,20 @@
     ISOLATED_ATTRIBUTION_THRESHOLD,
     MAX_TASKS_PER_LINE,
     MIN_ISOLATED_WEIGHT,
+    Crash,
     Evidence,
 )
 from sablemount.jobs.systems.lifecycle import Lifecycle
-from sablemount.jobs.tables import JobRow, JobState, RunRow, RunState, TaskRow, TaskState, VmRow
+from sablemount.jobs.tables import (
+    NEVER,
+    JobRow,
+    JobState,
+    RunRow,
+    RunState,
+    TaskRow,
+    TaskState,
+    VmRow,
+)
 
 __all__ = ["Crashes"]
 
@@ -42,6 +52,9 @@
 MAX_CRASHES = 4
 """The same however the task was started: six starts, three of them after the third crash, are too
 many, and a leader that ends may take the count of one or two crashes with it."""
+MAX_VERDICT_WAIT_S = 3.6
+"""Seconds for which a task waits until the weight of its last crash is final: other VMs are waited
+for for 3 s."""
 LONG_RUNNING_AFTER_S = 3.0
 """Seconds of work after which a run beside an isolated task is not a likely cause of a crash."""
 CRASHES_CLEARED_AFTER_S = 20.0
@@ -123,6 +136,8 @@
         if vm not in task.crashes:
             task.crashes.append(vm)
         self._evidence.attribute(vm, task, sent_at)
+        if len(task.crashes) >= MAX_ISOLATED_CRASHES:
+            task.awaits_verdict_until = self._state.now + MAX_VERDICT_WAIT_S
         self._watch(task.step.job)
         self._state.mark_dirty(task.step.job)
 
@@ -144,13 +159,19 @@
     def _fail_attributed(self) -> None:
         """Fail the tasks to which crashes are by now attributed."""
         for task in self._evidence.weigh():
-            if self._is_attributed(task):
+            crash = self._evidence.crash(task.crashes[-1]) if task.crashes else None
+            if crash is None or not self._is_attributed(task, crash):
+                self._allow_start(task)
+            elif crash.is_final:
                 self._fail(task)
 
-    def _is_attributed(self, task: TaskRow) -> bool:
-        crash = self._evidence.crash(task.crashes[-1]) if task.crashes else None
-        if crash is None or not crash.is_final:
-            return False
+    def _allow_start(self, task: TaskRow) -> None:
+        if task.awaits_verdict_until > self._state.now:
+            task.awaits_verdict_until = NEVER
+            self._state.mark_for_placement(task.step)
+
+    def _is_attributed(self, task: TaskRow, crash: Crash) -> bool:
+        """Return whether the weights known by now, of ``crash`` as the last one, fail a task."""
         # A VM of which an earlier incarnation has crashed may itself be the cause, and a crash that
         # coincides with many others says nothing about the isolated task.
         isolated = (
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -211,8 +211,10 @@
 
         While the store does not answer, tasks whose start has to be recorded first may not.
         """
-        return task.state is TaskState.WAITING and (
-            self._state.store_answers or not task.must_record_first
+        return (
+            task.state is TaskState.WAITING
+            and task.awaits_verdict_until <= self._state.now
+            and (self._state.store_answers or not task.must_record_first)
         )
 
     def allowed_rows(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -163,6 +163,9 @@
     crash_weights: dict[str, float] = field(default_factory=dict)
     """Evidence weight of a crash against the task, where it is below the maximum; see
     ``evidence.py``."""
+    awaits_verdict_until: float = NEVER
+    """Time until which the task is not started, since its last crash may show that it crashes
+    VMs."""
     run_lost: bool = False
     """Whether a run of the task was lost with its VM, which the task may have crashed."""
 
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -137,6 +137,40 @@
     assert beside.step.job.state is JobState.RUNNING
 
 
+def _crash_in_place(rig: Rig, task: TaskRow) -> None:
+    """Crash the VM of a task, and tick before the crash is weighed."""
+    _crash(rig, task.runs[0].vm)
+    rig.report_all()
+    for _ in range(5):
+        rig.tick()
+
+
+def test_a_task_is_not_started_before_its_last_crash_is_weighed() -> None:
+    """It was started a sixth time 0.2 s before its job was failed for the fifth crash."""
+    rig = Rig(vms=12)
+    task = _run_task(rig, "bad")
+    task.crashes = ["gone0", "gone1", "gone2"]
+    starts = len(rig.started())
+    _crash_in_place(rig, task)
+    assert len(rig.started()) == starts
+    rig.wait(0.4)
+    assert task.step.job.state is JobState.FAILED
+
+
+def test_a_task_whose_crashes_do_not_fail_it_is_started_once_they_are_weighed() -> None:
+    rig = Rig(vms=12)
+    task = _run_task(rig, "calm")
+    task.crashes = ["gone0", "gone1", "gone2"]
+    task.crash_weights = dict.fromkeys(task.crashes, 0.5)
+    starts = len(rig.started())
+    _crash_in_place(rig, task)
+    assert len(rig.started()) == starts
+    for _ in range(3):
+        rig.wait(0.4)
+    assert task.step.job.state is not JobState.FAILED
+    assert len(rig.started()) > starts
+
+
 def test_crashes_are_not_attributed_to_a_long_running_task() -> None:
     rig = Rig(vms=8)
     task = _run_task(rig, "a", StepSpec(1, CORE, lasting=True))
--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -13,6 +13,7 @@
 SHRUNK_UNSEEN = (1038,)
 CALM_JOBS_FAILED = (5, 6039, 6061, 6072, 7160)
 CRASHING_TASKS_STARTED_AGAIN = (8029, 8169, 8196)
+STARTED_BEFORE_THE_VERDICT = (8017, 8134)
 SHRUNK_UNSEEN_LATER = (2178, 2297)
 RESTARTS_ALL_THE_TIME = (17, 31, 57, 81)
 FAILED_BY_A_NEW_LEADER = (36,)
@@ -64,6 +65,12 @@
     assert _play(seed) == []
 
 
+@pytest.mark.parametrize("seed", STARTED_BEFORE_THE_VERDICT)
+def test_tasks_that_crash_vms_wait_for_the_weight_of_their_last_crash(seed: int) -> None:
+    """A task was started a sixth time 0.16 and 0.27 s before its last crash was weighed."""
+    assert _play(seed) == []
+
+
 def _play_restarts(seed: int) -> list[str]:
     return run(run_mix(seed, draw_restarts(seed), advice=seed % 2 == 0))
 
