Extend no lease on a VM that may not list its completions

Cause: a probe is harmless only if its lease is over before any work is done, but a lease belongs to the VM, and the longest counts. A leader went on extending the lease of a VM that did not list its completions; the next leader's probe completed there, unlisted. Change: polls extend no lease of such a VM, and a VM that got a poll meant for its predecessor is not probed until that lease is over.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -166,7 +166,8 @@
         scheduler.update_time()
         known = row.first_report_at > 0
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING_AFTER_S
-        leased = known and not silent and not row.unverified
+        # Probes rely on leases that are too short for any work, under later leaders too.
+        leased = known and not silent and not row.completions_unreliable
         until = scheduler.vms.extend_lease(row) if leased else 0
         # Only one poll at a time acknowledges completions, so that its answer can be matched.
         acked = 0 if at_once else scheduler.acks.due_number(row)
@@ -193,7 +194,7 @@
         if acked:
             scheduler.acks.ack_unanswered(row, result not in NOTHING_SENT)
         if isinstance(result, LaterIncarnation):
-            scheduler.incarnation_replaced(row, result, acked)
+            scheduler.incarnation_replaced(row, result, acked, lease_extended=until > 0)
             self._wake()
             return False
         if result is CallError.FENCED:
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -302,15 +302,19 @@
         self._vms_of_unnamed_pools.pop(entry, None)
         self.vms.entry_removed(entry)
 
-    def incarnation_replaced(self, row: VmRow, found: LaterIncarnation, acked: int) -> None:
+    def incarnation_replaced(
+        self, row: VmRow, found: LaterIncarnation, acked: int, lease_extended: bool = False
+    ) -> None:
         """Handle a call for a VM's incarnation that a later incarnation carried out.
 
         ``acked`` is the last completion of the earlier incarnation that the call acknowledged, 0 if
-        none.
+        none. ``lease_extended`` says whether it extended the lease of what runs there.
         """
         new = self.vms.other_incarnation_answered(row, found.vm, found.born)
         if new is not None:
             self._record_use([new])
+        if lease_extended:
+            self.vms.lease_extended(found.vm)
         if acked:
             self.vms.mark_unreliable(found.vm, acked)
 
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -141,6 +141,7 @@
         return (
             row.completions_unreliable
             and row.unverified
+            and row.lease_extended_until <= self._state.now
             and not row.runs
             and self._accepts_starts(row)
         )
@@ -301,6 +302,15 @@
         row.lease_end = max(row.lease_end, state.latest_lease_end())
         return int(row.min_clock_ms(state.now) + length * MS_PER_S)
 
+    def lease_extended(self, name: str) -> None:
+        """Record that a call for the previous incarnation has extended the lease of this one.
+
+        Until that lease is over, a probe there could complete its work.
+        """
+        row = self._state.vms.get(name)
+        if row is not None:
+            row.lease_extended_until = self._state.latest_lease_end()
+
     def has_reported_recently(self, row: VmRow) -> bool:
         """Return whether a VM has reported recently."""
         return self._state.now - row.last_report_at < self._state.settings.max_report_age_s
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -380,6 +380,8 @@
     see ``proofs.py``."""
     probes: int = 0
     """Number of probes started on the VM."""
+    lease_extended_until: float = NEVER
+    """End of the lease that a call for the previous incarnation may have given to this one."""
     next_probe_at: float = NEVER
     """Earliest time of the next probe."""
     recorded_speed: float = 0.0
--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -17,6 +17,7 @@
 SHRUNK_UNSEEN_LATER = (2178, 2297)
 RESTARTS_ALL_THE_TIME = (17, 31, 57, 81)
 FAILED_BY_A_NEW_LEADER = (36,)
+PROBED_UNDER_A_LONG_LEASE = (8176,)
 
 
 def _play(seed: int) -> list[str]:
@@ -71,6 +72,12 @@
     assert _play(seed) == []
 
 
+@pytest.mark.parametrize("seed", PROBED_UNDER_A_LONG_LEASE)
+def test_a_probe_does_not_complete_under_the_lease_of_an_earlier_leader(seed: int) -> None:
+    """Its VM did not list the completion, and the task was started after its end was noted."""
+    assert _play(seed) == []
+
+
 def _play_restarts(seed: int) -> list[str]:
     return run(run_mix(seed, draw_restarts(seed), advice=seed % 2 == 0))
 
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -181,6 +181,55 @@
     run(scenario())
 
 
+def test_a_vm_that_does_not_list_its_completions_gets_no_lease_that_a_probe_could_use() -> None:
+    """A leader extended it, and a later leader's probe completed unlisted and was started again."""
+
+    async def scenario() -> None:
+        rig, row = _restarted_vm()
+        port = _Port()
+        vm_calls = _vm_calls(rig, port)
+        rig.scheduler.vms.mark_unreliable(row.name, 7)
+        row.first_report_at = row.last_report_at = asyncio.get_running_loop().time()
+        await vm_calls._poll(row)
+        assert port.holds[0].until_ms == 0
+
+    run(scenario())
+
+
+class _NextIncarnationPort(_Port):
+    """A VM whose next incarnation carries out every poll."""
+
+    async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
+        self.holds.append(call)
+        return LaterIncarnation(NEXT_INCARNATION.name, NEXT_INCARNATION.born)
+
+
+def test_a_vm_is_not_probed_under_a_lease_that_a_poll_for_its_predecessor_extended() -> None:
+    """The probe could complete its work, which the VM may not list, and it would run twice."""
+
+    async def scenario() -> None:
+        rig = Rig(vms=1)
+        port = _NextIncarnationPort()
+        vm_calls = _vm_calls(rig, port)
+        previous = rig.scheduler.state.vms["w0"]
+        previous.last_report_at = asyncio.get_running_loop().time()
+        previous.ack_in_flight = True
+        await vm_calls._poll(previous)
+        assert port.holds[0].until_ms > 0
+        row = rig.scheduler.state.vms[NEXT_INCARNATION.name]
+        rig.scheduler.update_vm(NEXT_INCARNATION)
+        row.in_use = True
+        assert row.unverified
+        now = asyncio.get_running_loop().time()
+        row.first_report_at = row.last_report_at = now
+        assert not rig.scheduler.vms.can_probe(row)
+        rig.scheduler.state.now = row.last_report_at = row.lease_extended_until
+        assert row.lease_extended_until > now + 1.0
+        assert rig.scheduler.vms.can_probe(row)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("acked", [0, 1])
 def test_an_acknowledgement_does_not_extend_the_lease(acked: int) -> None:
     async def scenario() -> None:
