Use no suspect as a probe while another VM needs none

Cause: a VM that restarted has to show by a probe that it lists completions, and any waiting task served. The suspect probed the VM that it had just crashed. Of the crashes of one VM only one counts, so that they never failed its job. Change: while another VM can run the step without a probe, a task to be isolated, or one that crashed an earlier incarnation of that VM, does not probe it.

--- a/src/sablemount/jobs/systems/proofs.py
+++ b/src/sablemount/jobs/systems/proofs.py
@@ -93,7 +93,25 @@
             # A member of the gang probes another VM; several members in one run would count as a
             # gang.
             return None
-        return next((task for task in step.tasks if self._placement.is_startable(task)), None)
+        avoids_suspects = step.job.has_crashes and self._has_usable_vm(step)
+        return next(
+            (
+                task
+                for task in step.tasks
+                if self._placement.is_startable(task)
+                and not (avoids_suspects and _is_suspect(task, row))
+            ),
+            None,
+        )
+
+    def _has_usable_vm(self, step: StepRow) -> bool:
+        """Return whether a VM needs no probe to run a step's tasks, though it may be busy now."""
+        return any(
+            self._vms.is_usable(row)
+            and self._placement.is_candidate(step, row)
+            and step.spec.charge.fits(row.info.capacity)
+            for row in self._state.vms.values()
+        )
 
     def _start(self, row: VmRow, step: StepRow, task: TaskRow) -> None:
         row.probes += 1
@@ -101,3 +119,11 @@
         extra = {"vm": row.name, "task": task.key, "tries": row.probes}
         self._state.logger.info("probing whether VM lists its completions", extra=extra)
         self._starts.create_runs(step, [(task, row)], probe=True)
+
+
+def _is_suspect(task: TaskRow, row: VmRow) -> bool:
+    """Return whether a task may crash a VM by its probe, which would show nothing of either.
+
+    Of the crashes of one VM only one counts, and a task to be isolated is no probe.
+    """
+    return task.needs_isolation or task.crashed_before(row)
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -106,6 +106,30 @@
     assert [start.vm for start in later.started()] == [NEXT_INCARNATION.name]
 
 
+@pytest.mark.parametrize("crashes", [["w0/1"], ["w8/1", "w9/1"]])
+def test_a_suspect_does_not_probe_a_vm_while_another_vm_needs_no_probe(crashes: list[str]) -> None:
+    """A task crashed five incarnations of one VM by its probes, which count as one crash."""
+    rig, row = _restarted_vm((StepSpec(1, CORE),))
+    rig.add_vms(1)
+    rig.commit()
+    rig.scheduler.state.vms["w1"].isolated_job = "other"
+    job = rig.scheduler.state.jobs["job0"]
+    job.has_crashes = True
+    job.steps[(0, 0)].tasks[0].crashes = crashes
+    for _ in range(5):
+        rig.wait(0.1)
+    assert row.unverified
+    assert row.name not in {start.vm for start in rig.started()}
+
+
+def test_a_suspect_probes_a_vm_where_all_vms_need_probes() -> None:
+    rig, row = _restarted_vm((StepSpec(1, CORE),))
+    job = rig.scheduler.state.jobs["job0"]
+    job.has_crashes = True
+    job.steps[(0, 0)].tasks[0].crashes = ["w0/1"]
+    assert _first_start(rig).vm == row.name
+
+
 def test_members_of_one_gang_do_not_probe_two_vms_at_once() -> None:
     rig, row = _restarted_vm((StepSpec(3, CORE, gang=True),))
     other = msgspec.structs.replace(NEXT_INCARNATION, name="w1/7", instance="w1", address="a1")
