Probe no VM under a lease that another call has extended

Cause: a probe completed its work again, in two ways. Change: the record of a VM that may not list completions has whether its lease was extended, and a later leader waits until that is over; the first four probes of a VM have the same lease of 0.04 s.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -69,8 +69,10 @@
 """Maximum number of attempts of a start request within its validity of 1.5 s."""
 PROBE_LEASE_S = 0.04
 """Lease of a probe run, which shows whether its VM lists completions: long enough for the start
-request to arrive, too short for the work to complete. It doubles with each probe, up to the
-validity of a start request."""
+request to arrive, too short for the work to complete."""
+SHORT_PROBES = 4
+"""Number of probes with that lease. From then on it doubles with each probe, up to the validity of
+a start request: the requests to this VM seem to take longer."""
 MIN_REMAINING_S = 0.05
 """Remaining validity of a start request below which it is not sent again."""
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
@@ -325,7 +327,9 @@
     def _validity(self, action: StartRun, row: VmRow, run: RunRow) -> float:
         """Return for how many seconds a start request is valid and its run is leased."""
         remaining = self._remaining(action)
-        return min(remaining, PROBE_LEASE_S * 2 ** (row.probes - 1)) if run.is_probe else remaining
+        if not run.is_probe:
+            return remaining
+        return min(remaining, PROBE_LEASE_S * 2 ** max(0, row.probes - SHORT_PROBES))
 
     @staticmethod
     def _remaining(action: StartRun) -> float:
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -154,6 +154,7 @@
             info.born,
             row.completions_unreliable,
             row.recorded_speed,
+            row.lease_extended_until > self._state.now,
         )
         return encode(record)
 
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -87,6 +87,8 @@
     """Whether completions there may go unlisted, so that nothing may be started."""
     speed: float = 0.0
     """Its speed relative to the usual one, as a logarithm; 0 also if unknown."""
+    leased: bool = False
+    """Whether a call for the previous incarnation has extended the lease of this one."""
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -249,6 +249,8 @@
         row = self.vms.load(info)
         if stored.deaf:
             self.vms.mark_unverified(row, 0)
+        if stored.leased:
+            self.vms.lease_extended(name)
         row.recorded_speed = stored.speed
         self.speeds.restore(row)
         self.state.recorded_suspects[name] = stored.suspects
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -67,7 +67,7 @@
         self.on_next_incarnation: Callable[[], None] = _ignore_next_incarnation
         """Called after a VM has restarted under its id."""
         self.on_completions_unreliable: Callable[[VmRow], None] = _ignore_vm
-        """Called with a VM that no longer lists its completions."""
+        """Called with a VM that no longer lists its completions, or may not."""
 
     # -- The list ----------------------------------------------------------------------------
 
@@ -310,6 +310,8 @@
         row = self._state.vms.get(name)
         if row is not None:
             row.lease_extended_until = self._state.latest_lease_end()
+            if row.completions_unreliable:
+                self.on_completions_unreliable(row)
 
     def has_reported_recently(self, row: VmRow) -> bool:
         """Return whether a VM has reported recently."""
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -10,7 +10,7 @@
 import pytest
 
 from sablemount.control.ports import CallError, HoldCall, HoldResult, StartResult
-from sablemount.control.vm_calls import PROBE_LEASE_S, VmCalls
+from sablemount.control.vm_calls import PROBE_LEASE_S, SHORT_PROBES, VmCalls
 from sablemount.jobs.actions import LaterIncarnation, StartRun, VmReport
 from sablemount.jobs.model import AdviceTerms, StepSpec, VmInfo
 from sablemount.jobs.records import Record
@@ -130,6 +130,28 @@
     assert _first_start(rig).vm == row.name
 
 
+def test_a_later_leader_does_not_probe_under_a_lease_that_a_poll_has_extended() -> None:
+    """The poll was an earlier leader's, so that only the VM's record can tell of it."""
+    rig, row = _restarted_vm()
+    rig.scheduler.vms.lease_extended(row.name)
+    rig.commit()
+    later = Rig(0, 3)
+    later.scheduler.load([Record(key, value) for key, value in rig.store.items()])
+    later.scheduler.update_vm(NEXT_INCARNATION)
+    later.vm_names.append(NEXT_INCARNATION.name)
+    loaded = later.scheduler.state.vms[NEXT_INCARNATION.name]
+    assert loaded.lease_extended_until > later.clock.time + 1.0
+    for _ in range(5):
+        later.commit()
+        later.wait(0.1)
+    assert later.started() == []
+    later.clock.time = loaded.lease_extended_until
+    for _ in range(3):
+        later.commit()
+        later.wait(0.1)
+    assert [start.vm for start in later.started()] == [NEXT_INCARNATION.name]
+
+
 def test_members_of_one_gang_do_not_probe_two_vms_at_once() -> None:
     rig, row = _restarted_vm((StepSpec(3, CORE, gang=True),))
     other = msgspec.structs.replace(NEXT_INCARNATION, name="w1/7", instance="w1", address="a1")
@@ -185,10 +207,14 @@
     )
 
 
-def test_the_lease_of_a_probe_is_too_short_for_any_work() -> None:
+@pytest.mark.parametrize("probes", [1, SHORT_PROBES])
+def test_the_lease_of_a_probe_is_too_short_for_any_work(probes: int) -> None:
+    """A second probe, leased for 0.08 s, completed work of 0.05 s that was then done again."""
+
     async def scenario() -> None:
         rig, row = _restarted_vm()
         start = _first_start(rig)
+        row.probes = probes
         port = _Port()
         vm_calls = _vm_calls(rig, port)
         row.runs[(start.task, start.run)].state = RunState.SENT
