Keep the row of a VM that reports while it has no entry

Cause: a VM without an entry was removed once its leases were over, though it reported 0.18 s before. When its entry was back, nothing was known of it, and a VM that did not list its completions was used without a probe. Change: such a VM is removed only once it is silent.

--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -332,7 +332,9 @@
                 if self._has_successor(row):
                     self.on_crash(row)
                 self._drop_runs(row)
-            if (row.terminated or not row.listed) and not row.runs and self._leases_over(row):
+            # A VM that reports is kept without an entry, with all that is known of it.
+            is_gone = row.terminated or (silent and not row.listed)
+            if is_gone and not row.runs and self._leases_over(row):
                 removed.append(row)
                 del self._state.vms[row.name]
                 self._state.unverified_vms.pop(row.name, None)
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -152,6 +152,17 @@
     assert [start.vm for start in later.started()] == [NEXT_INCARNATION.name]
 
 
+def test_a_vm_that_reports_without_an_entry_stays_known_as_unverified() -> None:
+    """Its row was removed, and once its entry was back it was used without a probe."""
+    rig, row = _restarted_vm(())
+    rig.wait(0.1)
+    rig.scheduler.entry_removed("w0")
+    for _ in range(20):
+        rig.wait(1.0)
+    rig.scheduler.update_vm(NEXT_INCARNATION)
+    assert rig.scheduler.state.vms[NEXT_INCARNATION.name].completions_unreliable
+
+
 def test_members_of_one_gang_do_not_probe_two_vms_at_once() -> None:
     rig, row = _restarted_vm((StepSpec(3, CORE, gang=True),))
     other = msgspec.structs.replace(NEXT_INCARNATION, name="w1/7", instance="w1", address="a1")
