Keep the rest of a cap for a gang whose objective is over

Seen: an accepted gang that needs most of its organisation's cap was still pending 60 s after the traffic (mix 8007 of lives, each time on the code as found; it was not listed yet). Cause: the rest of a cap was reserved against less urgent priorities only. Later jobs of the same priority took each bit that became free; the log has nine that overtook the gang, and five gangs before it that waited 46 to 54 s. Change: once the gang's objective is over, steps of its priority with a later objective leave the rest of the cap to it.

--- a/src/sablemount/jobs/systems/caps.py
+++ b/src/sablemount/jobs/systems/caps.py
@@ -20,16 +20,13 @@
     def __init__(self, state: State) -> None:
         self._state = state
         self._unreported: Shape | None = Shape()
-        self._reserved: dict[str, tuple[int, str]] = {}
-        """The most urgent gang that waits for its organisation's cap, as its priority and its step,
-        by organisation."""
+        self._reserved: dict[str, StepRow] = {}
+        """The most urgent gang that waits for its organisation's cap, by organisation."""
 
     def begin_round(self) -> None:
         """Begin a placement round: drop the reservations of gangs that no longer wait."""
         open_steps = self._state.open_steps
-        for name in [
-            name for name, reserved in self._reserved.items() if reserved[1] not in open_steps
-        ]:
+        for name in [name for name, gang in self._reserved.items() if gang.key not in open_steps]:
             del self._reserved[name]
         self._unreported = (
             Shape() if self._state.previous_runs_settled else self._unreported_capacity()
@@ -76,16 +73,32 @@
 
     def _is_reserved_for_other(self, step: StepRow, organisation: Organisation) -> bool:
         """Return whether the rest of a cap is reserved for a more urgent gang."""
-        priority, key = self._reserved.get(organisation.name, (NO_LIMIT, step.key))
-        if key == step.key or self._state.terms_of(step.job).priority <= priority:
+        gang = self._reserved.get(organisation.name)
+        if gang is None or not self._gives_way(step, gang):
             return False
         busy = _reaches_share(self._state.usage.of(organisation.name), organisation.cap, BUSY_SHARE)
         return busy or self._state.now - step.ready_at < RESERVATION_WAIT_S
 
+    def _gives_way(self, step: StepRow, gang: StepRow) -> bool:
+        """Return whether a step leaves the rest of a cap to a gang.
+
+        One of the same priority and with a later objective does so once the gang's objective is
+        over: as long as such steps come, they would take each bit of the cap that becomes free.
+        """
+        if gang.key == step.key:
+            return False
+        own, other = self._urgency(step), self._urgency(gang)
+        if own[0] == other[0] and self._state.now < gang.job.objective_at:
+            return False
+        return own > other
+
+    def _urgency(self, step: StepRow) -> tuple[int, float]:
+        return (self._state.terms_of(step.job).priority, step.job.objective_at)
+
     def release_reservation(self, step: StepRow) -> None:
         """Drop a step's reservation, since it is about to be placed anew."""
         name = step.job.organisation
-        if name in self._reserved and self._reserved[name][1] == step.key:
+        if name in self._reserved and self._reserved[name].key == step.key:
             del self._reserved[name]
 
     def organisation(self, step: StepRow) -> Organisation | None:
@@ -105,10 +118,9 @@
         places = remaining_places(step.spec.shape, organisation.cap, Shape(), Shape(), 0.0)
         if places < step.waiting:
             return
-        priority = self._state.terms_of(step.job).priority
-        if organisation.name in self._reserved and self._reserved[organisation.name][0] <= priority:
-            return
-        self._reserved[organisation.name] = (priority, step.key)
+        gang = self._reserved.get(organisation.name)
+        if gang is None or self._urgency(step) < self._urgency(gang):
+            self._reserved[organisation.name] = step
 
 
 def _cores(shape: Shape) -> int:
--- a/tests/jobs/test_caps.py
+++ b/tests/jobs/test_caps.py
@@ -245,6 +245,38 @@
     assert started == ["first"] * 3 + ["gang"] * 3
 
 
+def _fill_cap_beside_a_gang(rig: Rig) -> None:
+    """Let a job fill a cap of three places; a gang of three and another job then wait for it."""
+    for name, gang in (("first", False), ("gang", True), ("second", False)):
+        rig.accept(name, spec(StepSpec(3, FOUR, gang=gang)), organisation=MINE)
+        rig.tick()
+
+
+def _started_jobs_as_the_first_completes(rig: Rig) -> list[str]:
+    for start in list(rig.started()):
+        rig.complete(start, "done")
+        rig.report_all()
+        rig.tick()
+    return [start.task.partition(".")[0] for start in rig.started()]
+
+
+def test_a_gang_beyond_its_objective_is_not_overtaken_by_later_jobs_under_its_cap() -> None:
+    """A gang waited 69 s for its cap: later jobs took each bit of it that became free."""
+    rig = _capped_rig(12_000)
+    _fill_cap_beside_a_gang(rig)
+    rig.hold_all()
+    objective_at = rig.scheduler.state.jobs["gang"].objective_at
+    while rig.clock.time <= objective_at:
+        rig.wait(0.5)
+    assert _started_jobs_as_the_first_completes(rig) == ["first"] * 3 + ["gang"] * 3
+
+
+def test_a_gang_within_its_objective_leaves_freed_capacity_to_later_jobs_under_its_cap() -> None:
+    rig = _capped_rig(12_000)
+    _fill_cap_beside_a_gang(rig)
+    assert _started_jobs_as_the_first_completes(rig) == ["first"] * 3 + ["second"] * 3
+
+
 def test_a_gang_wider_than_half_of_its_cap_does_not_idle_it() -> None:
     rig = _capped_rig(16_000, queues=(URGENT, CHEAP))
     rig.accept("first", spec(StepSpec(1, FOUR)), CHEAP, MINE)
--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -18,6 +18,7 @@
 RESTARTS_ALL_THE_TIME = (17, 31, 57, 81)
 FAILED_BY_A_NEW_LEADER = (36,)
 PROBED_UNDER_A_LONG_LEASE = (8176, 20391, 20395)
+GANG_BEHIND_ITS_CAP = (8007,)
 
 
 def _play(seed: int) -> list[str]:
@@ -78,6 +79,12 @@
     assert _play(seed) == []
 
 
+@pytest.mark.parametrize("seed", GANG_BEHIND_ITS_CAP)
+def test_a_gang_that_needs_most_of_its_cap_is_served(seed: int) -> None:
+    """A gang of 37.5 cores under a cap of 40 was still pending 60 s after the traffic."""
+    assert _play(seed) == []
+
+
 def _play_restarts(seed: int) -> list[str]:
     return run(run_mix(seed, draw_restarts(seed), advice=seed % 2 == 0))
 
