Compute the urgency of a step in one place

Placement and Caps each had the same sort key, priority and objective; both call State.urgency_of now, with the same value.

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -129,6 +129,10 @@
 
     # -- Lookups -----------------------------------------------------------------------------
 
+    def urgency_of(self, step: StepRow) -> tuple[int, float]:
+        """Return a step's sort key, the most urgent first: its priority, then its objective."""
+        return (self.terms_of(step.job).priority, step.job.objective_at)
+
     def task(self, key: str) -> TaskRow | None:
         """Return a task of a job that has not ended."""
         parts = key.split(".")
--- a/src/sablemount/jobs/systems/caps.py
+++ b/src/sablemount/jobs/systems/caps.py
@@ -87,14 +87,11 @@
         """
         if gang.key == step.key:
             return False
-        own, other = self._urgency(step), self._urgency(gang)
+        own, other = self._state.urgency_of(step), self._state.urgency_of(gang)
         if own[0] == other[0] and self._state.now < gang.job.objective_at:
             return False
         return own > other
 
-    def _urgency(self, step: StepRow) -> tuple[int, float]:
-        return (self._state.terms_of(step.job).priority, step.job.objective_at)
-
     def release_reservation(self, step: StepRow) -> None:
         """Drop a step's reservation, since it is about to be placed anew."""
         name = step.job.organisation
@@ -119,7 +116,7 @@
         if places < step.waiting:
             return
         gang = self._reserved.get(organisation.name)
-        if gang is None or self._urgency(step) < self._urgency(gang):
+        if gang is None or self._state.urgency_of(step) < self._state.urgency_of(gang):
             self._reserved[organisation.name] = step
 
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -137,10 +137,7 @@
 
     def steps_by_urgency(self) -> list[StepRow]:
         """Return the open steps, the most urgent first."""
-        return sorted(self._state.open_steps.values(), key=self._urgency)
-
-    def _urgency(self, step: StepRow) -> tuple[int, float]:
-        return (self._state.terms_of(step.job).priority, step.job.objective_at)
+        return sorted(self._state.open_steps.values(), key=self._state.urgency_of)
 
     def usable_rows(self) -> list[VmRow]:
         """Return the VMs that may get new work at all."""
