--- a/tests/jobs/test_caps.py
+++ b/tests/jobs/test_caps.py
@@ -261,7 +261,7 @@
 
 
 def test_a_gang_beyond_its_objective_is_not_overtaken_by_later_jobs_under_its_cap() -> None:
-    """A gang waited 69 s for its cap: later jobs took each bit of it that became free."""
+    """A gang waited 72 s for its cap: later jobs took each bit of it that became free."""
     rig = _capped_rig(12_000)
     _fill_cap_beside_a_gang(rig)
     rig.hold_all()
