--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,9 +21,11 @@
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     entries = known_red.read()
     for item in items:
-        entry = known_red.entry_of(entries, item.nodeid)
-        if entry is not None:
-            item.add_marker(pytest.mark.xfail(reason=entry.seen, strict=not entry.flaky))
+        listed = known_red.entries_of(entries, item.nodeid)
+        if listed:
+            reason = "; or: ".join(entry.seen for entry in listed)
+            is_strict = not all(entry.flaky for entry in listed)
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=is_strict))
         if not item.nodeid.startswith(VIRTUAL_TIME_TESTS):
             group = "platform" if item.nodeid.startswith(PLATFORM_TESTS) else "real time"
             item.add_marker(pytest.mark.xdist_group(group))
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,9 +1,10 @@
 """Reader of KNOWN-RED.txt, the list of tests that fail because of a known fault."""
 
 from dataclasses import dataclass
+from itertools import combinations
 from pathlib import Path
 
-__all__ = ["Entry", "ListError", "entry_of", "parse", "read"]
+__all__ = ["Entry", "ListError", "entries_of", "parse", "read"]
 
 FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 FIELD_SEPARATOR = " | "
@@ -13,7 +14,7 @@
 
 
 class ListError(ValueError):
-    """The list is malformed, or names a test twice."""
+    """The list is malformed, or contradicts itself about a test."""
 
 
 @dataclass(frozen=True)
@@ -29,16 +30,26 @@
 
 
 def parse(text: str) -> list[Entry]:
-    """Return the entries of a list, one per line; lines that start with # are comments."""
+    """Return the entries of a list, one per line; lines that start with # are comments.
+
+    A test has an entry for each of its faults. It either always fails or fails only sometimes.
+    """
     lines = [line for line in text.splitlines() if line.strip() and not line.startswith("#")]
     entries = [_parse_line(line) for line in lines]
-    tests = [entry.test for entry in entries]
-    for test in tests:
-        if tests.count(test) > 1:
-            raise ListError(f"listed twice: {test}")
+    for earlier, entry in combinations(entries, 2):
+        if entry.test == earlier.test:
+            _check_pair(earlier, entry)
     return entries
 
 
+def _check_pair(earlier: Entry, entry: Entry) -> None:
+    """Check two entries of one test."""
+    if entry.seen == earlier.seen:
+        raise ListError(f"listed twice: {entry.test}, {entry.seen}")
+    if entry.flaky != earlier.flaky:
+        raise ListError(f"listed twice, as failing always and only sometimes: {entry.test}")
+
+
 def _parse_line(line: str) -> Entry:
     fields = [field.strip() for field in line.split(FIELD_SEPARATOR)]
     if len(fields) != FIELD_COUNT or not all(fields):
@@ -56,7 +67,7 @@
     return parse(FILE.read_text()) if FILE.exists() else []
 
 
-def entry_of(entries: list[Entry], node_id: str) -> Entry | None:
-    """Return the entry of a test; an entry without parameters covers the test with any of them."""
+def entries_of(entries: list[Entry], node_id: str) -> list[Entry]:
+    """Return the entries of a test; one without parameters covers the test with any of them."""
     names = (node_id, node_id.partition("[")[0])
-    return next((entry for entry in entries if entry.test in names), None)
+    return [entry for entry in entries if entry.test in names]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.known_red import FILE, Entry, ListError, entry_of, parse, read
+from tests.known_red import FILE, Entry, ListError, entries_of, parse, read
 
 LINE = "tests/test_a.py::test_b | python -m a --seed 1 | it hangs | 7"
 
@@ -38,19 +38,33 @@
 
 
 @pytest.mark.parametrize(
-    "duplicate", [LINE, f"sometimes {LINE}", LINE.replace("it hangs", "other")]
+    "duplicate",
+    [
+        LINE,
+        f"sometimes {LINE}",
+        LINE.replace("--seed 1", "--seed 2"),
+        f"sometimes {LINE}".replace("it hangs", "other"),
+    ],
 )
-def test_a_test_that_is_listed_twice_is_refused(duplicate: str) -> None:
+def test_a_test_that_is_listed_twice_with_one_fault_or_both_markings_is_refused(
+    duplicate: str,
+) -> None:
     with pytest.raises(ListError, match="twice"):
         parse(f"{LINE}\n{duplicate}")
 
 
+def test_a_test_has_an_entry_for_each_of_its_faults() -> None:
+    entries = parse(f"{LINE}\n{LINE.replace('it hangs', 'other')}")
+    listed = entries_of(entries, "tests/test_a.py::test_b")
+    assert [entry.seen for entry in listed] == ["it hangs", "other"]
+
+
 def test_an_entry_stands_for_its_test_only_with_any_parameters() -> None:
     entries = parse(LINE)
-    assert entry_of(entries, "tests/test_a.py::test_b") is not None
-    assert entry_of(entries, "tests/test_a.py::test_b[0.4]") is not None
-    assert entry_of(entries, "tests/test_a.py::test_bc") is None
-    assert entry_of(entries, "tests/test_c.py::test_b") is None
+    assert entries_of(entries, "tests/test_a.py::test_b") == entries
+    assert entries_of(entries, "tests/test_a.py::test_b[0.4]") == entries
+    assert entries_of(entries, "tests/test_a.py::test_bc") == []
+    assert entries_of(entries, "tests/test_c.py::test_b") == []
 
 
 def test_each_listed_test_is_there() -> None:
