Revise the weights of crashes by what later crashes show

Cause: the weight of a crash was computed once, when a task that will crash VM after VM is as unsuspicious as the one beside it. What its later crashes showed, and even the verdict on it, never reached the weights of its neighbours; and a job that had failed was no longer looked up, so that it explained nothing. Four unit tests failed before, one more guards the other side. Ruled out: restarts taken for crashes (no fault of the case restarts a VM); 30 jobs at once (the check asks for all jobs for 60 s).

--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -18,10 +18,10 @@
     ISOLATED_ATTRIBUTION_THRESHOLD,
     MAX_TASKS_PER_LINE,
     MIN_ISOLATED_WEIGHT,
-    Crash,
     Evidence,
 )
 from sablemount.jobs.systems.lifecycle import Lifecycle
+from sablemount.jobs.systems.vm_crash import Crash
 from sablemount.jobs.tables import (
     NEVER,
     JobRow,
@@ -159,6 +159,8 @@
     def _fail_attributed(self) -> None:
         """Fail the tasks to which crashes are by now attributed."""
         for task in self._evidence.weigh():
+            if task.state is TaskState.DONE or task.step.job.state.is_final:
+                continue
             crash = self._evidence.crash(task.crashes[-1]) if task.crashes else None
             if crash is None or not self._is_attributed(task, crash):
                 self._allow_start(task)
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -71,6 +71,8 @@
         """Starts of a task after it had crashed ``CRASHES_BEFORE_COUNTING`` VMs, by task."""
         self.on_task_crash: Callable[[Vm], None] = self.crash
         """Called with a VM that a task crashes."""
+        self.on_start: Callable[[Vm, Run], None] = lambda vm, run: None
+        """Called with each run that a VM has started."""
         self.violations: list[str] = []
         self.late_request_share = 0.0
         self.requires_ticket = False
@@ -148,6 +150,11 @@
         """Return whether a task of the job crashes the VMs that start it."""
         return any(task.startswith(f"{name}.") for task in self.crash_delays_s)
 
+    def make_crash_vms(self, vm: Vm, run: Run, after: float) -> None:
+        """Let a task crash the VM that it runs on, and each VM that starts it from now on."""
+        self.crash_delays_s[run.task] = after
+        asyncio.get_running_loop().call_later(after, self._crash_vm_of, vm, run)
+
     def _crash_vm_of(self, vm: Vm, run: Run) -> None:
         """Crash the VM of a task if the run is still active there."""
         if vm.up and vm.runs.get((run.task, run.number)) is run:
@@ -258,8 +265,9 @@
             asyncio.get_running_loop().call_later(after, self._crash_vm_of, vm, run)
         if spec.gang:
             self._on_gang_member_started(vm, run, spec.count)
-            return
-        run.timer = asyncio.get_running_loop().call_later(duration, self._finish, vm, run)
+        else:
+            run.timer = asyncio.get_running_loop().call_later(duration, self._finish, vm, run)
+        self.on_start(vm, run)
 
     def _on_gang_member_started(self, vm: Vm, run: Run, count: int) -> None:
         members = self._gang_members(run)
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -221,3 +221,89 @@
     vm = _vm_of(task)
     _crash(rig, vm)
     assert task.crash_weight(vm) > 2.0
+
+
+def _crash_vms_of(rig: Rig, task: TaskRow, count: int) -> None:
+    """Crash the VMs that a task is started on, one after the other."""
+    for _ in range(count):
+        _wait_until_running(rig, task)
+        _crash(rig, _vm_of(task))
+        rig.wait(1.5)
+
+
+def _crash_beside(rig: Rig) -> tuple[TaskRow, TaskRow, str]:
+    """Crash a VM with two tasks of different jobs on it; return the tasks and the VM."""
+    suspect, neighbour = _run_task(rig, "bad"), _run_task(rig, "beside")
+    vm = _vm_of(suspect)
+    assert _vm_of(neighbour) == vm
+    _crash(rig, vm)
+    return suspect, neighbour, vm
+
+
+def test_the_weight_of_a_crash_falls_when_a_neighbour_crashes_further_vms() -> None:
+    """A job without a fault was failed for crashes that its neighbours had turned out to cause."""
+    rig = Rig(vms=VMS)
+    suspect, neighbour, vm = _crash_beside(rig)
+    assert neighbour.crash_weight(vm) > 2.0
+    _crash_vms_of(rig, suspect, 2)
+    assert neighbour.crash_weight(vm) < 1.0
+    assert suspect.crash_weight(vm) > 2.0
+
+
+def test_a_job_that_has_failed_for_crashes_still_explains_them() -> None:
+    rig = Rig(vms=VMS)
+    suspect, neighbour, vm = _crash_beside(rig)
+    _crash_vms_of(rig, suspect, 2)
+    assert suspect.step.job.state is JobState.FAILED
+    _crash_vms_of(rig, neighbour, 1)
+    assert neighbour.crash_weight(vm) < 0.5
+
+
+def test_a_task_that_has_completed_explains_no_crash() -> None:
+    rig = Rig(vms=VMS)
+    cleared, neighbour, vm = _crash_beside(rig)
+    _crash_vms_of(rig, cleared, 1)
+    assert neighbour.crash_weight(vm) < 2.5
+    _wait_until_running(rig, cleared)
+    start = next(start for start in reversed(rig.started()) if start.task == cleared.key)
+    rig.complete(start, "done")
+    rig.wait(0.4)
+    _crash_vms_of(rig, neighbour, 1)
+    assert neighbour.crash_weight(vm) > 2.5
+
+
+def test_a_completed_task_is_not_failed_by_a_revised_weight() -> None:
+    rig = Rig(vms=VMS)
+    task = rig.accept("a", spec(StepSpec(1, CORE), StepSpec(1, CORE, after=(0,))))
+    rig.start_and_hold_all()
+    first = task.steps[(0, 0)].tasks[0]
+    vm = _vm_of(first)
+    first.crashes = ["gone0", "gone1", "gone2"]
+    first.crash_weights = dict.fromkeys(first.crashes, 0.1)
+    _crash(rig, vm, *[name for name in rig.vm_names if name != vm][:4])
+    _wait_until_running(rig, first)
+    start = next(start for start in reversed(rig.started()) if start.task == first.key)
+    rig.complete(start, "done")
+    rig.wait(0.4)
+    first.crash_weights = {}
+    rig.scheduler.crashes._evidence._is_revision_due = True
+    rig.wait(1.5)
+    assert task.state is not JobState.FAILED
+
+
+def test_a_silent_vm_that_turns_out_to_have_crashed_for_a_known_cause_clears_no_task() -> None:
+    rig = Rig(vms=VMS)
+    tasks = [_run_task(rig, name, WHOLE) for name in ("a", "bad0", "bad1")]
+    for suspect in tasks[1:]:
+        suspect.crashes = ["gone0", "gone1"]
+    vms = [_vm_of(task) for task in tasks]
+    for vm in vms[1:]:
+        rig.vm_names.remove(vm)
+    _crash(rig, vms[0])
+    rig.wait(MAX_SILENCE_S)
+    assert tasks[0].crash_weight(vms[0]) < 1.5
+    for vm in vms[1:]:
+        rig.scheduler.vms.incarnation_ended(vm)
+    rig.wait(1.5)
+    rig.wait(1.5)
+    assert tasks[0].crash_weight(vms[0]) == MAX_CRASH_WEIGHT
