Let later leaders revise recorded weights of crashes

Cause: a later leader restored the weights of crashes without the tasks that a crash has in common, so that nothing could revise them. A direct test fails before. Change: crashes in the records of jobs are restored with the tasks that share them. A recorded weight only falls, by what other tasks have become more probable causes since; no job is failed by restored crashes alone, as before. Why it works: the neighbour's verdict reaches the crash under each leader that knows of both.

--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -246,6 +246,8 @@
                 task.crashes = list(vms)
                 weights = progress.weights.get(key, ())
                 task.crash_weights = dict(zip(vms, weights, strict=False))
+                for vm in vms:
+                    self._evidence.restore(vm, task)
                 self._watch(job)
 
     def _task(self, job: JobRow, key: str) -> TaskRow | None:
--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -12,8 +12,9 @@
 the VM revises it, also after the jobs of these tasks have failed.
 """
 
-from math import log
+from math import exp, log
 
+from sablemount.jobs.model import INCARNATION_SEPARATOR
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.causes import attribution, has_likely_cause
 from sablemount.jobs.systems.control_group import ControlGroup, entries_by_job
@@ -113,6 +114,15 @@
         crash.is_outdated = True
         self._is_revision_due = True
 
+    def restore(self, vm: str, task: TaskRow) -> None:
+        """Restore a crash that a previous leader has counted for a task, with its weight."""
+        entry = vm.partition(INCARNATION_SEPARATOR)[0]
+        crash = self._crashes.get(vm)
+        if crash is None:
+            crash = self._crashes[vm] = Crash(vm, entry, NEVER, NEVER, self._state.now, "")
+        crash.tasks[task.key] = task
+        crash.recorded_weights[task.key] = task.crash_weight(vm)
+
     # -- Weighing ----------------------------------------------------------------------------
 
     def weigh(self) -> list[TaskRow]:
@@ -159,6 +169,9 @@
     def _weigh(
         self, crash: Crash, unexplained: list[Crash], entries: dict[str, set[str]]
     ) -> list[TaskRow]:
+        if crash.recorded_weights:
+            crash.is_outdated = False
+            return self._apply(crash, _revised_weights(crash), MIN_REVISION)
         is_revision = crash.is_final
         control = self._control_group(crash, unexplained, entries)
         crash.is_outdated = not crash.is_final
@@ -265,6 +278,19 @@
         )
 
 
+def _revised_weights(crash: Crash) -> dict[str, float]:
+    """Return recorded weights, less what this leader has learnt of the other tasks on the VM."""
+    causes = attribution(crash)
+    if crash.recorded_causes is None:
+        crash.recorded_causes = causes
+    gains = {job: causes[job] - crash.recorded_causes.get(job, 0.0) for job in causes}
+    weights = {}
+    for key, task in crash.tasks.items():
+        by_others = sum(gains.values()) - gains[task.step.job.name]
+        weights[key] = _weight(exp(-crash.recorded_weights[key]) + max(0.0, by_others))
+    return weights
+
+
 def _weight(probability: float) -> float:
     """Return the weight of a crash of some probability without a task; 0 if it is 1 or more."""
     return round(min(MAX_CRASH_WEIGHT, max(0.0, -log(min(1.0, probability)))), 1)
--- a/src/sablemount/jobs/systems/vm_crash.py
+++ b/src/sablemount/jobs/systems/vm_crash.py
@@ -42,6 +42,10 @@
     is_outdated: bool = True
     """Whether its weights are to be computed, for the first time or again."""
     weighed_at: float = NEVER
+    recorded_weights: dict[str, float] = field(default_factory=dict)
+    """Weights for its tasks that a previous leader recorded, if it counted the crash."""
+    recorded_causes: dict[str, float] | None = None
+    """Probability of each job to be the cause as this leader first knew it, in that case."""
 
     @property
     def is_final(self) -> bool:
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -307,3 +307,17 @@
     rig.wait(1.5)
     rig.wait(1.5)
     assert tasks[0].crash_weight(vms[0]) == MAX_CRASH_WEIGHT
+
+
+def test_a_later_leader_revises_the_weights_of_crashes_before_its_election() -> None:
+    rig = Rig(vms=VMS)
+    _, neighbour, vm = _crash_beside(rig)
+    rig.commit()
+    later = rig.successor()
+    later.report_all()
+    tasks = [later.scheduler.state.jobs[name].steps[(0, 0)].tasks[0] for name in ("bad", "beside")]
+    later.wait(0.4)
+    assert tasks[1].crash_weight(vm) == neighbour.crash_weight(vm) > 2.0
+    _crash_vms_of(later, tasks[0], 2)
+    assert tasks[1].crash_weight(vm) < 1.0
+    assert tasks[0].crash_weight(vm) > 2.0
