--- a/src/sablemount/jobs/systems/causes.py
+++ b/src/sablemount/jobs/systems/causes.py
@@ -4,7 +4,7 @@
 from math import exp, log
 
 from sablemount.jobs.systems.vm_crash import Crash
-from sablemount.jobs.tables import TaskRow, TaskState
+from sablemount.jobs.tables import NEVER, TaskRow, TaskState
 
 __all__ = ["MIN_PRIOR", "attribution", "estimate_prior", "has_likely_cause", "prior_evidence"]
 
@@ -21,12 +21,19 @@
 
 
 def estimate_prior(crashes: Iterable[Crash]) -> float:
-    """Return the probability that a job on a crashed VM crashes VMs, by the recent crashes."""
+    """Return the probability that a job on a crashed VM crashes VMs, by the recent crashes.
+
+    Tasks with a crash that was never weighed count as not crashing VMs: its full weight for all of
+    them would make many VMs that restart at once look like many jobs that crash VMs.
+    """
+    crashes = list(crashes)
+    unweighed = {key for crash in crashes if crash.weighed_at == NEVER for key in crash.tasks}
     evidence: dict[str, float] = {}
     for crash in crashes:
-        for task in crash.tasks.values():
+        for key, task in crash.tasks.items():
             job = task.step.job.name
-            evidence[job] = max(evidence.get(job, 0.0), _evidence(task))
+            known = 0.0 if key in unweighed else _evidence(task)
+            evidence[job] = max(evidence.get(job, 0.0), known)
     causes = sum(1 for each in evidence.values() if each >= CAUSE_EVIDENCE)
     prior = (causes + MIN_PRIOR * MIN_PRIOR_JOBS) / (len(evidence) + MIN_PRIOR_JOBS)
     return min(MAX_PRIOR, max(MIN_PRIOR, prior))
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -348,3 +348,17 @@
     evidence = rig.scheduler.crashes._evidence
     assert evidence.threshold(isolated=False) < ATTRIBUTION_THRESHOLD - 1.0
     assert calm.scheduler.crashes._evidence.threshold(isolated=False) == ATTRIBUTION_THRESHOLD
+
+
+def test_vms_that_restart_at_once_do_not_look_like_many_jobs_that_crash_vms() -> None:
+    rig = Rig(vms=VMS)
+    tasks = [_run_task(rig, f"a{number}", WHOLE) for number in range(VMS)]
+    for task in tasks:
+        task.crashes = ["gone0"]
+        task.crash_weights = {"gone0": 2.0}
+    evidence = rig.scheduler.crashes._evidence
+    for vm in list(rig.vm_names):
+        rig.vm_names.remove(vm)
+        rig.scheduler.vms.incarnation_ended(vm)
+    evidence.weigh()
+    assert evidence.threshold(isolated=False) == ATTRIBUTION_THRESHOLD
