--- a/src/sablemount/jobs/systems/causes.py
+++ b/src/sablemount/jobs/systems/causes.py
@@ -24,7 +24,7 @@
     """Return the probability that a job on a crashed VM crashes VMs, by the recent crashes.
 
     Tasks with a crash that was never weighed count as not crashing VMs: its full weight for all of
-    them would make many VMs that restart at once look like many jobs that crash VMs.
+    them would count many VMs that restart at once as many jobs that crash VMs.
     """
     crashes = list(crashes)
     unweighed = {key for crash in crashes if crash.weighed_at == NEVER for key in crash.tasks}
--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -201,7 +201,7 @@
         self, crash: Crash, unexplained: list[Crash], entries: dict[str, set[str]]
     ) -> ControlGroup:
         others = crash.others or self._other_vms(crash)
-        # Where the crash of a silent VM is known by now, that crash tells more.
+        # The recorded crash of a silent VM replaces its silence as evidence.
         known = {other.entry for other in self._crashes.values() if crash.overlaps(other)}
         terminated = others.terminated - known
         concurrent = {other.entry for other in unexplained if crash.overlaps(other)} | terminated
