--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec python3 review/2/case.py
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,6 +15,7 @@
 """Seconds for which the worker serves on after it has announced that it leaves."""
 CUT_S = 5.5
 BEFORE_HEARTBEAT_S = 0.1
+WAIT_S = 40
 
 
 async def play(cluster: Cluster, trouble: bool) -> bool:
@@ -36,23 +37,11 @@
         while record.now - worker.written_at < HEARTBEAT_S - BEFORE_HEARTBEAT_S:
             await asyncio.sleep(0.005)
         cell.cut(worker)
-        record.write(f"its lease lasts for {worker.lease_left_s:.3f} s more")
         await asyncio.sleep(CUT_S)
-        cell.heal(worker)
-    for _ in range(40):
-        await asyncio.sleep(1.0)
-        if await cluster.state(job) in ("succeeded", "failed", "cancelled"):
-            break
-    for node in cluster.nodes:
-        for line in node.log_lines("VM terminated"):
-            record.write(f"{node.name} wrote: {line}")
-    doubles = cell.double_runs()
-    for first, second, overlap in doubles:
-        record.write(
-            f"TWICE: {first.task}, run {first.number} on {first.worker} and run {second.number} "
-            f"on {second.worker} went on together for {overlap:.3f} s"
-        )
-    return not doubles
+        await cell.heal(worker)
+    await cluster.wait_until_final(job, WAIT_S)
+    cluster.record_log_lines("VM terminated")
+    return not cell.record_double_runs()
 
 
 if __name__ == "__main__":
--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -67,6 +67,7 @@
 PREFIX = "/lohu930/"
 QUEUE = "r-1"
 MAX_ATTEMPTS = 4
+FINAL_STATES = ("succeeded", "failed", "cancelled")
 CAPACITY = {"cpu": 16000, "memMb": 65536, "gpu": 0}
 METRICS_PORT = 9464
 NETWORKS = 200
@@ -165,17 +166,23 @@
         self.address = ""
 
     async def start(self) -> None:
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen, at a free port the first time and at the same port later."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
-    def cut(self) -> None:
-        """Begin a cut."""
+    def cut(self, resets: bool) -> None:
+        """Begin a cut, which is silent or resets connections, those that are tried included."""
+        if resets:
+            self.close()
+            return
         self._is_cut = True
         self._silent |= self._writers
 
-    def heal(self) -> None:
+    async def heal(self) -> None:
         """End the cut."""
+        if not self._is_cut:
+            await self.start()
         self._is_cut = False
 
     def close(self) -> None:
@@ -585,6 +592,9 @@
         self.record.write(f"worker {name} at {worker.server.address} comes")
         return worker
 
+    def _can_write(self, worker: Worker) -> bool:
+        return not worker.is_cut and not self.store.down
+
     def write_entry(self, worker: Worker) -> None:
         """Have a worker write its entry."""
         worker.written_at = self._written_at[worker.name] = self.record.now
@@ -604,16 +614,18 @@
         self.write_entry(worker)
         self.record.write(f"worker {worker.name} drains and serves on for {seconds} s")
 
-    def cut(self, worker: Worker) -> None:
+    def cut(self, worker: Worker, resets: bool = False) -> None:
         """Cut a worker off from everybody; it runs on."""
         worker.is_cut = True
-        worker.server.cut()
-        self.record.write(f"worker {worker.name} is cut off and runs on")
+        worker.server.cut(resets)
+        how = "its connections are reset" if resets else "silently"
+        self.record.write(f"worker {worker.name} is cut off and runs on: {how}")
+        self.record.write(f"its lease lasts for {worker.lease_left_s:.3f} s more")
 
-    def heal(self, worker: Worker) -> None:
+    async def heal(self, worker: Worker) -> None:
         """End the cut of a worker."""
         worker.is_cut = False
-        worker.server.heal()
+        await worker.server.heal()
         self.record.write(f"worker {worker.name} is no longer cut off")
 
     def crash(self, worker: Worker) -> None:
@@ -671,6 +683,16 @@
                 if row.up and other.step == run.step and other.number == run.number:
                     row.end(other, "done" if how == "done" else "broken")
 
+    def record_double_runs(self) -> bool:
+        """Write down which tasks had two runs at the same time; return whether there are any."""
+        doubles = self.double_runs()
+        for first, second, overlap in doubles:
+            self.record.write(
+                f"TWICE: {first.task}, run {first.number} on {first.worker} and run "
+                f"{second.number} on {second.worker} went on together for {overlap:.3f} s"
+            )
+        return bool(doubles)
+
     def double_runs(self) -> list[tuple[Interval, Interval, float]]:
         """Return the pairs of runs of one task that went on at the same time, and for how long."""
         found = []
@@ -695,9 +717,9 @@
                 if worker.draining and now >= worker.leaves_at:
                     self.record.write(f"worker {worker.name} leaves")
                     self._stop_worker(worker, "lost with its worker, which left")
-                    if not worker.is_cut and worker.name in self._written_at:
+                    if self._can_write(worker) and worker.name in self._written_at:
                         self._remove_entry(worker.name, "it has left")
-                elif not worker.is_cut and now - worker.written_at >= HEARTBEAT_S:
+                elif self._can_write(worker) and now - worker.written_at >= HEARTBEAT_S:
                     self.write_entry(worker)
             for name, at in list(self._written_at.items()):
                 if now - at >= HEARTBEATS_TO_LAPSE * HEARTBEAT_S:
@@ -936,6 +958,22 @@
             await asyncio.sleep(0.5)
         raise NotRun("the job was not accepted")
 
+    async def wait_until_final(self, job: str, seconds: int) -> str:
+        """Ask for a job's state each second until it is final; return the last one."""
+        state = ""
+        for _ in range(seconds):
+            state = await self.state(job)
+            if state in FINAL_STATES:
+                break
+            await asyncio.sleep(1.0)
+        return state
+
+    def record_log_lines(self, words: str) -> None:
+        """Write down the lines with some words that the processes of the system have logged."""
+        for node in self.nodes:
+            for line in node.log_lines(words):
+                self.record.write(f"{node.name} wrote: {line}")
+
     async def state(self, job: str) -> str:
         """Return the state of a job as a client sees it, or the status of the answer."""
         status, answer = await self.ask("GET", job)
