--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -988,8 +988,9 @@
     cluster = Cluster(record, folder)
     try:
         held = await case(cluster, trouble)
-    except NotRun as reason:
-        record.write(f"the case could not run: {reason}")
+    except Exception as reason:
+        # A fault of the script itself says nothing about the system.
+        record.write(f"the case could not run: {reason!r}")
         return EXIT_NOT_RUN
     finally:
         await cluster.close()
@@ -1002,6 +1003,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.write(f"the disruption is {'on' if trouble else 'off'}")
-    with tempfile.TemporaryDirectory() as temporary:
+    # Whoever ends the script early has it end the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    code = EXIT_NOT_RUN
+    with tempfile.TemporaryDirectory() as temporary, suppress(KeyboardInterrupt):
         code = asyncio.run(_play(case, record, trouble, Path(temporary)))
     sys.exit(code)
