--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,7 @@
 
 from stand_in import BOUNDS, MS, OK, Cluster, main  # noqa: E402
 
+RECORD_FILE = Path(__file__).with_name("record.txt")
 WORKERS = 8
 LOAD_S = 12.0
 LOAD_INTERVAL_S = 0.025
@@ -81,4 +82,4 @@
 
 
 if __name__ == "__main__":
-    main(play, Path(__file__).parent)
+    main(play, RECORD_FILE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,7 @@
 
 from stand_in import HEARTBEAT_S, Cluster, NotRun, main  # noqa: E402
 
+RECORD_FILE = Path(__file__).with_name("record.txt")
 WORKERS = 8
 TASKS = 4
 TASK_S = 8.0
@@ -45,4 +46,4 @@
 
 
 if __name__ == "__main__":
-    main(play, Path(__file__).parent)
+    main(play, RECORD_FILE)
--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -998,10 +998,10 @@
     return EXIT_HELD if held else EXIT_BROKEN
 
 
-def main(case: Case, folder: Path) -> None:
-    """Play a case and exit with its result."""
+def main(case: Case, record_file: Path) -> None:
+    """Play a case, write its record to a file, and exit with its result."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_file)
     record.write(f"the disruption is {'on' if trouble else 'off'}")
     # Whoever ends the script early has it end the processes that it started.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
