Jobs: what a job may still open ends with the job

Cause: the repetitions to be opened were derived from the job's record at each tick, and an ended job left the list of jobs with times only after its due repetitions had been opened. If its end was stored before that tick, the record had lost its payload and its times, so that the first repetition counted as due at once; if a due time passed before it, that repetition was started. A job that failed went the same way, and a withdrawn job stayed on the list and asked for advice at each of its times.

Change: an open job has a schedule, and steps are made from a schedule only; closing the job takes the schedule and its steps away. A step is placed by State.open_step only, and carries the payload of its starts itself.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from sablemount.jobs.job_lines import log_job_end
-from sablemount.jobs.model import JobSpec
 from sablemount.jobs.records import (
     JOB_PREFIX,
     PROGRESS_PREFIX,
@@ -240,11 +239,7 @@
         if recorded.is_final:
             log_job_end(self._state.logger, job, self._state.now, self._state.wall_ms)
             job.run_completions.clear()
-            # The payload and the tasks are no longer needed; the shapes are, for runs that are
-            # reported late.
-            spec = JobSpec("", job.record.spec.steps)
-            job.record = msgspec.structs.replace(job.record, spec=spec)
-            job.steps = {}
+            job.drop_payload()
 
 
 def _start_request_order(run: RunRow) -> tuple[bool, float]:
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -1,6 +1,7 @@
 """The state of the job scheduler: its tables, its time and its outgoing actions."""
 
 import logging
+from collections.abc import Mapping
 
 from sablemount.jobs.actions import Action
 from sablemount.jobs.caps import Usage
@@ -62,8 +63,7 @@
         self.jobs: dict[str, JobRow] = {}
         self.open_jobs: dict[str, JobRow] = {}
         """Jobs that have not ended."""
-        self.open_steps: dict[str, StepRow] = {}
-        """Steps with waiting tasks whose predecessors are done, by key."""
+        self._open_steps: dict[str, StepRow] = {}
         self.vms: dict[str, VmRow] = {}
         self.entries_read_at: float | None = None
         """Time up to which the VMs' entries were read; ``None`` where that is not tracked."""
@@ -127,6 +127,25 @@
         """Have a step considered in the next placement round."""
         self.steps_marked_for_placement.add(step.key)
 
+    # -- Open steps --------------------------------------------------------------------------
+
+    @property
+    def open_steps(self) -> Mapping[str, StepRow]:
+        """Steps with waiting tasks whose predecessors are done, by key; nothing else is placed."""
+        return self._open_steps
+
+    def open_step(self, step: StepRow) -> None:
+        """Have the waiting tasks of a step placed; the steps of a closed job stay closed."""
+        if not step.job.is_open:
+            self.logger.error("step of a closed job not opened", extra={"step": step.key})
+            return
+        self._open_steps[step.key] = step
+        self.mark_for_placement(step)
+
+    def close_step(self, step: StepRow) -> None:
+        """Place no more tasks of a step, since none waits or its job is closed."""
+        self._open_steps.pop(step.key, None)
+
     # -- Lookups -----------------------------------------------------------------------------
 
     def urgency_of(self, step: StepRow) -> tuple[int, float]:
@@ -289,8 +308,7 @@
         task.state = TaskState.WAITING
         task.step.waiting += 1
         task.step.requeued_at = self.now
-        self.open_steps[task.step.key] = task.step
-        self.mark_for_placement(task.step)
+        self.open_step(task.step)
 
     def release_ticket_reservations(self, step: StepRow) -> None:
         """Release the capacity that was reserved while a step's tickets were requested."""
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -2,6 +2,7 @@
 
 from sablemount.jobs.model import JobSpec, QueueTerms, StepSpec
 from sablemount.jobs.records import JobRecord, Progress, StepProgress
+from sablemount.jobs.schedule import Schedule
 from sablemount.jobs.state import State
 from sablemount.jobs.tables import (
     AdviceRow,
@@ -15,8 +16,6 @@
 __all__ = ["Lifecycle", "critical_paths"]
 
 MS_PER_S = 1000.0
-DUE_MARGIN_MS = 20.0
-"""How long after its due time a repetition starts, to allow for clocks that differ."""
 
 
 def critical_paths(spec: JobSpec) -> list[float]:
@@ -39,8 +38,8 @@
 
     def __init__(self, state: State) -> None:
         self._state = state
-        self._jobs_with_due_times: dict[str, JobRow] = {}
-        """Jobs with repetitions that are not due yet."""
+        self._waiting_for_due_time: dict[str, JobRow] = {}
+        """Open jobs with repetitions that are not due yet."""
 
     # -- Creation ----------------------------------------------------------------------------
 
@@ -48,7 +47,7 @@
         """Create the row of a job whose acceptance is about to be recorded."""
         state = self._state
         critical_path = max(critical_paths(record.spec), default=0.0)
-        job = JobRow(name, record, state.now)
+        job = JobRow(name, record, state.now, schedule=Schedule(record.spec))
         terms = record.terms
         job.objective_at = (
             state.now + terms.stretch * critical_path + terms.target_latency_ms / MS_PER_S
@@ -56,9 +55,7 @@
         state.jobs[name] = job
         state.open_jobs[name] = job
         state.terms.setdefault(terms.name, terms)
-        if record.spec.times:
-            self._jobs_with_due_times[name] = job
-        self._open_repetitions(job)
+        self._open_due(job)
         return job
 
     def restore(self, name: str, record: JobRecord, progress: Progress | None) -> JobRow:
@@ -94,8 +91,9 @@
             return
         for key, recorded in progress.steps.items():
             repetition, _, number = key.partition(".")
-            step = self._step(job, int(repetition), int(number))
-            self._apply_step_progress(step, recorded)
+            if job.schedule is not None:
+                step = self._step(job, job.schedule, int(repetition), int(number))
+                self._apply_step_progress(step, recorded)
 
     def _apply_step_progress(self, step: StepRow, recorded: StepProgress) -> None:
         mask = int(recorded.done or "0", 16)
@@ -105,38 +103,37 @@
             if mask >> task.index & 1:
                 self.task_done(task)
 
-    def _step(self, job: JobRow, repetition: int, number: int) -> StepRow:
+    def _step(self, job: JobRow, schedule: Schedule, repetition: int, number: int) -> StepRow:
         """Return a step's row, opening the repetitions up to its own where necessary."""
-        while repetition >= job.next_repetition:
-            self._open_repetition(job, job.next_repetition)
+        while repetition >= schedule.next_repetition:
+            self._open_repetition(job, schedule)
         return job.steps[(repetition, number)]
 
     # -- Opening -----------------------------------------------------------------------------
 
     def open_due_repetitions(self) -> None:
         """Open the repetitions that are due."""
-        for job in list(self._jobs_with_due_times.values()):
-            self._open_repetitions(job)
-            if job.state.is_final or job.next_repetition >= job.record.spec.times:
-                del self._jobs_with_due_times[job.name]
-
-    def _open_repetitions(self, job: JobRow) -> None:
-        spec = job.record.spec
-        repetitions = len(spec.repetitions())
-        while job.next_repetition < repetitions:
-            if spec.times and self._state.wall_ms < self._due(job) + DUE_MARGIN_MS:
-                return
-            self._open_repetition(job, job.next_repetition)
-
-    def _due(self, job: JobRow) -> float:
-        return job.record.spec.due_ms(job.next_repetition)
-
-    def _open_repetition(self, job: JobRow, repetition: int) -> None:
-        job.next_repetition = repetition + 1
+        for job in list(self._waiting_for_due_time.values()):
+            self._open_due(job)
+
+    def _open_due(self, job: JobRow) -> None:
+        schedule = job.schedule
+        while schedule is not None and schedule.is_due(self._state.wall_ms):
+            self._open_repetition(job, schedule)
+        if schedule is None or schedule.is_complete:
+            self._waiting_for_due_time.pop(job.name, None)
+        else:
+            self._waiting_for_due_time[job.name] = job
+
+    def _open_repetition(self, job: JobRow, schedule: Schedule) -> None:
+        repetition = schedule.take()
+        spec = schedule.spec
+        if spec.times:
+            self._log_opening(job, repetition, spec)
         rows = []
-        remaining = critical_paths(job.record.spec)
-        for number, spec in enumerate(job.record.spec.steps):
-            row = StepRow(job, repetition, number, spec, remaining[number])
+        remaining = critical_paths(spec)
+        for number, step in enumerate(spec.steps):
+            row = StepRow(job, repetition, number, step, spec.payload, remaining[number])
             if job.record.terms.advice is not None:
                 row.advice = AdviceRow()
             row.make_tasks()
@@ -146,6 +143,16 @@
         for row in rows:
             self._open_if_ready(row)
 
+    def _log_opening(self, job: JobRow, repetition: int, spec: JobSpec) -> None:
+        late_ms = self._state.wall_ms - spec.due_ms(repetition)
+        extra = {
+            "job": job.name,
+            "repetition": repetition,
+            "of": spec.times,
+            "late_ms": round(late_ms),
+        }
+        self._state.logger.info("repetition opened", extra=extra)
+
     def _open_if_ready(self, step: StepRow) -> None:
         if step.opened_at > 0 or not step.open_tasks:
             return
@@ -154,8 +161,7 @@
             if steps[(step.repetition, number)].open_tasks:
                 return
         step.opened_at = self._state.now
-        self._state.open_steps[step.key] = step
-        self._state.mark_for_placement(step)
+        self._state.open_step(step)
 
     def followers(self, step: StepRow) -> list[StepRow]:
         """Return the steps of the same repetition that depend on a step."""
@@ -179,16 +185,15 @@
         self._state.mark_dirty(step.job)
         if step.open_tasks:
             return
-        self._state.open_steps.pop(step.key, None)
+        self._state.close_step(step)
         step.job.open_steps -= 1
         for follower in self.followers(step):
             self._open_if_ready(follower)
         self._end_if_done(step.job)
 
     def _end_if_done(self, job: JobRow) -> None:
-        spec = job.record.spec
-        all_opened = job.next_repetition >= len(spec.repetitions())
-        if all_opened and not job.open_steps:
+        schedule = job.schedule
+        if schedule is not None and schedule.is_complete and not job.open_steps:
             self.end(job, JobState.SUCCEEDED)
 
     def end(self, job: JobRow, final: JobState) -> None:
@@ -206,10 +211,12 @@
         self._state.dirty_jobs.pop(job.name, None)
 
     def _close(self, job: JobRow) -> None:
+        """Take from a job all that could open work, and orphan its runs."""
         state = self._state
         state.open_jobs.pop(job.name, None)
-        for step in job.steps.values():
-            state.open_steps.pop(step.key, None)
+        self._waiting_for_due_time.pop(job.name, None)
+        for step in job.close():
+            state.close_step(step)
             state.release_ticket_reservations(step)
             for task in step.tasks:
                 for run in list(task.runs):
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -122,7 +122,7 @@
         self._evaluated = 0
         for step in self.steps_by_urgency():
             if not step.waiting:
-                state.open_steps.pop(step.key, None)
+                state.close_step(step)
             elif step.key in self._tried and self._evaluated > MAX_VM_EVALUATIONS // 2:
                 continue
             elif (
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -201,8 +201,9 @@
                 row.min_clock_ms(state.now) + (valid_s + CLOCK_MARGIN_S) * MS_PER_S
             )
             ticket = "" if step.advice is None else step.advice.tickets[row.name].text
-            payload = step.job.record.spec.payload
             not_after = state.now + valid_s
             state.emit(
-                StartRun(row.name, run.task, run.number, payload, not_after, start.saved, ticket)
+                StartRun(
+                    row.name, run.task, run.number, step.payload, not_after, start.saved, ticket
+                )
             )
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -7,8 +7,19 @@
 import enum
 from dataclasses import dataclass, field
 
-from sablemount.jobs.model import INCARNATION_SEPARATOR, Shape, StepSpec, VmInfo, step_key, task_key
+import msgspec
+
+from sablemount.jobs.model import (
+    INCARNATION_SEPARATOR,
+    JobSpec,
+    Shape,
+    StepSpec,
+    VmInfo,
+    step_key,
+    task_key,
+)
 from sablemount.jobs.records import JobRecord
+from sablemount.jobs.schedule import Schedule
 
 __all__ = [
     "MAX_CRASH_WEIGHT",
@@ -249,6 +260,8 @@
     repetition: int
     number: int
     spec: StepSpec
+    payload: str
+    """What each start of its tasks passes to the VM."""
     critical_path_s: float = 0.0
     """Expected seconds from the step's start to its job's end."""
     tasks: list[TaskRow] = field(default_factory=list)
@@ -317,9 +330,10 @@
     """Whether the acceptance is in the store."""
     visible_state: JobState = JobState.PENDING
     """State that callers may see; a final one only once it is in the store."""
+    schedule: Schedule | None = None
+    """What may still be opened; ``None`` once the job has ended or was withdrawn."""
     steps: dict[tuple[int, int], StepRow] = field(default_factory=dict)
     open_steps: int = 0
-    next_repetition: int = 0
     begun: bool = False
     from_previous_leader: bool = False
     """Whether a previous leader accepted the job, so that it may have runs not yet known here."""
@@ -342,6 +356,23 @@
         """Return whether the job was submitted where no key is needed."""
         return self.record.public
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the job has neither ended nor been withdrawn."""
+        return self.schedule is not None
+
+    def close(self) -> list[StepRow]:
+        """Close the job for good, and return the steps that it had."""
+        steps = list(self.steps.values())
+        self.schedule = None
+        self.steps = {}
+        return steps
+
+    def drop_payload(self) -> None:
+        """Drop what no start needs any more; the shapes remain, for runs that are reported late."""
+        spec = JobSpec("", self.record.spec.steps)
+        self.record = msgspec.structs.replace(self.record, spec=spec)
+
 
 @dataclass(slots=True, eq=False)
 class VmRow:
