VM calls: no start request for a run that is being stopped

What callers saw: a task could begin up to 1.5 s after the cancel of its job was answered.

Cause: an unanswered start request is sent up to three times, and each attempt checked the VM and the authority but not whether the run was still wanted. The stop that follows the end of a job prevents the start only where it arrives first.

Change: an attempt is made only for a run that is not being stopped.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -19,7 +19,7 @@
     VmReport,
 )
 from sablemount.jobs.scheduler import JobScheduler, StartRefusal
-from sablemount.jobs.tables import RunRow, VmRow
+from sablemount.jobs.tables import RunRow, RunState, VmRow
 
 __all__ = ["VmCalls"]
 
@@ -292,6 +292,9 @@
                     # Another request could start it on the VM's next incarnation after it has
                     # completed on this one.
                     return
+                if run.state is RunState.STOPPING:
+                    # Given up: its job has ended, say, or its gang has lost a member.
+                    break
                 timeout = min(START_TIMEOUT_S, remaining)
                 fence = self._fence(row)
                 result = await self._port.start(action, row.info.address, fence, until, timeout)
