Jobs: a job that is loaded with its end is never open

Cause: a new leader opened the due repetitions of each job whose acceptance it found, and closed them again if it found the end too. Such a job kept its payload in memory until its retention was over. Acceptance and end are only found together if the record of the acceptance outlives its end.

Change: the row of an ended job is made without a schedule, whatever is recorded of it, and keeps the shapes of its steps only.

Measured: test_a_job_that_is_loaded_with_its_end_is_never_open failed before (the payload was kept).

--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -60,6 +60,8 @@
 
     def restore(self, name: str, record: JobRecord, progress: Progress | None) -> JobRow:
         """Create the row of a job accepted by a previous leader, with its recorded progress."""
+        if progress is not None and JobState(progress.state).is_final:
+            return self.restore_ended(name, progress, record)
         state = self._state
         job = self.create(name, record)
         job.durable = True
@@ -70,12 +72,15 @@
             self._apply_progress(job, progress)
         return job
 
-    def restore_ended(self, name: str, progress: Progress) -> JobRow:
-        """Create the row of a job of which only the end is recorded."""
-        record = JobRecord(
+    def restore_ended(
+        self, name: str, progress: Progress, record: JobRecord | None = None
+    ) -> JobRow:
+        """Create the row of a job that has ended; its acceptance is usually no longer recorded."""
+        record = record or JobRecord(
             QueueTerms("", ""), JobSpec("", ()), 0.0, 0, progress.organisation, progress.public
         )
         job = JobRow(name, record, self._state.now, durable=True)
+        job.drop_payload()
         job.state = job.visible_state = JobState(progress.state)
         job.ended_ms = progress.ended_ms
         self._state.jobs[name] = job
@@ -84,13 +89,9 @@
     def _apply_progress(self, job: JobRow, progress: Progress) -> None:
         job.state = JobState(progress.state)
         job.begun = job.state is not JobState.PENDING
-        if job.state.is_final:
-            self._close(job)
-            job.visible_state = job.state
-            job.ended_ms = progress.ended_ms
-            return
         for key, recorded in progress.steps.items():
             repetition, _, number = key.partition(".")
+            # There is none once the steps so far have completed the job.
             if job.schedule is not None:
                 step = self._step(job, job.schedule, int(repetition), int(number))
                 self._apply_step_progress(step, recorded)
--- a/tests/jobs/test_ended_jobs.py
+++ b/tests/jobs/test_ended_jobs.py
@@ -1,5 +1,6 @@
 """A job that has ended, or that was withdrawn, opens no step, whatever follows in which order."""
 
+import logging
 import random
 from collections.abc import Callable
 
@@ -8,6 +9,7 @@
 
 from sablemount.jobs.journal import Batch
 from sablemount.jobs.model import AdviceTerms, JobSpec, StepSpec
+from sablemount.jobs.records import JOB_PREFIX
 from sablemount.jobs.tables import JobState
 from tests.jobs.rig import CORE, WALL_MS, Rig, queue, spec
 
@@ -196,6 +198,28 @@
     assert later.started() == []
 
 
+def test_a_job_that_is_loaded_with_its_end_is_never_open(caplog: pytest.LogCaptureFixture) -> None:
+    """Its due repetitions were opened and closed again, and its payload stayed in memory."""
+    caplog.set_level(logging.INFO)
+    rig = Rig()
+    rig.accept("job", _timed(rig, 0.5))
+    accepted = {key: value for key, value in rig.store.items() if key.startswith(JOB_PREFIX)}
+    rig.scheduler.cancel("job")
+    rig.commit()
+    rig.clock.time += 5.0
+    # The record of the acceptance is dropped with the end; a store may still list it.
+    rig.store |= accepted
+    later = rig.successor()
+    job = later.scheduler.state.jobs["job"]
+    assert job.visible_state is JobState.CANCELLED
+    assert job.record.spec.payload == ""
+    assert job.record.spec.steps == spec(StepSpec(2, CORE)).steps
+    assert [line for line in caplog.records if line.getMessage() == "repetition opened"] == []
+    _wait_for_all_times(later)
+    _expect_nothing_open(later)
+    assert later.started() == []
+
+
 def test_a_cancel_that_a_leader_did_not_store_is_repeated_under_the_next_one() -> None:
     """The caller got no answer, so that the job may have begun under the next leader."""
     rig = Rig()
