Soaks and mixes: the whole job model, and each payload compared

Cause: no soak and no mix submitted a job with times, or compared the payload that a VM was given with the one that was sent, so none could find that ended jobs were started.

The emulated VMs check every request for its payload and its due time, carried out or not, and the emulated system checks that no start is requested after its leader, or an earlier one, has reported the end of the job. All kinds of mixes and soaks have these checks.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	$(BIN)/python -m benchmarks.job_soak --kind store
 	$(BIN)/python -m benchmarks.job_soak --kind vms
 	$(BIN)/python -m benchmarks.job_soak --kind lives
+	$(BIN)/python -m benchmarks.job_soak --kind jobs
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -5,6 +5,7 @@
 python -m benchmarks.job_soak --kind vms --first 0 --count 500
 python -m benchmarks.job_soak --kind lives --first 0 --count 500
 python -m benchmarks.job_soak --kind restarts --first 0 --count 500
+python -m benchmarks.job_soak --kind jobs --first 0 --count 500
 """
 
 import enum
@@ -19,7 +20,7 @@
 from tests.emulator import faults as kinds
 from tests.emulator import life_faults, vm_faults
 from tests.emulator.loop import run
-from tests.emulator.mixes import run_mix, run_organisation_mix, run_store_mix
+from tests.emulator.mixes import run_job_mix, run_mix, run_organisation_mix, run_store_mix
 from tests.emulator.store_faults import draw
 
 FAULTS_PER_MIX = 5
@@ -35,6 +36,8 @@
     VMS = "vms"
     LIVES = "lives"
     RESTARTS = "restarts"
+    JOBS = "jobs"
+    """Any faults, with jobs of the whole job model."""
 
 
 class MixResult(msgspec.Struct):
@@ -78,6 +81,13 @@
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def run_jobs_seed(seed: int) -> MixResult:
+    """Run a seed's mix of any faults, mostly of the store, with jobs of the whole job model."""
+    chosen = draw(seed)
+    wrong = run(run_job_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def _run_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     mix_runner = run_mix if seed % 3 else run_organisation_mix
     wrong = run(mix_runner(seed, chosen, advice=seed % 2 == 0))
@@ -90,6 +100,7 @@
     Kind.VMS: run_vms_seed,
     Kind.LIVES: run_lives_seed,
     Kind.RESTARTS: run_restarts_seed,
+    Kind.JOBS: run_jobs_seed,
 }
 
 
--- a/benchmarks/job_verdicts.py
+++ b/benchmarks/job_verdicts.py
@@ -1,5 +1,6 @@
 """Checks of the replies that callers got about their jobs against what the VMs have run."""
 
+from tests.emulator.job_model import task_names
 from tests.emulator.vms import Cell
 
 __all__ = ["ACCEPTED", "CANCEL_EFFECT_S", "GONE", "Verdicts"]
@@ -98,8 +99,7 @@
     def _check_succeeded(self, job: str, node: str) -> None:
         if job in self._cell.succeeded:
             return
-        steps = enumerate(self._cell.jobs[job].steps)
-        tasks = [f"{job}.0.{step}.{index}" for step, spec in steps for index in range(spec.count)]
+        tasks = task_names(job, self._cell.jobs[job])
         missing = [task for task in tasks if task not in self._cell.done]
         if missing:
             self.violations.append(f"{node} reports {job} as succeeded without {missing}")
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -78,7 +78,7 @@
             self.nodes.add_links(random.Random(seed))
         self.target = Target(self.nodes, self.standin, self.rng)
         self.faults: Counter[str] = Counter()
-        self.callers = Callers(self.rng, self.nodes, self.standin, self.target)
+        self.callers = Callers(self.rng, self.nodes, self.standin, self.target, seed)
         self._version = 0
 
     async def run(self) -> list[str]:
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -12,12 +12,17 @@
 from benchmarks.node_faults import Target
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
+from sablemount.jobs.model import JobSpec
 from sablemount.platform.front import decode_job
+from tests.emulator.job_model import JobModel
+from tests.platform.bodies import job_body
 from tests.platform.standin import HOST, PREFIX, Standin
 
 __all__ = ["KEYS", "Callers"]
 
 CANCEL_SHARE = 0.08
+MODEL_SHARE = 0.6
+"""Share of the jobs that are drawn from the whole job model."""
 CALL_TIMEOUT_S = 3.0
 MAX_ATTEMPTS = 8
 RETRY_DELAY_S = 0.4
@@ -44,7 +49,14 @@
 class Callers:
     """Callers of two organisations, with unknown keys, and with open connections."""
 
-    def __init__(self, rng: random.Random, nodes: Nodes, standin: Standin, target: Target) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        nodes: Nodes,
+        standin: Standin,
+        target: Target,
+        model_seed: int = 0,
+    ) -> None:
         self.rng = rng
         self.nodes = nodes
         self.standin = standin
@@ -52,6 +64,7 @@
         self.reply_counts: Counter[str] = Counter()
         """Number of replies by kind of call and status; the status is 0 without a reply."""
         self.verdicts = Verdicts(standin.cell)
+        self._model = JobModel(random.Random(model_seed), standin.cell.wall_ms)
         self._unauthorised_jobs: set[str] = set()
         """Jobs submitted with an unknown key."""
         self._unauthorised_successes: list[str] = []
@@ -107,10 +120,28 @@
         """Register a random job for a random organisation; return its body and key."""
         body = self._random_body()
         owner = self.rng.choice(list(KEYS))
-        self.standin.cell.register_job(job, decode_job(json.dumps(body).encode()))
+        if self._model.draws(MODEL_SHARE):
+            spec = self._model.job(job)
+            body = job_body(spec)
+            self._plan_cancel(job, spec)
+        else:
+            body["spec"] = f"payload of {job}"
+            spec = decode_job(json.dumps(body).encode())
+        self.standin.cell.register_job(job, spec)
         self.standin.cell.owners[job] = owner
         return body, KEYS[owner]
 
+    def _plan_cancel(self, job: str, spec: JobSpec) -> None:
+        """Have some of the jobs cancelled, at any moment from their submission on."""
+        delay = self._model.cancel_delay(spec)
+        if delay is not None:
+            self.spawn(self._cancel_later(job, delay))
+
+    async def _cancel_later(self, job: str, delay: float) -> None:
+        await asyncio.sleep(delay)
+        self.verdicts.cancelled.add(job)
+        await self._cancel(job)
+
     async def submit(self) -> None:
         """Submit a job with retries; cancel or resubmit some of the accepted ones."""
         job = self._next_job()
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -7,9 +7,11 @@
 from sablemount.control.gate import key_digest
 from sablemount.jobs.model import Organisation, Shape
 from tests.emulator.faults import Fault
+from tests.emulator.job_model import JobModel
 from tests.emulator.system import System
+from tests.emulator.vms import emulated_wall_ms
 
-__all__ = ["organisations", "run_mix", "run_organisation_mix", "run_store_mix"]
+__all__ = ["organisations", "run_job_mix", "run_mix", "run_organisation_mix", "run_store_mix"]
 
 Background = Callable[[System, random.Random], Coroutine[object, object, None]]
 """Work that runs concurrently with the traffic."""
@@ -20,6 +22,8 @@
 CAPS_MILLICORES = (40_000, 46_000, 60_000)
 """Caps of the smaller organisation in thousandths of a core; each fits the widest gang."""
 
+MODEL_TASK_SECONDS = 0.4
+"""Mean seconds of a task of the whole job model, whose jobs have several times more tasks."""
 SMALL_PAGE_RECORDS = 7
 """Records on a page so small that the persistent state needs many pages."""
 
@@ -48,6 +52,15 @@
     return await _run(system, seed, chosen, system.traffic("a", 100, 0.12), _cancel_some)
 
 
+async def run_job_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
+    """Inject faults with jobs of the whole job model, which are cancelled at any moment."""
+    system = System(seed, advice=advice)
+    system.emulates_time_of_day = True
+    system.cell.mean_task_seconds = MODEL_TASK_SECONDS
+    model = JobModel(random.Random(seed + 5), emulated_wall_ms)
+    return await _run(system, seed, chosen, system.model_traffic(model, 60, 0.2), _cancel_some)
+
+
 def organisations(cores: int) -> tuple[Organisation, ...]:
     """Return an organisation with a cap and one without; the key of each is its name."""
     names = ("rueda", "yard")
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -31,13 +31,14 @@
 from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.workers import PlatformAdvice
 from tests.emulator.advice import AdviceNetwork, EmulatedAdvice
+from tests.emulator.job_model import JobModel, task_names
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.narrow import LimitedLink, LimitedLinkStore
 from tests.emulator.network import EmulatedNetwork
 from tests.emulator.store import EmulatedStore
 from tests.emulator.transit import DelayedStore, StorePathFaults
 from tests.emulator.vm import Vm
-from tests.emulator.vms import Cell, loop_time
+from tests.emulator.vms import Cell, emulated_wall_ms, loop_time
 from tests.emulator.watch import CheckedStoreState, InvariantChecker
 from tests.emulator.watched import CheckedMember, CheckedVms
 
@@ -108,6 +109,9 @@
         """Whether VMs that crash start again under the same id."""
         self.machine_limits: dict[str, MachineLimits] = {}
         """Machine limits by member; a member that is not listed has no limit."""
+        self.emulates_time_of_day = False
+        """Whether the members read the emulation's time of day: otherwise no due time ever comes,
+        as the machine's own hardly moves meanwhile."""
         self.store_links: dict[str, LimitedLink] = {}
         """Links to the store by member; a member that is not listed has unlimited bandwidth."""
         self._started_members = 0
@@ -228,6 +232,7 @@
         member = CheckedMember(
             settings, ports, self.network.member_network(name), rng, self.checker
         )
+        member.wall_ms = emulated_wall_ms if self.emulates_time_of_day else None
         self.members[name] = member
         member.start()
 
@@ -348,6 +353,23 @@
             await asyncio.sleep(self.rng.expovariate(1.0 / every))
         await asyncio.wait(tasks)
 
+    async def model_traffic(self, model: JobModel, count: int, every: float) -> None:
+        """Submit jobs of the whole job model, and cancel some of them at any moment."""
+        tasks = []
+        for number in range(count):
+            name = f"d{number:04x}"
+            spec = model.job(name)
+            tasks.append(asyncio.create_task(self.submit(name, spec)))
+            delay = model.cancel_delay(spec)
+            if delay is not None:
+                tasks.append(asyncio.create_task(self._cancel_later(name, delay)))
+            await asyncio.sleep(self.rng.expovariate(1.0 / every))
+        await asyncio.wait(tasks)
+
+    async def _cancel_later(self, name: str, delay: float) -> None:
+        await asyncio.sleep(delay)
+        await self.cancel(name)
+
     def random_job(self) -> JobSpec:
         """Return a random job."""
         shape = Shape(self.rng.choice((500, 1_000, 4_000, 7_500)), self.rng.choice((500, 8_000)))
@@ -452,13 +474,8 @@
         under = (self.cell.crashes_while_running[task] for task in self._tasks(name))
         return self.cell.crashes_vms(name) and max(under, default=0) >= CRASHES_UNTIL_FAILED
 
-    def _tasks(self, name: str) -> list[str]:
-        steps = self.cell.jobs[name].steps
-        return [
-            f"{name}.0.{number}.{index}"
-            for number, step in enumerate(steps)
-            for index in range(step.count)
-        ]
+    def _tasks(self, name: str) -> Iterator[str]:
+        return task_names(name, self.cell.jobs[name])
 
 
 def _idle_queues(terms: QueueTerms, count: int) -> Iterator[Queue]:
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -27,10 +27,17 @@
 """Seconds from the start of a task until it crashes its VM; most do so at once."""
 EPOCH_UNIX_MS = 1_780_000_000_000
 """Unix time in ms that corresponds to 0 on the emulation's clock."""
+EARLY_MS = 250.0
+"""Milliseconds before its due time from which a repetition may start, as the platform allows."""
 CAP_TOLERANCE = 1.1
 """Factor of its cap that an organisation may use; one more task may start above that."""
 
 
+def emulated_wall_ms() -> float:
+    """Return the time of day of the emulation, in ms since 1970."""
+    return EPOCH_UNIX_MS + loop_time() * 1000.0
+
+
 def loop_time() -> float:
     """Return the time of the running loop, or 0 if no loop is running."""
     try:
@@ -74,6 +81,8 @@
         self.on_start: Callable[[Vm, Run], None] = lambda vm, run: None
         """Called with each run that a VM has started."""
         self.violations: list[str] = []
+        self.wall_ms: Callable[[], float] = emulated_wall_ms
+        """Returns the time of day in ms since 1970."""
         self.late_request_share = 0.0
         self.requires_ticket = False
         """Whether a start needs a ticket of the advice service."""
@@ -218,6 +227,7 @@
         clock = vm.clock_ms(now)
         if not vm.up:
             return CallError.NO_ANSWER
+        self._check_request(action)
         if fence < vm.fence:
             return CallError.FENCED
         vm.fence = fence
@@ -302,6 +312,18 @@
         for vm, member in members:
             self._end_run(vm, member, "done" if is_complete else "broken")
 
+    def _check_request(self, action: StartRun) -> None:
+        """Check what is requested, whether the VM carries it out or not."""
+        job, repetition, _, _ = action.task.split(".")
+        spec = self.jobs[job]
+        if action.payload != spec.payload:
+            self.violations.append(
+                f"requested with {action.payload!r:.40}, which was not sent: {action.task}"
+            )
+        early_ms = spec.due_ms(int(repetition)) - self.wall_ms()
+        if early_ms > EARLY_MS:
+            self.violations.append(f"requested {early_ms:.0f} ms before its time: {action.task}")
+
     def _check_start(self, vm: Vm, action: StartRun, charge: Shape) -> None:
         job, repetition, step, _ = action.task.split(".")
         now = asyncio.get_running_loop().time()
--- a/tests/emulator/watch.py
+++ b/tests/emulator/watch.py
@@ -43,6 +43,8 @@
         self._appended_batches: set[tuple[int, tuple[Record, ...]]] = set()
         self._finished_jobs: set[str] = set()
         """Jobs whose final state has been in the store; its record may have been dropped since."""
+        self._reported_final: dict[str, int] = {}
+        """Lowest epoch in which a job was reported to a caller in a final state, by job."""
 
     # -- Events of the store -------------------------------------------------------------------
 
@@ -156,6 +158,10 @@
             self._add_violation(
                 f"start requested on {vm}, whose use is not in the store: {task}", epoch
             )
+        if self._reported_final.get(job, epoch + 1) <= epoch:
+            self._add_violation(
+                f"start requested after its job was reported as ended: {task}", epoch
+            )
 
     def check_acceptance(self, epoch: int, name: str) -> None:
         """Check that a job reported to its caller as accepted is in the store."""
@@ -164,8 +170,11 @@
 
     def check_reported_state(self, epoch: int, name: str, state: str) -> None:
         """Check that a final state reported to a caller is in the store."""
-        if JobState[state.upper()].is_final and name not in self._finished_jobs:
+        if not JobState[state.upper()].is_final:
+            return
+        if name not in self._finished_jobs:
             self._add_violation(f"reported in state {state}, but not in the store: {name}", epoch)
+        self._reported_final[name] = min(epoch, self._reported_final.get(name, epoch))
 
     def _add_violation(self, fault: str, epoch: int, sequence: int | None = None) -> None:
         position = f"epoch {epoch}" if sequence is None else f"epoch {epoch}, sequence {sequence}"
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -9,6 +9,7 @@
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.network import Network
 from sablemount.control.ports import HoldCall, HoldResult, StartResult
+from sablemount.control.vm_calls import EPOCH_SHIFT
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.journal import Batch
 from sablemount.jobs.records import Record
@@ -64,6 +65,8 @@
         checker: InvariantChecker,
     ) -> None:
         self._checker = checker
+        self.wall_ms: Callable[[], float] | None = None
+        """Returns the time of day in ms since 1970; ``None`` for that of the machine."""
         super().__init__(settings, ports, network, rng)
 
     @property
@@ -75,6 +78,8 @@
         self._checked_leader = leader
         if leader is not None:
             check_leader(leader, self._checker)
+        if leader is not None and self.wall_ms is not None:
+            leader.scheduler._clock.wall_ms = self.wall_ms  # type: ignore[method-assign]
 
     async def serve(
         self, call: CallerCall, timeout: float, digest: bytes | None = None
@@ -111,5 +116,5 @@
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
         up = self._cell.newest_incarnation(worker_id_of(action.vm)).up
-        self._checker.check_start_request(fence, action.vm, action.task, up)
+        self._checker.check_start_request(fence >> EPOCH_SHIFT, action.vm, action.task, up)
         return await super().start(action, address, fence, until_ms, timeout)
--- a/tests/jobs/test_vm_checks.py
+++ b/tests/jobs/test_vm_checks.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Coroutine
 
+import msgspec
 import pytest
 
 from sablemount.control.ports import HoldCall
@@ -11,7 +12,7 @@
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 from tests.emulator.loop import run
 from tests.emulator.vm import Vm
-from tests.emulator.vms import LEASE_S, Cell
+from tests.emulator.vms import EARLY_MS, LEASE_S, Cell
 
 TASK = "job.0.0.0"
 RUN_TIME_S = 0.1
@@ -23,7 +24,7 @@
 
 
 def _start(cell: Cell, vm: Vm, number: int) -> None:
-    cell.start(vm, StartRun(vm.info.name, TASK, number, "", 0.0), 1, LEASE_END_MS)
+    cell.start(vm, StartRun(vm.info.name, TASK, number, "payload", 0.0), 1, LEASE_END_MS)
 
 
 def _acknowledge(cell: Cell, vm: Vm) -> None:
@@ -81,6 +82,35 @@
     _start(cell, other, 2)
 
 
+async def _requested_with_another_payload(cell: Cell, one: Vm, other: Vm) -> None:
+    cell.start(one, StartRun(one.info.name, TASK, 1, "other", 0.0), 1, LEASE_END_MS)
+
+
+async def _requested_with_another_payload_by_an_earlier_leader(
+    cell: Cell, one: Vm, other: Vm
+) -> None:
+    one.fence = 2
+    await _requested_with_another_payload(cell, one, other)
+
+
+async def _requested_before_its_time(cell: Cell, one: Vm, other: Vm) -> None:
+    cell.jobs["job"] = _due_in(cell, EARLY_MS + 1.0)
+    _start(cell, one, 1)
+
+
+async def _requested_about_its_time(cell: Cell, one: Vm, other: Vm) -> None:
+    cell.jobs["job"] = _due_in(cell, EARLY_MS)
+    _start(cell, one, 1)
+
+
+def _due_in(cell: Cell, after_ms: float) -> JobSpec:
+    """Return the cell's job with two times, the first due after some milliseconds."""
+    first_due_ms = cell.wall_ms() + after_ms
+    return msgspec.structs.replace(
+        cell.jobs["job"], times=2, first_due_ms=first_due_ms, interval_ms=1000.0
+    )
+
+
 async def _violations(case: Case) -> list[str]:
     cell = Cell(random.Random(1))
     cell.failure_share = 0.0
@@ -99,6 +129,12 @@
         (_two_at_once, "runs twice"),
         (_two_at_once_in_one_place, "runs twice"),
         (_started_after_its_job_was_shown_as_done, "started after its job had succeeded"),
+        (_requested_with_another_payload, "requested with 'other', which was not sent"),
+        (
+            _requested_with_another_payload_by_an_earlier_leader,
+            "requested with 'other', which was not sent",
+        ),
+        (_requested_before_its_time, "requested 251 ms before its time"),
     ],
 )
 def test_a_broken_rule_is_noted(case: Case, violation: str) -> None:
@@ -111,6 +147,7 @@
         _started_after_an_end_that_nobody_noted,
         _noted_after_the_lease_was_over,
         _started_after_a_crash,
+        _requested_about_its_time,
     ],
 )
 def test_a_second_start_may_be_right(case: Case) -> None:
--- a/tests/jobs/test_watch.py
+++ b/tests/jobs/test_watch.py
@@ -206,6 +206,20 @@
     rig.assert_one_violation("epoch 1", "start requested on other")
 
 
+@pytest.mark.parametrize(("epoch", "violations"), [(1, 0), (2, 1), (3, 1)])
+def test_a_start_request_after_its_job_was_reported_as_ended(epoch: int, violations: int) -> None:
+    """An earlier leader may not know of the end yet."""
+    rig = _Rig([ACCEPTED, VM_RECORD], [FINISHED])
+    rig.checker.check_reported_state(2, "a", "running")
+    rig.checker.check_start_request(2, "vm", "a.0.0.0")
+    rig.assert_no_violations()
+    rig.checker.check_reported_state(3, "a", "succeeded")
+    rig.checker.check_reported_state(2, "a", "succeeded")
+    rig.checker.check_start_request(epoch, "vm", "a.0.0.0")
+    assert len(rig.checker.violations) == violations
+    assert all("reported as ended" in violation for violation in rig.checker.violations)
+
+
 def test_claims_whose_epochs_do_not_rise() -> None:
     rig = _Rig()
     rig.append_claim(1)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -9,6 +9,7 @@
 import json
 import random
 import socket
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from http import HTTPStatus
 from typing import Any
@@ -65,6 +66,7 @@
         """Records in a page of the newest ones: few, so that a small data set has several pages."""
         self.cell = Cell(random.Random(2))
         self.cell.on_task_crash = self._on_crash
+        self.cell.wall_ms = lambda: time.time() * 1000.0
         self.cell.failure_share = 0.0
         self.cell.requires_ticket = True
         self.cell.mean_task_seconds = 0.1
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import random
 from pathlib import Path
 
 import msgspec
@@ -16,6 +17,8 @@
 from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.front import decode_job
 from sablemount.platform.store import decode_records, encode_records
+from tests.emulator.job_model import JobModel
+from tests.platform.bodies import job_body
 
 KEYS = st.text(alphabet="abc/0-", min_size=1, max_size=40)
 RECORDS = st.lists(st.builds(Record, KEYS, st.binary(max_size=50)), max_size=8)
@@ -86,6 +89,12 @@
     assert [job.due_ms(number) for number in job.repetitions()] == [10, 15, 20, 25]
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_job_of_a_soak_is_sent_as_it_was_drawn(seed: int) -> None:
+    job = JobModel(random.Random(seed), lambda: 1.8e12).job("job")
+    assert decode_job(json.dumps(job_body(job)).encode()) == job
+
+
 def test_entries_that_do_not_decode_are_passed_over() -> None:
     directory = PlatformDirectory()
     assert directory.vm(Record("i-1", b"{")) is None
