Tests: random courses of jobs with times over changes of leader

What a leader has not stored is lost, and its callers have no answer; the next one loads the rest. No start may follow for a job whose end the new leader has loaded, and each carries the payload that was sent.

--- a/tests/jobs/rig.py
+++ b/tests/jobs/rig.py
@@ -126,13 +126,17 @@
 
     def commit(self) -> Batch:
         batch = self.scheduler.next_batch()
+        self.store_batch(batch)
+        return batch
+
+    def store_batch(self, batch: Batch) -> None:
+        """Let the store take a batch, and answer."""
         for record in batch.records:
             if record.value:
                 self.store[record.key] = record.value
             else:
                 self.store.pop(record.key, None)
         self.scheduler.batch_stored(batch)
-        return batch
 
     def accept(
         self, name: str, job: JobSpec, to_queue: Queue | None = None, organisation: str = ""
--- a/tests/jobs/test_ended_jobs.py
+++ b/tests/jobs/test_ended_jobs.py
@@ -240,8 +240,9 @@
 class _Course:
     """Jobs with times in a random course of events, with at most two batches in flight."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, changes_leader: bool) -> None:
         self._rng = random.Random(seed)
+        self._changes_leader = changes_leader
         self.rig = Rig(vms=3)
         self.rig.records_at_once = False
         self._in_flight: list[Batch] = []
@@ -267,6 +268,7 @@
             self._pass_time,
             self._end_run,
             self._hold,
+            *([self._change_leader] if self._changes_leader else []),
         ]
 
     def _submit(self) -> None:
@@ -301,7 +303,20 @@
     def _store_batch(self) -> None:
         if self._in_flight:
             self.rig.scheduler.update_time()
-            self.rig.scheduler.batch_stored(self._in_flight.pop(0))
+            self.rig.store_batch(self._in_flight.pop(0))
+
+    def _change_leader(self) -> None:
+        """Let another leader follow; what was not stored is lost, and no caller has an answer."""
+        stored = self.rig.store
+        self.rig = self.rig.successor()
+        self.rig.store = {**stored, **self.rig.store}
+        self.rig.records_at_once = False
+        self._in_flight.clear()
+        self._checked = 0
+        known = self.rig.scheduler.state.jobs
+        self._payloads = {name: self._payloads[name] for name in known}
+        ended = {row.name for row in self.rig.scheduler.state.jobs.values() if not row.is_open}
+        self._asked_to_end &= ended
 
     def _tick(self) -> None:
         self.rig.tick(0.01)
@@ -337,4 +352,9 @@
 @pytest.mark.parametrize("seed", range(40))
 def test_no_course_of_events_starts_what_has_ended(seed: int) -> None:
     """Ends, batches in flight, ticks and due times in any order."""
-    _Course(seed).run(300)
+    _Course(seed, changes_leader=False).run(300)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_course_with_changes_of_leader_starts_what_has_ended(seed: int) -> None:
+    _Course(seed, changes_leader=True).run(600)
