--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextvars
-import json
 import random
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -28,9 +27,9 @@
 )
 from sablemount.jobs.records import Record
 from sablemount.jobs.settings import JobSettings
-from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.workers import PlatformAdvice
 from tests.emulator.advice import AdviceNetwork, EmulatedAdvice
+from tests.emulator.directory import Codec, directory_entry
 from tests.emulator.job_model import JobModel, task_names
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.narrow import LimitedLink, LimitedLinkStore
@@ -58,34 +57,6 @@
 STORE_POLL_INTERVAL_S = 0.05
 
 
-def directory_entry(vm: Vm) -> bytes:
-    """Return a VM's directory entry as it stands in the store."""
-    info = vm.info
-    fields = {
-        "service": info.pool,
-        "addr": info.address,
-        "zone": "z",
-        "version": "v1",
-        "slots": 8,
-        "state": "draining" if info.draining else "ready",
-        "capacity": {"cpu": info.capacity.cores, "memMb": info.capacity.memory},
-        "labels": info.labels,
-        "machine": info.machine,
-        "seq": info.revision,
-        "born": vm.started_at_ms,
-    }
-    return json.dumps(fields).encode()
-
-
-class Codec(PlatformDirectory):
-    """Reads VM entries as the product does, and configurations as the emulation encodes them."""
-
-    def configuration(self, record: Record) -> Configuration | None:
-        if record.key != "config" or not record.value:
-            return None
-        return msgspec.msgpack.decode(record.value, type=Configuration)
-
-
 class System:
     """A system of members, VMs, store and network that runs in virtual time."""
 
@@ -144,7 +115,7 @@
             organisations=organisations or (),
             pools=frozenset({"pool"}),
         )
-        self.cell.record_caps(configuration.organisations, loop_time())
+        self.cell.caps.record(configuration.organisations, loop_time())
         value = msgspec.msgpack.encode(configuration)
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
--- a/tests/emulator/vm_faults.py
+++ b/tests/emulator/vm_faults.py
@@ -8,9 +8,10 @@
 import random
 
 from sablemount.jobs.model import Shape
+from tests.emulator.directory import directory_entry
 from tests.emulator.faults import Fault, running_vms
 from tests.emulator.store_faults import draw_faults, leaders_killed
-from tests.emulator.system import CAPACITY, System, directory_entry
+from tests.emulator.system import CAPACITY, System
 from tests.emulator.vm import Vm
 from tests.emulator.vms import loop_time
 
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -3,22 +3,21 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import msgspec
 
 from sablemount.control.ports import CallError, HoldCall, Started, StartResult
 from sablemount.jobs.actions import CompletionReport, StartRun
-from sablemount.jobs.model import JobSpec, Organisation, Shape, StepSpec, VmInfo
+from sablemount.jobs.model import JobSpec, Shape, StepSpec, VmInfo
 from sablemount.jobs.scheduler import StartRefusal
 from tests.emulator.advice import is_valid_ticket
+from tests.emulator.caps import PublishedCaps
 from tests.emulator.vm import OpenCompletion, Run, Vm, work_owner
 
 LEASE_S = 6.0
 STOP_TIME_S = 0.3
 GANG_TIMEOUT_S = 3.0
-CAP_APPLY_TIME_S = 3.0
-"""Seconds for which a cap may still be applied after the next configuration was published."""
 CRASHES_BEFORE_COUNTING = 3
 """Crashes of VMs by one task after which its further starts are counted."""
 MAX_STARTS_AFTER_CRASHES = 3
@@ -94,8 +93,7 @@
         self._incarnations = 0
         self.owners: dict[str, str] = {}
         """Organisation that submitted a job, by job."""
-        self._caps: dict[str, list[tuple[float, Shape]]] = {}
-        """Caps of each organisation, each with the time of its publication."""
+        self.caps = PublishedCaps()
 
     # -- VMs ---------------------------------------------------------------------------------
 
@@ -185,29 +183,13 @@
 
     # -- Organisations -----------------------------------------------------------------------
 
-    def record_caps(self, organisations: Sequence[Organisation], now: float) -> None:
-        """Record the caps that the operator has published."""
-        for organisation in organisations:
-            self._caps.setdefault(organisation.name, []).append((now, organisation.cap))
-
-    def _highest_cap(self, name: str, now: float) -> int:
-        """Return the highest cap that may be in force, in thousandths of a core; 0 for no limit."""
-        caps = self._caps.get(name, [(now, Shape())])
-        ends = [since for since, _ in caps[1:]] + [now]
-        cores = [
-            cap.cores
-            for (_, cap), end in zip(caps, ends, strict=True)
-            if end > now - CAP_APPLY_TIME_S
-        ]
-        return 0 if 0 in cores else max(cores, default=0)
-
     def _check_cap(self, action: StartRun, charge: Shape) -> None:
         """Check a start against the cap: usage above the cap by a tenth is a violation.
 
         The usage is taken before the start, so that one more task is allowed.
         """
         owner = self.owners.get(action.task.partition(".")[0], "")
-        cap = self._highest_cap(owner, asyncio.get_running_loop().time())
+        cap = self.caps.highest_cores(owner, asyncio.get_running_loop().time())
         if not owner or not cap:
             return
         running = sum(
--- a/tests/jobs/test_configuration_parts.py
+++ b/tests/jobs/test_configuration_parts.py
@@ -35,9 +35,9 @@
 from sablemount.control.network import CallFailed
 from sablemount.jobs.model import Configuration, Organisation, Queue, QueueTerms
 from sablemount.jobs.settings import JobSettings
+from tests.emulator.directory import Codec
 from tests.emulator.loop import run
 from tests.emulator.network import EmulatedNetwork
-from tests.emulator.system import Codec
 
 
 def _configuration(version: int, key_bytes: int = 32, organisations: int = 4_000) -> Configuration:
--- a/tests/jobs/test_confirmation_age.py
+++ b/tests/jobs/test_confirmation_age.py
@@ -15,9 +15,9 @@
 from sablemount.control.messages import LeaderRecord, Message, Pong, Reply
 from sablemount.jobs.model import Configuration
 from sablemount.jobs.settings import JobSettings
+from tests.emulator.directory import Codec
 from tests.emulator.loop import run
 from tests.emulator.network import EmulatedNetwork
-from tests.emulator.system import Codec
 
 ANSWER_DELAY_S = PING_TIMEOUT_S - 0.05
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -206,7 +206,7 @@
         }
         if tenants:
             configuration["tenants"] = tenants
-            self.cell.record_caps([_organisation(row) for row in tenants], loop_time())
+            self.cell.caps.record([_organisation(row) for row in tenants], loop_time())
         if limits is not None:
             configuration["limits"] = limits
         record = Record("config", json.dumps(configuration).encode())
