--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -23,7 +23,7 @@
 """Caps of the smaller organisation in thousandths of a core; each fits the widest gang."""
 
 MODEL_TASK_SECONDS = 0.4
-"""Mean seconds of a task of the whole job model, whose jobs have several times more tasks."""
+"""Mean seconds of a task of the whole job model, whose jobs have more tasks."""
 SMALL_PAGE_RECORDS = 7
 """Records on a page so small that the persistent state needs many pages."""
 
