--- a/tests/jobs/test_ended_jobs.py
+++ b/tests/jobs/test_ended_jobs.py
@@ -10,6 +10,7 @@
 from sablemount.jobs.journal import Batch
 from sablemount.jobs.model import AdviceTerms, JobSpec, StepSpec
 from sablemount.jobs.records import JOB_PREFIX
+from sablemount.jobs.scheduler import StartRefusal
 from sablemount.jobs.tables import JobState
 from tests.jobs.rig import CORE, WALL_MS, Rig, queue, spec
 
@@ -184,6 +185,51 @@
         assert each.scheduler.state.jobs["job"].visible_state is JobState.CANCELLED
 
 
+@pytest.mark.parametrize("outcome", ["done", "failed", "stopped", "lapsed", "broken", "alone"])
+@pytest.mark.parametrize("gang", [False, True])
+def test_what_vms_report_after_the_end_of_a_job_opens_nothing(outcome: str, gang: bool) -> None:
+    rig = Rig()
+    first, second = StepSpec(2, CORE, gang=gang), StepSpec(1, CORE, after=(0,))
+    rig.accept("job", _timed(rig, 0.0, first, second))
+    rig.tick(DUE_MARGIN_S)
+    rig.hold_all()
+    before = len(rig.started())
+    assert before == 2
+    rig.scheduler.cancel("job")
+    for start in list(rig.started()):
+        rig.complete(start, outcome)
+    _wait_for_all_times(rig)
+    _expect_nothing_open(rig)
+    assert len(rig.started()) == before
+
+
+def test_a_start_that_is_refused_after_the_end_of_its_job_is_not_repeated() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.tick()
+    (start,) = rig.started()
+    rig.scheduler.cancel("job")
+    refusal = StartRefusal.UNHEALTHY
+    rig.scheduler.start_refused(start.vm, start.task, start.run, refusal, certain=True)
+    rig.wait(3.0)
+    _expect_nothing_open(rig)
+    assert rig.started() == [start]
+    assert not rig.scheduler.state.vms[start.vm].runs
+
+
+def test_a_vm_that_is_lost_with_the_runs_of_an_ended_job_has_none_started_again() -> None:
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(2, CORE)))
+    rig.tick()
+    rig.hold_all()
+    rig.scheduler.cancel("job")
+    for vm in {start.vm for start in rig.started()}:
+        rig.scheduler.vms.incarnation_ended(vm)
+    rig.tick(3.0)
+    _expect_nothing_open(rig)
+    assert len(rig.started()) == 2
+
+
 # -- Later leaders ---------------------------------------------------------------------------
 
 
