Leases are not ended early by refused connections

Callers saw a task run on two VMs at the same time, for 1.2 to 3.6 s: a VM whose entry is missing and whose address refuses connections for 1.5 s counted as ended, and its tasks started elsewhere under a lease that ran on. A cut with resets makes both signs by itself, in an outage of the store or without one, and a leader that knows a VM from a record only has no entry to begin with.

The evidence that ends a lease early is now listed in one place, endings.py: another incarnation at the address, or under the id. Refused connections stop new work, and the change is logged.

test_a_vm_that_has_left_does_not_hold_up_a_later_leader asserted the fault: it let a later leader start a task 2 s after a take-over although the VM may have run it for 8.6 s. In its place the same case asserts that nothing starts before and that the task starts within 0.5 s after.

--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -9,6 +9,7 @@
 from sablemount.jobs.model import Shape, VmInfo
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.acks import Acks
+from sablemount.jobs.systems.endings import Ending
 from sablemount.jobs.systems.lives import Incarnations
 from sablemount.jobs.tables import MIN_CLOCK_RATE, RunRow, RunState, VmRow
 
@@ -22,10 +23,10 @@
 The platform states about two; a VM whose entry is still missing after this counts as lost and gets
 no new work."""
 LEFT_AFTER_S = 1.5
-"""Seconds after which a VM without an entry, at whose address nothing listens, has left."""
+"""Seconds after which a drained VM without an entry that does not answer has left."""
 LEFT_AS_ANNOUNCED_AFTER_S = 0.3
-"""The same for a VM that drained and is past its announced time: two attempts at its address. Its
-entry is removed up to 4.5 s later, and until then a gang with a member there cannot restart."""
+"""Seconds after which a drained VM past its announced time, at whose address nothing listens, has
+left: two attempts."""
 CAPACITY_VALID_S = 4.0
 """Seconds after the read of its entry in which a start may be requested of a VM that does not guard
 its capacity: 4.5 s after a VM has shrunk, nothing may be started beyond its new capacity."""
@@ -36,8 +37,6 @@
 """Seconds by which such a start request may arrive later."""
 LOST = "lost"
 """Outcome of a run about which nothing can be learnt any more."""
-ANOTHER_INCARNATION = "another life answers at its address"
-NEXT_INCARNATION = "its next life is there"
 MS_PER_S = 1000.0
 
 
@@ -252,7 +251,7 @@
             # leader's fence.
             self.mark_unverified(row, previous.last_recorded_completion)
         if previous.info.born:
-            self.incarnation_ended(previous.name, NEXT_INCARNATION, row)
+            self.incarnation_ended(previous.name, Ending.NEXT_INCARNATION, row)
             return
         # Recorded before incarnations were told apart, it may be this very one.
         uncertain_tasks = self._state.recorded_suspects.pop(previous.name, None)
@@ -387,20 +386,18 @@
         return max(row.lease_end, self._state.unreported_leases_end)
 
     def connection_refused(self, row: VmRow) -> None:
-        """Record that nothing listens at a VM's address.
+        """Record that a VM's address refuses connections; the VM may run on behind a cut.
 
-        If this lasts, and the entry of the VM is missing or the VM has announced that it leaves,
-        then it has left, and what ran there is over.
+        It gets no new work until it reports again. If this lasts past the time that it announced to
+        stay until, then it has left, and what ran there is over.
         """
         now = self._state.now
         if row.connections_refused_since < row.last_report_at:
             row.connections_refused_since = now
+            self._log("VM refuses connections", row)
         refused_for = now - row.connections_refused_since
-        left_as_announced = (
-            self._is_past_announced_end(row) and refused_for > LEFT_AS_ANNOUNCED_AFTER_S
-        )
-        if left_as_announced or (not row.listed and refused_for > LEFT_AFTER_S):
-            self.incarnation_ended(row.name, "nothing listens at its address")
+        if self._is_past_announced_end(row) and refused_for > LEFT_AS_ANNOUNCED_AFTER_S:
+            self.incarnation_ended(row.name, Ending.LEFT)
 
     def _is_past_announced_end(self, row: VmRow) -> bool:
         """Return whether a draining VM has passed the time that it announced to stay until."""
@@ -417,10 +414,10 @@
             may_have_left
             and self._state.leadership_confirmed_at - row.last_report_at > LEFT_AFTER_S
         ):
-            self.incarnation_ended(row.name, "it drained and does not answer")
+            self.incarnation_ended(row.name, Ending.LEFT)
 
     def incarnation_ended(
-        self, name: str, why: str = ANOTHER_INCARNATION, successor: VmRow | None = None
+        self, name: str, why: Ending = Ending.OTHER_AT_ADDRESS, successor: VmRow | None = None
     ) -> None:
         """Record that an incarnation has certainly ended, and how that is known.
 
@@ -432,7 +429,7 @@
             return
         row.terminated = True
         row.listed = False
-        self._log("VM terminated", row, why=why)
+        self._log("VM terminated", row, why=why.value)
         if successor is not None:
             self._move_unlisted_runs(row, successor)
         if not self._ended_as_planned(row):
--- /dev/null
+++ b/tests/jobs/test_lease_ends.py
@@ -0,0 +1,176 @@
+"""What runs on a VM that cannot be reached starts elsewhere after its lease, and then at once."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from sablemount.control.ports import CallError, HoldCall, HoldResult
+from sablemount.control.vm_calls import VmCalls
+from sablemount.jobs.model import Organisation, Shape, StepSpec
+from tests.emulator.loop import run
+from tests.jobs.rig import CORE, Rig, spec
+
+LEASE_S = 6.0 / 0.98
+"""Longest real time for which a lease lasts: the VM's clock may be 2 % slow."""
+TAKEOVER_S = 2.5
+"""Seconds for which a previous leader may go on extending leases."""
+FREED_WITHIN_S = 0.8
+"""Seconds after the end of a lease within which its task has to start elsewhere."""
+WATCHED_S = 12.0
+STEP_S = 0.1
+
+
+class _Port:
+    """VMs of which none can be reached."""
+
+    def __init__(self, rig: Rig, error: CallError) -> None:
+        self._rig = rig
+        self._error = error
+        self.lease_requested_at: float | None = None
+
+    async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
+        if call.until_ms:
+            self.lease_requested_at = self._rig.clock.time
+        return self._error
+
+
+def _rig_with_a_task() -> Rig:
+    """Return a rig of two VMs, one of which runs a task and no longer reports."""
+    rig = Rig()
+    rig.accept("job", spec(StepSpec(1, CORE, expected_ms=30_000.0)))
+    rig.start_and_hold_all()
+    rig.vm_names.remove(_vm(rig))
+    return rig
+
+
+def _vm(rig: Rig) -> str:
+    """Return the VM of the first start."""
+    return rig.started()[0].vm
+
+
+def _calls(rig: Rig, port: _Port) -> VmCalls:
+    return VmCalls(
+        rig.scheduler,
+        port,  # type: ignore[arg-type]
+        1,
+        lambda: True,
+        lambda vm: None,
+        lambda: None,
+        lambda: asyncio.get_running_loop().create_future(),
+    )
+
+
+async def _seconds_until_start(rig: Rig, vm: str, error: CallError) -> float:
+    """Poll a VM that cannot be reached until its task is started elsewhere.
+
+    Return the seconds since its lease was last to be extended, or since the first poll.
+    """
+    port = _Port(rig, error)
+    calls = _calls(rig, port)
+    began_at = rig.clock.time
+    before = len(rig.started())
+    while rig.clock.time < began_at + WATCHED_S:
+        rig.report_all()
+        rig.tick(STEP_S)
+        if len(rig.started()) > before:
+            assert rig.started()[-1].vm != vm
+            return rig.clock.time - (port.lease_requested_at or began_at)
+        row = rig.scheduler.state.vms.get(vm)
+        if row is not None:
+            await calls._poll(row)
+    raise AssertionError("the task was not started again")
+
+
+def _check_lease(rig: Rig, error: CallError) -> None:
+    """Check that a leader starts a task again only once the lease that it gave is over."""
+    seconds = run(_seconds_until_start(rig, _vm(rig), error))
+    assert LEASE_S < seconds <= LEASE_S + FREED_WITHIN_S
+
+
+def _check_lease_of_a_previous_leader(rig: Rig, vm: str, error: CallError) -> None:
+    """Check the same of a lease that a previous leader may have given."""
+    seconds = run(_seconds_until_start(rig, vm, error))
+    lease_s = TAKEOVER_S + LEASE_S
+    assert lease_s < seconds <= lease_s + FREED_WITHIN_S
+
+
+def _remove_entry(rig: Rig, vm: str) -> None:
+    rig.scheduler.vms.entry_removed(vm)
+
+
+def _omit_from_list(rig: Rig, vm: str) -> None:
+    rows = rig.scheduler.state.vms.values()
+    rig.scheduler.update_vm_list([row.info for row in rows if row.name != vm])
+
+
+def _keep_entry(rig: Rig, vm: str) -> None:
+    """Change nothing."""
+
+
+Change = Callable[[Rig, str], None]
+"""Changes what is known of a VM's entry."""
+ENTRIES = pytest.mark.parametrize("entry", [_keep_entry, _remove_entry, _omit_from_list])
+
+
+# -- VMs that refuse connections -------------------------------------------------------------
+
+
+@ENTRIES
+def test_refused_connections_do_not_end_a_lease(entry: Change) -> None:
+    # Guards against a second run of a task whose VM a cut with resets hides.
+    rig = _rig_with_a_task()
+    entry(rig, _vm(rig))
+    _check_lease(rig, CallError.REFUSED)
+
+
+@ENTRIES
+def test_refused_connections_do_not_end_the_lease_of_a_previous_leader(entry: Change) -> None:
+    # Guards against the same under a leader that never reached the VM.
+    rig = _rig_with_a_task()
+    successor = rig.successor()
+    entry(successor, _vm(rig))
+    _check_lease_of_a_previous_leader(successor, _vm(rig), CallError.REFUSED)
+
+
+def test_a_vm_that_refuses_connections_gets_no_new_work() -> None:
+    rig = Rig()
+    rig.scheduler.vms.connection_refused(rig.scheduler.state.vms["w0"])
+    rig.accept("job", spec(StepSpec(4, CORE)))
+    rig.tick()
+    assert [start.vm for start in rig.started()] == ["w1"] * 4
+
+
+def test_a_vm_that_refuses_connections_stays_recorded_as_in_use_under_its_lease() -> None:
+    # Guards against a later leader that does not wait for the lease of its predecessor.
+    rig = _rig_with_a_task()
+    vm = _vm(rig)
+    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms[vm])
+    rig.scheduler.vms.entry_removed(vm)
+    for _ in range(int(LEASE_S / STEP_S)):
+        rig.report_all()
+        rig.tick(STEP_S)
+        rig.scheduler.vms.connection_refused(rig.scheduler.state.vms[vm])
+        rig.commit()
+    assert f"w/{vm}" in rig.store
+    rig.tick(FREED_WITHIN_S)
+    rig.commit()
+    assert f"w/{vm}" not in rig.store
+
+
+def test_a_cap_covers_what_may_run_on_a_vm_that_refuses_connections() -> None:
+    # Guards against an organisation over its cap after a change of leader.
+    organisation = Organisation("org", (), 1.0, Shape(8_000, 64_000, 0))
+    rig = Rig(organisations=(organisation,))
+    rig.accept("job", spec(StepSpec(8, CORE)), organisation="org")
+    rig.start_and_hold_all()
+    vm = _vm(rig)
+    successor = rig.successor()
+    successor.vm_names.remove(vm)
+    successor.scheduler.vms.entry_removed(vm)
+    successor.accept("new", spec(StepSpec(8, CORE)), organisation="org")
+    for _ in range(int((TAKEOVER_S + LEASE_S) / STEP_S)):
+        successor.report_all()
+        successor.tick(STEP_S)
+        successor.scheduler.vms.connection_refused(successor.scheduler.state.vms[vm])
+    assert successor.started() == []
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -122,18 +122,21 @@
     assert [stop.task for stop in successor.stopped()] == ["job.0.0.0"]
 
 
-def test_a_vm_that_has_left_does_not_hold_up_a_later_leader() -> None:
+def test_a_vm_that_seems_to_have_left_holds_up_a_later_leader_until_its_lease_is_over() -> None:
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE)))
     successor = rig.successor()
     successor.scheduler.vms.entry_removed("w1")
-    successor.report("w0")
     gone = successor.scheduler.state.vms["w1"]
-    for _ in range(4):
+    for _ in range(16):
         successor.clock.time += 0.5
         successor.report("w0")
         successor.scheduler.vms.connection_refused(gone)
         successor.tick()
+    assert successor.started() == []
+    successor.clock.time += 0.5
+    successor.report("w0")
+    successor.tick()
     assert [start.vm for start in successor.started()] == ["w0"]
 
 
