--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -185,7 +185,11 @@
 
     def latest_lease_end(self) -> float:
         """Return the latest end of a lease that a VM grants now."""
-        return self.now + self.settings.lease_s / MIN_CLOCK_RATE + LEASE_SLACK_S
+        return self.lease_end_after(self.settings.lease_s)
+
+    def lease_end_after(self, seconds: float) -> float:
+        """Return the latest end of a lease of some seconds on a VM's clock that begins now."""
+        return self.now + seconds / MIN_CLOCK_RATE + LEASE_SLACK_S
 
     def next_fence(self) -> int:
         """Return a fence above all that were given to VMs before."""
--- a/tests/jobs/test_lease_ends.py
+++ b/tests/jobs/test_lease_ends.py
@@ -225,3 +225,33 @@
     successor = rig.successor()
     _drain(successor, _vm(rig), stays_s=0.2)
     _check_lease_of_a_previous_leader(successor, _vm(rig), error)
+
+
+# -- VMs that are probed ---------------------------------------------------------------------
+
+
+def _time_of_next_start(rig: Rig, step_s: float) -> float:
+    before = len(rig.started())
+    while len(rig.started()) == before:
+        rig.report_all()
+        rig.tick(step_s)
+    return rig.clock.time
+
+
+def test_a_probe_keeps_its_lease_though_its_vm_falls_silent() -> None:
+    # Guards against a second run of a task that a VM without other leases was probed with.
+    rig = Rig(vms=1)
+    row = rig.scheduler.state.vms["w0"]
+    rig.scheduler.vms.mark_unverified(row, 1)
+    for _ in range(10):
+        rig.wait(1.0)
+    rig.vm_names.clear()
+    rig.tick(2.1)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    probed_at = _time_of_next_start(rig, 0.38)
+    rig.vm_names.append("w0")
+    rig.add_entries(1)
+    rig.vm_names.remove("w0")
+    rig.commit()
+    lease_s = rig.started()[0].not_after - probed_at
+    assert lease_s < _time_of_next_start(rig, 0.05) - probed_at <= lease_s + FREED_WITHIN_S
