A poll that was refused extends no lease

Tasks of a VM that had crashed waited for up to 2 s longer than its lease lasted: each poll moved the end of the lease as it was sent, also where the connection was refused, so that the VM was certainly not asked.

Such a poll now leaves the lease as it was before, unless another call may have extended it meanwhile.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -170,7 +170,9 @@
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING_AFTER_S
         # Probes rely on leases that are too short for any work, under later leaders too.
         leased = known and not silent and not row.completions_unreliable
+        previous_lease = row.lease
         until = scheduler.vms.extend_lease(row) if leased else 0
+        lease = row.lease
         # Only one poll at a time acknowledges completions, so that its answer can be matched.
         acked = 0 if at_once else scheduler.acks.due_number(row)
         wait = self._wait(row, acked) if known and not silent and not at_once else 0.0
@@ -188,6 +190,8 @@
         sent_at = monotonic()
         result = await self._port.hold(call, timeout)
         scheduler.update_time()
+        if result in NOTHING_SENT:
+            scheduler.vms.lease_not_extended(row, previous_lease, lease)
         if isinstance(result, VmReport):
             if acked:
                 scheduler.acks.ack_answered(row, acked)
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -109,7 +109,7 @@
         if vm.first_report_at < 0:
             vm.first_report_at = state.now
             # From here on no previous leader can extend the VM's leases.
-            vm.lease_end = max(vm.lease_end, state.latest_lease_end())
+            vm.extend_lease_to(state.latest_lease_end())
         new = [
             completion
             for completion in vm_report.completions
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -203,7 +203,7 @@
             ticket = "" if step.advice is None else step.advice.tickets[row.name].text
             not_after = state.now + valid_s
             # The start extends the lease, also where polls do not.
-            row.lease_end = max(row.lease_end, state.lease_end_after(valid_s))
+            row.extend_lease_to(state.lease_end_after(valid_s))
             state.emit(
                 StartRun(
                     row.name, run.task, run.number, step.payload, not_after, start.saved, ticket
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -11,7 +11,7 @@
 from sablemount.jobs.systems.acks import Acks
 from sablemount.jobs.systems.endings import Ending
 from sablemount.jobs.systems.lives import Incarnations
-from sablemount.jobs.tables import MIN_CLOCK_RATE, RunRow, RunState, VmRow
+from sablemount.jobs.tables import MIN_CLOCK_RATE, Lease, RunRow, RunState, VmRow
 
 __all__ = ["Vms"]
 
@@ -240,7 +240,7 @@
         self.on_next_incarnation()
         # Runs requested of the previous incarnation may still arrive here, until this one reports.
         row.earlier_runs_possible = True
-        row.lease_end = max(row.lease_end, self._state.latest_lease_end())
+        row.extend_lease_to(self._state.latest_lease_end())
         if previous.ack_in_flight or previous.earlier_runs_possible:
             # An acknowledgement for the previous one may reach this one, also under another
             # leader's fence.
@@ -293,9 +293,18 @@
         """Return the end of a new lease on the VM's clock (ms), and remember how long it lasts."""
         state = self._state
         length = state.settings.lease_s * LEASE_SHARE
-        row.lease_end = max(row.lease_end, state.latest_lease_end())
+        row.extend_lease_to(state.latest_lease_end())
         return int(row.min_clock_ms(state.now) + length * MS_PER_S)
 
+    @staticmethod
+    def lease_not_extended(row: VmRow, previous: Lease, requested: Lease) -> None:
+        """Record that the call to extend a VM's lease was certainly not sent.
+
+        The previous lease holds again, unless another call may have extended it since.
+        """
+        if row.lease is requested:
+            row.lease = previous
+
     def lease_extended(self, name: str) -> None:
         """Record that a call for the previous incarnation has extended the lease of this one.
 
@@ -377,8 +386,8 @@
     def _leases_end_at(self, row: VmRow) -> float:
         """Return when the leases of a silent VM are over (local time)."""
         if row.first_report_at > 0:
-            return row.lease_end
-        return max(row.lease_end, self._state.unreported_leases_end)
+            return row.lease.end
+        return max(row.lease.end, self._state.unreported_leases_end)
 
     def connection_refused(self, row: VmRow) -> None:
         """Record that a VM's address refuses connections; the VM may run on behind a cut.
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -28,6 +28,7 @@
     "AdviceRow",
     "JobRow",
     "JobState",
+    "Lease",
     "RunCompletion",
     "RunRow",
     "RunState",
@@ -374,6 +375,14 @@
         self.record = msgspec.structs.replace(self.record, spec=spec)
 
 
+@dataclass(slots=True, frozen=True, eq=False)
+class Lease:
+    """A lease of everything that runs on a VM, told from others by identity."""
+
+    end: float
+    """Local time after which nothing that was leased there can run."""
+
+
 @dataclass(slots=True, eq=False)
 class VmRow:
     """One incarnation of a VM."""
@@ -439,8 +448,8 @@
     """Since when there are recorded completions that were not acknowledged to the VM."""
     leaves_at: float | None = None
     """Time until which a draining incarnation lasts at least, if it has announced one."""
-    lease_end: float = NEVER
-    """Local time after which nothing that was leased there can run."""
+    lease: Lease = Lease(NEVER)
+    """The longest lease there, as far as this leader can know."""
     terminated: bool = False
     throttled_at: float = NEVER
     """When the speed of some run there was last changed."""
@@ -476,6 +485,10 @@
     def __post_init__(self) -> None:
         self.name = self.info.name
 
+    def extend_lease_to(self, end: float) -> None:
+        """Record that leases there may last until a local time."""
+        self.lease = Lease(max(self.lease.end, end))
+
     def report_age(self, now: float) -> float | None:
         """Return the age of its last report in seconds; ``None`` if it never reported."""
         return round(now - self.last_report_at, 3) if self.last_report_at > 0 else None
