A VM that is gone when its lease ends has crashed

At the end of its lease, an unannounced VM that has no entry and refuses connections counts as crashed, as it did before, and at the earliest then. The lease itself ends no earlier for it.

test_a_vm_that_is_gone_has_crashed_once_its_lease_is_over failed before.

--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -332,7 +332,7 @@
             silent = now - row.last_report_at > self._state.settings.max_report_age_s
             may_be_used = bool(row.runs) or row.name in self._state.recorded_suspects
             if row.terminated or (silent and may_be_used and self._leases_over(row)):
-                if self._has_successor(row):
+                if self._counts_as_crashed(row):
                     self.on_crash(row)
                 self._drop_runs(row)
             # A VM that reports is kept without an entry, with all that is known of it.
@@ -427,10 +427,17 @@
         unlisted_at = row.unlisted_at
         return row.info.draining or (unlisted_at is not None and row.last_report_at > unlisted_at)
 
+    def _counts_as_crashed(self, row: VmRow) -> bool:
+        """Return whether a silent VM whose leases are over has crashed rather than been cut off."""
+        if row.terminated or self._ended_as_planned(row):
+            return False
+        has_gone = not row.listed and row.connections_refused_since > row.last_report_at
+        return has_gone or self._has_successor(row)
+
     def _has_successor(self, row: VmRow) -> bool:
-        """Return whether a silent VM's machine has another incarnation: it was not just cut off."""
+        """Return whether the machine of a VM has another incarnation."""
         machine = row.info.machine
-        if row.terminated or not machine or self._ended_as_planned(row):
+        if not machine:
             return False
         others = self._state.vms.values()
         return any(other.listed and other.info.machine == machine for other in others)
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -50,6 +50,25 @@
     assert task.crashes == []
 
 
+@pytest.mark.parametrize("refuses", [True, False])
+def test_a_vm_that_is_gone_has_crashed_once_its_lease_is_over(refuses: bool) -> None:
+    # Guards against a task that crashes VM after VM where none of them comes back.
+    rig = Rig()
+    task = _run_task(rig, "a")
+    (vm,) = {run.vm for run in task.runs}
+    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms[vm])
+    rig.vm_names.remove(vm)
+    rig.scheduler.vms.entry_removed(vm)
+    for _ in range(60):
+        rig.report_all()
+        rig.tick(0.1)
+        if refuses:
+            rig.scheduler.vms.connection_refused(rig.scheduler.state.vms[vm])
+    assert task.crashes == []
+    rig.tick(0.8)
+    assert task.crashes == ([vm] if refuses else [])
+
+
 def test_a_vm_that_is_cut_off_is_no_crash_and_one_whose_machine_is_back_is() -> None:
     for machine, expected in (("", []), ("m1", ["w0"])):
         rig = Rig(vms=1)
