Rigs: entries live by their VMs' writes, and VMs are cut off under their leases

No rig saw that leases were ended early: a cut VM of the emulator never refused connections, entries went only together and by themselves, and no draining VM was cut off or served on past its announced time.

In the emulator and in the stand-in of the process soak an entry is now written by its VM each heartbeat and removed three heartbeats after the last write, whatever stops the writes (entries.py). The soak also measures both errors.

Mixes take another course with such entries.

--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -6,6 +6,10 @@
 python -m benchmarks.job_soak --kind lives --first 0 --count 500
 python -m benchmarks.job_soak --kind restarts --first 0 --count 500
 python -m benchmarks.job_soak --kind jobs --first 0 --count 500
+python -m benchmarks.job_soak --kind leases --first 0 --count 500
+
+With leases it also prints how often a task ran twice, and how long tasks waited that were lost with
+their VM.
 """
 
 import enum
@@ -18,9 +22,15 @@
 import typer
 
 from tests.emulator import faults as kinds
-from tests.emulator import life_faults, vm_faults
+from tests.emulator import lease_faults, life_faults, vm_faults
 from tests.emulator.loop import run
-from tests.emulator.mixes import run_job_mix, run_mix, run_organisation_mix, run_store_mix
+from tests.emulator.mixes import (
+    run_job_mix,
+    run_measured_lease_mix,
+    run_mix,
+    run_organisation_mix,
+    run_store_mix,
+)
 from tests.emulator.store_faults import draw
 
 FAULTS_PER_MIX = 5
@@ -38,6 +48,7 @@
     RESTARTS = "restarts"
     JOBS = "jobs"
     """Any faults, with jobs of the whole job model."""
+    LEASES = "leases"
 
 
 class MixResult(msgspec.Struct):
@@ -46,6 +57,8 @@
     seed: int
     faults: list[str]
     violations: list[str]
+    waits_s: list[float] = []
+    """Seconds that each task which was lost with its VM has waited, where they are measured."""
 
 
 def run_seed(seed: int) -> MixResult:
@@ -88,6 +101,13 @@
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def run_leases_seed(seed: int) -> MixResult:
+    """Run a seed's mix of VMs that cannot be reached while their leases run."""
+    chosen = lease_faults.draw(seed)
+    wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
+
+
 def _run_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     mix_runner = run_mix if seed % 3 else run_organisation_mix
     wrong = run(mix_runner(seed, chosen, advice=seed % 2 == 0))
@@ -101,9 +121,39 @@
     Kind.LIVES: run_lives_seed,
     Kind.RESTARTS: run_restarts_seed,
     Kind.JOBS: run_jobs_seed,
+    Kind.LEASES: run_leases_seed,
 }
 
 
+class LeaseErrors:
+    """Counts both errors about leases: tasks that were started twice, and waits for ended VMs."""
+
+    def __init__(self) -> None:
+        self._run_twice = 0
+        self._mixes = 0
+        self._waits_s: list[float] = []
+
+    def add(self, result: MixResult) -> None:
+        """Count the errors of a mix."""
+        run_twice = sum(text.startswith("runs twice") for text in result.violations)
+        self._run_twice += run_twice
+        self._mixes += run_twice > 0
+        self._waits_s += result.waits_s
+
+    def summary(self) -> str:
+        """Return both errors, the waits with their median and their 90th percentile."""
+        waits = sorted(self._waits_s)
+        text = f"{self._run_twice} tasks ran twice, in {self._mixes} mixes"
+        if not waits:
+            return text
+        middle, high = waits[len(waits) // 2], waits[len(waits) * 9 // 10]
+        mean = sum(waits) / len(waits)
+        return (
+            f"{text}; {len(waits)} tasks waited for an ended VM,"
+            f" {mean:.2f} s on average, {middle:.2f} s at the median, {high:.2f} s at 90 %"
+        )
+
+
 def main(
     first: Annotated[int, typer.Option(help="First seed.")] = 0,
     count: Annotated[int, typer.Option(help="How many seeds.")] = 200,
@@ -112,13 +162,17 @@
     """Run some mixes and print those that violate an invariant."""
     started_at = time.monotonic()
     failed = 0
+    errors = LeaseErrors()
     with Pool(WORKER_PROCESSES) as pool:
         for result in pool.imap_unordered(RUNNERS[kind], range(first, first + count)):
+            errors.add(result)
             if result.violations:
                 failed += 1
                 typer.echo(f"seed {result.seed} {result.faults}: {result.violations[:3]}")
     seconds = time.monotonic() - started_at
     typer.echo(f"{count} mixes, {failed} bad, {seconds:.0f} s")
+    if kind is Kind.LEASES:
+        typer.echo(errors.summary())
     raise typer.Exit(1 if failed else 0)
 
 
--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -57,6 +57,10 @@
         names = {msgspec.msgpack.decode(row.record.value, type=LeaderRecord).name for row in rows}
         return next((node for node in self.nodes.running() if node.name in names), None)
 
+    def epoch(self) -> int:
+        """Return the epoch of the latest claim to leadership."""
+        return max(self.standin.store.claimed_epochs, default=0)
+
     def pick_node(self) -> Node | None:
         """Return a random running process; the leader is more likely than others."""
         running = self.nodes.running()
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -14,12 +14,13 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from benchmarks.lease_faults import LEASE_FAULTS
 from benchmarks.link_faults import LINK_FAULTS
 from benchmarks.node_faults import FAULTS, LIFE_FAULTS, VM_FAULTS, Fault, Target
 from benchmarks.node_logs import internal_errors
@@ -27,7 +28,16 @@
 from benchmarks.soak_callers import KEYS, Callers
 from tests.platform.standin import Standin
 
-__all__ = ["PROCESSES", "VMS", "Size", "Soak", "faults_named", "main", "run_soak"]
+__all__ = [
+    "PROCESSES",
+    "VMS",
+    "Size",
+    "Soak",
+    "faults_named",
+    "main",
+    "run_soak",
+    "with_long_tasks",
+]
 
 PROCESSES = 4
 VMS = 6
@@ -37,6 +47,9 @@
 """Mean seconds between two faults; some of them overlap."""
 SETTLE_TIMEOUT_S = 60.0
 TASK_SECONDS = 0.6
+LONG_TASK_SECONDS = 2.5
+LONG_JOB_INTERVAL_S = 0.4
+LONG_OPEN_PAUSE_S = 2.0
 PAGE_RECORDS = 200
 """Records on a page of the store, so that a thousand jobs need a few pages."""
 MIN_ACCEPTED_SHARE = 0.8
@@ -60,6 +73,12 @@
     faults: tuple[Fault, ...] = FAULTS
     fault_interval_s: float = FAULT_INTERVAL_S
     min_accepted_share: float = MIN_ACCEPTED_SHARE
+    task_seconds: float = TASK_SECONDS
+    """Mean seconds of a task."""
+    job_interval_s: float = JOB_INTERVAL_S
+    """Mean seconds between two jobs."""
+    open_pause_s: float = 0.0
+    """Seconds between two jobs of a caller with an open connection."""
 
 
 class Soak:
@@ -70,7 +89,7 @@
         self.size = size
         self.standin = Standin()
         self.standin.page_size = PAGE_RECORDS
-        self.standin.cell.mean_task_seconds = TASK_SECONDS
+        self.standin.cell.mean_task_seconds = size.task_seconds
         self.standin.cell.failure_share = 0.02
         self.nodes = Nodes(size.processes, folder, self.standin)
         if any(fault in LINK_FAULTS for fault in size.faults):
@@ -79,6 +98,7 @@
         self.target = Target(self.nodes, self.standin, self.rng)
         self.faults: Counter[str] = Counter()
         self.callers = Callers(self.rng, self.nodes, self.standin, self.target, seed)
+        self.callers.open_pause_s = size.open_pause_s
         self._version = 0
 
     async def run(self) -> list[str]:
@@ -116,7 +136,7 @@
         faults_task = asyncio.create_task(self._inject_faults(end))
         while time.monotonic() < end:
             self.callers.spawn(self.callers.submit())
-            await asyncio.sleep(self.rng.expovariate(1.0 / JOB_INTERVAL_S))
+            await asyncio.sleep(self.rng.expovariate(1.0 / self.size.job_interval_s))
         await faults_task
         await self.callers.wait()
 
@@ -154,6 +174,16 @@
         return wrong
 
 
+def with_long_tasks(size: Size) -> Size:
+    """Return a soak with fewer tasks, which mostly outlast the cuts of their VMs."""
+    return replace(
+        size,
+        task_seconds=LONG_TASK_SECONDS,
+        job_interval_s=LONG_JOB_INTERVAL_S,
+        open_pause_s=LONG_OPEN_PAUSE_S,
+    )
+
+
 async def _run_soak(seed: int, size: Size, folder: Path) -> tuple[Soak, list[str]]:
     # The stand-in has to be created inside the event loop that its servers use.
     soak = Soak(seed, size, folder)
@@ -162,11 +192,14 @@
 
 def faults_named(names: str) -> tuple[Fault, ...]:
     """Return the faults of comma-separated names; raise ``ValueError`` for an unknown name."""
-    by_name = {fault.__name__: fault for fault in FAULTS + VM_FAULTS + LIFE_FAULTS + LINK_FAULTS}
+    known = FAULTS + VM_FAULTS + LIFE_FAULTS + LINK_FAULTS + LEASE_FAULTS
+    by_name = {fault.__name__: fault for fault in known}
     if names == "vms":
         return FAULTS + VM_FAULTS * 2
     if names == "lives":
         return FAULTS + LIFE_FAULTS * 3
+    if names == "leases":
+        return FAULTS + LEASE_FAULTS * 6
     if names == "links":
         return FAULTS + LINK_FAULTS * 4
     try:
@@ -190,7 +223,7 @@
     fault_every: Annotated[
         float, typer.Option(help="Mean seconds between faults.")
     ] = FAULT_INTERVAL_S,
-    faults: Annotated[str, typer.Option(help="By comma; vms, lives, links: those too.")] = "",
+    faults: Annotated[str, typer.Option(help="By comma; vms, lives, links, leases too.")] = "",
 ) -> None:
     """Run a soak and print its results."""
     _check_names(faults)
@@ -208,7 +241,10 @@
 ) -> int:
     """Run a soak and print its results; return the number of violations."""
     folder = Path(tempfile.mkdtemp(prefix="sablemount-soak-"))
-    size = Size(seconds, processes, vms, faults_named(faults), fault_every)
+    chosen = faults_named(faults)
+    size = Size(seconds, processes, vms, chosen, fault_every)
+    if any(fault in LEASE_FAULTS for fault in chosen):
+        size = with_long_tasks(size)
     soak, wrong = asyncio.run(_run_soak(seed, size, folder))
     verdicts = soak.callers.verdicts
     print(f"seed {seed}, {seconds:.0f} s, {processes} processes, {vms} VMs:", end=" ")
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -61,6 +61,8 @@
         self.nodes = nodes
         self.standin = standin
         self.target = target
+        self.open_pause_s = 0.0
+        """Seconds between two jobs of a caller with an open connection."""
         self.reply_counts: Counter[str] = Counter()
         """Number of replies by kind of call and status; the status is 0 without a reply."""
         self.verdicts = Verdicts(standin.cell)
@@ -206,6 +208,7 @@
             answer = await connection.call("GET", job, None, key)
             if answer is not None:
                 self._check_reply(job, answer, asked_at, node)
+            await asyncio.sleep(self.open_pause_s)
         connection.close()
 
     def _on_cut(self, cut: Cut) -> None:
--- a/tests/emulator/directory.py
+++ b/tests/emulator/directory.py
@@ -8,6 +8,7 @@
 from sablemount.jobs.records import Record
 from sablemount.platform.directory import PlatformDirectory
 from tests.emulator.vm import Vm
+from tests.emulator.vms import loop_time
 
 __all__ = ["Codec", "directory_entry"]
 
@@ -25,6 +26,7 @@
         "capacity": {"cpu": info.capacity.cores, "memMb": info.capacity.memory},
         "labels": info.labels,
         "machine": info.machine,
+        "remainingMs": vm.remaining_ms(loop_time()),
         "seq": info.revision,
         "born": vm.started_at_ms,
     }
--- a/tests/emulator/faults.py
+++ b/tests/emulator/faults.py
@@ -103,20 +103,10 @@
     """Remove the entries of running VMs during a store outage; they return soon after it."""
     for vm in await running_vms(system):
         if rng.random() < 0.7:
-            system.unlist_vm(vm)
-            asyncio.get_running_loop().create_task(_relist_vm(system, vm, rng.uniform(0.1, 2.0)))
+            system.entries.lapse(vm)
     await store_down(system, rng)
 
 
-async def _relist_vm(system: System, vm: Vm, after: float) -> None:
-    await asyncio.sleep(0.1)
-    while system.store.down:
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(after)
-    if vm.up:
-        system.list_vm(vm)
-
-
 async def vm_cut(system: System, rng: random.Random) -> None:
     vm = rng.choice(await running_vms(system))
     vm.unreachable = True
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -11,7 +11,15 @@
 from tests.emulator.system import System
 from tests.emulator.vms import emulated_wall_ms
 
-__all__ = ["organisations", "run_job_mix", "run_mix", "run_organisation_mix", "run_store_mix"]
+__all__ = [
+    "organisations",
+    "run_job_mix",
+    "run_lease_mix",
+    "run_measured_lease_mix",
+    "run_mix",
+    "run_organisation_mix",
+    "run_store_mix",
+]
 
 Background = Callable[[System, random.Random], Coroutine[object, object, None]]
 """Work that runs concurrently with the traffic."""
@@ -24,6 +32,8 @@
 
 MODEL_TASK_SECONDS = 0.4
 """Mean seconds of a task of the whole job model, whose jobs have more tasks."""
+LONG_TASK_SECONDS = 4.0
+"""Mean seconds of a task that mostly outlasts the cuts of its VM."""
 SMALL_PAGE_RECORDS = 7
 """Records on a page so small that the persistent state needs many pages."""
 
@@ -52,6 +62,22 @@
     return await _run(system, seed, chosen, system.traffic("a", 100, 0.12), _cancel_some)
 
 
+async def run_lease_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
+    """Inject faults of VMs that cannot be reached, with tasks that last for most of a lease."""
+    return (await run_measured_lease_mix(seed, chosen, advice))[0]
+
+
+async def run_measured_lease_mix(
+    seed: int, chosen: Sequence[Fault], advice: bool = False
+) -> tuple[list[str], list[float]]:
+    """Run such a mix; return the violations, and how long each task that was lost has waited."""
+    system = System(seed, advice=advice)
+    system.cell.mean_task_seconds = LONG_TASK_SECONDS
+    traffic = system.traffic("a", 40, 0.4)
+    violations = await _run(system, seed, chosen, traffic, _cancel_some)
+    return violations, system.cell.waits_s
+
+
 async def run_job_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
     """Inject faults with jobs of the whole job model, which are cancelled at any moment."""
     system = System(seed, advice=advice)
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -30,6 +30,7 @@
 from sablemount.platform.workers import PlatformAdvice
 from tests.emulator.advice import AdviceNetwork, EmulatedAdvice
 from tests.emulator.directory import Codec, directory_entry
+from tests.emulator.entries import Entries
 from tests.emulator.job_model import JobModel, task_names
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.narrow import LimitedLink, LimitedLinkStore
@@ -52,8 +53,6 @@
 
 LISTING_DELAY_S = (0.0, 0.5)
 """Range of seconds from the start of a VM until it has written its directory entry."""
-ENTRY_KEPT_S = 4.5
-"""Seconds for which the entry of a VM stays listed after the VM has ended."""
 STORE_POLL_INTERVAL_S = 0.05
 
 
@@ -87,6 +86,7 @@
         """Links to the store by member; a member that is not listed has unlimited bandwidth."""
         self._started_members = 0
         self.cell.requires_ticket = advice
+        self.entries = Entries(self.store, directory_entry, lambda vm: not vm.unreachable)
         self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
         for number in range(vms):
             address = f"10.0.0.{number + 1}:8240"
@@ -120,16 +120,20 @@
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
     def list_vm(self, vm: Vm) -> None:
-        self.store.topics[Topic.VMS].add([Record(vm.info.name, directory_entry(vm))])
+        """Let a VM write its entry."""
+        self.entries.write(vm)
 
     def write_foreign_entry(self, key: str, value: bytes) -> None:
         """Write a foreign record into the topic of the VM entries."""
         self.store.topics[Topic.VMS].add([Record(key, value)])
 
     def unlist_vm(self, vm: Vm) -> None:
-        self.store.topics[Topic.VMS].add([Record(vm.info.name)])
+        """Let a VM withdraw its entry for good."""
+        self.entries.withdraw(vm)
 
-    def drain(self, vm: Vm) -> None:
+    def drain(self, vm: Vm, stays_s: float | None = None) -> None:
+        """Let a VM drain, and announce how long it stays at least."""
+        vm.leaves_at = None if stays_s is None else loop_time() + stays_s
         vm.info = msgspec.structs.replace(vm.info, draining=True)
         self.list_vm(vm)
 
@@ -142,20 +146,14 @@
             asyncio.get_running_loop().call_later(restart_delay_s, self._replace_vm, vm)
 
     def restart_vm(self, vm: Vm, restart_delay_s: float, capacity: Shape = CAPACITY) -> None:
-        """Crash a VM and start it again under the same id.
-
-        Its entry stays listed for up to ``ENTRY_KEPT_S`` in between.
-        """
+        """Crash a VM and start it again under the same id, which its entry may outlast."""
         if not vm.up:
             return
         self.cell.crash(vm)
         asyncio.create_task(self._replace_incarnation(vm, restart_delay_s, capacity))
 
     async def _replace_incarnation(self, vm: Vm, restart_delay_s: float, capacity: Shape) -> None:
-        await asyncio.sleep(min(restart_delay_s, ENTRY_KEPT_S))
-        if restart_delay_s > ENTRY_KEPT_S:
-            self.unlist_vm(vm)
-            await asyncio.sleep(restart_delay_s - ENTRY_KEPT_S)
+        await asyncio.sleep(restart_delay_s)
         new = self.cell.restart(vm, capacity)
         await asyncio.sleep(self.rng.uniform(*LISTING_DELAY_S))
         while self.store.down:
@@ -169,7 +167,6 @@
 
     def _replace_vm(self, vm: Vm) -> None:
         info = vm.info
-        self.store.topics[Topic.VMS].add([Record(info.name)])
         self.list_vm(self.cell.add(info.machine, info.rack, CAPACITY, info.address))
 
     # -- Members -----------------------------------------------------------------------------
@@ -214,6 +211,7 @@
         return LimitedLinkStore(self.store, name, link)
 
     def start_all(self) -> None:
+        self.entries.start()
         for name in self.names:
             if name not in self.members:
                 self.start(name)
@@ -385,7 +383,7 @@
         self.network.partitions.clear()
         self.network.unreachable.clear()
         for vm in self.cell.vms.values():
-            vm.unreachable = False
+            vm.unreachable = vm.refuses_when_cut = False
             vm.rejection_share = 0.0
         self.start_all()
 
--- a/tests/emulator/vm.py
+++ b/tests/emulator/vm.py
@@ -89,6 +89,14 @@
     earlier_capacities: list[tuple[float, Shape]] = field(default_factory=list)
     """Earlier capacities, each with the time at which it ended."""
     unreachable: bool = False
+    """Whether it is cut off from everybody, the store included."""
+    refuses_when_cut: bool = False
+    """Whether calls to it are refused, and open ones reset, while it is cut off; otherwise they get
+    no answer."""
+    cut_off_epoch: int = 0
+    """Highest epoch of the leaders that it is cut off from, though it reaches the store."""
+    leaves_at: float | None = None
+    """Time until which it has announced to stay; it may serve on for longer."""
     rejection_share: float = 0.0
     """Share of the calls that it rejects without any effect."""
     resets_connections: bool = False
@@ -108,6 +116,10 @@
     open_completions: dict[int, OpenCompletion] = field(default_factory=dict)
     """Completions not acknowledged yet, by sequence number."""
 
+    def remaining_ms(self, now: float) -> float:
+        """Return the ms that are left of the time that it has announced to stay."""
+        return 0.0 if self.leaves_at is None else max(0.0, self.leaves_at - now) * 1000.0
+
     def clock_ms(self, now: float) -> float:
         return float(int(self.clock_start + now * 1000.0 * self.clock_rate))
 
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -104,6 +104,7 @@
         # The call reaches the incarnation that runs on arrival.
         vm = cell.newest_incarnation(name)
         if self._is_unreachable(vm):
+            _reset(vm, answer, CallError.REFUSED)
             return
         if not vm.up:
             await self._reply_without_vm(vm, address, answer)
@@ -117,6 +118,8 @@
             await asyncio.sleep(cell.rng.uniform(2.0, 12.0))
         result = await act(vm)
         await asyncio.sleep(self._draw_transit_time())
+        if self._is_unreachable(vm):
+            _reset(vm, answer, CallError.NO_ANSWER)
         # The share of lost replies equals that of late requests.
         if (
             draw >= 2.0 * cell.late_request_share
@@ -171,6 +174,12 @@
         return Response(status, NO_HEADERS, json.dumps(response).encode())
 
 
+def _reset(vm: Vm, answer: "asyncio.Future[Reply | CallError]", error: CallError) -> None:
+    """End a call at once if the cut between its sender and a VM resets connections."""
+    if vm.refuses_when_cut and not answer.done():
+        answer.set_result(error)
+
+
 class EmulatedVms(PlatformWorkers):
     """The VMs as one member sees them, through the product's adapter."""
 
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -61,6 +61,10 @@
         self.acknowledged_failures: dict[str, list[float]] = {}
         """Times at which failed runs ended whose completion was acknowledged, by task."""
         self.starts: dict[str, list[float]] = {}
+        self._lost_at: dict[str, float] = {}
+        """When a task was lost with its VM, by task, until it starts again."""
+        self.waits_s: list[float] = []
+        """Seconds from the end of a VM until a task that was lost with it started again."""
         self.acknowledged: set[str] = set()
         self.succeeded: set[str] = set()
         """Jobs that were reported to a caller as succeeded."""
@@ -111,7 +115,7 @@
         self._incarnations += 1
         info = msgspec.structs.replace(vm.info, capacity=capacity, draining=False, revision=1)
         new = self._add_incarnation(info, f"{info.name}#{self._incarnations}")
-        new.unreachable = vm.unreachable
+        new.unreachable, new.refuses_when_cut = vm.unreachable, vm.refuses_when_cut
         # A smaller new capacity counts as a shrink, which binds after the same delay as for a VM
         # that keeps running.
         new.earlier_capacities = [*vm.earlier_capacities, (loop_time(), vm.info.capacity)]
@@ -132,6 +136,7 @@
         vm.resets_connections = self.rng.random() < 0.5
         for run in vm.runs.values():
             self.crashes_while_running[run.task] += 1
+            self._lost_at[run.task] = loop_time()
             if run.timer is not None:
                 run.timer.cancel()
         vm.runs.clear()
@@ -246,6 +251,8 @@
         self._check_start(vm, action, spec.charge)
         self._check_cap(action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
+        if action.task in self._lost_at:
+            self.waits_s.append(now - self._lost_at.pop(action.task))
         duration = max(0.05, self.rng.expovariate(1.0 / self.mean_task_seconds)) * vm.slowdown
         if action.saved:
             duration /= 2.0
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -15,6 +15,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+import msgspec
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -29,11 +30,13 @@
     Trimmed,
     Unavailable,
 )
+from sablemount.control.vm_calls import EPOCH_SHIFT
 from sablemount.jobs.model import Organisation, Shape
 from sablemount.jobs.records import Record
 from sablemount.platform.front import respond
 from sablemount.platform.store import TOPICS, decode_records
 from tests.emulator.advice import TICKET_VALIDITY_S, make_ticket
+from tests.emulator.entries import Entries
 from tests.emulator.store import StoreState
 from tests.emulator.system import LISTING_DELAY_S, STORE_POLL_INTERVAL_S
 from tests.emulator.vm import Vm
@@ -48,6 +51,7 @@
 HOST = "queues.example"
 PREFIX = "/lohu930/"
 HOST_ADDRESS = "127.0.0.1"
+BACKLOG = 128
 CAPACITY = Shape(16_000, 65_536, 0)
 LATE_COMMAND_RANGE_S = (0.5, 8.0)
 """Range of seconds after which a late command is executed; its sender gets no response."""
@@ -83,10 +87,17 @@
         self.links: dict[str, Link] | None = None
         """Proxies of the workers, by incarnation; ``None`` for none, ``{}`` to create them."""
         self._tasks: set[asyncio.Future[None]] = set()
+        self.entries = Entries(self.store, self._entry, lambda worker: not worker.unreachable)
+        self.entries.start()
+        self._reserved_ports: dict[str, socket.socket] = {}
+        """Sockets that hold the ports of workers which refuse connections, by worker id."""
         self.store_address = self._listen(self._store)
         self.advice_address = self._listen(self._advice)
 
     def close(self) -> None:
+        self.entries.close()
+        for reserved in self._reserved_ports.values():
+            reserved.close()
         for server in self._http_servers:
             server.stop()
         for link in (self.links or {}).values():
@@ -235,7 +246,7 @@
     async def restart_worker(self, worker: Vm, after: float, capacity: Shape = CAPACITY) -> None:
         """Crash a worker and restart it under its id and address after ``after`` seconds.
 
-        Its entry stays listed meanwhile. Connections that are open or opened meanwhile are closed;
+        Connections that are open or opened meanwhile are closed;
         later calls for the previous incarnation reach the next one.
         """
         if not worker.up:
@@ -257,7 +268,10 @@
             self._list(new)
 
     def _list(self, worker: Vm) -> None:
-        """Write a worker's entry."""
+        self.entries.write(worker)
+
+    def _entry(self, worker: Vm) -> bytes:
+        """Return a worker's entry."""
         capacity = worker.info.capacity
         entry = {
             "service": SERVICE,
@@ -265,14 +279,15 @@
             "zone": "z",
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": "draining" if worker.info.draining else "ready",
             "coldLeftMs": 0,
             "capacity": {"cpu": capacity.cores, "memMb": capacity.memory, "gpu": 0},
             "labels": list(worker.info.labels),
             "seq": worker.info.revision + 1,
             "born": worker.started_at_ms,
+            "remainingMs": worker.remaining_ms(loop_time()),
         }
-        self.list_foreign(worker.info.name, json.dumps(entry).encode())
+        return json.dumps(entry).encode()
 
     def list_foreign(self, key: str, value: bytes) -> None:
         """Write an arbitrary record to the workers' topic; an empty value deletes the key."""
@@ -299,17 +314,55 @@
         return self._addresses[worker.info.name]
 
     def crash_worker(self, worker: Vm) -> None:
-        """Terminate a worker: remove its entry and stop listening at its address."""
+        """Terminate a worker and stop listening at its address; its entry lapses later."""
         self.cell.crash(worker)
         self._worker_servers.pop(worker.info.name).stop()
         if self.links is not None:
             self.links.pop(worker.info.name).close()
-        self.store.topics[Topic.VMS].add([Record(worker.info.name)])
+
+    def drain_worker(self, worker: Vm, stays_s: float) -> None:
+        """Let a worker drain, and announce how long it stays at least."""
+        worker.leaves_at = loop_time() + stays_s
+        worker.info = msgspec.structs.replace(worker.info, draining=True)
+        self._list(worker)
+
+    async def cut_worker(self, worker: Vm, refuses: bool) -> None:
+        """Cut a worker off from everybody; it runs on.
+
+        Calls get no answer, or their connections are refused, and the open ones closed.
+        """
+        worker.unreachable, worker.refuses_when_cut = True, refuses
+        server = self._worker_servers.get(worker.info.name)
+        if not refuses or server is None or worker.info.name in self._reserved_ports:
+            return
+        (bound,) = server._sockets.values()
+        address = bound.getsockname()
+        server.stop()
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(address)
+        self._reserved_ports[worker.info.name] = reserved
+        await server.close_all_connections()
+
+    def heal_worker(self, worker: Vm) -> None:
+        """End the cut of a worker."""
+        worker.unreachable = False
+        reserved = self._reserved_ports.pop(worker.info.name, None)
+        if reserved is None:
+            return
+        if not worker.up:
+            reserved.close()
+            return
+        reserved.listen(BACKLOG)
+        reserved.setblocking(False)
+        self._serve_worker(worker, reserved)
 
     async def _worker(self, worker: Vm, request: httputil.HTTPServerRequest) -> tuple[int, object]:
         arguments = json.loads(request.body)
         if not worker.up:
             return CONNECTION_CLOSED, {}
+        if _is_cut_off(worker, arguments):
+            return _unreachable(worker)
         if request.headers["Expect-Instance"] != worker.info.name:
             return 421, {}
         act = WORKER_HANDLERS[request.path]
@@ -320,6 +373,8 @@
         if isinstance(result, CallError) or not worker.up:
             # A worker that has crashed meanwhile must not report that it runs nothing.
             return CONNECTION_CLOSED, {}
+        if _is_cut_off(worker, arguments):
+            return _unreachable(worker)
         status, reply = result
         if status == HTTPStatus.OK and request.path == "/api/pace":
             self.throttle_percent[arguments["task"]] = arguments["percent"]
@@ -355,6 +410,15 @@
         return 200, {"good": good, "validMs": int(TICKET_VALIDITY_S * 1000)}
 
 
+def _is_cut_off(worker: Vm, arguments: Body) -> bool:
+    """Return whether a worker is cut off from everybody, or from the leader that sends a call."""
+    return worker.unreachable or arguments["fence"] >> EPOCH_SHIFT <= worker.cut_off_epoch
+
+
+def _unreachable(worker: Vm) -> tuple[int, object]:
+    return (CONNECTION_CLOSED if worker.refuses_when_cut else NO_RESPONSE), {}
+
+
 def _drop_pending(listening: socket.socket) -> None:
     """Close pending connections that were not accepted."""
     listening.setblocking(False)
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -1,9 +1,9 @@
 """Short soak runs of real processes, sockets and signals.
 
-Leaders are killed while writes are late; VMs crash, shrink and restart under their ids; and the
-connections between the processes fail. The checks do not depend on the speed of the machine: every
-process knows the accepted jobs, they end, no task runs twice, and a process that is asked to stop
-ends with exit code 0.
+Leaders are killed while writes are late; VMs crash, shrink and restart under their ids; the
+connections between the processes fail; and VMs cannot be reached while their leases run. The checks
+do not depend on the speed of the machine: every process knows the accepted jobs, they end, no task
+runs twice, and a process that is asked to stop ends with exit code 0.
 """
 
 import asyncio
@@ -12,8 +12,9 @@
 import pytest
 
 from benchmarks import node_faults
+from benchmarks.lease_faults import LEASE_FAULTS
 from benchmarks.link_faults import LINK_FAULTS
-from benchmarks.process_soak import Size, Soak
+from benchmarks.process_soak import Size, Soak, with_long_tasks
 
 STOPS = (node_faults.leaders_killed, node_faults.power_lost, node_faults.planned_stop)
 VMS = 12
@@ -22,19 +23,23 @@
     "leaders": STOPS,
     "vms": (*node_faults.VM_FAULTS, node_faults.planned_stop),
     "lives": (*node_faults.LIFE_FAULTS, node_faults.planned_stop),
+    "leases": LEASE_FAULTS,
     "links": (*LINK_FAULTS, node_faults.leaders_killed, node_faults.planned_stop),
 }
+SOAKS = [(1, "leaders"), (2, "vms"), (3, "links"), (4, "lives"), (5, "leases")]
 
 
 async def _run_soak(seed: int, kind: str, folder: Path) -> list[str]:
-    vms = VMS if kind == "lives" else Size.vms
+    vms = VMS if kind in ("lives", "leases") else Size.vms
     size = Size(
         seconds=12.0, vms=vms, faults=FAULTS[kind], fault_interval_s=2.0, min_accepted_share=0.0
     )
+    if kind == "leases":
+        size = with_long_tasks(size)
     # The stand-in's servers belong to the event loop in which they are created.
     return await Soak(seed, size, folder).run()
 
 
-@pytest.mark.parametrize(("seed", "kind"), [(1, "leaders"), (2, "vms"), (3, "links"), (4, "lives")])
+@pytest.mark.parametrize(("seed", "kind"), SOAKS)
 def test_processes_keep_what_they_have_accepted(seed: int, kind: str, tmp_path: Path) -> None:
     assert asyncio.run(_run_soak(seed, kind, tmp_path)) == []
