--- a/Makefile
+++ b/Makefile
@@ -46,12 +46,14 @@
 	$(BIN)/python -m benchmarks.job_soak --kind vms
 	$(BIN)/python -m benchmarks.job_soak --kind lives
 	$(BIN)/python -m benchmarks.job_soak --kind jobs
+	$(BIN)/python -m benchmarks.job_soak --kind leases
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
 	$(BIN)/python -m benchmarks.process_soak --seed 2 --faults vms
 	$(BIN)/python -m benchmarks.process_soak --seed 3 --faults links
 	$(BIN)/python -m benchmarks.process_soak --seed 4 --faults lives
+	$(BIN)/python -m benchmarks.process_soak --seed 5 --vms 12 --faults leases
 	$(BIN)/python -m benchmarks.kept_soaks
 
 generate: $(STAMP)
--- a/benchmarks/lease_faults.py
+++ b/benchmarks/lease_faults.py
@@ -35,7 +35,7 @@
     vm.refuses_when_cut = refuses
     vm.cut_off_epoch = target.epoch()
     await asyncio.sleep(target.rng.uniform(*CUT_S))
-    vm.cut_off_epoch = 0
+    vm.cut_off_epoch = -1
 
 
 async def _end_later(target: Target, vm: Vm, seconds: float) -> None:
--- a/tests/emulator/vm.py
+++ b/tests/emulator/vm.py
@@ -93,7 +93,7 @@
     refuses_when_cut: bool = False
     """Whether calls to it are refused, and open ones reset, while it is cut off; otherwise they get
     no answer."""
-    cut_off_epoch: int = 0
+    cut_off_epoch: int = -1
     """Highest epoch of the leaders that it is cut off from, though it reaches the store."""
     leaves_at: float | None = None
     """Time until which it has announced to stay; it may serve on for longer."""
