Logs: what extends and gives back a lease, and why a task may start elsewhere

Cause: no line gave the end of the lease that a leader counts on, which call extended it, or why it took it as over, so that a task that ran twice could not be traced to a call. Change: leases have a module of their own (jobs/systems/leases.py). A lease carries what extended it and the end requested on the VM's clock. Three lines for each silence of a VM with runs at most: as it falls silent, as a poll was not sent, as its runs may start elsewhere. A new leader says why it waits no more. Counters: sablemount_events_total{event="lease"}.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -97,6 +97,7 @@
         self.scheduler = JobScheduler(settings, epoch, LoopClock())
         self.scheduler.reconcile.on_outcome = self._count_completion
         self.scheduler.vms.on_next_incarnation = partial(metrics.count, "next_life")
+        self.scheduler.leases.on_event = partial(metrics.count, "lease")
         self.scheduler.starts.on_recorded = partial(metrics.observe, "note_start")
         self.committer = Committer(ports.store, epoch, rng, uplink)
         self.commit_loop = CommitLoop(
@@ -303,7 +304,7 @@
         ):
             # Members that have not connected may still substitute for the store at a previous
             # leader, which then extends the leases of VMs that do not report here.
-            self.scheduler.vms.previous_leader_may_start()
+            self.scheduler.leases.previous_leader_may_extend()
 
     def _execute(self, action: Action) -> None:
         if isinstance(action, StartRun):
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -171,7 +171,7 @@
         # Probes rely on leases that are too short for any work, under later leaders too.
         leased = known and not silent and not row.completions_unreliable
         previous_lease = row.lease
-        until = scheduler.vms.extend_lease(row) if leased else 0
+        until = scheduler.leases.extend(row) if leased else 0
         lease = row.lease
         # Only one poll at a time acknowledges completions, so that its answer can be matched.
         acked = 0 if at_once else scheduler.acks.due_number(row)
@@ -191,7 +191,7 @@
         result = await self._port.hold(call, timeout)
         scheduler.update_time()
         if result in NOTHING_SENT:
-            scheduler.vms.lease_not_extended(row, previous_lease, lease)
+            scheduler.leases.not_extended(row, previous_lease, lease, result.value)
         if isinstance(result, VmReport):
             if acked:
                 scheduler.acks.ack_answered(row, acked)
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -33,6 +33,7 @@
 from sablemount.jobs.systems.crashes import Crashes
 from sablemount.jobs.systems.evacuation import Evacuation
 from sablemount.jobs.systems.health import Health
+from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.systems.pacing import Throttling
 from sablemount.jobs.systems.placement import Placement
@@ -104,8 +105,9 @@
         self.state = State(settings, epoch, created_at, clock.wall_ms())
         self.lifecycle = Lifecycle(self.state)
         self.acks = Acks(self.state)
-        self.vms = Vms(self.state, self.acks)
-        self.reconcile = Reconcile(self.state, self.lifecycle, self.acks)
+        self.leases = Leases(self.state)
+        self.vms = Vms(self.state, self.acks, self.leases)
+        self.reconcile = Reconcile(self.state, self.lifecycle, self.acks, self.leases)
         self.advice = Advice(self.state)
         self.gang_reservations = GangReservations(self.state)
         self.caps = Caps(self.state)
@@ -117,7 +119,7 @@
             self.journal.update_vm_record
         )
         self.reconcile.on_completion_missing = self.vms.mark_unreliable
-        self.starts = Starts(self.state, self.journal, self.vms, self.advice)
+        self.starts = Starts(self.state, self.journal, self.vms, self.advice, self.leases)
         self.speeds = Speeds(self.state, self.journal.update_vm_record)
         self.reconcile.on_success = self.speeds.record_completion
         self.placement = Placement(
@@ -167,11 +169,11 @@
         if state.now - self._slow_systems_ran_at >= SLOW_SYSTEMS_INTERVAL_S:
             self._slow_systems_ran_at = state.now
             self._run_slow_systems()
-        if not state.previous_runs_settled and self.vms.are_previous_runs_settled():
+        if not state.previous_runs_settled and self.leases.are_previous_runs_settled():
             state.previous_runs_settled = True
             state.previous_runs_settled_at = state.now
             state.capacity_version += 1
-            state.logger.info("runs of previous leaders settled", extra={"vms": len(state.vms)})
+            self.leases.log_settled()
         self.health.run()
         self.speeds.run()
         self.crashes.run()
@@ -186,6 +188,7 @@
         return state.take_actions()
 
     def _run_slow_systems(self) -> None:
+        self.leases.log_silent()
         for row in self.vms.remove_expired():
             if row.recorded:
                 self.journal.record_disuse(row)
@@ -222,7 +225,7 @@
         # An incarnation that another one has followed has crashed, which counts for the restored
         # jobs.
         self.vms.finish_loading()
-        self.vms.previous_leader_may_start()
+        self.leases.previous_leader_may_extend()
 
     def _load_record(
         self, record: Record, jobs: dict[str, JobRecord], progress: dict[str, Progress]
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -6,10 +6,12 @@
 from sablemount.jobs.actions import CompletionReport, RunReport, StopRun, VmReport
 from sablemount.jobs.state import NOT_REQUESTED, State
 from sablemount.jobs.systems.acks import Acks
+from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.tables import (
     JobRow,
     JobState,
+    LeaseSource,
     RunRow,
     RunState,
     TaskRow,
@@ -74,8 +76,9 @@
 class Reconcile:
     """Processes the reports of VMs."""
 
-    def __init__(self, state: State, lifecycle: Lifecycle, acks: Acks) -> None:
+    def __init__(self, state: State, lifecycle: Lifecycle, acks: Acks, leases: Leases) -> None:
         self._state = state
+        self._leases = leases
         self._acks = acks
         self._lifecycle = lifecycle
         self.on_completion: CompletionListener = _ignore_completion
@@ -109,7 +112,7 @@
         if vm.first_report_at < 0:
             vm.first_report_at = state.now
             # From here on no previous leader can extend the VM's leases.
-            vm.extend_lease_to(state.latest_lease_end())
+            self._leases.extend_by_others(vm, LeaseSource.PREVIOUS_LEADER)
         new = [
             completion
             for completion in vm_report.completions
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -19,6 +19,7 @@
 from sablemount.jobs.state import NOT_REQUESTED, State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.choice import Assignment
+from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.vms import Vms
 from sablemount.jobs.tables import RunRow, RunState, StepRow, VmRow
 
@@ -78,8 +79,11 @@
 class Starts:
     """Requests the chosen starts, at once or after the store has recorded them."""
 
-    def __init__(self, state: State, journal: Journal, vms: Vms, advice: Advice) -> None:
+    def __init__(
+        self, state: State, journal: Journal, vms: Vms, advice: Advice, leases: Leases
+    ) -> None:
         self._state = state
+        self._leases = leases
         self._journal = journal
         self._vms = vms
         self._advice = advice
@@ -202,8 +206,7 @@
             )
             ticket = "" if step.advice is None else step.advice.tickets[row.name].text
             not_after = state.now + valid_s
-            # The start extends the lease, also where polls do not.
-            row.extend_lease_to(state.lease_end_after(valid_s))
+            self._leases.extend_by_start(row, valid_s)
             state.emit(
                 StartRun(
                     row.name, run.task, run.number, step.payload, not_after, start.saved, ticket
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -10,13 +10,12 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.acks import Acks
 from sablemount.jobs.systems.endings import Ending
+from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.lives import Incarnations
-from sablemount.jobs.tables import MIN_CLOCK_RATE, Lease, RunRow, RunState, VmRow
+from sablemount.jobs.tables import LeaseSource, RunRow, RunState, VmRow
 
 __all__ = ["Vms"]
 
-LEASE_SHARE = 0.97
-"""Share of the longest lease that is requested, so that it is never cut short."""
 RELIST_TIMEOUT_S = 2.5
 """Seconds within which an entry that lapsed during a store outage returns, if its VM is up.
 
@@ -30,9 +29,10 @@
 are requested every second."""
 CAPACITY_MARGIN_S = 0.3
 """Seconds by which such a start request may arrive later."""
+LEASE_OVER = "its lease is over"
+"""Why runs on a silent VM are lost, as it is logged."""
 LOST = "lost"
 """Outcome of a run about which nothing can be learnt any more."""
-MS_PER_S = 1000.0
 
 
 def _ignore_vm(row: VmRow) -> None:
@@ -50,8 +50,9 @@
 class Vms:
     """Keeps the rows of the VMs."""
 
-    def __init__(self, state: State, acks: Acks) -> None:
+    def __init__(self, state: State, acks: Acks, leases: Leases) -> None:
         self._state = state
+        self._leases = leases
         self._incarnations = Incarnations(state)
         self._acks = acks
         self.on_crash: Callable[[VmRow], None] = _ignore_vm
@@ -240,7 +241,7 @@
         self.on_next_incarnation()
         # Runs requested of the previous incarnation may still arrive here, until this one reports.
         row.earlier_runs_possible = True
-        row.extend_lease_to(self._state.latest_lease_end())
+        self._leases.extend_by_others(row, LeaseSource.PREVIOUS_INCARNATION)
         if previous.ack_in_flight or previous.earlier_runs_possible:
             # An acknowledgement for the previous one may reach this one, also under another
             # leader's fence.
@@ -289,22 +290,6 @@
 
     # -- Leases ------------------------------------------------------------------------------
 
-    def extend_lease(self, row: VmRow) -> int:
-        """Return the end of a new lease on the VM's clock (ms), and remember how long it lasts."""
-        state = self._state
-        length = state.settings.lease_s * LEASE_SHARE
-        row.extend_lease_to(state.latest_lease_end())
-        return int(row.min_clock_ms(state.now) + length * MS_PER_S)
-
-    @staticmethod
-    def lease_not_extended(row: VmRow, previous: Lease, requested: Lease) -> None:
-        """Record that the call to extend a VM's lease was certainly not sent.
-
-        The previous lease holds again, unless another call may have extended it since.
-        """
-        if row.lease is requested:
-            row.lease = previous
-
     def lease_extended(self, name: str) -> None:
         """Record that a call for the previous incarnation has extended the lease of this one.
 
@@ -312,7 +297,7 @@
         """
         row = self._state.vms.get(name)
         if row is not None:
-            row.lease_extended_until = self._state.latest_lease_end()
+            self._leases.extend_next_incarnation(row)
             if row.completions_unreliable:
                 self.on_completions_unreliable(row)
 
@@ -331,13 +316,14 @@
         for row in list(self._state.vms.values()):
             silent = now - row.last_report_at > self._state.settings.max_report_age_s
             may_be_used = bool(row.runs) or row.name in self._state.recorded_suspects
-            if row.terminated or (silent and may_be_used and self._leases_over(row)):
+            if row.terminated or (silent and may_be_used and self._leases.are_over(row)):
+                self._leases.log_runs_free(row, LEASE_OVER)
                 if self._counts_as_crashed(row):
                     self.on_crash(row)
                 self._drop_runs(row)
             # A VM that reports is kept without an entry, with all that is known of it.
             is_gone = row.terminated or (silent and not row.listed)
-            if is_gone and not row.runs and self._leases_over(row):
+            if is_gone and not row.runs and self._leases.are_over(row):
                 removed.append(row)
                 del self._state.vms[row.name]
                 self._state.unverified_vms.pop(row.name, None)
@@ -361,7 +347,7 @@
         return row.info.draining and row.first_report_at > 0 and not row.terminated
 
     def _has_expired(self, row: VmRow) -> bool:
-        return not self.has_reported_recently(row) and self._leases_over(row)
+        return not self.has_reported_recently(row) and self._leases.are_over(row)
 
     def unrecorded(self) -> list[VmRow]:
         """Return the VMs that report, and that no record shows to be in use."""
@@ -374,21 +360,6 @@
             and self.has_reported_recently(row)
         ]
 
-    def _leases_over(self, row: VmRow) -> bool:
-        """Return whether everything that may run on a silent VM is over.
-
-        A leader that is cut off cannot tell: another leader may have extended the leases.
-        """
-        if row.terminated or not (row.earlier_runs_possible or row.first_report_at > 0):
-            return True
-        return self._state.leadership_confirmed_at > self._leases_end_at(row)
-
-    def _leases_end_at(self, row: VmRow) -> float:
-        """Return when the leases of a silent VM are over (local time)."""
-        if row.first_report_at > 0:
-            return row.lease.end
-        return max(row.lease.end, self._state.unreported_leases_end)
-
     def connection_refused(self, row: VmRow) -> None:
         """Record that a VM's address refuses connections; the VM may run on behind a cut.
 
@@ -414,6 +385,7 @@
         self._log("VM terminated", row, why=why.value)
         if successor is not None:
             self._move_unlisted_runs(row, successor)
+        self._leases.log_runs_free(row, why.value)
         if not self._ended_as_planned(row):
             self.on_crash(row)
         self._drop_runs(row)
@@ -494,21 +466,6 @@
         for row in sorted(self._state.vms.values(), key=lambda row: row.info.born):
             self._add(row)
 
-    def previous_leader_may_start(self) -> None:
-        """Record that a previous leader may have extended leases up to this moment."""
-        state = self._state
-        settings = state.settings
-        leases_end_at = state.now + settings.takeover_margin_s + settings.lease_s / MIN_CLOCK_RATE
-        state.unreported_leases_end = max(state.unreported_leases_end, leases_end_at)
-
-    def are_previous_runs_settled(self) -> bool:
-        """Return whether all runs of previous leaders are known or over."""
-        state = self._state
-        if state.leadership_confirmed_at > state.unreported_leases_end:
-            return True
-        rows = [row for row in state.vms.values() if row.earlier_runs_possible]
-        return all(row.first_report_at > 0 or row.terminated for row in rows)
-
 
 def _earliest(first: float | None, second: float | None) -> float | None:
     """Return the earlier of two times, since an outdated list announces more time than is left."""
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -29,6 +29,7 @@
     "JobRow",
     "JobState",
     "Lease",
+    "LeaseSource",
     "RunCompletion",
     "RunRow",
     "RunState",
@@ -375,12 +376,27 @@
         self.record = msgspec.structs.replace(self.record, spec=spec)
 
 
+class LeaseSource(enum.Enum):
+    """What may have extended a lease last; the value is logged."""
+
+    NONE = "nothing"
+    POLL = "poll"
+    START = "start"
+    PREVIOUS_LEADER = "previous leader"
+    """Up to the first report to this leader, a previous one may have extended it."""
+    PREVIOUS_INCARNATION = "previous incarnation"
+    """A call for the previous incarnation may have reached this one."""
+
+
 @dataclass(slots=True, frozen=True, eq=False)
 class Lease:
     """A lease of everything that runs on a VM, told from others by identity."""
 
     end: float
     """Local time after which nothing that was leased there can run."""
+    source: LeaseSource = LeaseSource.NONE
+    until_ms: int = 0
+    """The end on the VM's clock as it was requested; 0 if this leader did not request it."""
 
 
 @dataclass(slots=True, eq=False)
@@ -450,6 +466,10 @@
     """Time until which a draining incarnation lasts at least, if it has announced one."""
     lease: Lease = Lease(NEVER)
     """The longest lease there, as far as this leader can know."""
+    lease_logged_at: float = NEVER
+    """When its lease was last logged because it had fallen silent."""
+    lease_returned_at: float = NEVER
+    """When it was last logged that a call to extend the lease was not sent."""
     terminated: bool = False
     throttled_at: float = NEVER
     """When the speed of some run there was last changed."""
@@ -485,10 +505,6 @@
     def __post_init__(self) -> None:
         self.name = self.info.name
 
-    def extend_lease_to(self, end: float) -> None:
-        """Record that leases there may last until a local time."""
-        self.lease = Lease(max(self.lease.end, end))
-
     def report_age(self, now: float) -> float | None:
         """Return the age of its last report in seconds; ``None`` if it never reported."""
         return round(now - self.last_report_at, 3) if self.last_report_at > 0 else None
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -56,7 +56,7 @@
     rig = Rig()
     task = _run_task(rig, "a")
     (vm,) = {run.vm for run in task.runs}
-    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms[vm])
+    rig.scheduler.leases.extend(rig.scheduler.state.vms[vm])
     rig.vm_names.remove(vm)
     rig.scheduler.vms.entry_removed(vm)
     for _ in range(60):
--- a/tests/jobs/test_large_rounds.py
+++ b/tests/jobs/test_large_rounds.py
@@ -83,7 +83,7 @@
         rig.scheduler.submit(f"job{number}", advised, spec(StepSpec(TASKS_PER_JOB, CORE)))
     rig.commit()
     # A new leader has not had reports of all VMs yet, so no task of a previous one may start.
-    monkeypatch.setattr(rig.scheduler.vms, "are_previous_runs_settled", lambda: False)
+    monkeypatch.setattr(rig.scheduler.leases, "are_previous_runs_settled", lambda: False)
     rig.scheduler.state.previous_runs_settled = False
     for job in rig.scheduler.state.jobs.values():
         job.from_previous_leader = True
--- a/tests/jobs/test_lease_ends.py
+++ b/tests/jobs/test_lease_ends.py
@@ -24,7 +24,7 @@
 ERRORS = pytest.mark.parametrize("error", [CallError.REFUSED, CallError.NO_ANSWER])
 
 
-class _Port:
+class Unreachable:
     """VMs of which none can be reached."""
 
     def __init__(self, rig: Rig, error: CallError) -> None:
@@ -43,7 +43,7 @@
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE, expected_ms=30_000.0)))
     rig.start_and_hold_all()
-    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms[_vm(rig)])
+    rig.scheduler.leases.extend(rig.scheduler.state.vms[_vm(rig)])
     rig.vm_names.remove(_vm(rig))
     return rig
 
@@ -53,7 +53,7 @@
     return rig.started()[0].vm
 
 
-def _calls(rig: Rig, port: _Port) -> VmCalls:
+def _calls(rig: Rig, port: Unreachable) -> VmCalls:
     return VmCalls(
         rig.scheduler,
         port,  # type: ignore[arg-type]
@@ -70,7 +70,7 @@
 
     Return the seconds since the last poll that may have extended its lease, or since the first.
     """
-    port = _Port(rig, error)
+    port = Unreachable(rig, error)
     calls = _calls(rig, port)
     began_at = rig.clock.time
     before = len(rig.started())
@@ -179,11 +179,11 @@
     assert successor.started() == []
 
 
-class _RefusingPort(_Port):
+class _RefusingPort(Unreachable):
     """A VM that refuses a poll while another one extends its lease."""
 
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
-        self._rig.scheduler.vms.extend_lease(self._rig.scheduler.state.vms[call.vm])
+        self._rig.scheduler.leases.extend(self._rig.scheduler.state.vms[call.vm])
         return CallError.REFUSED
 
 
@@ -193,9 +193,9 @@
     row = rig.scheduler.state.vms[_vm(rig)]
     before = row.lease
     rig.clock.time += 0.5
-    run(_calls(rig, _Port(rig, CallError.REFUSED))._poll(row))
+    run(_calls(rig, Unreachable(rig, CallError.REFUSED))._poll(row))
     assert row.lease is before
-    run(_calls(rig, _Port(rig, CallError.NO_ANSWER))._poll(row))
+    run(_calls(rig, Unreachable(rig, CallError.NO_ANSWER))._poll(row))
     assert row.lease.end > before.end
 
 
--- a/tests/jobs/test_recovery.py
+++ b/tests/jobs/test_recovery.py
@@ -150,7 +150,7 @@
     rig.hold(first)
     rig.report_all()
     row = rig.scheduler.state.vms[first.vm]
-    rig.scheduler.vms.extend_lease(row)
+    rig.scheduler.leases.extend(row)
     other = next(name for name in rig.vm_names if name != first.vm)
     for _ in range(12):
         rig.clock.time += 0.5
@@ -251,7 +251,7 @@
 def test_a_drained_vm_that_is_empty_does_not_hold_up_a_later_leader() -> None:
     rig = Rig()
     rig.scheduler.update_vm(VmInfo("w1", "a1", "pool", CAPACITY, (), draining=True))
-    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms["w1"])
+    rig.scheduler.leases.extend(rig.scheduler.state.vms["w1"])
     rig.scheduler.vms.entry_removed("w1")
     rig.clock.time += 0.5
     rig.report("w0")
@@ -274,7 +274,7 @@
     other = next(name for name in rig.vm_names if name != vm)
     info = rig.scheduler.state.vms[vm].info
     rig.scheduler.update_vm(msgspec.structs.replace(info, draining=True))
-    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms[vm])
+    rig.scheduler.leases.extend(rig.scheduler.state.vms[vm])
     rig.scheduler.vms.entry_removed(vm)
     for _ in range(12):
         rig.clock.time += 0.5
--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -135,7 +135,7 @@
 def test_runs_of_a_vm_that_has_left_as_announced_start_elsewhere_after_its_lease() -> None:
     rig = _draining_vm(notice_s=0.2)
     first = rig.started()[0]
-    rig.scheduler.vms.extend_lease(rig.scheduler.state.vms[first.vm])
+    rig.scheduler.leases.extend(rig.scheduler.state.vms[first.vm])
     assert _refuse_connections(rig, 5.5) == 1
     assert _refuse_connections(rig, 0.2) == 2
     second = rig.started()[1]
