Polls extend leases from a time before their authority was checked

What callers could see: a task on two VMs at once, after a pause of the leader of up to a second. Cause: a poll checked the authority and read the clock afterwards. A process that stood still in between requested a lease that counts from after the pause, beyond what a later leader waits for. A poll asked for at once did not check the authority again as its turn came. Fix: the clock is read first, then the authority is checked, in each poll.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -150,8 +150,7 @@
     async def _poll_new_connection(self, row: VmRow) -> bool:
         """Poll over a possibly new connection, once a slot is free."""
         async with self._link_slots.slot():
-            # Another leader may have taken over during the wait for the slot.
-            return self._has_authority() and await self._poll(row)
+            return await self._poll(row)
 
     def poll_now(self, action: PollVm) -> None:
         """Poll a VM now, without waiting for a completion."""
@@ -163,9 +162,16 @@
         await self._poll(row, at_once=True)
 
     async def _poll(self, row: VmRow, at_once: bool = False) -> bool:
-        """Poll once; return whether to poll again over the connection without a pause."""
+        """Poll once, unless another leader may have taken over.
+
+        Return whether to poll again over the connection without a pause.
+        """
         scheduler = self._scheduler
         scheduler.update_time()
+        # Checked after the clock is read: if the process stands still in between, the lease counts
+        # from before, and a later leader waits for it.
+        if not self._has_authority():
+            return False
         known = row.first_report_at > 0
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING_AFTER_S
         # Probes rely on leases that are too short for any work, under later leaders too.
