Search: leases that a leader counts as shorter than the VM does

Cause: the mixes showed a short lease only where a task ran twice. Change: the emulated VMs report each lease that lasts longer than any leader that may rely on it expects, at each extension and each return of one.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 	$(BIN)/python -m benchmarks.job_soak --kind lives
 	$(BIN)/python -m benchmarks.job_soak --kind jobs
 	$(BIN)/python -m benchmarks.job_soak --kind leases
+	$(BIN)/python -m benchmarks.job_soak --kind steps
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -7,9 +7,10 @@
 python -m benchmarks.job_soak --kind restarts --first 0 --count 500
 python -m benchmarks.job_soak --kind jobs --first 0 --count 500
 python -m benchmarks.job_soak --kind leases --first 0 --count 500
+python -m benchmarks.job_soak --kind steps --first 0 --count 500
 
-With leases it also prints how often a task ran twice, and how long tasks waited that were lost with
-their VM.
+With leases and steps it also prints how often a task ran twice, and how long tasks waited that were
+lost with their VM.
 """
 
 import enum
@@ -22,7 +23,7 @@
 import typer
 
 from tests.emulator import faults as kinds
-from tests.emulator import lease_faults, life_faults, vm_faults
+from tests.emulator import lease_faults, life_faults, step_faults, vm_faults
 from tests.emulator.loop import run
 from tests.emulator.mixes import (
     run_job_mix,
@@ -49,6 +50,8 @@
     JOBS = "jobs"
     """Any faults, with jobs of the whole job model."""
     LEASES = "leases"
+    STEPS = "steps"
+    """The same, with members that stand still, a store that goes and calls that come late."""
 
 
 class MixResult(msgspec.Struct):
@@ -103,7 +106,15 @@
 
 def run_leases_seed(seed: int) -> MixResult:
     """Run a seed's mix of VMs that cannot be reached while their leases run."""
-    chosen = lease_faults.draw(seed)
+    return _run_lease_mix(seed, lease_faults.draw(seed))
+
+
+def run_steps_seed(seed: int) -> MixResult:
+    """Run the same with faults between two steps."""
+    return _run_lease_mix(seed, step_faults.draw(seed))
+
+
+def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
 
@@ -122,6 +133,7 @@
     Kind.RESTARTS: run_restarts_seed,
     Kind.JOBS: run_jobs_seed,
     Kind.LEASES: run_leases_seed,
+    Kind.STEPS: run_steps_seed,
 }
 
 
@@ -171,7 +183,7 @@
                 typer.echo(f"seed {result.seed} {result.faults}: {result.violations[:3]}")
     seconds = time.monotonic() - started_at
     typer.echo(f"{count} mixes, {failed} bad, {seconds:.0f} s")
-    if kind is Kind.LEASES:
+    if kind in (Kind.LEASES, Kind.STEPS):
         typer.echo(errors.summary())
     raise typer.Exit(1 if failed else 0)
 
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -15,6 +15,7 @@
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.standing import MachineLimits
 from sablemount.control.store import Topic
+from sablemount.control.vm_calls import EPOCH_SHIFT
 from sablemount.jobs.model import (
     AdviceTerms,
     Configuration,
@@ -35,6 +36,7 @@
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.narrow import LimitedLink, LimitedLinkStore
 from tests.emulator.network import EmulatedNetwork
+from tests.emulator.stalls import StallingStore, Stalls
 from tests.emulator.store import EmulatedStore
 from tests.emulator.transit import DelayedStore, StorePathFaults
 from tests.emulator.vm import Vm
@@ -66,6 +68,7 @@
         self.store_path = StorePathFaults(random.Random(seed + 3))
         self.cell = Cell(random.Random(seed + 2))
         self.cell.on_task_crash = self._on_task_crashes_vm
+        self.cell.on_lease_extended = self._check_lease
         self.network = EmulatedNetwork()
         self.members: dict[str, CheckedMember] = {}
         self.names = [f"m{number}" for number in range(members)]
@@ -84,6 +87,7 @@
         as the machine's own hardly moves meanwhile."""
         self.store_links: dict[str, LimitedLink] = {}
         """Links to the store by member; a member that is not listed has unlimited bandwidth."""
+        self.stalls = Stalls(random.Random(seed + 11), self.suspend, self.resume)
         self._started_members = 0
         self.cell.requires_ticket = advice
         self.entries = Entries(self.store, directory_entry, lambda vm: not vm.unreachable)
@@ -169,6 +173,13 @@
         info = vm.info
         self.list_vm(self.cell.add(info.machine, info.rack, CAPACITY, info.address))
 
+    def _check_lease(self, vm: Vm) -> None:
+        """Check that no leader counts the lease of a VM as shorter than the VM itself does."""
+        for member in self.members.values():
+            leader = member.leader
+            if leader is not None and leader.epoch >= vm.fence >> EPOCH_SHIFT:
+                self.checker.check_lease(leader, vm)
+
     # -- Members -----------------------------------------------------------------------------
 
     def suspend(self, name: str) -> None:
@@ -189,8 +200,13 @@
         self._started_members += 1
         advice = EmulatedAdvice(lambda vm: self.cell.newest_incarnation(vm).incarnation)
         ports = LeaderPorts(
-            self._store_of(name),
-            CheckedVms(self.cell, self.checker, partial(self.network.is_partitioned, name)),
+            StallingStore(self._store_of(name), name, self.stalls),
+            CheckedVms(
+                self.cell,
+                self.checker,
+                partial(self.network.is_partitioned, name),
+                partial(self.stalls.step, name),
+            ),
             PlatformAdvice("advice", AdviceNetwork(advice)),  # type: ignore[arg-type]
             Codec(),
         )
@@ -198,7 +214,12 @@
         settings = MemberSettings(name, name, JobSettings(), limits, self.fail_closed)
         rng = random.Random(self.rng.getrandbits(32))
         member = CheckedMember(
-            settings, ports, self.network.member_network(name), rng, self.checker
+            settings,
+            ports,
+            self.network.member_network(name),
+            rng,
+            self.checker,
+            self.cell.newest_incarnation,
         )
         member.wall_ms = emulated_wall_ms if self.emulates_time_of_day else None
         self.members[name] = member
@@ -377,6 +398,7 @@
         self.store.append_time_s = 0.0
         self.store_path.clear()
         self.cell.late_request_share = 0.0
+        self.stalls.share = 0.0
         self.cell.crash_share = 0.0
         for name in self.names:
             self.resume(name)
--- a/tests/emulator/vm.py
+++ b/tests/emulator/vm.py
@@ -123,6 +123,10 @@
     def clock_ms(self, now: float) -> float:
         return float(int(self.clock_start + now * 1000.0 * self.clock_rate))
 
+    def lease_end(self, now: float) -> float:
+        """Return when its lease is over, in the emulation's time."""
+        return now + (self.lease_until_ms - self.clock_ms(now)) / 1000.0 / self.clock_rate
+
     def resize(self, capacity: Shape, now: float) -> None:
         """Change the capacity; the active runs continue."""
         self.earlier_capacities.append((now, self.info.capacity))
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -83,6 +83,8 @@
         """Called with a VM that a task crashes."""
         self.on_start: Callable[[Vm, Run], None] = lambda vm, run: None
         """Called with each run that a VM has started."""
+        self.on_lease_extended: Callable[[Vm], None] = lambda vm: None
+        """Called with a VM whose lease a call has just extended."""
         self.violations: list[str] = []
         self.wall_ms: Callable[[], float] = emulated_wall_ms
         """Returns the time of day in ms since 1970."""
@@ -398,6 +400,7 @@
         left = max(0.0, vm.lease_until_ms - clock) / 1000.0 / vm.clock_rate
         loop = asyncio.get_running_loop()
         vm.lease_timer = loop.call_later(left, self._expire_lease, vm)
+        self.on_lease_extended(vm)
 
     def _expire_lease(self, vm: Vm) -> None:
         vm.lease_expirations += 1
--- a/tests/emulator/watch.py
+++ b/tests/emulator/watch.py
@@ -5,9 +5,11 @@
 """
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
+from sablemount.control.leader import Leader
 from sablemount.control.store import AppendResult, Producer, Topic
 from sablemount.jobs.actions import CompletionReport
 from sablemount.jobs.records import (
@@ -19,11 +21,18 @@
     decode_progress,
 )
 from sablemount.jobs.tables import JobState
+from sablemount.platform.lives import incarnation_name
 from tests.emulator.store import StoreState
+from tests.emulator.vm import Vm
+from tests.emulator.vms import loop_time
 
 __all__ = ["InvariantChecker", "CheckedStoreState"]
 
 
+CLOCK_TOLERANCE_S = 0.003
+"""Seconds by which a time on a VM's clock may differ, since it counts whole milliseconds."""
+
+
 class InvariantChecker:
     """Compares what leaders treat as durable, and report to others, with the store's contents.
 
@@ -163,6 +172,20 @@
                 f"start requested after its job was reported as ended: {task}", epoch
             )
 
+    def check_lease(self, leader: Leader, vm: Vm) -> None:
+        """Check that a leader expects the lease of a VM with runs to last as long as it does."""
+        name = incarnation_name(vm.info.name, vm.started_at_ms)
+        row = leader.scheduler.state.vms.get(name)
+        if not vm.up or not vm.runs or not leader.leading or row is None or row.terminated:
+            return
+        if row.first_report_at < 0 and not row.earlier_runs_possible:
+            # It was not in use as this leader was elected, and has got no work from it.
+            return
+        short_s = vm.lease_end(loop_time()) - leader.scheduler.leases.end(row)
+        if short_s > CLOCK_TOLERANCE_S:
+            fault = f"lease of {name} counted as {short_s:.3f} s shorter than it is"
+            self._add_violation(fault, leader.epoch)
+
     def check_acceptance(self, epoch: int, name: str) -> None:
         """Check that a job reported to its caller as accepted is in the store."""
         if JOB_PREFIX + name not in self.newest and name not in self._finished_jobs:
@@ -187,6 +210,8 @@
     def __init__(self, rng: random.Random, checker: InvariantChecker) -> None:
         super().__init__(rng)
         self._checker = checker
+        self.on_records_written: Callable[[], None] = lambda: None
+        """Called with each append of job records, once it is stored."""
 
     def append(
         self, topic: Topic, records: list[Record], producer: Producer | None, at: int | None
@@ -199,6 +224,7 @@
                 self._checker.on_new_epoch(stored.epoch)
             if stored.end > end:
                 self._checker.on_batch_appended(producer.epoch, producer.sequence, records)
+                self.on_records_written()
         elif topic is Topic.LEADER and stored.end > end:
             for record in records:
                 self._checker.on_claim(msgspec.msgpack.decode(record.value)["epoch"])
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -1,7 +1,7 @@
 """Members and VM ports that check invariants on each call, without changing the behaviour."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from sablemount.control.leader import Leader, LeaderPorts
 from sablemount.control.member import Member
@@ -13,7 +13,9 @@
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.journal import Batch
 from sablemount.jobs.records import Record
+from sablemount.jobs.tables import Lease, VmRow
 from sablemount.platform.lives import worker_id_of
+from tests.emulator.vm import Vm
 from tests.emulator.vm_ports import EmulatedVms
 from tests.emulator.vms import Cell
 from tests.emulator.watch import InvariantChecker
@@ -21,14 +23,18 @@
 __all__ = ["CheckedMember", "CheckedVms", "check_leader"]
 
 
-def check_leader(leader: Leader, checker: InvariantChecker) -> None:
-    """Wrap a leader's load, its appends and its handling of durable batches with checks."""
+def check_leader(leader: Leader, checker: InvariantChecker, find_vm: Callable[[str], Vm]) -> None:
+    """Wrap a leader's load, appends, handling of durable batches and of leases with checks.
+
+    ``find_vm`` returns the newest incarnation of a VM by its id.
+    """
     committer, scheduler, journal = leader.committer, leader.scheduler, leader.scheduler.journal
     original_append, original_load, original_durable = (
         committer.append,
         scheduler.load,
         journal.batch_stored,
     )
+    original_not_extended = leader.scheduler.leases.not_extended
     epoch = leader.epoch
     next_sequence = 0
 
@@ -48,7 +54,14 @@
         checker.check_durable(epoch, batch.records)
         original_durable(batch)
 
+    def checked_not_extended(row: VmRow, previous: Lease, requested: Lease, why: str) -> None:
+        original_not_extended(row, previous, requested, why)
+        vm = find_vm(worker_id_of(row.name))
+        if vm.fence >> EPOCH_SHIFT <= epoch:
+            checker.check_lease(leader, vm)
+
     committer.append = checked_append
+    leader.scheduler.leases.not_extended = checked_not_extended
     scheduler.load = checked_load
     journal.batch_stored = checked_durable
 
@@ -63,8 +76,10 @@
         network: Network,
         rng: random.Random,
         checker: InvariantChecker,
+        find_vm: Callable[[str], Vm],
     ) -> None:
         self._checker = checker
+        self._find_vm = find_vm
         self.wall_ms: Callable[[], float] | None = None
         """Returns the time of day in ms since 1970; ``None`` for that of the machine."""
         super().__init__(settings, ports, network, rng)
@@ -77,7 +92,7 @@
     def leader(self, leader: Leader | None) -> None:
         self._checked_leader = leader
         if leader is not None:
-            check_leader(leader, self._checker)
+            check_leader(leader, self._checker, self._find_vm)
         if leader is not None and self.wall_ms is not None:
             leader.scheduler._clock.wall_ms = self.wall_ms  # type: ignore[method-assign]
 
@@ -93,6 +108,10 @@
         return reply
 
 
+async def _go_on() -> None:
+    """Send a call without a delay."""
+
+
 class CheckedVms(EmulatedVms):
     """The VMs as one member sees them; start requests and acknowledgements are checked."""
 
@@ -101,12 +120,15 @@
         cell: Cell,
         checker: InvariantChecker,
         is_partitioned: Callable[[str], bool] = lambda vm: False,
+        before_call: Callable[[], Awaitable[None]] = _go_on,
     ) -> None:
         super().__init__(cell, is_partitioned)
         self._cell = cell
         self._checker = checker
+        self._before_call = before_call
 
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
+        await self._before_call()
         for end in self._cell.newest_incarnation(worker_id_of(call.vm)).completions:
             if end.number <= call.acked_completion:
                 self._checker.check_acknowledgement(call.fence, call.vm, end)
@@ -115,6 +137,7 @@
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
+        await self._before_call()
         up = self._cell.newest_incarnation(worker_id_of(action.vm)).up
         self._checker.check_start_request(fence >> EPOCH_SHIFT, action.vm, action.task, up)
         return await super().start(action, address, fence, until_ms, timeout)
