A port in use ends a process with a clear error

What callers saw: a process that ended at its start with a traceback that names neither the address nor its purpose. Cause: the error of listen was caught nowhere, and the member was started before the other addresses were listened at. Fix: all servers listen through sablemount/listening.py.

--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -17,6 +17,7 @@
 from sablemount.control.clock import monotonic
 from sablemount.control.messages import Message, Reply
 from sablemount.control.network import CallFailed, Handler, Link
+from sablemount.listening import listen
 
 __all__ = ["Connection", "RpcServer", "TcpNetwork", "set_user_timeout"]
 
@@ -206,8 +207,7 @@
         return Connection(stream, handler)
 
     def listen(self, address: str, handler: Handler, closed: Callable[[Link], None]) -> RpcServer:
-        """Accept connections at an address."""
+        """Accept connections at an address; raises ``ListenError``."""
         server = RpcServer(handler, closed)
-        host, _, port = address.rpartition(":")
-        server.listen(int(port), host, backlog=LISTEN_BACKLOG)
+        listen(server, address, "other members", LISTEN_BACKLOG)
         return server
--- a/src/sablemount/daemon.py
+++ b/src/sablemount/daemon.py
@@ -13,6 +13,7 @@
 
 from sablemount import boottime, logs
 from sablemount.entry.application import make_server
+from sablemount.listening import EXIT_ADDRESS, ListenError, listen
 from sablemount.runtime import Runtime
 from sablemount.settings import Settings, load_settings, settings_schema
 
@@ -30,9 +31,12 @@
     """Run a scheduler until it stops and return the process exit code."""
     runtime = Runtime(settings)
     server = make_server(runtime)
-    host, _, port = settings.listen.rpartition(":")
-    server.listen(int(port), host.strip("[]"))
-    await runtime.start()
+    try:
+        listen(server, settings.listen, "callers")
+        await runtime.start()
+    except ListenError as error:
+        _logger.error("%s", error)
+        return EXIT_ADDRESS
     signal_handler = _SignalHandler(runtime)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/src/sablemount/peer/link.py
+++ b/src/sablemount/peer/link.py
@@ -11,6 +11,7 @@
 from sablemount.core.messages import PeerMessage, decode_message, encode_message
 from sablemount.core.meter import Meter
 from sablemount.core.verdict import Failure, Reason, Served, ServeResult, Verdict
+from sablemount.listening import ListenError
 from sablemount.peer import peer_pb2, peer_pb2_grpc
 
 __all__ = ["PeerLinks", "PeerServer"]
@@ -107,8 +108,11 @@
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
 
     async def start(self, address: str) -> int:
-        """Listen on an address and return the port number."""
-        port = self._server.add_insecure_port(address)
+        """Listen on an address and return the port number; raises ``ListenError``."""
+        try:
+            port = self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise ListenError(address, "other members", str(error)) from error
         await self._server.start()
         return port
 
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -16,6 +16,7 @@
 from sablemount.control.leader import LeaderPorts
 from sablemount.control.member import Member
 from sablemount.control.rpc import TcpNetwork
+from sablemount.listening import EXIT_ADDRESS, ListenError, listen
 from sablemount.platform import hangup
 from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.front import Frontend, metrics_server, ready_server
@@ -82,15 +83,23 @@
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         hangup.unblock()
-        self.member.start()
-        _listen(self._ready, self.boot.listen.ready)
-        _listen(self.frontend.server, self.boot.listen.front)
-        _listen(self._metrics, f"{self.boot.ip}:{self.metrics_port}")
+        try:
+            self._listen()
+        except ListenError as error:
+            _logger.error("cannot listen", extra=error.log_fields())
+            return EXIT_ADDRESS
         _logger.info("started", extra={"node": self.boot.node_name})
         await self._stop.wait()
         await self._shut_down()
         return EXIT_OK
 
+    def _listen(self) -> None:
+        """Listen at all addresses and start the member; raises ``ListenError``."""
+        listen(self._ready, self.boot.listen.ready, "readiness checks")
+        listen(self.frontend.server, self.boot.listen.front, "callers")
+        listen(self._metrics, f"{self.boot.ip}:{self.metrics_port}", "metrics")
+        self.member.start()
+
     def request_stop(self) -> None:
         """Begin the planned stop."""
         self._stop.set()
@@ -142,11 +151,6 @@
         _logger.info("stopped", extra={"in_flight": self.frontend.in_flight, "ended": closed})
 
 
-def _listen(server: object, address: str) -> None:
-    host, _, port = address.rpartition(":")
-    server.listen(int(port), host)  # type: ignore[attr-defined]
-
-
 async def serve(boot: BootSettings, log: structured_logs.BoundedHandler | None = None) -> int:
     """Run a process with the given settings and return its exit code."""
     return await Process(boot, log=log).run()
