A new leader holds back only the tasks of VMs that it cannot reach

Cause: a VM's record says that it may run something, and not what. The record is opened again, in the store, before the VM gets new work. A seal counts only under the next epoch, as a leader of an earlier release would not change the record.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -72,14 +72,27 @@
     def record_use(self, row: VmRow) -> None:
         """Record that a VM may run something."""
         row.recorded = True
+        row.sealed = False
         row.use_record_number += 1
         self._vms[row.name] = row
 
     def record_disuse(self, row: VmRow) -> None:
         """Record that a VM runs nothing any more."""
-        row.recorded = row.in_use = False
+        row.recorded = row.in_use = row.sealed = False
         self._vms[row.name] = row
 
+    def seal(self, row: VmRow) -> None:
+        """Record that only what a VM may run already can run there; nothing more is started."""
+        row.sealed = True
+        row.sealed_at = self._state.now
+        self._vms[row.name] = row
+
+    def open(self, row: VmRow) -> None:
+        """Let a sealed VM be given work again, once the store no longer holds the seal."""
+        row.sealed = False
+        if not row.in_use:
+            self.record_use(row)
+
     def update_vm_record(self, row: VmRow) -> None:
         """Update a VM's record of the tasks that its crash would be attributed to."""
         if row.recorded:
@@ -108,14 +121,14 @@
         Its size in bytes is bounded, so that something may still be pending afterwards.
         """
         builder = _BatchBuilder(self._state)
-        self._add_vms(builder, in_use=True)
+        self._add_vms(builder, restricting=False)
         self._add_dropped(builder)
         self._add_accepted(builder)
         self._add_progress(builder)
         if not self._state.dirty_jobs:
             # Until the progress of jobs includes a crash, the record of its VM may be the only
-            # trace of it.
-            self._add_vms(builder, in_use=False)
+            # trace of it. A sealed record does not name the tasks that are done.
+            self._add_vms(builder, restricting=True)
             # The effects of the completions are in this batch or in an earlier one.
             self._add_completions(builder.batch)
             self._add_recorded_runs(builder.batch)
@@ -127,16 +140,18 @@
             batch.recorded_runs = self._recording
             self._recording = []
 
-    def _add_vms(self, builder: "_BatchBuilder", in_use: bool) -> None:
-        """Add the records of the VMs that may run something, or of those that no longer do."""
+    def _add_vms(self, builder: "_BatchBuilder", restricting: bool) -> None:
+        """Add the records of the VMs that may run anything, or of those that may not any more."""
         for name, row in list(self._vms.items()):
-            if row.recorded is not in_use:
+            if (row.sealed or not row.recorded) is not restricting:
                 continue
             record = Record(VM_PREFIX + name, self._vm_value(row))
             if not builder.accepts([record]):
                 return
             del self._vms[name]
-            if builder.add([record]) and record.value:
+            if restricting:
+                row.in_use = False
+            if builder.add([record]) and not restricting:
                 builder.batch.vms_in_use[name] = row.use_record_number
 
     def _vm_value(self, row: VmRow) -> bytes:
@@ -154,6 +169,8 @@
             row.completions_unreliable,
             row.recorded_speed,
             row.lease_extended_until > self._state.now,
+            self._state.epoch if row.sealed else 0,
+            _sealed_tasks(row) if row.sealed else (),
         )
         return encode(record)
 
@@ -221,7 +238,7 @@
             # A record that has since been dropped, or dropped and replaced, says nothing about the
             # latest one.
             current = row is not None and row.recorded and row.use_record_number == number
-            if row is not None and current and not row.in_use:
+            if row is not None and current and not row.in_use and not row.sealed:
                 row.in_use = True
                 self._state.capacity_version += 1
         for vm, number in batch.last_completions.items():
@@ -242,6 +259,14 @@
             job.drop_payload()
 
 
+def _sealed_tasks(row: VmRow) -> tuple[str, ...]:
+    """Return the tasks that may run on a VM on which nothing more is started."""
+    tasks = {run.task for run in row.runs.values()}
+    if row.first_report_at < 0:
+        tasks |= row.earlier_tasks or frozenset()
+    return tuple(sorted(tasks))
+
+
 def _start_request_order(run: RunRow) -> tuple[bool, float]:
     """Return a sort key: runs about to be requested first, then the latest requests."""
     return (run.state is not RunState.RECORDING, -run.sent_at)
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -89,6 +89,9 @@
     """Its speed relative to the usual one, as a logarithm; 0 also if unknown."""
     leased: bool = False
     """Whether a call for the previous incarnation has extended the lease of this one."""
+    sealed_epoch: int = 0
+    """Epoch of the leader under which only ``sealed_tasks`` may run there; 0 if any task may."""
+    sealed_tasks: tuple[str, ...] = ()
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -41,6 +41,7 @@
 from sablemount.jobs.systems.proofs import Probes
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.reservation import GangReservations
+from sablemount.jobs.systems.seals import Seals
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.starts import Starts
 from sablemount.jobs.systems.vms import Vms
@@ -112,6 +113,7 @@
         self.gang_reservations = GangReservations(self.state)
         self.caps = Caps(self.state)
         self.journal = Journal(self.state, self.lifecycle)
+        self.seals = Seals(self.state, self.journal, self.leases)
         self.crashes = Crashes(self.state, self.lifecycle, self.journal.update_vm_record)
         self.vms.on_crash = self.crashes.vm_crashed
         self.vms.on_run_lost = self.reconcile.on_run_lost = self.crashes.run_lost
@@ -171,12 +173,12 @@
             self._run_slow_systems()
         if not state.previous_runs_settled and self.leases.are_previous_runs_settled():
             state.previous_runs_settled = True
-            state.previous_runs_settled_at = state.now
-            state.capacity_version += 1
             self.leases.log_settled()
+        self.seals.update_held_tasks()
         self.health.run()
         self.speeds.run()
         self.crashes.run()
+        self.seals.run()
         self.evacuation.run()
         self.starts.run()
         self.probes.run()
@@ -257,6 +259,7 @@
         row.recorded_speed = stored.speed
         self.speeds.restore(row)
         self.state.recorded_suspects[name] = stored.suspects
+        self.seals.load(row, stored.sealed_epoch, stored.sealed_tasks)
 
     # -- Configuration and VMs ---------------------------------------------------------------
 
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -93,8 +93,11 @@
         """Steps to be placed again although no capacity was freed."""
         self.previous_runs_settled = False
         """Whether all runs that previous leaders started are known or over."""
-        self.previous_runs_settled_at = NEVER
-        """Since when that is so."""
+        self.held_tasks: frozenset[str] | None = None
+        """The only tasks of previous leaders' jobs that may run on VMs which have not reported;
+        ``None`` if any may."""
+        self.released_at = NEVER
+        """When tasks of previous leaders' jobs were last released to be started."""
         self.leadership_confirmed_at = now
         """Time up to which no other leader existed: the store has answered a request sent at that
         time."""
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -148,8 +148,13 @@
         job = step.job
         if not job.durable or _gang_may_run(step):
             return False
+        if not job.from_previous_leader:
+            return True
         # What a previous leader accepted may still run on a VM that was not polled yet.
-        return not job.from_previous_leader or self._state.previous_runs_settled
+        held = self._state.held_tasks
+        if held is None:
+            return False
+        return not step.spec.gang or not any(task.key in held for task in step.tasks)
 
     def _place(self, step: StepRow, usable: list[VmRow]) -> None:
         if step.awaiting_tickets and step.advice is not None and step.advice.calls_in_flight:
@@ -210,10 +215,16 @@
         """
         return (
             task.state is TaskState.WAITING
+            and not self._is_held(task)
             and task.awaits_verdict_until <= self._state.now
             and (self._state.store_answers or not task.must_record_first)
         )
 
+    def _is_held(self, task: TaskRow) -> bool:
+        """Return whether a task may run on a VM that has not reported to this leader."""
+        held = self._state.held_tasks
+        return task.step.job.from_previous_leader and (held is None or task.key in held)
+
     def allowed_rows(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the VMs on which a step may run, whether they have free capacity or not."""
         now = self._state.now
--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -120,7 +120,7 @@
         return task.needs_isolation and self._may_wait(task)
 
     def _may_wait(self, task: TaskRow) -> bool:
-        since = max(task.step.requeued_at, self._state.previous_runs_settled_at)
+        since = max(task.step.requeued_at, self._state.released_at)
         return task.state is TaskState.WAITING and self._state.now - since < ISOLATION_WAIT_S
 
     def _can_isolate(self, step: StepRow, row: VmRow) -> bool:
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -144,6 +144,7 @@
     def _accepts_starts(self, row: VmRow) -> bool:
         return (
             row.in_use
+            and not row.sealed
             and self.is_capacity_known(row)
             and not row.terminated
             and not row.entry_pending
@@ -241,6 +242,7 @@
         self.on_next_incarnation()
         # Runs requested of the previous incarnation may still arrive here, until this one reports.
         row.earlier_runs_possible = True
+        row.earlier_tasks = _earlier_tasks(previous, row)
         self._leases.extend_by_others(row, LeaseSource.PREVIOUS_INCARNATION)
         if previous.ack_in_flight or previous.earlier_runs_possible:
             # An acknowledgement for the previous one may reach this one, also under another
@@ -467,6 +469,20 @@
             self._add(row)
 
 
+def _earlier_tasks(previous: VmRow, row: VmRow) -> frozenset[str] | None:
+    """Return the tasks of which previous leaders' runs may be on the incarnation that follows.
+
+    Start requests for the one before may have reached it; ``None`` stands for any task.
+    """
+    inherited = previous.earlier_tasks if previous.first_report_at < 0 else None
+    if not row.recorded:
+        # No previous leader knew it.
+        return inherited
+    if inherited is None or row.earlier_tasks is None:
+        return None
+    return inherited | row.earlier_tasks
+
+
 def _earliest(first: float | None, second: float | None) -> float | None:
     """Return the earlier of two times, since an outdated list announces more time than is left."""
     given = [time for time in (first, second) if time is not None]
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -494,6 +494,13 @@
     """Number of the newest use record that this leader made for it."""
     in_use: bool = False
     """Whether that record is in the store, so that runs may be started."""
+    sealed: bool = False
+    """Whether its record names the only tasks that may run there, so that nothing is started."""
+    sealed_at: float = NEVER
+    """When it was sealed last."""
+    earlier_tasks: frozenset[str] | None = None
+    """The only tasks that previous leaders' runs there may be of, up to its first report; ``None``
+    if they may be of any."""
     earlier_runs_possible: bool = False
     """Whether a previous leader may have started something there, or a start request for its
     earlier incarnation may have reached it."""
--- a/tests/emulator/watch.py
+++ b/tests/emulator/watch.py
@@ -19,6 +19,7 @@
     Progress,
     Record,
     decode_progress,
+    decode_vm,
 )
 from sablemount.jobs.tables import JobState
 from sablemount.platform.lives import incarnation_name
@@ -167,6 +168,10 @@
             self._add_violation(
                 f"start requested on {vm}, whose use is not in the store: {task}", epoch
             )
+        if up and VM_PREFIX + vm in self.newest:
+            record = decode_vm(self.newest[VM_PREFIX + vm])
+            if record.sealed_epoch and task not in record.sealed_tasks:
+                self._add_violation(f"start requested on {vm}, which is sealed: {task}", epoch)
         if self._reported_final.get(job, epoch + 1) <= epoch:
             self._add_violation(
                 f"start requested after its job was reported as ended: {task}", epoch
--- a/tests/jobs/test_trials.py
+++ b/tests/jobs/test_trials.py
@@ -10,7 +10,7 @@
 
 def _submit_suspect(rig: Rig, name: str, crashes: int, step: StepSpec | None = None) -> JobRow:
     """Submit a job under whose tasks some VMs have crashed."""
-    rig.scheduler.state.previous_runs_settled_at = rig.clock.time
+    rig.scheduler.state.released_at = rig.clock.time
     row = rig.accept(name, spec(step or StepSpec(1, CORE)))
     rig.scheduler.state.suspected_jobs[name] = row
     for task in row.steps[(0, 0)].tasks:
