--- a/tests/jobs/test_watch.py
+++ b/tests/jobs/test_watch.py
@@ -7,7 +7,7 @@
 
 from sablemount.control.store import Producer, Topic
 from sablemount.jobs.actions import CompletionReport
-from sablemount.jobs.records import Progress, Record, StepProgress, encode
+from sablemount.jobs.records import Progress, Record, StepProgress, VmRecord, encode
 from sablemount.jobs.tables import JobState
 from tests.emulator.loop import run
 from tests.emulator.mixes import run_mix
@@ -17,7 +17,7 @@
 
 ACCEPTED = Record("j/a", b"job")
 OTHER = Record("j/b", b"job")
-VM_RECORD = Record("w/vm", b"vm")
+VM_RECORD = Record("w/vm", encode(VmRecord("address", "pool")))
 
 
 def _progress(progress: Progress) -> Record:
@@ -206,6 +206,15 @@
     rig.assert_one_violation("epoch 1", "start requested on other")
 
 
+def test_a_start_request_on_a_vm_that_is_sealed_for_other_tasks() -> None:
+    record = VmRecord("address", "pool", sealed_epoch=1, sealed_tasks=("a.0.0.0",))
+    rig = _Rig([ACCEPTED, Record("w/vm", encode(record))])
+    rig.checker.check_start_request(1, "vm", "a.0.0.0")
+    rig.assert_no_violations()
+    rig.checker.check_start_request(1, "vm", "a.0.0.1")
+    rig.assert_one_violation("epoch 1", "start requested on vm, which is sealed", "a.0.0.1")
+
+
 @pytest.mark.parametrize(("epoch", "violations"), [(1, 0), (2, 1), (3, 1)])
 def test_a_start_request_after_its_job_was_reported_as_ended(epoch: int, violations: int) -> None:
     """An earlier leader may not know of the end yet."""
