--- a/tests/jobs/test_lease_ends.py
+++ b/tests/jobs/test_lease_ends.py
@@ -38,7 +38,7 @@
         return self._error
 
 
-def _rig_with_a_task() -> Rig:
+def rig_with_a_task() -> Rig:
     """Return a rig of two VMs, one of which runs a task under a new lease and reports no more."""
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE, expected_ms=30_000.0)))
@@ -53,7 +53,8 @@
     return rig.started()[0].vm
 
 
-def _calls(rig: Rig, port: Unreachable) -> VmCalls:
+def calls_to(rig: Rig, port: Unreachable) -> VmCalls:
+    """Return the calls of a leader to VMs that cannot be reached."""
     return VmCalls(
         rig.scheduler,
         port,  # type: ignore[arg-type]
@@ -71,7 +72,7 @@
     Return the seconds since the last poll that may have extended its lease, or since the first.
     """
     port = Unreachable(rig, error)
-    calls = _calls(rig, port)
+    calls = calls_to(rig, port)
     began_at = rig.clock.time
     before = len(rig.started())
     while rig.clock.time < began_at + WATCHED_S:
@@ -123,7 +124,7 @@
 @ENTRIES
 def test_refused_connections_do_not_end_a_lease(entry: Change) -> None:
     # Guards against a second run of a task whose VM a cut with resets hides.
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     entry(rig, _vm(rig))
     _check_lease(rig, CallError.REFUSED)
 
@@ -131,7 +132,7 @@
 @ENTRIES
 def test_refused_connections_do_not_end_the_lease_of_a_previous_leader(entry: Change) -> None:
     # Guards against the same under a leader that never reached the VM.
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     successor = rig.successor()
     entry(successor, _vm(rig))
     _check_lease_of_a_previous_leader(successor, _vm(rig), CallError.REFUSED)
@@ -147,7 +148,7 @@
 
 def test_a_vm_that_refuses_connections_stays_recorded_as_in_use_under_its_lease() -> None:
     # Guards against a later leader that does not wait for the lease of its predecessor.
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     vm = _vm(rig)
     rig.scheduler.vms.entry_removed(vm)
     for _ in range(int(LEASE_S / STEP_S)):
@@ -189,22 +190,22 @@
 
 def test_a_refused_poll_leaves_the_lease_as_it_was() -> None:
     # Guards against a wait for leases that no VM was asked for.
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     row = rig.scheduler.state.vms[_vm(rig)]
     before = row.lease
     rig.clock.time += 0.5
-    run(_calls(rig, Unreachable(rig, CallError.REFUSED))._poll(row))
+    run(calls_to(rig, Unreachable(rig, CallError.REFUSED))._poll(row))
     assert row.lease is before
-    run(_calls(rig, Unreachable(rig, CallError.NO_ANSWER))._poll(row))
+    run(calls_to(rig, Unreachable(rig, CallError.NO_ANSWER))._poll(row))
     assert row.lease.end > before.end
 
 
 def test_a_refused_poll_does_not_undo_what_another_call_has_extended() -> None:
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     row = rig.scheduler.state.vms[_vm(rig)]
     before = row.lease
     rig.clock.time += 0.5
-    run(_calls(rig, _RefusingPort(rig, CallError.REFUSED))._poll(row))
+    run(calls_to(rig, _RefusingPort(rig, CallError.REFUSED))._poll(row))
     assert row.lease.end > before.end
 
 
@@ -221,7 +222,7 @@
     error: CallError,
 ) -> None:
     # Guards against a second run of a task whose draining VM a cut hides.
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     _drain(rig, _vm(rig), stays_s=20.0)
     rig.scheduler.vms.entry_removed(_vm(rig))
     _check_lease(rig, error)
@@ -231,7 +232,7 @@
 def test_a_draining_vm_that_is_cut_off_keeps_its_lease_under_a_later_leader(
     error: CallError,
 ) -> None:
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     successor = rig.successor()
     _drain(successor, _vm(rig), stays_s=20.0)
     successor.scheduler.vms.entry_removed(_vm(rig))
@@ -241,7 +242,7 @@
 @ERRORS
 def test_a_draining_vm_past_its_announced_time_keeps_its_lease(error: CallError) -> None:
     # Guards against a second run of a task on a VM that serves on for longer than it announced.
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     _drain(rig, _vm(rig), stays_s=0.2)
     _check_lease(rig, error)
 
@@ -250,7 +251,7 @@
 def test_a_draining_vm_past_its_announced_time_keeps_its_lease_under_a_later_leader(
     error: CallError,
 ) -> None:
-    rig = _rig_with_a_task()
+    rig = rig_with_a_task()
     successor = rig.successor()
     _drain(successor, _vm(rig), stays_s=0.2)
     _check_lease_of_a_previous_leader(successor, _vm(rig), error)
--- a/tests/jobs/test_lease_lines.py
+++ b/tests/jobs/test_lease_lines.py
@@ -1,17 +1,22 @@
 """The log tells what extended a lease, what gave it back, and why a task may start elsewhere."""
 
-import asyncio
 import logging
 
 import pytest
 
 from sablemount.control.ports import CallError
-from sablemount.control.vm_calls import VmCalls
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.systems.leases import MAX_VMS_PER_LINE
 from tests.emulator.loop import run
 from tests.jobs.rig import CORE, Rig, spec
-from tests.jobs.test_lease_ends import ERRORS, LEASE_S, TAKEOVER_S, Unreachable
+from tests.jobs.test_lease_ends import (
+    ERRORS,
+    LEASE_S,
+    TAKEOVER_S,
+    Unreachable,
+    calls_to,
+    rig_with_a_task,
+)
 
 SILENT = "VM is silent under its lease"
 FREE = "runs may start elsewhere"
@@ -29,13 +34,9 @@
 
 
 def _rig_with_a_task() -> tuple[Rig, str]:
-    """Return a rig whose second VM runs a task under a new lease and reports no more."""
-    rig = Rig()
-    rig.accept("job", spec(StepSpec(1, CORE, expected_ms=30_000.0)))
-    rig.start_and_hold_all()
-    vm = rig.started()[0].vm
-    rig.vm_names.remove(vm)
-    return rig, vm
+    """Return a rig whose VM runs a task and reports no more, and the name of the VM."""
+    rig = rig_with_a_task()
+    return rig, rig.started()[0].vm
 
 
 def _let_time_pass(rig: Rig, seconds: float) -> None:
@@ -89,15 +90,7 @@
     row = rig.scheduler.state.vms[vm]
 
     async def poll_twice() -> None:
-        calls = VmCalls(
-            rig.scheduler,
-            Unreachable(rig, error),  # type: ignore[arg-type]
-            1,
-            lambda: True,
-            lambda vm: None,
-            lambda: None,
-            lambda: asyncio.get_running_loop().create_future(),
-        )
+        calls = calls_to(rig, Unreachable(rig, error))
         for _ in range(2):
             rig.clock.time += 0.1
             await calls._poll(row)
