--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -23,6 +23,8 @@
 """Seconds after which a call without a response is overdue, 25 times the usual response time. The
 connections to its address that were idle when it was sent are not reused then: open connections
 can stop responding together, without a reset, while new ones work."""
+RESET_ON_OPEN_WITHIN_S = 0.25
+"""Seconds from the opening of a connection within which its end counts as a refusal to take it."""
 CONNECTION_PARAMETERS = http1connection.HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024)
 NO_STATUS = 0
 
@@ -41,12 +43,15 @@
 class IncompleteResponse(Exception):
     """The request may have arrived, but no complete response was received.
 
-    ``received`` is the number of bytes of the response's body that arrived.
+    ``received`` is the number of bytes of the response's body that arrived. ``reset_on_open`` is
+    true if the upstream closed the connection as soon as it was opened, as it does while it has as
+    many connections as it accepts.
     """
 
-    def __init__(self, reason: str, received: int = 0) -> None:
+    def __init__(self, reason: str, received: int = 0, reset_on_open: bool = False) -> None:
         super().__init__(reason)
         self.received = received
+        self.reset_on_open = reset_on_open
 
 
 def _is_refusal(error: Exception) -> bool:
@@ -156,6 +161,18 @@
         """Calls without a response so far, by address."""
         self._distrusted_before: dict[str, float] = {}
         """By address, a time: connections that became idle before it are not reused."""
+        self.resets_on_open = 0
+        """Number of connections that an upstream closed as soon as they were opened."""
+
+    @property
+    def open_count(self) -> int:
+        """Return how many connections are open or being opened."""
+        return sum(self._open.values())
+
+    @property
+    def highest_open_count(self) -> int:
+        """Return how many connections are open to the address that has the most."""
+        return max(self._open.values(), default=0)
 
     async def fetch(
         self,
@@ -178,7 +195,7 @@
         Raises ``RequestNotSent`` or ``IncompleteResponse``.
         """
         deadline = monotonic() + timeout
-        stream = await self._take(address, deadline)
+        stream, is_new = await self._take(address, deadline)
         # Checked immediately before sending: the process may have been paused while it connected.
         if monotonic() > not_after:
             self._put_back(address, stream)
@@ -191,7 +208,10 @@
             response = await self._exchange(
                 stream, address, method, path, body, headers, deadline, collector
             )
-        except IncompleteResponse:
+        except IncompleteResponse as error:
+            if is_new and self._was_reset_on_open(stream, collector, now):
+                error.reset_on_open = True
+                self.resets_on_open += 1
             self._discard(address, stream)
             # Connections that were idle before the call was sent may have failed with this one.
             self._distrust(address, pending.sent_at)
@@ -204,6 +224,14 @@
         self._put_back(address, stream)
         return response
 
+    @staticmethod
+    def _was_reset_on_open(
+        stream: iostream.IOStream, collector: "_ResponseCollector", opened_at: float
+    ) -> bool:
+        """Return whether a new connection ended at once, without a part of a response."""
+        early = monotonic() - opened_at < RESET_ON_OPEN_WITHIN_S
+        return early and stream.closed() and collector.status == NO_STATUS
+
     def _distrust_overdue(self, address: str, now: float) -> None:
         """Distrust connections that were idle when a call that is overdue by now was sent."""
         for call in self._pending.get(address, ()):
@@ -250,7 +278,8 @@
             raise IncompleteResponse(reason, collector.received)
         return Response(collector.status, collector.headers, b"".join(collector.chunks))
 
-    async def _take(self, address: str, deadline: float) -> iostream.IOStream:
+    async def _take(self, address: str, deadline: float) -> tuple[iostream.IOStream, bool]:
+        """Return a connection, and whether it is new."""
         now = monotonic()
         self._distrust_overdue(address, now)
         reusable_from = max(now - self._idle_seconds, self._distrusted_before.get(address, 0.0))
@@ -258,11 +287,11 @@
         while idle:
             idle_since, stream = idle.pop()
             if not stream.closed() and idle_since > reusable_from:
-                return stream
+                return stream, False
             self._discard(address, stream)
         if self._open.get(address, 0) >= self._per_address:
             raise RequestNotSent("all connections to the upstream are in use")
-        return await self._connect(address, deadline)
+        return await self._connect(address, deadline), True
 
     async def _connect(self, address: str, deadline: float) -> iostream.IOStream:
         host, _, port = address.rpartition(":")
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -56,19 +56,31 @@
         self._log = log
         self._background = Background(error_logger(_logger))
         self._pool = UpstreamPool(MAX_CONNECTIONS_PER_ADDRESS, IDLE_TIMEOUT_S)
+        self._vm_pool = UpstreamPool(MAX_CONNECTIONS_PER_ADDRESS, IDLE_TIMEOUT_S)
         ports = LeaderPorts(
             PlatformStore(boot.platform.addr, self._pool),
-            PlatformWorkers(self._pool),
+            PlatformWorkers(self._vm_pool),
             PlatformAdvice(boot.advice, self._pool),
             PlatformDirectory(boot.keyed),
         )
         self.member = Member(member_settings(boot), ports, TcpNetwork(), random.Random())
         self.frontend = Frontend(self.member, self._background.spawn)
         self._ready = ready_server(lambda: self.member.ready)
-        self._metrics = metrics_server(self.member, self._log_gauges)
+        self._metrics = metrics_server(self.member, self._gauges)
         self.metrics_port = metrics_port
         self._stop = asyncio.Event()
 
+    def _gauges(self) -> dict[str, float]:
+        return self._connection_gauges() | self._log_gauges()
+
+    def _connection_gauges(self) -> dict[str, float]:
+        return {
+            "vm_connections": float(self._vm_pool.open_count),
+            "vm_connections_highest": float(self._vm_pool.highest_open_count),
+            "vm_connections_reset_on_open": float(self._vm_pool.resets_on_open),
+            "service_connections": float(self._pool.open_count),
+        }
+
     def _log_gauges(self) -> dict[str, float]:
         if self._log is None:
             return {}
