--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from math import inf
 
 import msgspec
 from tornado import http1connection, httputil, iostream, tcpclient
@@ -17,12 +18,14 @@
 __all__ = ["Response", "IncompleteResponse", "RequestNotSent", "StreamingWait", "UpstreamPool"]
 
 IDLE_TIMEOUT_S = 4.0
-"""Seconds for which an idle connection may be reused; upstreams commonly close idle connections
-after a longer time."""
+"""Seconds after which an idle connection is closed; upstreams commonly close idle connections after
+a longer time."""
 OVERDUE_AFTER_S = 0.1
 """Seconds after which a call without a response is overdue, 25 times the usual response time. The
 connections to its address that were idle when it was sent are not reused then: open connections
 can stop responding together, without a reset, while new ones work."""
+MIN_EXPIRY_INTERVAL_S = 0.1
+"""Shortest interval between two checks for connections that have been idle for too long."""
 RESET_ON_OPEN_WITHIN_S = 0.25
 """Seconds from the opening of a connection within which its end counts as a refusal to take it."""
 CONNECTION_PARAMETERS = http1connection.HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024)
@@ -161,6 +164,7 @@
         """Calls without a response so far, by address."""
         self._distrusted_before: dict[str, float] = {}
         """By address, a time: connections that became idle before it are not reused."""
+        self._expiry_timer: asyncio.TimerHandle | None = None
         self.resets_on_open = 0
         """Number of connections that an upstream closed as soon as they were opened."""
 
@@ -312,17 +316,44 @@
     def _put_back(self, address: str, stream: iostream.IOStream) -> None:
         if stream.closed():
             self._open[address] -= 1
-        else:
-            self._idle.setdefault(address, []).append((monotonic(), stream))
+            return
+        self._idle.setdefault(address, []).append((monotonic(), stream))
+        if self._expiry_timer is None:
+            self._schedule_expiry(self._idle_seconds)
+
+    def _schedule_expiry(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._expiry_timer = loop.call_later(seconds, self._close_expired)
+
+    def _close_expired(self) -> None:
+        """Close the connections that were idle for too long, and come back for the next one."""
+        self._expiry_timer = None
+        expired_before = monotonic() - self._idle_seconds
+        oldest = inf
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0][0] <= expired_before:
+                self._discard(address, idle.pop(0)[1])
+            oldest = min(oldest, idle[0][0]) if idle else oldest
+            if not idle:
+                del self._idle[address]
+        if oldest < inf:
+            self._schedule_expiry(max(MIN_EXPIRY_INTERVAL_S, oldest - expired_before))
 
     def _discard(self, address: str, stream: iostream.IOStream) -> None:
         self._open[address] -= 1
         stream.close()
 
-    def close(self) -> None:
+    def close_idle(self) -> None:
         """Close the idle connections."""
-        for streams in self._idle.values():
+        for address, streams in self._idle.items():
             for _, stream in streams:
-                stream.close()
+                self._discard(address, stream)
         self._idle.clear()
+
+    def close(self) -> None:
+        """Close the idle connections, and use no more of them."""
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+            self._expiry_timer = None
+        self.close_idle()
         self._client.close()
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -182,6 +182,7 @@
     def _close(self) -> None:
         self._unsubscribe()
         self.vm_calls.close()
+        self.ports.vms.close_connections()
         self._background.close()
         self.commit_loop.close()
 
--- a/src/sablemount/control/ports.py
+++ b/src/sablemount/control/ports.py
@@ -36,6 +36,8 @@
     NOT_SENT = "not sent"
     NO_ANSWER = "no answer"
     """The call may have been carried out, or may still be."""
+    RESET_ON_OPEN = "connection reset as it was opened"
+    """The VM is up and takes no further connection. The call may have been carried out."""
 
 
 class HoldCall(msgspec.Struct, frozen=True):
@@ -87,6 +89,10 @@
         """Throttle a run to a share of its speed."""
         ...
 
+    def close_connections(self) -> None:
+        """Close the connections that no call uses."""
+        ...
+
 
 class AdvicePort(Protocol):
     """The advice service, which knows which VMs may run a step."""
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -31,7 +31,7 @@
 MAX_CONNECTIONS_PER_ADDRESS = 24
 """Maximum number of connections to one address."""
 IDLE_TIMEOUT_S = 12.0
-"""Seconds for which an idle connection may be reused."""
+"""Seconds after which an idle connection is closed."""
 STOP_SERVING_S = 2.4
 """Seconds after the stop signal for which new connections are still served: the platform checks
 readiness every second and removes a process after the second failed check."""
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -189,8 +189,12 @@
             return await self._pool.fetch(address, path, encoded, headers, timeout, waits=waits)
         except RequestNotSent as error:
             return CallError.REFUSED if error.refused else CallError.NOT_SENT
-        except IncompleteResponse:
-            return CallError.NO_ANSWER
+        except IncompleteResponse as error:
+            return CallError.RESET_ON_OPEN if error.reset_on_open else CallError.NO_ANSWER
+
+    def close_connections(self) -> None:
+        """Close the connections that no call uses."""
+        self._pool.close_idle()
 
 
 def _call_error(response: Response) -> CallError:
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -1,12 +1,15 @@
 """What the connection pool leaves at an upstream that takes a limited number of connections."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
 from sablemount.adapters.upstream import IncompleteResponse, UpstreamPool
 from tests.limited_server import LimitedServer, listening
 
+WAIT_LIMIT_S = 10.0
+
 
 async def _post(pool: UpstreamPool, server: LimitedServer) -> None:
     await pool.fetch(server.address, "/serve", b"hi", {}, 1.0)
@@ -48,3 +51,50 @@
             pool.close()
 
     asyncio.run(scenario())
+
+
+async def _reached(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_idle_connections_close_although_a_newer_one_is_used_again_and_again() -> None:
+    """The connections of a burst stayed open for good: only the newest was ever looked at."""
+
+    async def scenario() -> None:
+        pool = UpstreamPool(8, idle_seconds=0.3)
+        async with listening(LimitedServer(limit=8, delay_s=0.02)) as server:
+            await asyncio.gather(*(_post(pool, server) for _ in range(6)))
+            assert server.connections == pool.open_count == 6
+            using = asyncio.create_task(_post_repeatedly(pool, server))
+            await _reached(lambda: server.connections == 1 and pool.open_count == 1)
+            using.cancel()
+            await _reached(lambda: server.connections == 0 and pool.open_count == 0)
+            assert server.opened == 6
+            pool.close()
+
+    asyncio.run(scenario())
+
+
+async def _post_repeatedly(pool: UpstreamPool, server: LimitedServer) -> None:
+    while True:
+        await _post(pool, server)
+
+
+def test_all_idle_connections_close_on_request_and_calls_go_on() -> None:
+    """A former leader that lives kept all its connections to the VMs."""
+
+    async def scenario() -> None:
+        pool = UpstreamPool(8)
+        async with listening(LimitedServer(limit=8, delay_s=0.02)) as server:
+            await asyncio.gather(*(_post(pool, server) for _ in range(6)))
+            in_flight = asyncio.create_task(_post(pool, server))
+            await asyncio.sleep(0)
+            pool.close_idle()
+            await _reached(lambda: server.connections <= 1)
+            await in_flight
+            assert pool.open_count == 1
+            pool.close()
+
+    asyncio.run(scenario())
