--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -116,6 +116,7 @@
             self._on_fenced,
             self.wake,
             self.commit_loop.when_recorded,
+            metrics,
         )
         self._advice = AdviceCalls(
             name, self.scheduler.advice, ports.advice, self.members, metrics, self._on_advice
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -4,12 +4,17 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
+from math import inf
 from typing import TypeAlias
 
+import msgspec
+
 from sablemount.control.background import Background, error_logger
 from sablemount.control.clock import monotonic
-from sablemount.control.ports import CallError, HoldCall, Started, VmPort
+from sablemount.control.figures import Metrics
+from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult, VmPort
 from sablemount.control.turns import TimedSemaphore
+from sablemount.control.vm_turns import CallKind, Turn, TurnExpired, VmTurns, connection_limit
 from sablemount.jobs.actions import (
     LaterIncarnation,
     PollVm,
@@ -30,7 +35,8 @@
 MAX_HOLD_WAIT_S = 1.7
 """Longest wait of a poll of an idle VM: with its slack it ends before the VM counts as silent."""
 SHORT_WAIT_S = 0.1
-"""How long a poll waits for a completion while a start request to its VM is unanswered."""
+"""How long a poll waits for a completion while a start request to its VM is unanswered, or while
+other calls have to use the same connection."""
 HOLD_SLACK_S = 0.35
 """Time beyond its wait that a poll may take before the VM counts as not answering."""
 MAX_NEW_CONNECTIONS = 64
@@ -40,8 +46,7 @@
 """Time after which a poll or start request that opens a connection no longer delays others: a VM
 that answers takes a few ms, and many VMs may be silent."""
 MAX_STARTS = 64
-"""Maximum number of concurrent start requests: each opens a connection as well, since a poll
-occupies the existing one."""
+"""Maximum number of concurrent start requests: each may open a connection as well."""
 FIRST_HOLD_TIMEOUT_S = 0.5
 """Time-out of the first poll of a VM, which does not wait for a completion."""
 ACK_TIMEOUT_S = 0.2
@@ -85,6 +90,22 @@
 
 _logger = logging.getLogger("sablemount.control.vms")
 
+
+class _Poll(msgspec.Struct, frozen=True):
+    """A poll that was sent, what it asked for, and its result.
+
+    ``acked`` is the number that it acknowledged, or 0. ``silent`` is whether the VM had been silent
+    for long, and ``seconds`` how long the poll took.
+    """
+
+    fence: int
+    acked: int
+    lease_extended: bool
+    silent: bool
+    seconds: float
+    result: HoldResult
+
+
 RequestCall: TypeAlias = Callable[[str, int, float], Awaitable[CallError | None]]
 """Sends a request to an address under a fence, with a time-out in seconds."""
 
@@ -95,7 +116,7 @@
     ``has_authority`` returns whether requests may be sent now. ``on_fenced`` is called with the
     name of a VM that has refused the fence, and ``wake`` after any event that may allow new
     decisions of the scheduler. ``when_recorded`` returns a future that is done once all pending
-    records are stored.
+    records are stored. Calls that have to wait for a connection are counted in ``metrics``.
     """
 
     def __init__(
@@ -107,7 +128,10 @@
         on_fenced: Callable[[str], None],
         wake: Callable[[], None],
         when_recorded: Callable[[], "asyncio.Future[None]"],
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or Metrics()
+        self._turns = VmTurns(self._count_wait)
         self._scheduler = scheduler
         self._port = port
         self._epoch = epoch
@@ -166,12 +190,27 @@
 
         Return whether to poll again over the connection without a pause.
         """
+        async with self._turn(row, CallKind.POLL) as turn:
+            poll = await self._send_poll(row, at_once, turn)
+        if poll is None:
+            return False
+        if isinstance(poll.result, VmReport):
+            await self._handle_report(row, poll.result)
+            return True
+        self._handle_failed_poll(row, poll)
+        if isinstance(poll.result, LaterIncarnation):
+            return False
+        # No pause is needed after a poll that acknowledged completions or took long.
+        return (poll.acked > 0 or poll.seconds > HOLD_WAIT_S) and not poll.silent
+
+    async def _send_poll(self, row: VmRow, at_once: bool, turn: Turn) -> _Poll | None:
+        """Send a poll and return it with its result; ``None`` without the authority to do so."""
         scheduler = self._scheduler
         scheduler.update_time()
         # Checked after the clock is read: if the process stands still in between, the lease counts
         # from before, and a later leader waits for it.
         if not self._has_authority():
-            return False
+            return None
         known = row.first_report_at > 0
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING_AFTER_S
         # Probes rely on leases that are too short for any work, under later leaders too.
@@ -196,29 +235,30 @@
         sent_at = monotonic()
         result = await self._port.hold(call, timeout)
         scheduler.update_time()
+        self._check_connection(row, turn, result)
         if result in NOTHING_SENT:
             scheduler.leases.not_extended(row, previous_lease, lease, result.value)
-        if isinstance(result, VmReport):
-            if acked:
-                scheduler.acks.ack_answered(row, acked)
-            await self._handle_report(row, result)
-            return True
-        if acked:
+        if acked and isinstance(result, VmReport):
+            scheduler.acks.ack_answered(row, acked)
+        elif acked:
             scheduler.acks.ack_unanswered(row, result not in NOTHING_SENT)
+        return _Poll(fence, acked, until > 0, silent, monotonic() - sent_at, result)
+
+    def _handle_failed_poll(self, row: VmRow, poll: _Poll) -> None:
+        scheduler, result = self._scheduler, poll.result
         if isinstance(result, LaterIncarnation):
-            scheduler.incarnation_replaced(row, result, acked, lease_extended=until > 0)
+            scheduler.incarnation_replaced(row, result, poll.acked, poll.lease_extended)
             self._wake()
-            return False
+            return
+        assert isinstance(result, CallError)
         if result is CallError.FENCED:
-            self._handle_refused_fence(row, fence)
+            self._handle_refused_fence(row, poll.fence)
         elif result is CallError.OTHER_INCARNATION:
             scheduler.vms.incarnation_ended(row.name)
             self._wake()
         elif result is CallError.REFUSED:
             scheduler.vms.connection_refused(row)
         _logger.debug("poll failed", extra={"vm": row.name, "why": result.value})
-        # No pause is needed after a poll that acknowledged completions or took long.
-        return (acked > 0 or monotonic() - sent_at > HOLD_WAIT_S) and not silent
 
     def _fence(self, row: VmRow) -> int:
         return (self._epoch << EPOCH_SHIFT) + row.fence
@@ -231,12 +271,20 @@
     def _wait(self, row: VmRow, acked: int) -> float:
         if acked or row.last_seen_completion > row.last_recorded_completion:
             return 0.0
+        if self._turns.is_single(row.info.address, self._connection_limit(row)):
+            return self._wait_on_single_connection(row)
         if row.runs:
             return SHORT_WAIT_S if self._scheduler.has_uncertain_start(row.name) else HOLD_WAIT_S
         return min(
             MAX_HOLD_WAIT_S, max(HOLD_WAIT_S, len(self._scheduler.state.vms) / IDLE_POLLS_PER_S)
         )
 
+    def _wait_on_single_connection(self, row: VmRow) -> float:
+        """Return how long a poll may occupy the only connection to a VM."""
+        if self._turns.has_waiting(row.info.address):
+            return 0.0
+        return max(SHORT_WAIT_S, len(self._scheduler.state.vms) / IDLE_POLLS_PER_S)
+
     @staticmethod
     def _timeout(known: bool, silent: bool, wait: float) -> float:
         if not known:
@@ -258,6 +306,35 @@
         recorded = self._when_recorded()
         await asyncio.wait([recorded], timeout=UNRECORDED_PAUSE_S)
 
+    # -- Connections -------------------------------------------------------------------------
+
+    def _turn(self, row: VmRow, kind: CallKind, patience: float = inf) -> Turn:
+        """Return a context manager for a call, which waits for a connection to the VM."""
+        limit = self._connection_limit(row)
+        return self._turns.turn(row.info.address, limit, kind, patience)
+
+    def _connection_limit(self, row: VmRow) -> int:
+        accepted = self._scheduler.state.configuration.accepted_connections
+        return connection_limit(accepted.get(row.info.pool, 0))
+
+    def _count_wait(self, kind: CallKind, seconds: float) -> None:
+        self._metrics.count("vm_call_waited", kind.name.lower())
+        self._metrics.observe("vm_call_wait", seconds)
+
+    def _check_connection(self, row: VmRow, turn: Turn, result: object) -> None:
+        """Note whether a VM takes or resets new connections, as the result of a call shows.
+
+        It is up in both cases. Other errors show nothing of this.
+        """
+        if result is CallError.RESET_ON_OPEN:
+            resets = turn.reset_on_open()
+            self._metrics.count("vm_connection", "reset_on_open")
+            if resets.count & (resets.count - 1) == 0:
+                extra = {"vm": row.name, "open": resets.open, "resets": resets.count}
+                _logger.warning("VM resets new connections", extra=extra)
+        elif not isinstance(result, CallError) and turn.answered():
+            _logger.info("VM takes new connections again", extra={"vm": row.name})
+
     # -- Requests ----------------------------------------------------------------------------
 
     def start(self, action: StartRun) -> None:
@@ -291,21 +368,13 @@
     async def _send_start(self, row: VmRow, run: RunRow, action: StartRun, until: int) -> None:
         certain = True
         for _ in range(MAX_START_ATTEMPTS):
-            async with self._start_slots.slot():
-                remaining = self._remaining(action)
-                if row.terminated or remaining < MIN_REMAINING_S or not self._has_authority():
-                    break
-                if run.listed:
-                    # Another request could start it on the VM's next incarnation after it has
-                    # completed on this one.
-                    return
-                if run.state is RunState.STOPPING:
-                    # Given up: its job has ended, say, or its gang has lost a member.
-                    break
-                timeout = min(START_TIMEOUT_S, remaining)
-                fence = self._fence(row)
-                result = await self._port.start(action, row.info.address, fence, until, timeout)
-            self._scheduler.update_time()
+            try:
+                attempt = await self._attempt_start(row, run, action, until)
+            except TurnExpired:
+                break
+            if attempt is None:
+                break
+            fence, result = attempt
             if isinstance(result, Started):
                 self._scheduler.reconcile.run_started(
                     action.vm, action.task, action.run, result.clock_ms
@@ -326,10 +395,36 @@
             if result not in NOTHING_SENT:
                 certain = False
                 self._scheduler.acks.start_timed_out(row)
-        if certain:
+            if result is CallError.RESET_ON_OPEN:
+                await asyncio.sleep(RETRY_PAUSE_S)
+        if certain and not run.listed:
             self._scheduler.reconcile.run_not_started(action.vm, action.task, action.run)
             self._wake()
 
+    async def _attempt_start(
+        self, row: VmRow, run: RunRow, action: StartRun, until: int
+    ) -> tuple[int, StartResult] | None:
+        """Send a start request once; return its fence and its result, ``None`` if given up."""
+        patience = self._remaining(action) - MIN_REMAINING_S
+        async with (
+            self._turn(row, CallKind.START, patience) as turn,
+            self._start_slots.slot(),
+        ):
+            remaining = self._remaining(action)
+            if row.terminated or remaining < MIN_REMAINING_S or not self._has_authority():
+                return None
+            # If it is listed, another request could start it on the VM's next incarnation after it
+            # has completed on this one. If it is stopping, it was given up: its job has ended, say,
+            # or its gang has lost a member.
+            if run.listed or run.state is RunState.STOPPING:
+                return None
+            timeout = min(START_TIMEOUT_S, remaining)
+            fence = self._fence(row)
+            result = await self._port.start(action, row.info.address, fence, until, timeout)
+            self._scheduler.update_time()
+            self._check_connection(row, turn, result)
+            return fence, result
+
     def _handle_refusal(self, action: StartRun, why: StartRefusal, certain: bool) -> None:
         self._scheduler.start_refused(action.vm, action.task, action.run, why, certain)
         self._wake()
@@ -346,23 +441,28 @@
         return action.not_after - monotonic()
 
     async def _stop(self, action: StopRun) -> None:
-        await self._request(action.vm, partial(self._port.stop, action))
+        await self._request(action.vm, CallKind.STOP, partial(self._port.stop, action))
 
     def throttle(self, action: ThrottleRun) -> None:
         """Send a request to throttle a run, in the background."""
         self._background.spawn(self._throttle(action))
 
     async def _throttle(self, action: ThrottleRun) -> None:
-        if await self._request(action.vm, partial(self._port.pace, action)) is not None:
+        send = partial(self._port.pace, action)
+        if await self._request(action.vm, CallKind.THROTTLE, send) is not None:
             self._scheduler.throttling.throttle_failed(action.vm, action.task, action.run)
 
-    async def _request(self, vm: str, send: RequestCall) -> CallError | None:
+    async def _request(self, vm: str, kind: CallKind, send: RequestCall) -> CallError | None:
         """Send a request if the leader has the authority; return the error of the call, if any."""
         row = self._scheduler.state.vms.get(vm)
-        if row is None or not self._has_authority():
+        if row is None:
             return None
-        fence = self._fence(row)
-        result = await send(row.info.address, fence, REQUEST_TIMEOUT_S)
+        async with self._turn(row, kind) as turn:
+            if not self._has_authority():
+                return None
+            fence = self._fence(row)
+            result = await send(row.info.address, fence, REQUEST_TIMEOUT_S)
+            self._check_connection(row, turn, result)
         if result is CallError.FENCED:
             self._handle_refused_fence(row, fence)
         return result
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -207,6 +207,8 @@
     limits: RequestLimits = RequestLimits()
     pools: frozenset[str] = frozenset()
     """Named pools, whose VMs may be used; empty if the configuration names none."""
+    accepted_connections: dict[str, int] = {}
+    """How many connections in all each VM of a pool takes, by pool."""
 
 
 class VmInfo(msgspec.Struct, frozen=True):
--- a/src/sablemount/platform/directory.py
+++ b/src/sablemount/platform/directory.py
@@ -114,6 +114,7 @@
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     rejects_overload: bool = False
+    max_conns: Count = 0
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
@@ -223,6 +224,7 @@
             tuple(tenant.organisation() for tenant in entry.tenants),
             entry.limits.limits(),
             frozenset(service.name for service in entry.services),
+            {service.name: service.max_conns for service in entry.services if service.max_conns},
         )
 
     def _decode(self, decoder: msgspec.json.Decoder[_T], record: Record) -> _T | None:
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -40,6 +40,7 @@
 from tests.emulator.store import EmulatedStore
 from tests.emulator.transit import DelayedStore, StorePathFaults
 from tests.emulator.vm import Vm
+from tests.emulator.vm_ports import VmNetwork
 from tests.emulator.vms import Cell, emulated_wall_ms, loop_time
 from tests.emulator.watch import CheckedStoreState, InvariantChecker
 from tests.emulator.watched import CheckedMember, CheckedVms
@@ -71,6 +72,8 @@
         self.cell.on_lease_extended = self._check_lease
         self.network = EmulatedNetwork()
         self.members: dict[str, CheckedMember] = {}
+        self.vm_networks: dict[str, VmNetwork] = {}
+        """How each member reaches the VMs."""
         self.names = [f"m{number}" for number in range(members)]
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
@@ -118,11 +121,19 @@
             keyed=organisations is not None,
             organisations=organisations or (),
             pools=frozenset({"pool"}),
+            accepted_connections={"pool": self.cell.accepted_connections},
         )
         self.cell.caps.record(configuration.organisations, loop_time())
         value = msgspec.msgpack.encode(configuration)
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
+    def limit_connections(self, accepted: int) -> None:
+        """Let all VMs take so many connections, and publish this."""
+        self.cell.accepted_connections = accepted
+        for vm in self.cell.vms.values():
+            vm.accepted_connections = accepted
+        self.configure(2)
+
     def list_vm(self, vm: Vm) -> None:
         """Let a VM write its entry."""
         self.entries.write(vm)
@@ -199,14 +210,16 @@
         OWNER.set(name)
         self._started_members += 1
         advice = EmulatedAdvice(lambda vm: self.cell.newest_incarnation(vm).incarnation)
+        vms = CheckedVms(
+            self.cell,
+            self.checker,
+            partial(self.network.is_partitioned, name),
+            partial(self.stalls.step, name),
+        )
+        self.vm_networks[name] = vms.network
         ports = LeaderPorts(
             StallingStore(self._store_of(name), name, self.stalls),
-            CheckedVms(
-                self.cell,
-                self.checker,
-                partial(self.network.is_partitioned, name),
-                partial(self.stalls.step, name),
-            ),
+            vms,
             PlatformAdvice("advice", AdviceNetwork(advice)),  # type: ignore[arg-type]
             Codec(),
         )
@@ -241,6 +254,7 @@
         member = self.members.pop(name, None)
         if member is not None:
             member.close()
+            self.vm_networks[name].close_idle()
         # The held callbacks of a suspended member run, and find it closed.
         resume(name)
         if restart_delay_s is not None:
@@ -254,6 +268,8 @@
     def power_off(self, name: str, restart_delay_s: float) -> None:
         """Kill a member without closing its connections: its peers see silence."""
         self.network.unreachable.add(name)
+        if name in self.members:
+            self.vm_networks[name].connections.lose()
         self.kill(name, restart_delay_s)
 
     async def stop(self, name: str, restart_delay_s: float) -> None:
--- a/tests/emulator/vm.py
+++ b/tests/emulator/vm.py
@@ -102,6 +102,10 @@
     resets_connections: bool = False
     """Whether its address resets connections after the VM has ended; otherwise it is silent."""
     slowdown: float = 1.0
+    accepted_connections: int = 64
+    """Number of connections that it takes; it resets further ones as they open."""
+    open_connections: int = 0
+    reset_connections: int = 0
     fence: int = 0
     lease_until_ms: float = 0.0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
@@ -120,6 +124,10 @@
         """Return the ms that are left of the time that it has announced to stay."""
         return 0.0 if self.leaves_at is None else max(0.0, self.leaves_at - now) * 1000.0
 
+    def takes_connections(self, count: int = 1) -> bool:
+        """Return whether it takes so many further connections."""
+        return self.open_connections + count <= self.accepted_connections
+
     def clock_ms(self, now: float) -> float:
         return float(int(self.clock_start + now * 1000.0 * self.clock_rate))
 
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 from collections.abc import Callable, Coroutine, Mapping
+from contextlib import AbstractContextManager
 from typing import Any
 
 from tornado import httputil
@@ -17,6 +18,7 @@
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.scheduler import StartRefusal
 from sablemount.platform.workers import PlatformWorkers
+from tests.emulator.connections import MemberConnections
 from tests.emulator.loop import detached_context
 from tests.emulator.vm import Vm
 from tests.emulator.vms import Cell
@@ -49,6 +51,7 @@
         self._is_partitioned = is_partitioned
         """Returns whether the member is cut off from a VM."""
         self._tasks: set[asyncio.Task[None]] = set()
+        self.connections = MemberConnections()
 
     def _is_unreachable(self, vm: Vm) -> bool:
         return vm.unreachable or self._is_partitioned(vm.info.name)
@@ -68,15 +71,25 @@
         timeout: float,
         rejection: Reply | CallError,
     ) -> Reply | CallError:
-        """Send a call, and wait for its reply up to ``timeout`` seconds."""
+        """Send a call, and wait for its reply up to ``timeout`` seconds.
+
+        Raises ``IncompleteResponse`` if the VM resets the connection as it opens.
+        """
         answer: asyncio.Future[Reply | CallError] = asyncio.get_running_loop().create_future()
-        self._spawn(self._execute(name, address, act, rejection, answer))
         try:
-            async with asyncio.timeout(timeout):
-                return await answer
+            with self._connection(self._cell.newest_incarnation(name), address):
+                self._spawn(self._execute(name, address, act, rejection, answer))
+                async with asyncio.timeout(timeout):
+                    return await answer
         except TimeoutError:
             return CallError.NO_ANSWER
 
+    def _connection(self, vm: Vm, address: str) -> AbstractContextManager[None]:
+        """Return a context manager that holds a connection, if the VM can be reached at all."""
+        if not vm.up or self._is_unreachable(vm):
+            return contextlib.nullcontext()
+        return self.connections.call(vm, address)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work, context=detached_context())
         self._tasks.add(task)
@@ -173,6 +186,10 @@
         status, response = result
         return Response(status, NO_HEADERS, json.dumps(response).encode())
 
+    def close_idle(self, address: str | None = None) -> None:
+        """Close idle connections; takes the place of ``UpstreamPool.close_idle``."""
+        self.connections.close_idle(address)
+
 
 def _reset(vm: Vm, answer: "asyncio.Future[Reply | CallError]", error: CallError) -> None:
     """End a call at once if the cut between its sender and a VM resets connections."""
@@ -186,7 +203,8 @@
     def __init__(
         self, cell: Cell, is_partitioned: Callable[[str], bool] = lambda vm: False
     ) -> None:
-        super().__init__(VmNetwork(cell, is_partitioned))  # type: ignore[arg-type]
+        self.network = VmNetwork(cell, is_partitioned)
+        super().__init__(self.network)  # type: ignore[arg-type]
 
 
 def _clock_ms(vm: Vm) -> float:
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -93,6 +93,8 @@
         """Whether a start needs a ticket of the advice service."""
         self.delayed_share = 0.0
         """Share of the calls and replies that are delayed in transit."""
+        self.accepted_connections = 64
+        """Number of connections that each VM takes."""
         self.max_attempts = 4
         self.failure_share = 0.03
         self.mean_task_seconds = 1.0
@@ -126,6 +128,7 @@
     def _add_incarnation(self, info: VmInfo, incarnation: str) -> Vm:
         vm = Vm(info, self.rng.choice((0.98, 1.0, 1.01)), self.rng.uniform(0, 1e6), incarnation)
         vm.started_at_ms = EPOCH_UNIX_MS + int(loop_time() * 1000.0) + self._incarnations
+        vm.accepted_connections = self.accepted_connections
         self.vms[incarnation] = self._newest_by_id[info.name] = vm
         return vm
 
--- a/tests/jobs/test_many_vms.py
+++ b/tests/jobs/test_many_vms.py
@@ -4,7 +4,7 @@
 
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started
 from sablemount.control.vm_calls import HOLD_WAIT_S, VmCalls
-from sablemount.jobs.actions import StartRun, VmReport
+from sablemount.jobs.actions import RunReport, StartRun, VmReport
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.settings import JobSettings
 from tests.emulator.loop import block_loop, run
@@ -35,6 +35,8 @@
         self.waits: list[tuple[str, float]] = []
         self.failed = 0
         self.started = 0
+        self.running: dict[str, list[RunReport]] = {}
+        """The started runs, by VM."""
         self.processor_time = 0.0
 
     def _spend(self, seconds: float) -> None:
@@ -59,7 +61,8 @@
             return CallError.NO_ANSWER
         self.connected.add(call.address)
         self._spend(SEND_TIME_S)
-        return VmReport(call.vm, sent_at, loop.time() * 1000.0, (), ())
+        running = tuple(self.running.get(call.vm, ()))
+        return VmReport(call.vm, sent_at, loop.time() * 1000.0, running, ())
 
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
@@ -72,6 +75,7 @@
             return CallError.NO_ANSWER
         self._spend(SEND_TIME_S)
         self.started += 1
+        self.running.setdefault(action.vm, []).append(RunReport(action.task, action.run, "", 0.0))
         return Started(asyncio.get_running_loop().time() * 1000.0)
 
 
