--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -60,6 +60,8 @@
         """Starts whose process was asked to stop gracefully."""
         self.killed: set[int] = set()
         self.frozen: set[int] = set()
+        self.is_lost = False
+        """Whether the machine of the process was lost for good."""
         self._start_lock = asyncio.Lock()
         self._settings_file = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
@@ -88,7 +90,7 @@
     async def start(self) -> None:
         """Start the process with its settings file, unless it is running."""
         async with self._start_lock:
-            if not self.running:
+            if not self.running and not self.is_lost:
                 await self._start()
 
     async def _start(self) -> None:
@@ -141,7 +143,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it is running, and remember it for its exit code."""
-        if self._pidfd is not None and self.running:
+        if self._pidfd is not None and self.running and not self.is_lost:
             if number == signal.SIGTERM:
                 self.stopped.add(self.start_count)
             elif number == signal.SIGKILL:
@@ -150,6 +152,11 @@
                 self.frozen.add(self.start_count)
             _send_signal(self._pidfd, number)
 
+    def lose(self) -> None:
+        """Lose the machine for good: the process stands still, and its connections stay open."""
+        self.signal(signal.SIGSTOP)
+        self.is_lost = True
+
     async def kill(self) -> None:
         """Kill the process and wait until it has ended."""
         self.signal(signal.SIGKILL)
@@ -166,21 +173,34 @@
     """All processes of one system."""
 
     def __init__(self, count: int, folder: Path, standin: Standin) -> None:
-        network, self._guard = _free_network()
-        self.rows = [
-            Node(
-                f"n{number}",
-                LOOPBACK_PATTERN.format(network, number + 1),
-                folder,
-                standin,
-                suspendable=number % 2 == 1,
-                small=number % SMALL_ONE_IN == 0,
-            )
-            for number in range(count)
-        ]
-
+        self._network, self._guard = _free_network()
+        self._folder = folder
+        self._standin = standin
+        self._created = 0
+        self.rows = [self._create() for _ in range(count)]
+        self.lost: list[Node] = []
+        """Processes whose machines were lost; others have taken their places in ``rows``."""
         self.links: list[Link] = []
 
+    def _create(self) -> Node:
+        number = self._created
+        self._created += 1
+        return Node(
+            f"n{number}",
+            LOOPBACK_PATTERN.format(self._network, number + 1),
+            self._folder,
+            self._standin,
+            suspendable=number % 2 == 1,
+            small=number % SMALL_ONE_IN == 0,
+        )
+
+    def lose(self, node: Node) -> Node:
+        """Lose a machine; return the process that is to take its place, on a machine of its own."""
+        node.lose()
+        self.lost.append(node)
+        new = self.rows[self.rows.index(node)] = self._create()
+        return new
+
     def add_links(self, rng: random.Random) -> None:
         """Insert a link before each address that the processes call or that callers call."""
         for node in self.rows:
@@ -188,7 +208,7 @@
 
     def running(self) -> list[Node]:
         """Return the running processes."""
-        return [node for node in self.rows if node.running]
+        return [node for node in self.rows if node.running and not node.is_lost]
 
     async def start(self, nodes: Iterable[Node] | None = None) -> None:
         """Start the given processes, or all."""
@@ -197,9 +217,12 @@
 
     async def close(self) -> None:
         """Kill the processes that are still running, and close the links."""
-        for node in self.running():
-            node.signal(signal.SIGCONT)
-            await node.kill()
+        for node in self.lost:
+            node.is_lost = False
+        for node in self.lost + self.rows:
+            if node.running:
+                node.signal(signal.SIGCONT)
+                await node.kill()
         for link in self.links:
             link.close()
         self._guard.close()
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -20,6 +20,7 @@
 
 import typer
 
+from benchmarks.connection_faults import CONNECTION_FAULTS
 from benchmarks.lease_faults import LEASE_FAULTS
 from benchmarks.link_faults import LINK_FAULTS
 from benchmarks.node_faults import FAULTS, LIFE_FAULTS, VM_FAULTS, Fault, Target
@@ -59,6 +60,8 @@
 """Caps in thousandths of a core; the widest gang has 16,000."""
 CONFIGURE_INTERVAL_S = 4.0
 """Mean seconds between two configurations."""
+FEW_CONNECTIONS = 16
+"""Number of connections that a VM takes in a soak of leaders that are lost."""
 PROCESSES_WITH_OPEN_CONNECTION = 4
 """Number of processes that have a caller with an open connection."""
 
@@ -91,6 +94,8 @@
         self.standin.page_size = PAGE_RECORDS
         self.standin.cell.mean_task_seconds = size.task_seconds
         self.standin.cell.failure_share = 0.02
+        if any(fault in CONNECTION_FAULTS for fault in size.faults):
+            self.standin.accepted_connections = FEW_CONNECTIONS
         self.nodes = Nodes(size.processes, folder, self.standin)
         if any(fault in LINK_FAULTS for fault in size.faults):
             self.standin.links = {}
@@ -99,6 +104,9 @@
         self.faults: Counter[str] = Counter()
         self.callers = Callers(self.rng, self.nodes, self.standin, self.target, seed)
         self.callers.open_pause_s = size.open_pause_s
+        self.connections: list[int] = []
+        """How many connections were open at each VM at the end of the load."""
+        self.resets = 0
         self._version = 0
 
     async def run(self) -> list[str]:
@@ -153,6 +161,7 @@
     # -- Checks ------------------------------------------------------------------------------
 
     async def _check(self) -> list[str]:
+        self.connections, self.resets = self.standin.connection_counts(), self.standin.resets()
         limit = time.monotonic() + SETTLE_TIMEOUT_S
         unfinished = await self.callers.unfinished()
         while unfinished and time.monotonic() < limit:
@@ -165,7 +174,7 @@
         wrong += verdicts.late_starts()
         wrong += verdicts.check_accepted_share(self.size.min_accepted_share)
         wrong += self.callers.violations()
-        for node in self.nodes.rows:
+        for node in self.nodes.lost + self.nodes.rows:
             wrong += [
                 f"{node.name} exited unexpectedly with {code}"
                 for code in node.unexpected_exit_codes
@@ -192,7 +201,7 @@
 
 def faults_named(names: str) -> tuple[Fault, ...]:
     """Return the faults of comma-separated names; raise ``ValueError`` for an unknown name."""
-    known = FAULTS + VM_FAULTS + LIFE_FAULTS + LINK_FAULTS + LEASE_FAULTS
+    known = FAULTS + VM_FAULTS + LIFE_FAULTS + LINK_FAULTS + LEASE_FAULTS + CONNECTION_FAULTS
     by_name = {fault.__name__: fault for fault in known}
     if names == "vms":
         return FAULTS + VM_FAULTS * 2
@@ -200,6 +209,8 @@
         return FAULTS + LIFE_FAULTS * 3
     if names == "leases":
         return FAULTS + LEASE_FAULTS * 6
+    if names == "connections":
+        return FAULTS + CONNECTION_FAULTS * 6
     if names == "links":
         return FAULTS + LINK_FAULTS * 4
     try:
@@ -223,7 +234,9 @@
     fault_every: Annotated[
         float, typer.Option(help="Mean seconds between faults.")
     ] = FAULT_INTERVAL_S,
-    faults: Annotated[str, typer.Option(help="By comma; vms, lives, links, leases too.")] = "",
+    faults: Annotated[
+        str, typer.Option(help="By comma; vms, lives, links, leases, connections too.")
+    ] = "",
 ) -> None:
     """Run a soak and print its results."""
     _check_names(faults)
@@ -252,6 +265,8 @@
     print(f"{len(verdicts.cancelled)} cancelled, {len(soak.standin.store.claimed_epochs)} leaders")
     print("answers", dict(sorted(soak.callers.reply_counts.items())))
     print("faults", dict(sorted(soak.faults.items())))
+    print(f"{len(soak.nodes.lost)} machines lost, connections at VMs:", end=" ")
+    print(f"{sorted(soak.connections)}, {soak.resets} reset")
     print(f"{len(wrong)} wrong")
     for line in wrong[:20]:
         print("  ", line)
--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Mapping
 from math import inf
 
@@ -26,6 +27,11 @@
 can stop responding together, without a reset, while new ones work."""
 MIN_EXPIRY_INTERVAL_S = 0.1
 """Shortest interval between two checks for connections that have been idle for too long."""
+CONNECT_CHECK_TIMEOUT_S = 0.5
+"""Seconds in which a connection has to open that is only opened as a check."""
+RESET_CHECK_S = 0.03
+"""Seconds in which an upstream resets a connection that is only opened as a check. Until then it
+stays open if this machine is lost, so the time is short: several round trips."""
 RESET_ON_OPEN_WITHIN_S = 0.25
 """Seconds from the opening of a connection within which its end counts as a refusal to take it."""
 CONNECTION_PARAMETERS = http1connection.HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024)
@@ -151,6 +157,12 @@
         """Leave the response incomplete."""
 
 
+async def _closes(stream: iostream.IOStream) -> None:
+    """Wait until a connection over which nothing was sent is closed."""
+    with contextlib.suppress(iostream.StreamClosedError):
+        await stream.read_bytes(1)
+
+
 class UpstreamPool:
     """Reusable connections to upstreams, a limited number to each address."""
 
@@ -343,12 +355,32 @@
         self._open[address] -= 1
         stream.close()
 
-    def close_idle(self) -> None:
-        """Close the idle connections."""
-        for address, streams in self._idle.items():
-            for _, stream in streams:
+    async def takes_connections(self, address: str, count: int) -> bool | None:
+        """Open some connections beside the others, and close them at once.
+
+        Return whether the upstream keeps them open, and ``None`` if one cannot be opened at all.
+        """
+        deadline = monotonic() + CONNECT_CHECK_TIMEOUT_S
+        opening = [self._connect(address, deadline) for _ in range(count)]
+        results = await asyncio.gather(*opening, return_exceptions=True)
+        streams = [result for result in results if isinstance(result, iostream.IOStream)]
+        reading = [asyncio.ensure_future(_closes(stream)) for stream in streams]
+        try:
+            if len(streams) < count:
+                return None
+            closed, _ = await asyncio.wait(
+                reading, timeout=RESET_CHECK_S, return_when=asyncio.FIRST_COMPLETED
+            )
+            return not closed
+        finally:
+            for stream in streams:
                 self._discard(address, stream)
-        self._idle.clear()
+
+    def close_idle(self, address: str | None = None) -> None:
+        """Close the idle connections, to one address or to all."""
+        for name in [address] if address is not None else list(self._idle):
+            for _, stream in self._idle.pop(name, ()):
+                self._discard(name, stream)
 
     def close(self) -> None:
         """Close the idle connections, and use no more of them."""
--- a/src/sablemount/control/ports.py
+++ b/src/sablemount/control/ports.py
@@ -89,8 +89,12 @@
         """Throttle a run to a share of its speed."""
         ...
 
-    def close_connections(self) -> None:
-        """Close the connections that no call uses."""
+    async def takes_connections(self, address: str, count: int) -> bool | None:
+        """Return whether a VM takes so many further connections; ``None`` if it is unreachable."""
+        ...
+
+    def close_connections(self, address: str | None = None) -> None:
+        """Close the connections that no call uses, to one VM or to all."""
         ...
 
 
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -14,6 +14,7 @@
 from sablemount.control.figures import Metrics
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult, VmPort
 from sablemount.control.turns import TimedSemaphore
+from sablemount.control.vm_room import RESERVED_CONNECTIONS, Room
 from sablemount.control.vm_turns import CallKind, Turn, TurnExpired, VmTurns, connection_limit
 from sablemount.jobs.actions import (
     LaterIncarnation,
@@ -47,6 +48,12 @@
 that answers takes a few ms, and many VMs may be silent."""
 MAX_STARTS = 64
 """Maximum number of concurrent start requests: each may open a connection as well."""
+MAX_ROOM_CHECKS = 4
+"""Maximum number of VMs that are checked for the connections that they have left at once."""
+SCARCE_POLL_PAUSE_S = 0.25
+"""Pause between polls of a VM that may have few connections left: each opens one."""
+MAX_REOPENING_POLLS_PER_S = 500
+"""Maximum rate of such polls of all VMs together; in a larger cell the connections stay open."""
 FIRST_HOLD_TIMEOUT_S = 0.5
 """Time-out of the first poll of a VM, which does not wait for a completion."""
 ACK_TIMEOUT_S = 0.2
@@ -131,7 +138,10 @@
         metrics: Metrics | None = None,
     ) -> None:
         self._metrics = metrics or Metrics()
-        self._turns = VmTurns(self._count_wait)
+        self._turns = VmTurns(self._count_wait, self._on_unused)
+        self._rooms: dict[str, Room] = {}
+        """Estimates of the connections that VMs have left, by address."""
+        self._room_checks = asyncio.Semaphore(MAX_ROOM_CHECKS)
         self._scheduler = scheduler
         self._port = port
         self._epoch = epoch
@@ -165,6 +175,7 @@
                 )
                 if connected:
                     pause = RETRY_PAUSE_S
+                    await self._follow_room(row)
                     continue
                 await asyncio.sleep(pause)
                 pause = min(MAX_RETRY_PAUSE_S, pause * 1.5)
@@ -281,7 +292,8 @@
 
     def _wait_on_single_connection(self, row: VmRow) -> float:
         """Return how long a poll may occupy the only connection to a VM."""
-        if self._turns.has_waiting(row.info.address):
+        reopens = self._is_scarce(row) and self._reopens_connections()
+        if reopens or self._turns.has_waiting(row.info.address):
             return 0.0
         return max(SHORT_WAIT_S, len(self._scheduler.state.vms) / IDLE_POLLS_PER_S)
 
@@ -313,9 +325,65 @@
         limit = self._connection_limit(row)
         return self._turns.turn(row.info.address, limit, kind, patience)
 
+    def _accepted_connections(self, row: VmRow) -> int:
+        """Return how many connections a VM takes from all; 0 if unknown."""
+        return self._scheduler.state.configuration.accepted_connections.get(row.info.pool, 0)
+
     def _connection_limit(self, row: VmRow) -> int:
-        accepted = self._scheduler.state.configuration.accepted_connections
-        return connection_limit(accepted.get(row.info.pool, 0))
+        return 1 if self._is_scarce(row) else connection_limit(self._accepted_connections(row))
+
+    def _is_scarce(self, row: VmRow) -> bool:
+        """Return whether a VM may have few connections left."""
+        room = self._room(row)
+        return room is not None and room.is_scarce
+
+    def _reopens_connections(self) -> bool:
+        """Return whether VMs may be called over a new connection each time."""
+        polls_per_s = len(self._scheduler.state.vms) / SCARCE_POLL_PAUSE_S
+        return polls_per_s <= MAX_REOPENING_POLLS_PER_S
+
+    async def _follow_room(self, row: VmRow) -> None:
+        """Check whether a VM has connections left, if due, and pause if it may have few."""
+        room = self._room(row)
+        if room is None:
+            return
+        if room.is_check_due(monotonic()):
+            room.check_begins(monotonic())
+            self._background.spawn(self._check_room(row, room))
+        acknowledges = self._scheduler.acks.has_unacknowledged(row)
+        if room.is_scarce and self._reopens_connections() and not acknowledges:
+            await asyncio.sleep(SCARCE_POLL_PAUSE_S)
+
+    def _room(self, row: VmRow) -> Room | None:
+        """Return the estimate for a VM; ``None`` if it is unknown how many connections it takes.
+
+        Each earlier leader may have left as many as this one may open.
+        """
+        accepted = self._accepted_connections(row)
+        if not accepted:
+            return None
+        room = self._rooms.get(row.info.address)
+        if room is None:
+            room = Room(accepted - self._epoch * connection_limit(accepted), monotonic())
+            self._rooms[row.info.address] = room
+        return room
+
+    async def _check_room(self, row: VmRow, room: Room) -> None:
+        async with self._room_checks, self._turn(row, CallKind.POLL):
+            if not self._has_authority():
+                return
+            takes = await self._port.takes_connections(row.info.address, RESERVED_CONNECTIONS)
+        if takes is None or not room.checked(takes):
+            return
+        self._metrics.count("vm_room", "enough" if takes else "scarce")
+        text = "VM has connections left again" if takes else "VM has few connections left"
+        _logger.warning(text, extra={"vm": row.name, "accepted": self._accepted_connections(row)})
+
+    def _on_unused(self, address: str) -> None:
+        """Close the connection to a VM that may have few left, unless another call follows."""
+        room = self._rooms.get(address)
+        if room is not None and room.is_scarce and self._reopens_connections():
+            self._port.close_connections(address)
 
     def _count_wait(self, kind: CallKind, seconds: float) -> None:
         self._metrics.count("vm_call_waited", kind.name.lower())
@@ -332,6 +400,10 @@
             if resets.count & (resets.count - 1) == 0:
                 extra = {"vm": row.name, "open": resets.open, "resets": resets.count}
                 _logger.warning("VM resets new connections", extra=extra)
+        elif result is CallError.NO_ANSWER:
+            room = self._rooms.get(row.info.address)
+            if room is not None:
+                room.connection_abandoned()
         elif not isinstance(result, CallError) and turn.answered():
             _logger.info("VM takes new connections again", extra={"vm": row.name})
 
--- a/src/sablemount/control/vm_turns.py
+++ b/src/sablemount/control/vm_turns.py
@@ -57,6 +57,10 @@
     """Ignore a wait."""
 
 
+def _ignore_address(address: str) -> None:
+    """Ignore an address."""
+
+
 class _Waiter:
     """A call that waits for its turn, ordered by kind and then by arrival."""
 
@@ -154,11 +158,17 @@
 class VmTurns:
     """Gives calls to VMs their turns.
 
-    ``on_waited`` is called with the kind of a call that had to wait, and for how many seconds.
+    ``on_waited`` is called with the kind of a call that had to wait, and for how many seconds;
+    ``on_unused`` is called with an address once no call is in flight or waits there.
     """
 
-    def __init__(self, on_waited: Callable[[CallKind, float], None] = _ignore_wait) -> None:
+    def __init__(
+        self,
+        on_waited: Callable[[CallKind, float], None] = _ignore_wait,
+        on_unused: Callable[[str], None] = _ignore_address,
+    ) -> None:
         self._on_waited = on_waited
+        self._on_unused = on_unused
         self._lanes: dict[str, _Lane] = {}
         self._last_number = 0
 
@@ -215,6 +225,8 @@
     def _leave(self, turn: "Turn", lane: _Lane) -> None:
         lane.leave(turn.kind)
         lane.admit_waiters(monotonic())
+        if not lane.in_use:
+            self._on_unused(turn.address)
         self._forget_unused(turn.address, lane)
 
     def _forget_unused(self, address: str, lane: _Lane) -> None:
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -192,9 +192,13 @@
         except IncompleteResponse as error:
             return CallError.RESET_ON_OPEN if error.reset_on_open else CallError.NO_ANSWER
 
-    def close_connections(self) -> None:
-        """Close the connections that no call uses."""
-        self._pool.close_idle()
+    async def takes_connections(self, address: str, count: int) -> bool | None:
+        """Return whether a VM takes so many further connections; ``None`` if it is unreachable."""
+        return await self._pool.takes_connections(address, count)
+
+    def close_connections(self, address: str | None = None) -> None:
+        """Close the connections that no call uses, to one VM or to all."""
+        self._pool.close_idle(address)
 
 
 def _call_error(response: Response) -> CallError:
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -186,6 +186,14 @@
         status, response = result
         return Response(status, NO_HEADERS, json.dumps(response).encode())
 
+    async def takes_connections(self, address: str, count: int) -> bool | None:
+        """Check a VM; takes the place of ``UpstreamPool.takes_connections``."""
+        await asyncio.sleep(LATENCY_S)
+        vm = self._cell.running_vm_at(address)
+        if vm is None or self._is_unreachable(vm):
+            return None
+        return vm.takes_connections(count)
+
     def close_idle(self, address: str | None = None) -> None:
         """Close idle connections; takes the place of ``UpstreamPool.close_idle``."""
         self.connections.close_idle(address)
--- a/tests/jobs/test_lost_leaders.py
+++ b/tests/jobs/test_lost_leaders.py
@@ -30,6 +30,18 @@
     return system
 
 
+@pytest.mark.parametrize(("accepted", "losses"), [(16, 16), (64, 40)])
+def test_jobs_go_on_however_many_leaders_are_lost(accepted: int, losses: int) -> None:
+    """Each left some connections at each VM, until there were none for the next one."""
+
+    async def scenario() -> None:
+        system = await _lose(accepted, losses)
+        counts = [vm.open_connections for vm in system.cell.vms.values() if vm.up]
+        assert max(counts) < accepted
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(("accepted", "losses"), [(64, 5), (16, 5)])
 def test_jobs_go_on_after_leaders_are_lost_in_series(accepted: int, losses: int) -> None:
     async def scenario() -> None:
--- a/tests/jobs/test_vm_connections.py
+++ b/tests/jobs/test_vm_connections.py
@@ -28,6 +28,7 @@
         self.idle = 0
         self.highest = 0
         self.resets = 0
+        self.checks = 0
         self.calls: list[str] = []
         self.waits: list[float] = []
         self.starts_unanswered = False
@@ -54,7 +55,8 @@
             return CallError.RESET_ON_OPEN
         now = asyncio.get_running_loop().time()
         running = tuple(self._rig.running.get(call.vm, ()))
-        return VmReport(call.vm, now, now * 1000.0, running, ())
+        ended = tuple(self._rig.completions.get(call.vm, ()))
+        return VmReport(call.vm, now, now * 1000.0, running, ended)
 
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
@@ -66,6 +68,14 @@
         self._rig.hold(action)
         return Started(asyncio.get_running_loop().time() * 1000.0)
 
+    async def takes_connections(self, address: str, count: int) -> bool | None:
+        self.checks += 1
+        return self.open + count <= self.accepted
+
+    def close_connections(self, address: str | None = None) -> None:
+        self.open -= self.idle
+        self.idle = 0
+
     async def stop(
         self, action: StopRun, address: str, fence: int, timeout: float
     ) -> CallError | None:
@@ -75,8 +85,8 @@
 class _Leader:
     """A leader with one VM, whose service takes ``published`` connections a VM."""
 
-    def __init__(self, accepted: int, published: int) -> None:
-        self.rig = rig = Rig(vms=0)
+    def __init__(self, accepted: int, published: int, epoch: int = 1) -> None:
+        self.rig = rig = Rig(vms=0, epoch=epoch)
         rig.clock.monotonic = asyncio.get_running_loop().time  # type: ignore[method-assign]
         # The runs make no progress here, which the health checks would take for a fault.
         rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
@@ -91,7 +101,7 @@
         self.calls = VmCalls(
             rig.scheduler,
             self.port,  # type: ignore[arg-type]
-            1,
+            epoch,
             lambda: True,
             lambda vm: None,
             lambda: None,
@@ -195,3 +205,59 @@
         leader.calls.close()
 
     run(scenario())
+
+
+def test_a_vm_with_few_connections_left_keeps_them_for_later_leaders() -> None:
+    """The last leaders that a VM had a connection for took it with them as they were lost."""
+
+    async def scenario() -> None:
+        leader = _Leader(accepted=4, published=64, epoch=40)
+        await asyncio.sleep(2.0)
+        leader.port.waits.clear()
+        open_counts = []
+        for _ in range(200):
+            await asyncio.sleep(0.01)
+            open_counts.append(leader.port.open)
+        assert max(open_counts) == 1
+        assert open_counts.count(1) < 20
+        assert max(leader.port.waits) == 0.0
+        leader.request_starts(SLOTS)
+        await asyncio.sleep(1.0)
+        assert leader.started() == SLOTS
+        assert leader.port.resets == 0
+        leader.port.accepted = 64
+        await asyncio.sleep(30.0)
+        assert leader.port.open == 1
+        assert 1 <= leader.port.checks <= 2
+        leader.calls.close()
+
+    run(scenario())
+
+
+def test_ends_are_acknowledged_at_once_to_a_vm_with_few_connections_left() -> None:
+    async def scenario() -> None:
+        leader = _Leader(accepted=4, published=64, epoch=40)
+        await asyncio.sleep(2.0)
+        row = leader.rig.scheduler.state.vms["w0"]
+        (start,) = leader.request_starts(1)
+        await asyncio.sleep(0.5)
+        leader.rig.complete(start, "done")
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            leader.rig.commit()
+        assert row.last_acknowledged_completion == 1
+        leader.calls.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("epoch", "checks"), [(1, 0), (20, 0), (21, 1)])
+def test_room_is_checked_once_former_leaders_may_have_used_it_up(epoch: int, checks: int) -> None:
+    async def scenario() -> None:
+        leader = _Leader(accepted=64, published=64, epoch=epoch)
+        await asyncio.sleep(30.0)
+        assert leader.port.checks == checks
+        assert leader.port.open == 1
+        leader.calls.close()
+
+    run(scenario())
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -17,7 +17,6 @@
 
 import msgspec
 from tornado import httputil
-from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
 from sablemount.control.ports import CallError
@@ -43,6 +42,7 @@
 from tests.emulator.vm_ports import WORKER_HANDLERS, Body, WorkerHandler
 from tests.emulator.vms import Cell, loop_time
 from tests.platform.crossing import CONNECTION_CLOSED, NO_RESPONSE, WriteFaults
+from tests.platform.limited import LimitedHTTPServer
 from tests.platform.links import Link
 
 Handler = Callable[[httputil.HTTPServerRequest], Awaitable[tuple[int, object]]]
@@ -81,8 +81,10 @@
         """Percentage to which a task was last throttled, by the task."""
         self.restart_keeps_id = False
         """Whether workers that are crashed by tasks restart under the same id."""
-        self._http_servers: list[HTTPServer] = []
-        self._worker_servers: dict[str, HTTPServer] = {}
+        self._http_servers: list[LimitedHTTPServer] = []
+        self.accepted_connections = 64
+        """Number of connections that each worker takes from now on; it resets further ones."""
+        self._worker_servers: dict[str, LimitedHTTPServer] = {}
         self._addresses: dict[str, str] = {}
         self.links: dict[str, Link] | None = None
         """Proxies of the workers, by incarnation; ``None`` for none, ``{}`` to create them."""
@@ -107,7 +109,7 @@
         def accept(request: httputil.HTTPServerRequest) -> None:
             self._tasks.add(asyncio.ensure_future(self._serve(handler, request)))
 
-        server = HTTPServer(accept)
+        server = LimitedHTTPServer(accept)
         listening = listening or bind_unused_port()[0]
         server.add_sockets([listening])
         self._http_servers.append(server)
@@ -213,7 +215,7 @@
         configuration: dict[str, object] = {
             "version": version,
             "routes": [route | changes],
-            "services": [{"name": SERVICE}],
+            "services": [{"name": SERVICE, "maxConns": self.accepted_connections}],
         }
         if tenants:
             configuration["tenants"] = tenants
@@ -240,9 +242,18 @@
             return await self._worker(worker, request)
 
         address = self._listen(serve, listening)
-        self._worker_servers[worker.info.name] = self._http_servers[-1]
+        server = self._worker_servers[worker.info.name] = self._http_servers[-1]
+        server.accepted = self.accepted_connections
         return address
 
+    def connection_counts(self) -> list[int]:
+        """Return how many connections are open at each running worker."""
+        return [server.open_connections for server in self._worker_servers.values()]
+
+    def resets(self) -> int:
+        """Return how many connections the running workers have reset as they opened."""
+        return sum(server.resets for server in self._worker_servers.values())
+
     async def restart_worker(self, worker: Vm, after: float, capacity: Shape = CAPACITY) -> None:
         """Crash a worker and restart it under its id and address after ``after`` seconds.
 
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -1,9 +1,10 @@
 """Short soak runs of real processes, sockets and signals.
 
 Leaders are killed while writes are late; VMs crash, shrink and restart under their ids; the
-connections between the processes fail; and VMs cannot be reached while their leases run. The checks
-do not depend on the speed of the machine: every process knows the accepted jobs, they end, no task
-runs twice, and a process that is asked to stop ends with exit code 0.
+connections between the processes fail; VMs cannot be reached while their leases run; leaders are
+lost in series while VMs take few connections. The checks do not depend on the speed of the machine:
+every process knows the accepted jobs, they end, no task runs twice, and a process that is asked to
+stop ends with exit code 0.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import pytest
 
 from benchmarks import node_faults
+from benchmarks.connection_faults import CONNECTION_FAULTS
 from benchmarks.lease_faults import LEASE_FAULTS
 from benchmarks.link_faults import LINK_FAULTS
 from benchmarks.process_soak import Size, Soak, with_long_tasks
@@ -24,9 +26,10 @@
     "vms": (*node_faults.VM_FAULTS, node_faults.planned_stop),
     "lives": (*node_faults.LIFE_FAULTS, node_faults.planned_stop),
     "leases": LEASE_FAULTS,
+    "connections": CONNECTION_FAULTS,
     "links": (*LINK_FAULTS, node_faults.leaders_killed, node_faults.planned_stop),
 }
-SOAKS = [(1, "leaders"), (2, "vms"), (3, "links"), (4, "lives"), (5, "leases")]
+SOAKS = [(1, "leaders"), (2, "vms"), (3, "links"), (4, "lives"), (5, "leases"), (6, "connections")]
 
 
 async def _run_soak(seed: int, kind: str, folder: Path) -> list[str]:
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -98,3 +98,34 @@
             pool.close()
 
     asyncio.run(scenario())
+
+
+def test_a_check_for_further_connections_leaves_none_open() -> None:
+    async def scenario() -> None:
+        pool = UpstreamPool(8)
+        async with listening(LimitedServer(limit=4)) as server:
+            await _post(pool, server)
+            assert await pool.takes_connections(server.address, 3) is True
+            await _reached(lambda: server.connections == 1)
+            assert await pool.takes_connections(server.address, 4) is False
+            await _reached(lambda: server.connections == 1)
+            assert pool.open_count == 1
+            await _post(pool, server)
+        assert await pool.takes_connections("127.0.0.1:9", 1) is None
+        pool.close()
+
+    asyncio.run(scenario())
+
+
+def test_idle_connections_to_one_address_close_without_the_others() -> None:
+    async def scenario() -> None:
+        pool = UpstreamPool(8)
+        async with listening(LimitedServer(4)) as first, listening(LimitedServer(4)) as second:
+            await _post(pool, first)
+            await _post(pool, second)
+            pool.close_idle(first.address)
+            await _reached(lambda: first.connections == 0)
+            assert second.connections == pool.open_count == 1
+            pool.close()
+
+    asyncio.run(scenario())
