--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -361,17 +361,15 @@
         Return whether the upstream keeps them open, and ``None`` if one cannot be opened at all.
         """
         deadline = monotonic() + CONNECT_CHECK_TIMEOUT_S
-        opening = [self._connect(address, deadline) for _ in range(count)]
-        results = await asyncio.gather(*opening, return_exceptions=True)
-        streams = [result for result in results if isinstance(result, iostream.IOStream)]
-        reading = [asyncio.ensure_future(_closes(stream)) for stream in streams]
+        streams: list[iostream.IOStream] = []
         try:
-            if len(streams) < count:
-                return None
-            closed, _ = await asyncio.wait(
-                reading, timeout=RESET_CHECK_S, return_when=asyncio.FIRST_COMPLETED
-            )
-            return not closed
+            for _ in range(count):
+                streams.append(await self._connect(address, deadline))
+            reading = [asyncio.ensure_future(_closes(stream)) for stream in streams]
+            await asyncio.wait(reading, timeout=RESET_CHECK_S, return_when=asyncio.FIRST_COMPLETED)
+            return not any(task.done() for task in reading)
+        except RequestNotSent:
+            return None
         finally:
             for stream in streams:
                 self._discard(address, stream)
