--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	$(BIN)/python -m benchmarks.job_soak --kind jobs
 	$(BIN)/python -m benchmarks.job_soak --kind leases
 	$(BIN)/python -m benchmarks.job_soak --kind steps
+	$(BIN)/python -m benchmarks.job_soak --kind connections
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
@@ -55,6 +56,7 @@
 	$(BIN)/python -m benchmarks.process_soak --seed 3 --faults links
 	$(BIN)/python -m benchmarks.process_soak --seed 4 --faults lives
 	$(BIN)/python -m benchmarks.process_soak --seed 5 --vms 12 --faults leases
+	$(BIN)/python -m benchmarks.process_soak --seed 6 --faults connections
 	$(BIN)/python -m benchmarks.kept_soaks
 
 generate: $(STAMP)
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -8,6 +8,7 @@
 python -m benchmarks.job_soak --kind jobs --first 0 --count 500
 python -m benchmarks.job_soak --kind leases --first 0 --count 500
 python -m benchmarks.job_soak --kind steps --first 0 --count 500
+python -m benchmarks.job_soak --kind connections --first 0 --count 500
 
 With leases and steps it also prints how often a task ran twice, and how long tasks waited that were
 lost with their VM.
@@ -22,10 +23,11 @@
 import msgspec
 import typer
 
+from tests.emulator import connection_faults, lease_faults, life_faults, step_faults, vm_faults
 from tests.emulator import faults as kinds
-from tests.emulator import lease_faults, life_faults, step_faults, vm_faults
 from tests.emulator.loop import run
 from tests.emulator.mixes import (
+    run_connection_mix,
     run_job_mix,
     run_measured_lease_mix,
     run_mix,
@@ -52,6 +54,8 @@
     LEASES = "leases"
     STEPS = "steps"
     """The same, with members that stand still, a store that goes and calls that come late."""
+    CONNECTIONS = "connections"
+    """Leaders lost in series, at VMs that take few connections."""
 
 
 class MixResult(msgspec.Struct):
@@ -114,6 +118,13 @@
     return _run_lease_mix(seed, step_faults.draw(seed))
 
 
+def run_connections_seed(seed: int) -> MixResult:
+    """Run a seed's mix of leaders lost in series, at VMs that take few connections."""
+    chosen = connection_faults.draw(seed)
+    wrong = run(run_connection_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
@@ -134,6 +145,7 @@
     Kind.JOBS: run_jobs_seed,
     Kind.LEASES: run_leases_seed,
     Kind.STEPS: run_steps_seed,
+    Kind.CONNECTIONS: run_connections_seed,
 }
 
 
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "organisations",
+    "run_connection_mix",
     "run_job_mix",
     "run_lease_mix",
     "run_measured_lease_mix",
@@ -30,6 +31,8 @@
 CAPS_MILLICORES = (40_000, 46_000, 60_000)
 """Caps of the smaller organisation in thousandths of a core; each fits the widest gang."""
 
+FEW_CONNECTIONS = 16
+MANY_CONNECTIONS = 64
 MODEL_TASK_SECONDS = 0.4
 """Mean seconds of a task of the whole job model, whose jobs have more tasks."""
 LONG_TASK_SECONDS = 4.0
@@ -44,6 +47,13 @@
     return await _run(system, seed, chosen, system.traffic("a", 60, 0.2), _cancel_some)
 
 
+async def run_connection_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
+    """Inject faults that leave connections at VMs, most of which take few of them."""
+    system = System(seed, members=5, advice=advice)
+    system.limit_connections(FEW_CONNECTIONS if seed % 4 else MANY_CONNECTIONS)
+    return await _run(system, seed, chosen, system.traffic("a", 150, 0.2), _cancel_some)
+
+
 async def run_organisation_mix(
     seed: int, chosen: Sequence[Fault], advice: bool = False
 ) -> list[str]:
