--- a/src/sablemount/adapters/upstream.py
+++ b/src/sablemount/adapters/upstream.py
@@ -42,11 +42,13 @@
     """No byte of the request was sent.
 
     ``refused`` is true if the connection was refused: nothing listens at the address.
+    ``reset_on_open`` is true if it was reset as it was opened: the upstream takes no more of them.
     """
 
-    def __init__(self, reason: str, refused: bool = False) -> None:
+    def __init__(self, reason: str, refused: bool = False, reset_on_open: bool = False) -> None:
         super().__init__(reason)
         self.refused = refused
+        self.reset_on_open = reset_on_open
 
 
 class IncompleteResponse(Exception):
@@ -63,9 +65,9 @@
         self.reset_on_open = reset_on_open
 
 
-def _is_refusal(error: Exception) -> bool:
-    cause = getattr(error, "real_error", None) or error
-    return isinstance(cause, ConnectionRefusedError)
+def _cause(error: Exception) -> Exception:
+    """Return the error of the socket that closed a stream, if there is one."""
+    return getattr(error, "real_error", None) or error
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -317,7 +319,10 @@
             stream = await asyncio.wait_for(connecting, max(0.0, deadline - monotonic()))
         except (TimeoutError, OSError, iostream.StreamClosedError) as error:
             self._open[address] -= 1
-            raise RequestNotSent(type(error).__name__, _is_refusal(error)) from error
+            refused = isinstance(_cause(error), ConnectionRefusedError)
+            reset = isinstance(_cause(error), ConnectionResetError)
+            self.resets_on_open += reset
+            raise RequestNotSent(type(error).__name__, refused, reset) from error
         except BaseException:
             # The caller was cancelled while it connected: the connection no longer counts.
             self._open[address] -= 1
@@ -368,8 +373,8 @@
             reading = [asyncio.ensure_future(_closes(stream)) for stream in streams]
             await asyncio.wait(reading, timeout=RESET_CHECK_S, return_when=asyncio.FIRST_COMPLETED)
             return not any(task.done() for task in reading)
-        except RequestNotSent:
-            return None
+        except RequestNotSent as error:
+            return False if error.reset_on_open else None
         finally:
             for stream in streams:
                 self._discard(address, stream)
--- a/src/sablemount/control/ports.py
+++ b/src/sablemount/control/ports.py
@@ -38,6 +38,8 @@
     """The call may have been carried out, or may still be."""
     RESET_ON_OPEN = "connection reset as it was opened"
     """The VM is up and takes no further connection. The call may have been carried out."""
+    RESET_UNSENT = "connection reset before the call was sent"
+    """The same, and the call was not sent."""
 
 
 class HoldCall(msgspec.Struct, frozen=True):
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -87,7 +87,8 @@
 a start request: the requests to this VM seem to take longer."""
 MIN_REMAINING_S = 0.05
 """Remaining validity of a start request below which it is not sent again."""
-NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED)
+NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED, CallError.RESET_UNSENT)
+RESETS = (CallError.RESET_ON_OPEN, CallError.RESET_UNSENT)
 EPOCH_SHIFT = 32
 """Number of low bits of a fence. They increase under one leader, by one for each incarnation of a
 VM and for each request that may arrive late, so that they last for years."""
@@ -394,7 +395,7 @@
 
         It is up in both cases. Other errors show nothing of this.
         """
-        if result is CallError.RESET_ON_OPEN:
+        if result in RESETS:
             resets = turn.reset_on_open()
             self._metrics.count("vm_connection", "reset_on_open")
             if resets.count & (resets.count - 1) == 0:
@@ -467,7 +468,7 @@
             if result not in NOTHING_SENT:
                 certain = False
                 self._scheduler.acks.start_timed_out(row)
-            if result is CallError.RESET_ON_OPEN:
+            if result in RESETS:
                 await asyncio.sleep(RETRY_PAUSE_S)
         if certain and not run.listed:
             self._scheduler.reconcile.run_not_started(action.vm, action.task, action.run)
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -188,6 +188,8 @@
         try:
             return await self._pool.fetch(address, path, encoded, headers, timeout, waits=waits)
         except RequestNotSent as error:
+            if error.reset_on_open:
+                return CallError.RESET_UNSENT
             return CallError.REFUSED if error.refused else CallError.NOT_SENT
         except IncompleteResponse as error:
             return CallError.RESET_ON_OPEN if error.reset_on_open else CallError.NO_ANSWER
--- a/tests/jobs/test_vm_connections.py
+++ b/tests/jobs/test_vm_connections.py
@@ -28,6 +28,7 @@
         self.idle = 0
         self.highest = 0
         self.resets = 0
+        self.reset = CallError.RESET_ON_OPEN
         self.checks = 0
         self.calls: list[str] = []
         self.waits: list[float] = []
@@ -52,7 +53,7 @@
     async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
         self.waits.append(call.wait)
         if not await self._serve("poll", LATENCY_S + call.wait):
-            return CallError.RESET_ON_OPEN
+            return self.reset
         now = asyncio.get_running_loop().time()
         running = tuple(self._rig.running.get(call.vm, ()))
         ended = tuple(self._rig.completions.get(call.vm, ()))
@@ -62,7 +63,7 @@
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> Started | CallError:
         if not await self._serve("start", timeout if self.starts_unanswered else LATENCY_S):
-            return CallError.RESET_ON_OPEN
+            return self.reset
         if self.starts_unanswered:
             return CallError.NO_ANSWER
         self._rig.hold(action)
@@ -79,7 +80,7 @@
     async def stop(
         self, action: StopRun, address: str, fence: int, timeout: float
     ) -> CallError | None:
-        return None if await self._serve("stop", LATENCY_S) else CallError.RESET_ON_OPEN
+        return None if await self._serve("stop", LATENCY_S) else self.reset
 
 
 class _Leader:
@@ -163,14 +164,16 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("reset", [CallError.RESET_ON_OPEN, CallError.RESET_UNSENT])
 def test_a_vm_that_resets_new_connections_is_used_over_the_only_one(
-    caplog: pytest.LogCaptureFixture,
+    reset: CallError, caplog: pytest.LogCaptureFixture
 ) -> None:
     """Nothing was started on a VM whose other connections belonged to lost leaders."""
     caplog.set_level(logging.INFO)
 
     async def scenario() -> None:
         leader = _Leader(accepted=1, published=64)
+        leader.port.reset = reset
         await asyncio.sleep(2.0)
         assert len(leader.request_starts(SLOTS)) == SLOTS
         await asyncio.sleep(1.4)
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -103,6 +103,16 @@
     assert directory.configuration(Record("wave/1", b"{}")) is None
 
 
+def test_the_number_of_connections_that_a_worker_takes_is_read() -> None:
+    """It was read by nothing: each leader allowed itself three eighths of what a worker takes."""
+    services = [{"name": "a", "maxConns": 64}, {"name": "b", "maxConns": 16}, {"name": "c"}]
+    value = json.dumps({"version": 3, "services": services}).encode()
+    configuration = PlatformDirectory().configuration(Record("op/config", value))
+    assert configuration is not None
+    assert configuration.accepted_connections == {"a": 64, "b": 16}
+    assert configuration.pools == {"a", "b", "c"}
+
+
 def test_a_draining_worker_is_told_so() -> None:
     entry = {
         "service": "s",
--- a/tests/platform/test_standin.py
+++ b/tests/platform/test_standin.py
@@ -5,8 +5,13 @@
 
 import pytest
 
+from sablemount.adapters.upstream import UpstreamPool
+from sablemount.control.ports import CallError, HoldCall
 from sablemount.control.store import Topic
+from sablemount.jobs.actions import VmReport
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from sablemount.platform.lives import incarnation_name
+from sablemount.platform.workers import PlatformWorkers
 from tests.emulator.advice import make_ticket
 from tests.emulator.system import loop_time
 from tests.emulator.vm import Vm
@@ -116,3 +121,30 @@
         standin.close()
 
     asyncio.run(scenario())
+
+
+def test_a_worker_resets_connections_beyond_those_that_it_takes() -> None:
+    async def scenario() -> None:
+        standin = Standin()
+        standin.accepted_connections = 1
+        worker = standin.add_worker("r1")
+        pool = UpstreamPool(4)
+        workers = PlatformWorkers(pool)
+        name = incarnation_name(worker.info.name, worker.started_at_ms)
+        poll = HoldCall(name, standin.address_of(worker), 1, 0, 0, 0.5)
+        first = asyncio.create_task(workers.hold(poll, 2.0))
+        while standin.connection_counts() != [1]:
+            await asyncio.sleep(0.01)
+        resets = (CallError.RESET_ON_OPEN, CallError.RESET_UNSENT)
+        assert await workers.hold(poll, 2.0) in resets
+        assert standin.resets() == pool.resets_on_open == 1
+        assert await workers.takes_connections(poll.address, 1) is False
+        assert isinstance(await first, VmReport)
+        workers.close_connections(poll.address)
+        while standin.connection_counts() != [0]:
+            await asyncio.sleep(0.01)
+        assert await workers.takes_connections(poll.address, 1) is True
+        pool.close()
+        standin.close()
+
+    asyncio.run(scenario())
