--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -216,12 +216,12 @@
         return (poll.acked > 0 or poll.seconds > HOLD_WAIT_S) and not poll.silent
 
     async def _send_poll(self, row: VmRow, at_once: bool, turn: Turn) -> _Poll | None:
-        """Send a poll and return it with its result; ``None`` without the authority to do so."""
+        """Send a poll and return it with its result; ``None`` if it may not be sent any more."""
         scheduler = self._scheduler
         scheduler.update_time()
         # Checked after the clock is read: if the process stands still in between, the lease counts
         # from before, and a later leader waits for it.
-        if not self._has_authority():
+        if row.terminated or not self._has_authority():
             return None
         known = row.first_report_at > 0
         silent = known and scheduler.vms.silent_for(row) > STOP_EXTENDING_AFTER_S
--- a/tests/jobs/test_vm_connections.py
+++ b/tests/jobs/test_vm_connections.py
@@ -264,3 +264,23 @@
         leader.calls.close()
 
     run(scenario())
+
+
+def test_a_poll_that_has_waited_is_not_sent_for_an_incarnation_that_has_ended() -> None:
+    """It would reach the next one and extend the lease there, under which no probe may start."""
+
+    async def scenario() -> None:
+        leader = _Leader(accepted=64, published=8)
+        await asyncio.sleep(2.0)
+        row = leader.rig.scheduler.state.vms["w0"]
+        leader.port.starts_unanswered = True
+        leader.request_starts(1)
+        await asyncio.sleep(0.15)
+        assert leader.port.calls[-1] == "start"
+        before = leader.port.calls.count("poll")
+        leader.rig.scheduler.vms.incarnation_ended(row.name)
+        await asyncio.sleep(2.0)
+        assert leader.port.calls.count("poll") == before
+        leader.calls.close()
+
+    run(scenario())
