--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -296,7 +296,8 @@
         reopens = self._is_scarce(row) and self._reopens_connections()
         if reopens or self._turns.has_waiting(row.info.address):
             return 0.0
-        return max(SHORT_WAIT_S, len(self._scheduler.state.vms) / IDLE_POLLS_PER_S)
+        wait = max(SHORT_WAIT_S, len(self._scheduler.state.vms) / IDLE_POLLS_PER_S)
+        return min(MAX_HOLD_WAIT_S, wait)
 
     @staticmethod
     def _timeout(known: bool, silent: bool, wait: float) -> float:
--- a/tests/jobs/test_many_vms.py
+++ b/tests/jobs/test_many_vms.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import msgspec
+
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started
-from sablemount.control.vm_calls import HOLD_WAIT_S, VmCalls
+from sablemount.control.vm_calls import HOLD_WAIT_S, MAX_HOLD_WAIT_S, VmCalls
 from sablemount.jobs.actions import RunReport, StartRun, VmReport
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.settings import JobSettings
@@ -80,12 +82,16 @@
 
 
 class _Leader:
-    """A scheduler with many VMs and the calls to them."""
+    """A scheduler with many VMs and the calls to them; VMs take ``accepted`` connections each."""
 
-    def __init__(self, vms: int) -> None:
+    def __init__(self, vms: int, accepted: int = 0) -> None:
         self.rig = rig = Rig(vms=0)
         rig.clock.monotonic = asyncio.get_running_loop().time  # type: ignore[method-assign]
         rig.scheduler.update_time()
+        configuration = msgspec.structs.replace(
+            rig.configuration, version=2, accepted_connections={"pool": accepted}
+        )
+        rig.scheduler.apply_configuration(configuration)
         self.port = _BusyPort()
         self.authority = True
         recorded = asyncio.get_running_loop().create_future
@@ -193,3 +199,18 @@
         leader.calls.close()
 
     run(scenario())
+
+
+def test_thousands_of_vms_with_a_single_connection_are_heard_in_time() -> None:
+    """A poll that waited for longer than a VM allows would be refused."""
+
+    async def scenario() -> None:
+        leader = _Leader(VMS, accepted=8)
+        leader.calls.poll_new_vms()
+        await leader.run_other_work(8.0)
+        assert max(wait for _, wait in leader.port.waits) <= MAX_HOLD_WAIT_S
+        now = asyncio.get_running_loop().time()
+        assert max(now - row.last_report_at for row in leader.rows) < REPORT_MAX_AGE_S
+        leader.calls.close()
+
+    run(scenario())
