--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -143,6 +143,7 @@
         self._rooms: dict[str, Room] = {}
         """Estimates of the connections that VMs have left, by address."""
         self._room_checks = asyncio.Semaphore(MAX_ROOM_CHECKS)
+        self._scarcity_logged = False
         self._scheduler = scheduler
         self._port = port
         self._epoch = epoch
@@ -368,8 +369,17 @@
         if room is None:
             room = Room(accepted - self._epoch * connection_limit(accepted), monotonic())
             self._rooms[row.info.address] = room
+            self._log_scarcity(row, room)
         return room
 
+    def _log_scarcity(self, row: VmRow, room: Room) -> None:
+        """Log once that earlier leaders may have left few connections."""
+        if room.is_scarce and not self._scarcity_logged:
+            self._scarcity_logged = True
+            accepted = self._accepted_connections(row)
+            extra = {"epoch": self._epoch, "vm": row.name, "accepted": accepted}
+            _logger.info("VMs may have few connections left", extra=extra)
+
     async def _check_room(self, row: VmRow, room: Room) -> None:
         async with self._room_checks, self._turn(row, CallKind.POLL):
             if not self._has_authority():
