--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -248,3 +248,19 @@
         assert candidate.won == [3]
 
     run(scenario())
+
+
+def test_a_claim_is_dropped_if_its_preload_is_taken_by_a_claim_won_meanwhile() -> None:
+    """The check failed with an internal error, after which the member never claimed again."""
+
+    async def scenario() -> None:
+        candidate = _Candidate()
+        preloading = asyncio.create_task(asyncio.sleep(0.2))
+        candidate.election._start_preload = lambda: preloading  # type: ignore[assignment, return-value]
+        check = asyncio.create_task(candidate.election._preloaded())
+        await asyncio.sleep(0.1)
+        # A record of this member's own claim, which got no answer, was read.
+        candidate.election.take_preload()
+        assert not await check
+
+    run(scenario())
