--- a/tests/emulator/connection_faults.py
+++ b/tests/emulator/connection_faults.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 
-from tests.emulator.faults import FAULTS, Fault, links_fall_silent, vm_cut
+from tests.emulator.faults import Fault, links_fall_silent, vm_cut
 from tests.emulator.loop import resume, suspend
+from tests.emulator.store_faults import draw_faults
 from tests.emulator.system import System
 
 __all__ = ["CONNECTION_FAULTS", "draw", "lose_leaders"]
@@ -68,9 +69,5 @@
 
 
 def draw(seed: int) -> list[Fault]:
-    """Return the faults of a seed's mix."""
-    rng = random.Random(seed)
-    return [
-        rng.choice(CONNECTION_FAULTS if rng.random() < OWN_SHARE else FAULTS)
-        for _ in range(FAULTS_PER_MIX)
-    ]
+    """Return the faults of a seed's mix: most from this module, the others from ``FAULTS``."""
+    return draw_faults(seed, CONNECTION_FAULTS, OWN_SHARE, count=FAULTS_PER_MIX)
--- a/tests/emulator/step_faults.py
+++ b/tests/emulator/step_faults.py
@@ -10,6 +10,7 @@
 
 from tests.emulator.faults import Fault, kill_member
 from tests.emulator.lease_faults import LEASE_FAULTS, vms_cut_off
+from tests.emulator.store_faults import draw_faults
 from tests.emulator.system import System
 
 __all__ = ["STEP_FAULTS", "draw"]
@@ -99,8 +100,4 @@
 
 def draw(seed: int) -> list[Fault]:
     """Return the faults of a seed's mix: most from this module, the others from those of leases."""
-    rng = random.Random(seed)
-    return [
-        rng.choice(STEP_FAULTS if rng.random() < OWN_SHARE else LEASE_FAULTS)
-        for _ in range(FAULTS_PER_MIX)
-    ]
+    return draw_faults(seed, STEP_FAULTS, OWN_SHARE, LEASE_FAULTS, FAULTS_PER_MIX)
--- a/tests/emulator/store_faults.py
+++ b/tests/emulator/store_faults.py
@@ -174,8 +174,14 @@
     return draw_faults(seed, STORE_FAULTS, OWN_SHARE)
 
 
-def draw_faults(seed: int, own: tuple[Fault, ...], share: float) -> list[Fault]:
-    """Return the faults of a seed's mix: a share from one table, the others from ``FAULTS``."""
+def draw_faults(
+    seed: int,
+    own: tuple[Fault, ...],
+    share: float,
+    others: tuple[Fault, ...] = FAULTS,
+    count: int = FAULTS_PER_MIX,
+) -> list[Fault]:
+    """Return the faults of a seed's mix: a share from one table, the rest from ``others``."""
     rng = random.Random(seed)
-    tables = (own if rng.random() < share else FAULTS for _ in range(FAULTS_PER_MIX))
+    tables = (own if rng.random() < share else others for _ in range(count))
     return [rng.choice(table) for table in tables]
--- a/tests/platform/limited.py
+++ b/tests/platform/limited.py
@@ -5,10 +5,9 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 
-__all__ = ["LimitedHTTPServer"]
+from tests.platform.links import LINGER_ZERO
 
-LINGER_ZERO = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-"""Value of SO_LINGER with which closing a socket resets its connection."""
+__all__ = ["LimitedHTTPServer"]
 
 
 class LimitedHTTPServer(HTTPServer):
--- a/tests/platform/links.py
+++ b/tests/platform/links.py
@@ -10,7 +10,7 @@
 import random
 import socket
 
-__all__ = ["Direction", "Link"]
+__all__ = ["LINGER_ZERO", "Direction", "Link"]
 
 HOST = "127.0.0.1"
 BACKLOG = 512
