Log what a run beyond the spread of its step comes from

Cause: a start beyond the spread leaves nothing in the log that tells a start beside runs that are being stopped (A) from a run that was taken for not started (B) or for over (C), and was there all the same.

Change: the leader logs and counts (beyond_spread) a run by which more runs of a step may be on a VM than its spread, started or found, with the others by what is known of them; it logs a run that is no longer wanted, with the reason, and a start that was given up without a request. 'start refused' says whether it was certain. No decision changes.

Result: the new tests, and those of starts, calls and incarnations, pass.

--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -98,6 +98,7 @@
         self.scheduler.reconcile.on_outcome = self._count_completion
         self.scheduler.vms.on_next_incarnation = partial(metrics.count, "next_life")
         self.scheduler.leases.on_event = partial(metrics.count, "lease")
+        self.scheduler.state.on_beyond_spread = partial(metrics.count, "beyond_spread")
         self.scheduler.starts.on_recorded = partial(metrics.observe, "note_start")
         self.committer = Committer(ports.store, epoch, rng, uplink)
         self.commit_loop = CommitLoop(
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -88,6 +88,7 @@
 MIN_REMAINING_S = 0.05
 """Remaining validity of a start request below which it is not sent again."""
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED, CallError.RESET_UNSENT)
+NO_CALL = "no call was made"
 RESETS = (CallError.RESET_ON_OPEN, CallError.RESET_UNSENT)
 EPOCH_SHIFT = 32
 """Number of low bits of a fence. They increase under one leader, by one for each incarnation of a
@@ -451,6 +452,7 @@
 
     async def _send_start(self, row: VmRow, run: RunRow, action: StartRun, until: int) -> None:
         certain = True
+        why = NO_CALL
         for _ in range(MAX_START_ATTEMPTS):
             try:
                 attempt = await self._attempt_start(row, run, action, until)
@@ -474,6 +476,7 @@
                 self._scheduler.vms.incarnation_ended(action.vm)
                 self._wake()
                 return
+            why = result.value
             if result is CallError.REFUSED:
                 self._scheduler.vms.connection_refused(row)
             if result not in NOTHING_SENT:
@@ -482,6 +485,8 @@
             if result in RESETS:
                 await asyncio.sleep(RETRY_PAUSE_S)
         if certain and not run.listed:
+            extra = {"task": action.task, "run": action.run, "vm": action.vm, "why": why}
+            self._scheduler.state.run_logger.info("start not sent", extra=extra)
             self._scheduler.reconcile.run_not_started(action.vm, action.task, action.run)
             self._wake()
 
--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -5,10 +5,28 @@
 """
 
 import logging
-
-from sablemount.jobs.tables import JobRow, RunCompletion, RunRow, StepRow, TaskRow, VmRow
-
-__all__ = ["RunLogRow", "log_job_end", "log_lost_runs", "log_placement"]
+from collections import Counter
+
+from sablemount.jobs.model import step_key_of
+from sablemount.jobs.tables import (
+    JobRow,
+    RunCompletion,
+    RunRow,
+    RunState,
+    StepRow,
+    TaskRow,
+    VmRow,
+)
+
+__all__ = [
+    "RunLogRow",
+    "log_beyond_spread",
+    "log_job_end",
+    "log_lost_runs",
+    "log_placement",
+    "log_run_not_wanted",
+    "step_counts",
+]
 
 MS_PER_S = 1000.0
 MAX_RUNS_PER_LINE = 60
@@ -47,6 +65,49 @@
         )
 
 
+def log_run_not_wanted(logger: logging.Logger, run: RunRow, why: str) -> None:
+    """Log a run that is to be stopped and stays charged until then."""
+    extra = {
+        "task": run.task,
+        "run": run.number,
+        "vm": run.vm,
+        "was": run.state.value,
+        "why": why,
+    }
+    logger.info("run not wanted", extra=extra)
+
+
+def step_counts(vm: VmRow, step: str) -> Counter[str]:
+    """Return how many runs of a step may be on a VM, by what is known of them."""
+    return Counter(_standing(run) for run in vm.runs.values() if step_key_of(run.task) == step)
+
+
+def _standing(run: RunRow) -> str:
+    if run.state is RunState.STOPPING:
+        return "stopping"
+    if run.found:
+        return "found"
+    return "running" if run.state is RunState.RUNNING else "unconfirmed"
+
+
+def log_beyond_spread(
+    logger: logging.Logger, run: RunRow, vm: VmRow, spread: int, counts: Counter[str]
+) -> None:
+    """Log that more runs of a step may be on a VM than the step allows, by what is known of them.
+
+    ``counts`` includes the latest run, which was started there, or found in a report.
+    """
+    extra = {
+        "task": run.task,
+        "run": run.number,
+        "vm": vm.name,
+        "spread": spread,
+        "cause": "found" if run.found else "started",
+        **counts,
+    }
+    logger.warning("more runs of a step than its spread", extra=extra)
+
+
 def log_lost_runs(logger: logging.Logger, vm: VmRow, now: float) -> None:
     """Log the runs lost with a VM, the latest start first; to be called before they are removed.
 
--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -25,6 +25,7 @@
     "job_name_of",
     "QueueTable",
     "step_key",
+    "step_key_of",
     "task_key",
 ]
 
@@ -262,6 +263,11 @@
     return task.partition(".")[0]
 
 
+def step_key_of(task: str) -> str:
+    """Return the name that a task shares with the others of its step and repetition."""
+    return task.rpartition(".")[0]
+
+
 def step_key(job: str, repetition: int, step: int) -> str:
     """Return the name that the tasks of one step and repetition share."""
     return f"{job}.{repetition}.{step}"
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -408,7 +408,13 @@
             return
         self.state.run_logger.info(
             "start refused",
-            extra={"task": task, "run": number, "vm": vm, "why": why.value},
+            extra={
+                "task": task,
+                "run": number,
+                "vm": vm,
+                "why": why.value,
+                "certain": certain,
+            },
         )
         if why is StartRefusal.UNHEALTHY:
             row.avoid_until = self.state.now + UNHEALTHY_PAUSE_S
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -1,10 +1,11 @@
 """The state of the job scheduler: its tables, its time and its outgoing actions."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from sablemount.jobs.actions import Action
 from sablemount.jobs.caps import Usage
+from sablemount.jobs.job_lines import log_beyond_spread, log_run_not_wanted, step_counts
 from sablemount.jobs.model import (
     Configuration,
     Organisation,
@@ -12,6 +13,7 @@
     Shape,
     StepSpec,
     job_name_of,
+    step_key_of,
 )
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
@@ -43,6 +45,10 @@
 without being recorded."""
 
 
+def _ignore_cause(cause: str) -> None:
+    """Ignore a run beyond the spread of its step."""
+
+
 class State:
     """Tables that the systems work on; times are local monotonic seconds."""
 
@@ -104,6 +110,8 @@
         self.store_answers = True
         """Whether the store answers, so that completions can be recorded."""
         self.actions: list[Action] = []
+        self.on_beyond_spread: Callable[[str], None] = _ignore_cause
+        """Called with how a run came to a VM that has more runs of a step than its spread."""
         self.unreported_leases_end = NEVER
         """Time until which VMs that have not reported may hold leases of previous leaders."""
         self._fence = 0
@@ -246,6 +254,16 @@
         run.organisation = "" if job is None else job.organisation
         run.cap_charge = run.charge if step is None else step.shape
         self.usage.add(run.organisation, run.cap_charge)
+        if step is not None and step.spread:
+            self._check_spread(run, vm, step.spread)
+
+    def _check_spread(self, run: RunRow, vm: VmRow, spread: int) -> None:
+        """Report a run by which more tasks of a step may run on a VM than the step's spread."""
+        counts = step_counts(vm, step_key_of(run.task))
+        if sum(counts.values()) <= spread:
+            return
+        self.on_beyond_spread("found" if run.found else "started")
+        log_beyond_spread(self.logger, run, vm, spread, counts)
 
     def keep_completion(self, run: RunRow, outcome: str) -> None:
         """Keep how a run ended for the log line of its job's end."""
@@ -325,11 +343,12 @@
                 vm.free_capacity = vm.free_capacity.plus(step.spec.charge, count)
         step.awaiting_tickets.clear()
 
-    def orphan_run(self, run: RunRow) -> None:
+    def orphan_run(self, run: RunRow, why: str) -> None:
         """Keep a run charged until it is stopped; one that was not requested is removed at once."""
         if run.state is RunState.RECORDING:
             self.remove_run(run, NOT_REQUESTED)
             return
+        log_run_not_wanted(self.run_logger, run, why)
         run.state = RunState.STOPPING
         self.orphans[(run.vm, run.task, run.number)] = run
 
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -16,6 +16,8 @@
 __all__ = ["Lifecycle", "critical_paths"]
 
 MS_PER_S = 1000.0
+JOB_CLOSED = "its job has ended"
+"""Why the runs of an ended job are stopped, as it is logged."""
 
 
 def critical_paths(spec: JobSpec) -> list[float]:
@@ -221,7 +223,7 @@
             state.release_ticket_reservations(step)
             for task in step.tasks:
                 for run in list(task.runs):
-                    state.orphan_run(run)
+                    state.orphan_run(run, JOB_CLOSED)
                 task.runs.clear()
 
     def max_attempts(self, step: StepSpec, terms: QueueTerms) -> int:
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -27,6 +27,8 @@
 """Outcome of a run that its VM does not list and that can no longer arrive there."""
 NOT_STARTED = "not started"
 NOT_LISTED = "not listed"
+NOT_WANTED = "found, and not wanted"
+DONE_BY_OTHER_RUN = "its task is done by another run"
 ATTEMPTS_USED_UP = "attempts used up"
 """Why a job failed: a task of it has failed as often as its queue allows."""
 MAX_LISTED_COMPLETIONS = 500
@@ -211,7 +213,7 @@
                     self._state.keep_completion(run, DONE)
                     self._state.orphans[(run.vm, run.task, run.number)] = run
                 elif run.number != number:
-                    self._state.orphan_run(run)
+                    self._state.orphan_run(run, DONE_BY_OTHER_RUN)
             member.runs.clear()
 
     def _run_failed(self, task: TaskRow, vm: VmRow, number: int) -> None:
@@ -254,6 +256,7 @@
         charge = vm.info.capacity if step is None else step.charge
         run = RunRow(report.task, report.run, vm.name, charge, state.now, RunState.RUNNING)
         run.charges_whole_vm = step is None
+        run.found = True
         run.started_at = state.now
         run.percent_at = state.now
         run.speed_percent = None
@@ -263,7 +266,7 @@
             self._job_began(task.step.job)
         else:
             state.charge(run)
-            state.orphan_run(run)
+            state.orphan_run(run, NOT_WANTED)
         state.run_logger.info(
             "run found",
             extra={"task": run.task, "run": run.number, "vm": vm.name, "kept": is_wanted},
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -115,6 +115,8 @@
     stop_sent_at: float = NEVER
     listed: bool = False
     """Whether the VM has listed the run in a report."""
+    found: bool = False
+    """Whether this leader knows the run only because its VM listed it."""
     resumed: bool = False
     """Whether the run continues from state that an earlier run saved."""
     previous_vm: str = ""
