Directed tests of the spread for later leaders and for starts that wait

The store answers at once in these tests, so that a VM that returns is used again: the test of runs that end elsewhere also shows that the tasks that wait are started. Two more cases fail for spreads of 1, 2 and 3: a later leader that finds runs of tasks that are done and starts others beside them, and a start that waits for the store while runs of its step are found at its VM. For the second no course of calls is known: the runs are put there by the test. A probe can't go beyond the spread, as it needs a VM without any runs.

--- a/tests/jobs/test_spread.py
+++ b/tests/jobs/test_spread.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sablemount.jobs.actions import StartRun, StopRun
+from sablemount.jobs.actions import RunReport, StartRun, StopRun
 from sablemount.jobs.model import StepSpec
 from tests.jobs.rig import CORE, Rig, spec
 
@@ -11,75 +11,115 @@
 """Seconds that a VM takes to stop a run."""
 LEASES_OVER_S = 10.0
 """Seconds of silence after which all leases of a VM are over."""
+FOUND_RUN = 5
 SPREADS = pytest.mark.parametrize("spread", [1, 2, 3])
 
 
-class SpreadRig(Rig):
-    """VMs that carry out all starts and stops; records the starts beyond a step's spread."""
+class Player:
+    """Carries out all starts and stops of a rig, and records the starts beyond a spread."""
 
-    def __init__(self, vms: int, spread: int) -> None:
-        super().__init__(vms)
-        self.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+    def __init__(self, rig: Rig, spread: int) -> None:
+        rig.scheduler.health.run = lambda: None  # type: ignore[method-assign]
+        self.rig = rig
         self.spread = spread
         self.beyond: list[str] = []
         self._stops: list[tuple[float, StopRun]] = []
 
     def play(self, seconds: float) -> None:
-        """Let time pass."""
+        """Let time pass, beside a store that answers at once."""
         for _ in range(round(seconds / STEP_S)):
             self._end_stopped()
-            for action in self.wait(STEP_S):
+            self.rig.commit()
+            for action in self.rig.wait(STEP_S):
                 if isinstance(action, StartRun):
                     self._start(action)
                 elif isinstance(action, StopRun):
-                    self._stops.append((self.clock.time + STOP_TIME_S, action))
+                    self._stops.append((self.rig.clock.time + STOP_TIME_S, action))
 
     def tasks_on(self, vm: str) -> set[str]:
-        return {row.task for row in self.running.get(vm, ())}
+        return {row.task for row in self.rig.running.get(vm, ())}
+
+    def end_all(self, vm: str) -> None:
+        """Let all that runs on a VM be done."""
+        for row in list(self.rig.running.get(vm, ())):
+            self.rig.complete(StartRun(vm, row.task, row.run, "", 0.0), "done")
 
     def _start(self, start: StartRun) -> None:
-        self.hold(start)
+        self.rig.hold(start)
         count = len(self.tasks_on(start.vm))
         if count > self.spread:
             self.beyond.append(f"{start.task} on {start.vm}: {count} of {self.spread}")
 
     def _end_stopped(self) -> None:
-        due = [stop for at, stop in self._stops if at <= self.clock.time]
-        self._stops = [(at, stop) for at, stop in self._stops if at > self.clock.time]
+        now = self.rig.clock.time
+        due = [stop for at, stop in self._stops if at <= now]
+        self._stops = [(at, stop) for at, stop in self._stops if at > now]
         for stop in due:
             if stop.task in self.tasks_on(stop.vm):
-                self.complete(StartRun(stop.vm, stop.task, stop.run, "", 0.0), "stopped")
-
-    def end_all(self, vm: str) -> None:
-        """Let all that runs on a VM be done."""
-        for row in list(self.running.get(vm, ())):
-            self.complete(StartRun(vm, row.task, row.run, "", 0.0), "done")
+                self.rig.complete(StartRun(stop.vm, stop.task, stop.run, "", 0.0), "stopped")
 
 
-def _rig_where_tasks_run_again(spread: int) -> SpreadRig:
-    """Return a rig where the tasks of a VM that is silent run on the other one, as more wait.
+def _play_until_tasks_run_again(spread: int) -> Player:
+    """Play until the tasks of ``w0``, which is silent, run on ``w1``, while more of them wait.
 
-    The VM that is silent is ``w0``, where the tasks are done.
+    The tasks are done at ``w0``.
     """
-    rig = SpreadRig(2, spread)
-    rig.accept("job", spec(StepSpec(4 * spread, CORE, 30_000.0, spread=spread)))
-    rig.play(1.0)
-    lost = rig.tasks_on("w0")
-    rig.vm_names.remove("w0")
-    rig.play(LEASES_OVER_S)
-    rig.end_all("w0")
-    rig.end_all("w1")
-    rig.play(0.5)
-    assert rig.tasks_on("w1") == lost
-    return rig
+    player = Player(Rig(2), spread)
+    player.rig.accept("job", spec(StepSpec(4 * spread, CORE, 30_000.0, spread=spread)))
+    player.play(1.0)
+    lost = player.tasks_on("w0")
+    player.rig.vm_names.remove("w0")
+    player.play(LEASES_OVER_S)
+    player.end_all("w0")
+    player.end_all("w1")
+    player.play(0.5)
+    assert player.tasks_on("w1") == lost
+    return player
 
 
 @SPREADS
 def test_no_task_joins_runs_being_stopped_as_their_tasks_ended_on_a_vm_that_was_silent(
     spread: int,
 ) -> None:
-    rig = _rig_where_tasks_run_again(spread)
-    rig.vm_names.append("w0")
-    rig.play(2.0)
-    assert rig.beyond == []
-    assert len(rig.started()) == 5 * spread
+    player = _play_until_tasks_run_again(spread)
+    player.rig.vm_names.append("w0")
+    player.play(2.0)
+    assert player.beyond == []
+    assert len(player.rig.started()) == 5 * spread
+
+
+@SPREADS
+def test_no_task_joins_runs_that_a_later_leader_finds_and_does_not_want(spread: int) -> None:
+    player = _play_until_tasks_run_again(spread)
+    player.rig.report("w0")
+    player.rig.commit()
+    player.rig.vm_names.append("w0")
+    later = Player(player.rig.successor(), spread)
+    later.play(6.0)
+    assert later.beyond == []
+    assert len(later.rig.started()) == 2 * spread
+
+
+@SPREADS
+def test_a_start_that_waits_for_the_store_is_not_made_beside_runs_found_meanwhile(
+    spread: int,
+) -> None:
+    player = Player(Rig(1), spread)
+    rig = player.rig
+    rig.records_at_once = False
+    job = rig.accept("job", spec(StepSpec(2 * spread, CORE, 30_000.0, spread=spread)))
+    tasks = job.steps[(0, 0)].tasks
+    for task in tasks[:spread]:
+        task.crashes = ["gone"]
+    rig.tick()
+    assert [len(task.runs) for task in tasks] == [1] * spread + [0] * spread
+    assert rig.started() == []
+    rig.running["w0"] = [RunReport(task.key, FOUND_RUN, "", 0.0) for task in tasks[spread:]]
+    rig.report("w0")
+    rig.records_at_once = True
+    player.play(2.0)
+    assert player.beyond == []
+    player.end_all("w0")
+    player.play(2.0)
+    assert player.beyond == []
+    assert {start.task for start in rig.started()} == {task.key for task in tasks[:spread]}
