Count what may run on a VM for the spread of its steps

Callers saw more tasks of a step on one VM than antiAffinity allows. Cause: capacity is charged for each run that may be on a VM, while the spread counted the runs that are wanted. A run whose task was done by another run, or that a later leader finds and does not want, no longer counted, and worked until it was stopped: the next tasks of the step were started beside it.

Change: VmRow alone takes and releases places. Each run and each reserved place counts there for capacity and, by step, for the spread; placement, probes, the choice of a rack and the log of waiting steps read that count. TaskRow.runs bounds nothing any more. Steps with a spread are placed in one pass over the VMs like others. Places reserved at a VM go with its row, so that a VM that comes back under its name does not release those of an earlier row.

--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "INCARNATION_SEPARATOR",
+    "UNLIMITED_COPIES",
     "AdviceTerms",
     "Configuration",
     "JobSpec",
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -247,8 +247,7 @@
     def charge(self, run: RunRow) -> None:
         """Charge a VM, and the cap of the run's organisation, for a run."""
         vm = self.vms[run.vm]
-        vm.runs[(run.task, run.number)] = run
-        vm.free_capacity = vm.free_capacity.plus(run.charge, -1)
+        vm.add_run(run)
         step = self.step_spec_of(run.task)
         job = self.jobs.get(job_name_of(run.task))
         run.organisation = "" if job is None else job.organisation
@@ -294,9 +293,7 @@
         key = (run.task, run.number)
         run.previous_vm = run.previous_vm or run.vm
         orphaned = self.orphans.pop((run.vm, *key), None)
-        previous = self.vms[run.vm]
-        del previous.runs[key]
-        previous.free_capacity = previous.free_capacity.plus(run.charge)
+        self.vms[run.vm].drop_run(run)
         run.vm = vm.name
         run.listed = False
         run.started_at = 0.0
@@ -305,8 +302,7 @@
         run.stop_sent_at = NEVER
         if run.state is RunState.RUNNING:
             run.state = RunState.SENT
-        vm.runs[key] = run
-        vm.free_capacity = vm.free_capacity.plus(run.charge, -1)
+        vm.add_run(run)
         if orphaned is not None:
             self.orphans[(run.vm, *key)] = run
 
@@ -314,8 +310,7 @@
         """Remove a run that ended with some outcome, and release what was charged for it."""
         self.keep_completion(run, outcome)
         vm = self.vms.get(run.vm)
-        if vm is not None and vm.runs.pop((run.task, run.number), None) is not None:
-            vm.free_capacity = vm.free_capacity.plus(run.charge)
+        if vm is not None and vm.drop_run(run):
             self.usage.add(run.organisation, run.cap_charge, -1)
             self.capacity_version += 1
         self.orphans.pop((run.vm, run.task, run.number), None)
@@ -337,10 +332,10 @@
 
     def release_ticket_reservations(self, step: StepRow) -> None:
         """Release the capacity that was reserved while a step's tickets were requested."""
-        for name, count in step.awaiting_tickets.items():
+        for name in step.awaiting_tickets:
             vm = self.vms.get(name)
             if vm is not None:
-                vm.free_capacity = vm.free_capacity.plus(step.spec.charge, count)
+                vm.release(step)
         step.awaiting_tickets.clear()
 
     def orphan_run(self, run: RunRow, why: str) -> None:
--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -59,26 +59,26 @@
             rows = self._one_rack(step, len(tasks), rows)
         charge = step.spec.charge
         fitting = [row for row in rows if charge.fits(row.free_capacity)]
+        if step.spec.spread:
+            fitting = [row for row in fitting if row.spread_left(step) > 0]
         if not fitting:
             return []
-        free = {row.name: row.free_capacity for row in fitting}
         costs = self._speeds.costs(required_speed, fitting)
-        if not step.spec.spread and not any(task.failed_on or task.crashes for task in tasks):
+        if not any(task.failed_on or task.crashes for task in tasks):
             return self._assign_uniform(step, tasks, fitting, costs)
-        tasks_per_vm = self._tasks_per_vm(step) if step.spec.spread else {}
+        free = {row.name: row.free_capacity for row in fitting}
+        spread_left = {row.name: row.spread_left(step) for row in fitting}
         chosen: Assignment = []
         for task in tasks:
-            best = self._best(
-                step, task, self._eligible_rows(task, rows, fitting), free, tasks_per_vm, costs
-            )
+            best = self._best(step, task, self._eligible_rows(task, rows, fitting), free, costs)
             if best is None and (task.failed_on or task.crashes):
                 continue
             if best is None:
                 break
             chosen.append((task, best))
-            tasks_per_vm[best.name] = tasks_per_vm.get(best.name, 0) + 1
+            spread_left[best.name] -= 1
             free[best.name] = free[best.name].plus(charge, -1)
-            if not charge.fits(free[best.name]):
+            if not spread_left[best.name] or not charge.fits(free[best.name]):
                 fitting.remove(best)
         return chosen
 
@@ -88,7 +88,12 @@
         """Choose VMs for tasks without failures or crashes, in a single pass over the VMs."""
         charge = step.spec.charge
         order = [
-            (self._score(step, row, row.free_capacity, costs[row.name]), number, row.free_capacity)
+            (
+                self._score(step, row, row.free_capacity, costs[row.name]),
+                number,
+                row.free_capacity,
+                row.spread_left(step),
+            )
             for number, row in enumerate(fitting)
         ]
         heapq.heapify(order)
@@ -96,13 +101,13 @@
         for task in tasks:
             if not order:
                 break
-            _, number, capacity = order[0]
+            _, number, capacity, spread_left = order[0]
             row = fitting[number]
             chosen.append((task, row))
             capacity = capacity.plus(charge, -1)
-            if charge.fits(capacity):
+            if spread_left > 1 and charge.fits(capacity):
                 score = self._score(step, row, capacity, costs[row.name])
-                heapq.heapreplace(order, (score, number, capacity))
+                heapq.heapreplace(order, (score, number, capacity, spread_left - 1))
             else:
                 heapq.heappop(order)
         return chosen
@@ -135,19 +140,12 @@
         task: TaskRow,
         rows: list[VmRow],
         free: dict[str, Shape],
-        tasks_per_vm: dict[str, int],
         costs: dict[str, float],
     ) -> VmRow | None:
-        """Return the VM with the lowest score; ``None`` if there is none.
-
-        VMs that already run as many tasks of the step as its spread allows are left out.
-        """
+        """Return the VM with the lowest score; ``None`` if there is none."""
         best: VmRow | None = None
         best_score = 0.0
-        spread = step.spec.spread
         for row in rows:
-            if spread and tasks_per_vm.get(row.name, 0) >= spread:
-                continue
             capacity = free[row.name]
             score = self._score(step, row, capacity, costs[row.name], bool(task.crashes))
             if best is None or score < best_score:
@@ -185,17 +183,10 @@
         for row in rows:
             racks.setdefault(row.info.rack, []).append(row)
         for rack in sorted(racks, key=lambda name: name not in used):
-            if sum(step.spec.charge.copies_in(row.free_capacity) for row in racks[rack]) >= count:
+            if sum(row.places_for(step) for row in racks[rack]) >= count:
                 return racks[rack]
         return rows
 
-    def _tasks_per_vm(self, step: StepRow) -> dict[str, int]:
-        tasks_per_vm: dict[str, int] = {}
-        for task in step.tasks:
-            for run in task.runs:
-                tasks_per_vm[run.vm] = tasks_per_vm.get(run.vm, 0) + 1
-        return tasks_per_vm
-
 
 def _leftover(free: Shape, capacity: Shape) -> float:
     """Return the free share of a VM's cores plus that of its memory: 2 if it is entirely free."""
--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -31,6 +31,8 @@
     NO_ADVICE = "no advice yet"
     NOT_ALLOWED = "not allowed"
     FULL = "full"
+    AT_SPREAD = "at its spread"
+    """As many tasks of the step may run there as its spread allows."""
     RESERVED_FOR_GANG = "reserved"
     """The VM is reserved for a more urgent gang that waits for capacity."""
     FAILED_BEFORE = "failed there"
@@ -88,6 +90,8 @@
             return BlockingReason.RESERVED_FOR_STEP
         if not step.spec.charge.fits(row.free_capacity):
             return BlockingReason.FULL
+        if row.spread_left(step) <= 0:
+            return BlockingReason.AT_SPREAD
         if self._advice.lacks_advice(step, row):
             return BlockingReason.NO_ADVICE
         if step.advice is not None and row.name not in step.advice.tickets:
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -354,7 +354,7 @@
             return False
         if self._advice.has_slow_calls(step) or not self._advice.is_congested:
             return True
-        if not step.spec.charge.fits(row.free_capacity):
+        if not row.has_place_for(step):
             return False
         if self._advice.in_demand(row.name):
             self._advice.defer(step)
@@ -365,7 +365,7 @@
         """Return the share of some VMs' free capacity that a step demands by a quick call."""
         if self._advice.has_slow_calls(step):
             return 0.0
-        places = sum(step.spec.charge.copies_in(row.free_capacity) for row in rows)
+        places = sum(row.places_for(step) for row in rows)
         return min(1.0, step.waiting / places) if places else 0.0
 
     def _start_or_request(self, step: StepRow, chosen: Assignment) -> None:
@@ -386,7 +386,7 @@
         """Reserve the capacity of an assignment until its tickets have arrived."""
         for _, row in chosen:
             step.awaiting_tickets[row.name] = step.awaiting_tickets.get(row.name, 0) + 1
-            row.free_capacity = row.free_capacity.plus(step.spec.charge, -1)
+            row.reserve(step)
 
     # -- Starts ------------------------------------------------------------------------------
 
--- a/src/sablemount/jobs/systems/proofs.py
+++ b/src/sablemount/jobs/systems/proofs.py
@@ -85,9 +85,7 @@
 
     def _startable_task(self, step: StepRow, row: VmRow) -> TaskRow | None:
         """Return a task of a step that may start on a VM."""
-        if not self._placement.is_candidate(step, row) or not step.spec.charge.fits(
-            row.free_capacity
-        ):
+        if not self._placement.is_candidate(step, row) or not row.has_place_for(step):
             return None
         if step.spec.gang and not self._placement.is_ready(step):
             # A member of the gang probes another VM; several members in one run would count as a
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -11,11 +11,13 @@
 
 from sablemount.jobs.model import (
     INCARNATION_SEPARATOR,
+    UNLIMITED_COPIES,
     JobSpec,
     Shape,
     StepSpec,
     VmInfo,
     step_key,
+    step_key_of,
     task_key,
 )
 from sablemount.jobs.records import JobRecord
@@ -266,6 +268,8 @@
     spec: StepSpec
     payload: str
     """What each start of its tasks passes to the VM."""
+    key: str = field(init=False)
+    """Name that its tasks share."""
     critical_path_s: float = 0.0
     """Expected seconds from the step's start to its job's end."""
     tasks: list[TaskRow] = field(default_factory=list)
@@ -288,10 +292,8 @@
     tried_at_capacity_version: int = -1
     """Capacity version at which placement of the step was last tried."""
 
-    @property
-    def key(self) -> str:
-        """Return the name that its tasks share."""
-        return step_key(self.job.name, self.repetition, self.number)
+    def __post_init__(self) -> None:
+        self.key = step_key(self.job.name, self.repetition, self.number)
 
     @property
     def ready_at(self) -> float:
@@ -418,6 +420,11 @@
     free_capacity: Shape = Shape()
     """Its capacity less what runs are charged and what is reserved for steps."""
     runs: dict[tuple[str, int], RunRow] = field(default_factory=dict)
+    """All runs that may be on the VM, wanted or not, by task and number."""
+    tasks_by_step: dict[str, int] = field(default_factory=dict)
+    """Number of these runs, and of the places reserved, by the key of their step."""
+    reserved: dict[str, int] = field(default_factory=dict)
+    """Number of places that are reserved for a step until it has tickets, by its key."""
     last_report_at: float = NEVER
     first_report_at: float = NEVER
     connections_refused_since: float = 2 * NEVER
@@ -514,6 +521,65 @@
     def __post_init__(self) -> None:
         self.name = self.info.name
 
+    # -- What may run there ------------------------------------------------------------------
+
+    def add_run(self, run: RunRow) -> None:
+        """Count a run that may be on the VM from now on."""
+        self.runs[(run.task, run.number)] = run
+        self._take(step_key_of(run.task), run.charge, 1)
+
+    def drop_run(self, run: RunRow) -> bool:
+        """Release the place of a run that is over, and return whether it had one."""
+        if self.runs.pop((run.task, run.number), None) is None:
+            return False
+        self._take(step_key_of(run.task), run.charge, -1)
+        return True
+
+    def reserve(self, step: StepRow) -> None:
+        """Reserve a place for a task of a step."""
+        self.reserved[step.key] = self.reserved.get(step.key, 0) + 1
+        self._take(step.key, step.spec.charge, 1)
+
+    def release(self, step: StepRow) -> None:
+        """Release the places that are reserved for a step."""
+        self._take(step.key, step.spec.charge, -self.reserved.pop(step.key, 0))
+
+    def _take(self, step: str, charge: Shape, places: int) -> None:
+        """Take places for tasks of a step, or release them if the number is negative."""
+        self.free_capacity = self.free_capacity.plus(charge, -places)
+        taken = self.tasks_by_step.get(step, 0) + places
+        if taken:
+            self.tasks_by_step[step] = taken
+        else:
+            self.tasks_by_step.pop(step, None)
+
+    def spread_left(self, step: StepRow) -> int:
+        """Return how many more tasks of a step its spread allows; negative if too many are there.
+
+        Capacity doesn't count.
+        """
+        if not step.spec.spread:
+            return UNLIMITED_COPIES
+        return step.spec.spread - self.tasks_by_step.get(step.key, 0)
+
+    def places_for(self, step: StepRow) -> int:
+        """Return how many more tasks of a step may start, by capacity and by its spread."""
+        return max(0, min(step.spec.charge.copies_in(self.free_capacity), self.spread_left(step)))
+
+    def has_place_for(self, step: StepRow) -> bool:
+        """Return whether a task of a step may start, by capacity and by the step's spread."""
+        return step.spec.charge.fits(self.free_capacity) and self.spread_left(step) > 0
+
+    def has_kept_place_for(self, step: StepRow) -> bool:
+        """Return whether a task of a step that has a place may still start.
+
+        It may not if the VM has shrunk since, or if runs were found there.
+        """
+        charge = step.spec.charge
+        return charge.fits(self.free_capacity.plus(charge)) and self.spread_left(step) >= 0
+
+    # -- Reports and reservations ------------------------------------------------------------
+
     def report_age(self, now: float) -> float | None:
         """Return the age of its last report in seconds; ``None`` if it never reported."""
         return round(now - self.last_report_at, 3) if self.last_report_at > 0 else None
