Count places within the spread for gangs, preemption and isolation

Callers of steps with a spread waited for places that their spread forbids, and runs were stopped for such places. Cause: the reservation of VMs for gangs, preemption and isolation counted the capacity of a VM alone. In the rig of the test a run was preempted 8 times in 12.4 s for a slot that its step could not use, and nothing was preempted for a step while one VM had capacity beyond its spread.

Change: they use the same count as placement (VmRow.places_for).

--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from sablemount.jobs.model import Shape
+from sablemount.jobs.model import UNLIMITED_COPIES, Shape
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.speeds import Speeds
@@ -87,12 +87,13 @@
     ) -> Assignment:
         """Choose VMs for tasks without failures or crashes, in a single pass over the VMs."""
         charge = step.spec.charge
+        is_spread = step.spec.spread > 0
         order = [
             (
                 self._score(step, row, row.free_capacity, costs[row.name]),
                 number,
                 row.free_capacity,
-                row.spread_left(step),
+                row.spread_left(step) if is_spread else UNLIMITED_COPIES,
             )
             for number, row in enumerate(fitting)
         ]
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -184,14 +184,17 @@
         """
         charge = step.spec.charge
         capacity = row.free_capacity
-        slots = charge.copies_in(capacity)
+        most = max(0, row.spread_left(step))
+        slots = min(most, charge.copies_in(capacity))
         offers = [_Offer(row, slots, [], 0.0)] if slots else []
         victims: list[tuple[float, RunRow]] = []
         max_loss = 0.0
         for victim in sorted(self._victims(row, step), key=_victim_loss):
+            if slots >= most:
+                break
             capacity = capacity.plus(victim[1].charge)
             victims.append(victim)
-            gained = charge.copies_in(capacity) - slots
+            gained = min(most, charge.copies_in(capacity)) - slots
             if gained > 0:
                 capacity = _drop_needless(capacity, charge, slots + gained, victims)
                 max_loss = max(max_loss, sum(loss for loss, _ in victims))
--- a/src/sablemount/jobs/systems/reservation.py
+++ b/src/sablemount/jobs/systems/reservation.py
@@ -40,8 +40,7 @@
 
         The gang has found no capacity on them.
         """
-        charge = step.spec.charge
-        if sum(charge.copies_in(row.info.capacity) for row in rows) < step.waiting:
+        if sum(_largest_share(step, row) for row in rows) < step.waiting:
             return
         limit = int(MAX_RESERVED_SHARE * len(self._state.vms))
         limit -= sum(len(names) for _, names in self._reserved.values())
@@ -51,7 +50,7 @@
             if places >= step.waiting or len(names) >= limit:
                 break
             names.add(row.name)
-            places += max(1, charge.copies_in(row.free_capacity))
+            places += max(1, row.places_for(step))
         if names:
             self._reserved[step.key] = (self._state.terms_of(step.job).priority, names)
 
@@ -66,3 +65,9 @@
             return rows
         available = [row for row in rows if row.name not in reserved]
         return available if len(available) >= MIN_AVAILABLE_SHARE * len(rows) else rows
+
+
+def _largest_share(step: StepRow, row: VmRow) -> int:
+    """Return how many tasks of a step a VM that is free can run at most."""
+    found = step.spec.charge.copies_in(row.info.capacity)
+    return min(found, step.spec.spread) if step.spec.spread else found
--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -93,14 +93,14 @@
             return
         wanted = waiting if step.spec.gang else 1
         job = step.job.name
-        places = sum(self._places_for(step, row) for row in rows if row.isolated_job == job)
+        places = sum(row.places_for(step) for row in rows if row.isolated_job == job)
         candidates = [row for row in rows if not row.isolated_job and self._can_isolate(step, row)]
         candidates.sort(key=lambda row: self._preference(step, row))
         for row in candidates:
             if places >= wanted or len(self._isolated_since) >= self._max_isolated:
                 return
             self._isolate(row, job)
-            places += max(1, self._places_for(step, row))
+            places += max(1, row.places_for(step))
 
     def _preference(self, step: StepRow, row: VmRow) -> tuple[bool, bool, int, int]:
         """Return a sort key: VMs with a free place come first, then those with the fewest runs.
@@ -110,7 +110,7 @@
         restarted = self._state.now - row.follows_crash_at < RECENT_RESTART_S
         may_crash_again = restarted or any(task.crashed_before(row) for task in step.tasks)
         return (
-            not self._places_for(step, row),
+            not row.has_place_for(step),
             may_crash_again,
             len(row.runs),
             -row.free_capacity.cores,
@@ -124,14 +124,9 @@
         return task.state is TaskState.WAITING and self._state.now - since < ISOLATION_WAIT_S
 
     def _can_isolate(self, step: StepRow, row: VmRow) -> bool:
-        fits = step.spec.charge.fits(row.info.capacity)
+        fits = step.spec.charge.fits(row.info.capacity) and row.spread_left(step) > 0
         return fits and not any(self._is_suspected(run, step.job.name) for run in row.runs.values())
 
-    @staticmethod
-    def _places_for(step: StepRow, row: VmRow) -> int:
-        found = step.spec.charge.copies_in(row.free_capacity)
-        return min(found, step.spec.spread) if step.spec.spread else found
-
     # -- Decisions ---------------------------------------------------------------------------
 
     def may_start(self, task: TaskRow, row: VmRow) -> bool:
