Let no run be preempted for capacity that a stop is about to free

Runs were stopped and their work lost although stops under way freed enough. Cause: preemption counts the capacity that is free now. Change: what is being stopped on a VM counts as free, unless preemption has reserved the VM: that capacity is another step's.

--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -15,7 +15,7 @@
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.urgency import Urgency
-from sablemount.jobs.tables import NEVER, RunRow, StepRow, VmRow
+from sablemount.jobs.tables import NEVER, RunRow, RunState, StepRow, VmRow
 
 __all__ = ["Preemption"]
 
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True)
 class _Offer:
-    """Slots for tasks on one VM: the free ones, or more that stopping ``victims`` frees."""
+    """Slots for tasks on a VM: free, or soon to be, or more that stopping ``victims`` frees."""
 
     row: VmRow
     slots: int
@@ -183,7 +183,7 @@
         The losses of one VM's offers increase.
         """
         charge = step.spec.charge
-        capacity = row.free_capacity
+        capacity = row.free_capacity.plus(self._soon_free(row))
         most = max(0, row.spread_left(step))
         slots = min(most, charge.copies_in(capacity))
         offers = [_Offer(row, slots, [], 0.0)] if slots else []
@@ -203,6 +203,15 @@
                 victims = []
         return offers
 
+    def _soon_free(self, row: VmRow) -> Shape:
+        """Return what the runs that are being stopped on a VM will free, unless it is reserved."""
+        found = Shape()
+        if row.reserved_for_preemptor_until <= self._state.now:
+            for run in row.runs.values():
+                if run.state is RunState.STOPPING:
+                    found = found.plus(run.charge)
+        return found
+
     def _victims(self, row: VmRow, step: StepRow) -> list[tuple[float, RunRow]]:
         """Return the runs of a VM that may be stopped, each with the core seconds lost."""
         priority = self._state.terms_of(step.job).priority
