Check the bounds of a VM again once a start has been recorded

Starts were requested at VMs that had no place for them any more. Cause: a start that waits for the store, and for a poll, is requested up to some hundred ms after its VM was chosen. Meanwhile the VM may have shrunk, or runs of the step may have been found there; and a probe was requested at a VM that drains, refuses connections or has no entry.

Change: the place of a run is checked again before the request, by capacity and spread; a probe needs a VM that accepts starts.

Before: 3 tests of tests/jobs/test_spread.py and 4 of tests/jobs/ test_bounds.py failed; they pass and leave the list. The runs found meanwhile are put there by the test: no course of calls is known that leads there.

--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -173,7 +173,8 @@
             is_current
             and run.recorded
             and may_use_vm
-            and (run.is_probe or self._vms.is_usable(row))
+            and row.has_kept_place_for(step)
+            and (self._vms.accepts_starts(row) if run.is_probe else self._vms.is_usable(row))
             and self._advice.permits(step, row)
         )
 
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -129,7 +129,7 @@
 
     def is_usable(self, row: VmRow) -> bool:
         """Return whether a VM may get new work at all."""
-        return not row.completions_unreliable and self._accepts_starts(row)
+        return not row.completions_unreliable and self.accepts_starts(row)
 
     def can_probe(self, row: VmRow) -> bool:
         """Return whether a probe may be started on a VM to show if it lists completions."""
@@ -138,10 +138,11 @@
             and row.unverified
             and row.lease_extended_until <= self._state.now
             and not row.runs
-            and self._accepts_starts(row)
+            and self.accepts_starts(row)
         )
 
-    def _accepts_starts(self, row: VmRow) -> bool:
+    def accepts_starts(self, row: VmRow) -> bool:
+        """Return whether a start or a probe may be requested at a VM, if it lists completions."""
         return (
             row.in_use
             and not row.sealed
