Release places reserved for tickets as their step no longer waits

Capacity stayed charged to a VM until the job ended. Cause: the places that are reserved while a step waits for tickets were released only by its next placement; a step whose last task is completed by a VM that came back is closed instead. Change: closing a step releases them.

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -156,6 +156,7 @@
     def close_step(self, step: StepRow) -> None:
         """Place no more tasks of a step, since none waits or its job is closed."""
         self._open_steps.pop(step.key, None)
+        self.release_ticket_reservations(step)
 
     # -- Lookups -----------------------------------------------------------------------------
 
