Count a task on a silent VM as away from work

An evacuation could take a task away while another of its step was lost with a VM that does not answer. Cause: mayMiss counted a run as at work by its last report, up to the end of its lease. Change: its VM must have reported within the time after which it gets no new work.

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -228,9 +228,19 @@
         step = task.step
         if not step.spec.may_miss:
             return True
-        away = sum(1 for other in step.tasks if other is not task and not _at_work(other))
+        away = sum(1 for other in step.tasks if other is not task and not self._at_work(other))
         return away < step.spec.may_miss
 
+    def _at_work(self, task: TaskRow) -> bool:
+        """Return whether a task is at work, on a VM that has reported recently."""
+        silent_since = self.now - self.settings.max_report_age_s
+        return any(
+            run.state is RunState.RUNNING
+            and run.percent >= AT_WORK_PERCENT
+            and self.vms[run.vm].last_report_at >= silent_since
+            for run in task.runs
+        )
+
     def next_run_number(self, tasks: list[TaskRow]) -> int:
         """Return a run number above all previous ones of some tasks."""
         base = (self.epoch - 1) * RUN_NUMBERS_PER_EPOCH
@@ -347,9 +357,3 @@
         log_run_not_wanted(self.run_logger, run, why)
         run.state = RunState.STOPPING
         self.orphans[(run.vm, run.task, run.number)] = run
-
-
-def _at_work(task: TaskRow) -> bool:
-    return any(
-        run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT for run in task.runs
-    )
