Keep a run whose start was answered without a readable time

A run could be taken for missing while it worked, and its task be started a second time. Cause: a success without a readable body counts as a start at 0 on the VM's clock, so that the answer to an earlier poll seems to be later than the start and not to list the run. Change: the latest time of the start stays in force. Nobody is known to send such an answer.

--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -343,7 +343,7 @@
     # -- Starts ------------------------------------------------------------------------------
 
     def run_started(self, vm_name: str, task: str, number: int, clock_ms: float) -> None:
-        """Record a VM's answer that a run has started."""
+        """Record a VM's answer that a run has started; ``clock_ms`` is 0 if it named no time."""
         vm = self._state.vms.get(vm_name)
         run = None if vm is None else vm.runs.get((task, number))
         if run is None or run.state is not RunState.SENT:
@@ -351,7 +351,8 @@
         run.state = RunState.RUNNING
         run.started_at = self._state.now
         run.percent_at = self._state.now
-        run.settle_clock_ms = clock_ms
+        # Without the VM's time, only a report after the latest time of the start shows it missing.
+        run.settle_clock_ms = clock_ms or run.settle_clock_ms
         self._run_began(run)
 
     def _run_began(self, run: RunRow) -> None:
