Mixes of steps whose spread binds, with labels and two pools

In the mixes no spread could bind: it was 2 for steps of at most 2 tasks, or 5 on six VMs, and no step had a label, nor had the VMs more than one pool. A new kind, spread, draws steps of 2 to 12 tasks with a spread of 1 to 3, some with one of two labels, in two pools, some under caps and some with two times. Their tasks last for most of a lease, and VMs are silent beyond their leases or within them, beside changes of leader and late requests. It has draws of its own; those of the other kinds stay as they are.

--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -9,6 +9,7 @@
 python -m benchmarks.job_soak --kind leases --first 0 --count 500
 python -m benchmarks.job_soak --kind steps --first 0 --count 500
 python -m benchmarks.job_soak --kind connections --first 0 --count 500
+python -m benchmarks.job_soak --kind spread --first 0 --count 500
 
 With leases and steps it also prints how often a task ran twice, and how long tasks waited that were
 lost with their VM.
@@ -23,7 +24,14 @@
 import msgspec
 import typer
 
-from tests.emulator import connection_faults, lease_faults, life_faults, step_faults, vm_faults
+from tests.emulator import (
+    connection_faults,
+    lease_faults,
+    life_faults,
+    spread_faults,
+    step_faults,
+    vm_faults,
+)
 from tests.emulator import faults as kinds
 from tests.emulator.loop import run
 from tests.emulator.mixes import (
@@ -32,6 +40,7 @@
     run_measured_lease_mix,
     run_mix,
     run_organisation_mix,
+    run_spread_mix,
     run_store_mix,
 )
 from tests.emulator.store_faults import draw
@@ -56,6 +65,8 @@
     """The same, with members that stand still, a store that goes and calls that come late."""
     CONNECTIONS = "connections"
     """Leaders lost in series, at VMs that take few connections."""
+    SPREAD = "spread"
+    """VMs that are silent and return, under steps whose spread binds."""
 
 
 class MixResult(msgspec.Struct):
@@ -125,6 +136,13 @@
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def run_spread_seed(seed: int) -> MixResult:
+    """Run a seed's mix of steps whose spread binds."""
+    chosen = spread_faults.draw(seed)
+    wrong = run(run_spread_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
@@ -146,6 +164,7 @@
     Kind.LEASES: run_leases_seed,
     Kind.STEPS: run_steps_seed,
     Kind.CONNECTIONS: run_connections_seed,
+    Kind.SPREAD: run_spread_seed,
 }
 
 
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -8,7 +8,8 @@
 from sablemount.jobs.model import Organisation, Shape
 from tests.emulator.faults import Fault
 from tests.emulator.job_model import JobModel
-from tests.emulator.system import System
+from tests.emulator.spread_jobs import SpreadJobs
+from tests.emulator.system import OTHER_PREFIX, PREFIX, System
 from tests.emulator.vms import emulated_wall_ms
 
 __all__ = [
@@ -19,6 +20,7 @@
     "run_measured_lease_mix",
     "run_mix",
     "run_organisation_mix",
+    "run_spread_mix",
     "run_store_mix",
 ]
 
@@ -37,6 +39,10 @@
 """Mean seconds of a task of the whole job model, whose jobs have more tasks."""
 LONG_TASK_SECONDS = 4.0
 """Mean seconds of a task that mostly outlasts the cuts of its VM."""
+SPREAD_JOBS = 12
+SPREAD_JOB_INTERVAL_S = 0.6
+SPREAD_CAPS_MILLICORES = (6_000, 10_000, 20_000)
+"""Caps of an organisation whose steps are mostly held back by their spread."""
 SMALL_PAGE_RECORDS = 7
 """Records on a page so small that the persistent state needs many pages."""
 
@@ -97,6 +103,34 @@
     return await _run(system, seed, chosen, system.model_traffic(model, 60, 0.2), _cancel_some)
 
 
+async def run_spread_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
+    """Inject faults beside steps whose spread binds, with labels of two kinds and two pools."""
+    kinds = ("a", "b")
+    system = System(seed, vms=8, advice=advice, pools=("pool", "other"), kinds=kinds)
+    system.emulates_time_of_day = True
+    system.cell.mean_task_seconds = LONG_TASK_SECONDS
+    rng = random.Random(seed + 5)
+    jobs = SpreadJobs(rng, kinds, emulated_wall_ms)
+    callers = ("",)
+    if seed % 3 == 0:
+        callers = ("rueda", "yard")
+        system.configure(2, organisations=organisations(rng.choice(SPREAD_CAPS_MILLICORES)))
+    traffic = _submit_spread_jobs(system, rng, jobs, callers)
+    return await _run(system, seed, chosen, traffic, _cancel_few)
+
+
+async def _submit_spread_jobs(
+    system: System, rng: random.Random, jobs: SpreadJobs, callers: tuple[str, ...]
+) -> None:
+    tasks = []
+    for number in range(SPREAD_JOBS):
+        prefix = rng.choice((PREFIX, PREFIX, OTHER_PREFIX))
+        submission = system.submit(f"s{number:04x}", jobs.job(), rng.choice(callers), prefix)
+        tasks.append(asyncio.create_task(submission))
+        await asyncio.sleep(rng.expovariate(1.0 / SPREAD_JOB_INTERVAL_S))
+    await asyncio.wait(tasks)
+
+
 def organisations(cores: int) -> tuple[Organisation, ...]:
     """Return an organisation with a cap and one without; the key of each is its name."""
     names = ("rueda", "yard")
@@ -138,6 +172,13 @@
             await system.cancel(rng.choice(sorted(system.accepted)))
 
 
+async def _cancel_few(system: System, rng: random.Random) -> None:
+    for _ in range(2):
+        await asyncio.sleep(rng.uniform(2.0, 8.0))
+        if system.accepted:
+            await system.cancel(rng.choice(sorted(system.accepted)))
+
+
 async def _change_caps(system: System, rng: random.Random) -> None:
     for version in range(3, 9):
         await asyncio.sleep(rng.uniform(0.5, 3.0))
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -47,6 +47,8 @@
 
 HOST = "queues.example"
 PREFIX = "/queue/"
+OTHER_PREFIX = "/other/"
+"""Prefix of the queue to the second pool, if there is one."""
 CAPACITY = Shape(16_000, 64_000, 0)
 CALL_TIMEOUT_S = 2.7
 MAX_ATTEMPTS = 6
@@ -62,7 +64,15 @@
 class System:
     """A system of members, VMs, store and network that runs in virtual time."""
 
-    def __init__(self, seed: int, members: int = 4, vms: int = 6, advice: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: int = 4,
+        vms: int = 6,
+        advice: bool = False,
+        pools: tuple[str, ...] = ("pool",),
+        kinds: tuple[str, ...] = ("a",),
+    ) -> None:
         self.rng = random.Random(seed)
         self.checker = InvariantChecker()
         self.store = CheckedStoreState(random.Random(seed + 1), self.checker)
@@ -95,9 +105,13 @@
         self.cell.requires_ticket = advice
         self.entries = Entries(self.store, directory_entry, lambda vm: not vm.unreachable)
         self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
+        self._pools = pools
         for number in range(vms):
             address = f"10.0.0.{number + 1}:8240"
-            self.list_vm(self.cell.add(f"w{number}", f"r{number // 3}", CAPACITY, address))
+            pool = pools[number % len(pools)]
+            kind = kinds[number // len(pools) % len(kinds)]
+            rack = f"r{number // 3}"
+            self.list_vm(self.cell.add(f"w{number}", rack, CAPACITY, address, pool, kind))
         self.configure(1)
 
     # -- The platform ------------------------------------------------------------------------
@@ -114,14 +128,20 @@
 
         ``idle`` is the number of additional queues without callers.
         """
-        terms = QueueTerms("work", "pool", 0, self.cell.max_attempts, 2.0, 1000.0, self._advice)
+        terms = QueueTerms(
+            "work", self._pools[0], 0, self.cell.max_attempts, 2.0, 1000.0, self._advice
+        )
+        others = [
+            Queue(HOST, OTHER_PREFIX, msgspec.structs.replace(terms, name=f"to {pool}", pool=pool))
+            for pool in self._pools[1:]
+        ]
         configuration = Configuration(
             version,
-            (Queue(HOST, prefix, terms, public), *_idle_queues(terms, idle)),
+            (Queue(HOST, prefix, terms, public), *others, *_idle_queues(terms, idle)),
             keyed=organisations is not None,
             organisations=organisations or (),
-            pools=frozenset({"pool"}),
-            accepted_connections={"pool": self.cell.accepted_connections},
+            pools=frozenset(self._pools),
+            accepted_connections=dict.fromkeys(self._pools, self.cell.accepted_connections),
         )
         self.cell.caps.record(configuration.organisations, loop_time())
         self.cell.routes.record(
@@ -185,7 +205,8 @@
 
     def _replace_vm(self, vm: Vm) -> None:
         info = vm.info
-        self.list_vm(self.cell.add(info.machine, info.rack, CAPACITY, info.address))
+        kind, rack = info.labels
+        self.list_vm(self.cell.add(info.machine, rack, CAPACITY, info.address, info.pool, kind))
 
     def _check_lease(self, vm: Vm) -> None:
         """Check that no leader counts the lease of a VM as shorter than the VM itself does."""
@@ -306,20 +327,22 @@
             return None
         return None if task.cancelled() or task.exception() else task.result()
 
-    async def submit(self, name: str, spec: JobSpec, caller: str = "") -> None:
+    async def submit(
+        self, name: str, spec: JobSpec, caller: str = "", prefix: str = PREFIX
+    ) -> None:
         """Submit a job, and retry until it is accepted or ``MAX_ATTEMPTS`` attempts were made.
 
         The callers of an organisation present a key whose digest is that of its name.
         """
         spec = self.cell.register_job(name, spec)
-        self.cell.urls[name] = HOST + PREFIX + name
+        self.cell.urls[name] = HOST + prefix + name
         self.cell.owners[name] = caller
         digest = key_digest(caller.encode()) if caller else None
         self.open_submissions += 1
         uncertain = False
         try:
             for _ in range(MAX_ATTEMPTS):
-                call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
+                call = CallerCall(Operation.SUBMIT, HOST, prefix + name, spec)
                 reply = await self.call(call, digest)
                 if reply is not None and reply.outcome is Outcome.DONE:
                     self.accepted.add(name)
@@ -342,10 +365,15 @@
     async def cancel(self, name: str) -> None:
         # Without a reply it is unknown whether the job was cancelled.
         self.cancelled.add(name)
-        await self.call(CallerCall(Operation.CANCEL, HOST, PREFIX + name), self._digest(name))
+        await self.call(CallerCall(Operation.CANCEL, HOST, self._path(name)), self._digest(name))
 
     async def state(self, name: str) -> CallerReply | None:
-        return await self.call(CallerCall(Operation.STATE, HOST, PREFIX + name), self._digest(name))
+        call = CallerCall(Operation.STATE, HOST, self._path(name))
+        return await self.call(call, self._digest(name))
+
+    def _path(self, name: str) -> str:
+        """Return the path that a job was submitted to."""
+        return self.cell.urls.get(name, HOST + PREFIX + name).removeprefix(HOST)
 
     def _digest(self, name: str) -> bytes | None:
         """Return the key digest of the organisation that submitted a job."""
