Check spread, label and pool at each start on the emulated VMs

No test looked at them: the emulated VMs took any number of tasks of a step, on any VM. They now record each start beyond the spread of its step, without its label, or in a pool that no configuration sends its queue to. What is being stopped counts, as it is still there.

--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -124,6 +124,9 @@
             accepted_connections={"pool": self.cell.accepted_connections},
         )
         self.cell.caps.record(configuration.organisations, loop_time())
+        self.cell.routes.record(
+            {queue.host + queue.prefix: queue.terms.pool for queue in configuration.queues}
+        )
         value = msgspec.msgpack.encode(configuration)
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
@@ -309,6 +312,7 @@
         The callers of an organisation present a key whose digest is that of its name.
         """
         spec = self.cell.register_job(name, spec)
+        self.cell.urls[name] = HOST + PREFIX + name
         self.cell.owners[name] = caller
         digest = key_digest(caller.encode()) if caller else None
         self.open_submissions += 1
@@ -331,6 +335,7 @@
     async def submit_once(self, member: str, name: str) -> CallerReply:
         """Submit a random job once, to the given member."""
         spec = self.cell.register_job(name, self.random_job())
+        self.cell.urls[name] = HOST + PREFIX + name
         call = CallerCall(Operation.SUBMIT, HOST, PREFIX + name, spec)
         return await self.members[member].serve(call, CALL_TIMEOUT_S)
 
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -13,6 +13,7 @@
 from sablemount.jobs.scheduler import StartRefusal
 from tests.emulator.advice import is_valid_ticket
 from tests.emulator.caps import PublishedCaps
+from tests.emulator.routes import PublishedRoutes
 from tests.emulator.vm import OpenCompletion, Run, Vm, work_owner
 
 LEASE_S = 6.0
@@ -102,15 +103,26 @@
         self.owners: dict[str, str] = {}
         """Organisation that submitted a job, by job."""
         self.caps = PublishedCaps()
+        self.urls: dict[str, str] = {}
+        """Host and path that a job was submitted to, by job; others are not checked for pools."""
+        self.routes = PublishedRoutes()
 
     # -- VMs ---------------------------------------------------------------------------------
 
-    def add(self, machine: str, rack: str, capacity: Shape, address: str = "") -> Vm:
-        """Start a VM under an id that is not used elsewhere."""
+    def add(
+        self,
+        machine: str,
+        rack: str,
+        capacity: Shape,
+        address: str = "",
+        pool: str = "pool",
+        kind: str = "a",
+    ) -> Vm:
+        """Start a VM under an id that is not used elsewhere; its kind and its rack label it."""
         self._incarnations += 1
         name = f"{machine}-{self._incarnations}"
         info = VmInfo(
-            name, address or machine, "pool", capacity, ("a", rack), False, machine, revision=1
+            name, address or machine, pool, capacity, (kind, rack), False, machine, revision=1
         )
         return self._add_incarnation(info, info.name)
 
@@ -254,6 +266,7 @@
     def _begin(self, vm: Vm, action: StartRun, now: float) -> None:
         spec = self._step(action.task)
         self._check_start(vm, action, spec.charge)
+        self._check_place(vm, action.task, spec)
         self._check_cap(action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
         if action.task in self._lost_at:
@@ -340,6 +353,23 @@
                         f"started before its predecessors were done: {action.task}"
                     )
 
+    def _check_place(self, vm: Vm, task: str, spec: StepSpec) -> None:
+        """Check a start against the spread, the label and the pool that its step asks for.
+
+        Whatever runs on the VM counts towards the spread, also while it is being stopped.
+        """
+        step = task.rpartition(".")[0]
+        beside = {run.task for run in vm.runs.values() if run.task.rpartition(".")[0] == step}
+        count = len(beside | {task})
+        if spec.spread and count > spec.spread:
+            where = f"{vm.incarnation} ({count} of {spec.spread} tasks)"
+            self.violations.append(f"beyond its spread: {task} on {where}")
+        if spec.label and spec.label not in vm.info.labels:
+            self.violations.append(f"without its label {spec.label}: {task} on {vm.incarnation}")
+        url = self.urls.get(task.partition(".")[0])
+        if url is not None and vm.info.pool not in self.routes.pools_of(url):
+            self.violations.append(f"in pool {vm.info.pool}: {task} on {vm.incarnation}")
+
     def _finish(self, vm: Vm, run: Run) -> None:
         if run.task in self.crash_delays_s:
             return
--- a/tests/jobs/test_vm_checks.py
+++ b/tests/jobs/test_vm_checks.py
@@ -152,3 +152,85 @@
 )
 def test_a_second_start_may_be_right(case: Case) -> None:
     assert run(_violations(case)) == []
+
+
+# -- Where a task may start ------------------------------------------------------------------
+
+
+class _Place:
+    """A cell with a VM, and short calls for the starts there of a job with a single step."""
+
+    def __init__(self, spread: int = 0, label: str = "") -> None:
+        self.cell = Cell(random.Random(1))
+        step = StepSpec(4, Shape(1_000, 100), spread=spread, label=label)
+        self.cell.jobs["job"] = JobSpec("payload", (step, step), times=2)
+        self.vm = self.cell.add("machine", "r", Shape(16_000, 65_536), kind="b")
+
+    def start(self, *tasks: str, number: int = 1) -> list[str]:
+        """Start some tasks, and return all violations so far."""
+        for task in tasks:
+            action = StartRun(self.vm.info.name, f"job.{task}", number, "payload", 0.0)
+            self.cell.start(self.vm, action, 1, LEASE_END_MS)
+        return self.cell.violations
+
+
+def test_a_start_beyond_the_spread_is_noted() -> None:
+    async def scenario() -> None:
+        place = _Place(spread=2)
+        assert place.start("0.0.0", "0.0.1") == []
+        beyond = "beyond its spread: job.0.0.2 on machine-1 (3 of 2 tasks)"
+        assert place.start("0.0.2") == [beyond]
+
+    run(scenario())
+
+
+def test_runs_that_are_being_stopped_count_towards_the_spread() -> None:
+    async def scenario() -> None:
+        place = _Place(spread=1)
+        place.start("0.0.0")
+        place.cell.stop(place.vm, "job.0.0.0", 1, 1)
+        assert len(place.start("0.0.1")) == 1
+        await asyncio.sleep(LEASE_S * 1.1)
+        assert len(place.start("0.0.2")) == 1
+
+    run(scenario())
+
+
+def test_other_steps_and_other_repetitions_do_not_count_towards_the_spread() -> None:
+    async def scenario() -> None:
+        assert _Place(spread=1).start("0.0.0", "0.1.0", "1.0.0", "1.1.0") == []
+
+    run(scenario())
+
+
+def test_a_start_without_the_label_of_its_step_is_noted() -> None:
+    async def scenario() -> None:
+        assert _Place(label="b").start("0.0.0") == []
+        assert _Place(label="r").start("0.0.0") == []
+        without = "without its label a: job.0.0.0 on machine-1"
+        assert _Place(label="a").start("0.0.0") == [without]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("published", "violations"),
+    [
+        ([{"host/q/": "pool"}], []),
+        ([{"host/q/": "other"}], ["in pool pool: job.0.0.0 on machine-1"]),
+        ([{"host/q/": "pool"}, {"host/q/": "other"}], []),
+        ([{"host/": "pool", "host/q/": "other"}], ["in pool pool: job.0.0.0 on machine-1"]),
+        ([{"host/p/": "pool"}], ["in pool pool: job.0.0.0 on machine-1"]),
+    ],
+)
+def test_a_start_in_a_pool_that_its_queue_was_never_sent_to_is_noted(
+    published: list[dict[str, str]], violations: list[str]
+) -> None:
+    async def scenario() -> None:
+        place = _Place()
+        place.cell.urls["job"] = "host/q/job"
+        for pools in published:
+            place.cell.routes.record(pools)
+        assert place.start("0.0.0") == violations
+
+    run(scenario())
