Soak real processes with steps whose spread, labels and pools bind

The soak drew antiAffinity for a few steps only, always 2 on six VMs, and no labels; its stand-in had one queue and VMs of one kind.

VMs are silent for longer or shorter than their leases, in series and side by side, while leaders are killed, frozen or lost. The jobs are drawn with a generator of their own. A job whose label no VM has may be shown as pending only. The stand-in records the routes that it publishes, so that the emulated VMs check the pool of each start.

--- a/benchmarks/job_verdicts.py
+++ b/benchmarks/job_verdicts.py
@@ -25,6 +25,8 @@
         self.refused: set[str] = set()
         """Jobs whose submission was refused in all attempts."""
         self.cancelled: set[str] = set()
+        self.unserved: set[str] = set()
+        """Jobs that ask for a label which no VM has."""
         self._cancelled_at: dict[str, float] = {}
         """When the cancellation of a job was acknowledged before the job had ended."""
         self.violations: list[str] = []
@@ -75,6 +77,8 @@
         """Check a reply to a query of a job's state."""
         if code == GONE:
             self._check_not_found(job, asked_at, node)
+        elif job in self.unserved and state in ("running", "succeeded"):
+            self.violations.append(f"{node} reports {job} as {state}, which no VM can run")
         elif state == "succeeded" and job in self._cancelled_at:
             what = "as succeeded after its cancellation was acknowledged"
             self.violations.append(f"{node} reports {job} {what}")
@@ -109,6 +113,8 @@
         """Return whether an accepted job's state is allowed once the system has settled."""
         if state == "failed":
             return self._may_fail_for_crashes(job)
+        if job in self.unserved and job not in self.cancelled:
+            return state == "pending"
         return state == "succeeded" or (state == "cancelled" and job in self.cancelled)
 
     def _may_fail_for_crashes(self, job: str) -> bool:
--- a/benchmarks/lease_faults.py
+++ b/benchmarks/lease_faults.py
@@ -5,7 +5,7 @@
 from benchmarks.node_faults import Fault, Target, kill_one, leaders_killed, store_down
 from tests.emulator.vm import Vm
 
-__all__ = ["LEASE_FAULTS"]
+__all__ = ["LEASE_FAULTS", "cut_off", "pick_busy_vm"]
 
 CUT_S = (4.0, 9.0)
 """Range of the seconds of a cut: most outlast three heartbeats."""
@@ -17,24 +17,24 @@
 RESTART_DELAY_S = (0.2, 3.0)
 
 
-def _pick_vm(target: Target) -> Vm | None:
+def pick_busy_vm(target: Target) -> Vm | None:
     """Return a running VM that is not cut off; one with runs, if there is any."""
     vms = [vm for vm in target.standin.cell.vms.values() if vm.up and not vm.unreachable]
     busy = [vm for vm in vms if vm.runs]
     return target.rng.choice(busy or vms) if vms else None
 
 
-async def _cut(target: Target, vm: Vm) -> None:
+async def cut_off(target: Target, vm: Vm, seconds: tuple[float, float] = CUT_S) -> None:
     """Cut a VM off from everybody, or from the leaders until now; silently or refusing."""
     refuses = target.rng.random() < 0.5
     if target.rng.random() < 0.7:
         await target.standin.cut_worker(vm, refuses)
-        await asyncio.sleep(target.rng.uniform(*CUT_S))
+        await asyncio.sleep(target.rng.uniform(*seconds))
         target.standin.heal_worker(vm)
         return
     vm.refuses_when_cut = refuses
     vm.cut_off_epoch = target.epoch()
-    await asyncio.sleep(target.rng.uniform(*CUT_S))
+    await asyncio.sleep(target.rng.uniform(*seconds))
     vm.cut_off_epoch = -1
 
 
@@ -45,16 +45,16 @@
         return
     target.standin.crash_worker(vm)
     await asyncio.sleep(target.rng.uniform(*RESTART_DELAY_S))
-    target.standin.add_worker(vm.info.rack)
+    target.standin.add_worker_like(vm)
 
 
 async def vms_cut_off(target: Target) -> None:
     """Cut some VMs off, one after another, while the store serves all others."""
     cuts = []
     for _ in range(target.rng.randint(1, 2)):
-        vm = _pick_vm(target)
+        vm = pick_busy_vm(target)
         if vm is not None:
-            cuts.append(asyncio.ensure_future(_cut(target, vm)))
+            cuts.append(asyncio.ensure_future(cut_off(target, vm)))
         await asyncio.sleep(target.rng.uniform(0.1, 1.0))
     await asyncio.gather(*cuts)
 
@@ -77,27 +77,27 @@
 
 async def draining_vm_cut_off(target: Target) -> None:
     """Let a VM drain, cut it off before or after its announced time, and let it serve on."""
-    vm = _pick_vm(target)
+    vm = pick_busy_vm(target)
     if vm is None:
         return
     stays_s = target.rng.uniform(*STAYS_S)
     target.standin.drain_worker(vm, stays_s)
     end = asyncio.ensure_future(_end_later(target, vm, stays_s + target.rng.uniform(*SERVES_ON_S)))
     await asyncio.sleep(target.rng.uniform(*BEFORE_CUT_S))
-    await _cut(target, vm)
+    await cut_off(target, vm)
     await end
 
 
 async def leaving_vm_cut_off(target: Target) -> None:
     """Let a VM withdraw its entry unannounced, serve on, and be cut off."""
-    vm = _pick_vm(target)
+    vm = pick_busy_vm(target)
     if vm is None:
         return
     target.standin.entries.withdraw(vm)
     seconds = target.rng.uniform(*STAYS_S) + target.rng.uniform(*CUT_S)
     end = asyncio.ensure_future(_end_later(target, vm, seconds))
     await asyncio.sleep(target.rng.uniform(*BEFORE_CUT_S))
-    await _cut(target, vm)
+    await cut_off(target, vm)
     await end
 
 
--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -300,7 +300,7 @@
         return
     target.standin.crash_worker(vm)
     await asyncio.sleep(target.rng.uniform(0.2, 3.0))
-    target.standin.add_worker(vm.info.rack)
+    target.standin.add_worker_like(vm)
 
 
 FAULTS: tuple[Fault, ...] = (
--- a/benchmarks/open_connections.py
+++ b/benchmarks/open_connections.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from benchmarks.node_processes import Node
-from tests.platform.standin import HOST, PREFIX
+from tests.platform.standin import HOST
 
 __all__ = ["Answer", "Cut", "OpenConnection"]
 
@@ -45,13 +45,13 @@
         self._writer: asyncio.StreamWriter | None = None
         self._life = 0
 
-    async def call(self, method: str, job: str, body: object, key: str) -> Answer | None:
+    async def call(self, method: str, path: str, body: object, key: str) -> Answer | None:
         """Make a call over the open connection; return ``None`` if there is no reply."""
         if not await self._connect():
             await asyncio.sleep(RECONNECT_DELAY_S)
             return None
         assert self._writer is not None
-        self._writer.write(_request(method, job, body, key))
+        self._writer.write(_request(method, path, body, key))
         sent_at = time.monotonic()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
@@ -93,10 +93,10 @@
         self._reader = self._writer = None
 
 
-def _request(method: str, job: str, body: object, key: str) -> bytes:
+def _request(method: str, path: str, body: object, key: str) -> bytes:
     payload = b"" if body is None else json.dumps(body).encode()
     lines = (
-        f"{method} {PREFIX}{job} HTTP/1.1",
+        f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         "Deadline-Ms: 3000",
         f"Authorization: Bearer {key}",
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -27,6 +27,8 @@
 from benchmarks.node_logs import internal_errors
 from benchmarks.node_processes import Nodes
 from benchmarks.soak_callers import KEYS, Callers
+from benchmarks.spread_faults import SPREAD_FAULTS
+from benchmarks.spread_jobs import SpreadJobs, add_workers
 from tests.platform.standin import Standin
 
 __all__ = [
@@ -49,6 +51,7 @@
 SETTLE_TIMEOUT_S = 60.0
 TASK_SECONDS = 0.6
 LONG_TASK_SECONDS = 2.5
+SPREAD_TASK_SECONDS = 4.0
 LONG_JOB_INTERVAL_S = 0.4
 LONG_OPEN_PAUSE_S = 2.0
 PAGE_RECORDS = 200
@@ -104,6 +107,10 @@
         self.faults: Counter[str] = Counter()
         self.callers = Callers(self.rng, self.nodes, self.standin, self.target, seed)
         self.callers.open_pause_s = size.open_pause_s
+        self.has_spread_jobs = any(fault in SPREAD_FAULTS for fault in size.faults)
+        if self.has_spread_jobs:
+            self.callers.spread_jobs = SpreadJobs(random.Random(seed))
+            self.standin.has_second_service = True
         self.connections: list[int] = []
         """How many connections were open at each VM at the end of the load."""
         self.resets = 0
@@ -112,8 +119,7 @@
     async def run(self) -> list[str]:
         """Run the load and the faults, let the system settle, and return the violations."""
         self._configure()
-        for number in range(self.size.vms):
-            self.standin.add_worker(f"r{number // 3}")
+        self._add_workers()
         await self.nodes.start()
         try:
             await self._run_load()
@@ -123,6 +129,13 @@
             await self.nodes.close()
             self.standin.close()
 
+    def _add_workers(self) -> None:
+        if self.has_spread_jobs:
+            add_workers(self.standin, self.size.vms)
+            return
+        for number in range(self.size.vms):
+            self.standin.add_worker(f"r{number // 3}")
+
     def _configure(self) -> None:
         """Publish the next configuration: the same keys, and a random cap for one organisation."""
         self._version += 1
@@ -202,6 +215,7 @@
 def faults_named(names: str) -> tuple[Fault, ...]:
     """Return the faults of comma-separated names; raise ``ValueError`` for an unknown name."""
     known = FAULTS + VM_FAULTS + LIFE_FAULTS + LINK_FAULTS + LEASE_FAULTS + CONNECTION_FAULTS
+    known += SPREAD_FAULTS
     by_name = {fault.__name__: fault for fault in known}
     if names == "vms":
         return FAULTS + VM_FAULTS * 2
@@ -211,6 +225,8 @@
         return FAULTS + LEASE_FAULTS * 6
     if names == "connections":
         return FAULTS + CONNECTION_FAULTS * 6
+    if names == "spread":
+        return FAULTS + SPREAD_FAULTS * 8
     if names == "links":
         return FAULTS + LINK_FAULTS * 4
     try:
@@ -235,7 +251,7 @@
         float, typer.Option(help="Mean seconds between faults.")
     ] = FAULT_INTERVAL_S,
     faults: Annotated[
-        str, typer.Option(help="By comma; vms, lives, links, leases, connections too.")
+        str, typer.Option(help="By comma; vms, lives, links, leases, connections, spread too.")
     ] = "",
 ) -> None:
     """Run a soak and print its results."""
@@ -256,8 +272,10 @@
     folder = Path(tempfile.mkdtemp(prefix="sablemount-soak-"))
     chosen = faults_named(faults)
     size = Size(seconds, processes, vms, chosen, fault_every)
-    if any(fault in LEASE_FAULTS for fault in chosen):
+    if any(fault in LEASE_FAULTS + SPREAD_FAULTS for fault in chosen):
         size = with_long_tasks(size)
+    if any(fault in SPREAD_FAULTS for fault in chosen):
+        size = replace(size, task_seconds=SPREAD_TASK_SECONDS)
     soak, wrong = asyncio.run(_run_soak(seed, size, folder))
     verdicts = soak.callers.verdicts
     print(f"seed {seed}, {seconds:.0f} s, {processes} processes, {vms} VMs:", end=" ")
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -12,6 +12,7 @@
 from benchmarks.node_faults import Target
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
+from benchmarks.spread_jobs import SpreadJobs
 from sablemount.jobs.model import JobSpec
 from sablemount.platform.front import decode_job
 from tests.emulator.job_model import JobModel
@@ -63,6 +64,10 @@
         self.target = target
         self.open_pause_s = 0.0
         """Seconds between two jobs of a caller with an open connection."""
+        self.spread_jobs: SpreadJobs | None = None
+        """Draws some of the jobs, if it is set."""
+        self._prefixes: dict[str, str] = {}
+        """Path prefix of the queue of a job, by job, unless it is ``PREFIX``."""
         self.reply_counts: Counter[str] = Counter()
         """Number of replies by kind of call and status; the status is 0 without a reply."""
         self.verdicts = Verdicts(standin.cell)
@@ -122,7 +127,13 @@
         """Register a random job for a random organisation; return its body and key."""
         body = self._random_body()
         owner = self.rng.choice(list(KEYS))
-        if self._model.draws(MODEL_SHARE):
+        drawn = None if self.spread_jobs is None else self.spread_jobs.job(job)
+        if drawn is not None:
+            spec, self._prefixes[job] = drawn.spec, drawn.prefix
+            body = job_body(spec)
+            if drawn.is_unserved:
+                self.verdicts.unserved.add(job)
+        elif self._model.draws(MODEL_SHARE):
             spec = self._model.job(job)
             body = job_body(spec)
             self._plan_cancel(job, spec)
@@ -131,6 +142,7 @@
             spec = decode_job(json.dumps(body).encode())
         self.standin.cell.register_job(job, spec)
         self.standin.cell.owners[job] = owner
+        self.standin.cell.urls[job] = HOST + self._path(job)
         return body, KEYS[owner]
 
     def _plan_cancel(self, job: str, spec: JobSpec) -> None:
@@ -144,6 +156,9 @@
         self.verdicts.cancelled.add(job)
         await self._cancel(job)
 
+    def _path(self, job: str) -> str:
+        return self._prefixes.get(job, PREFIX) + job
+
     async def submit(self) -> None:
         """Submit a job with retries; cancel or resubmit some of the accepted ones."""
         job = self._next_job()
@@ -153,7 +168,7 @@
         uncertain = False
         for _ in range(MAX_ATTEMPTS):
             self.verdicts.record_attempt(job, self.standin.store.down)
-            code = await self._send_for_status("POST", PREFIX + job, body)
+            code = await self._send_for_status("POST", job, body)
             self.reply_counts[f"submit {code}"] += 1
             if code in ACCEPTED:
                 self._on_accepted(job)
@@ -169,9 +184,7 @@
             await self._cancel(job)
         elif self.rng.random() < RESUBMIT_SHARE:
             await asyncio.sleep(self.rng.uniform(*RESUBMIT_DELAY_S))
-            self.reply_counts[
-                f"repeat {await self._send_for_status('POST', PREFIX + job, body)}"
-            ] += 1
+            self.reply_counts[f"repeat {await self._send_for_status('POST', job, body)}"] += 1
 
     async def _cancel(self, job: str) -> None:
         answer = await self._send("DELETE", job)
@@ -198,14 +211,14 @@
         while time.monotonic() < end:
             job = self._next_job()
             body, key = self._register_job(job)
-            answer = await connection.call("POST", job, body, key)
+            answer = await connection.call("POST", self._path(job), body, key)
             self.reply_counts[f"open submit {0 if answer is None else answer.code}"] += 1
             if answer is not None and answer.code in ACCEPTED:
                 self._on_accepted(job)
             elif answer is not None and answer.code in REFUSED:
                 self.verdicts.refused.add(job)
             asked_at = time.monotonic()
-            answer = await connection.call("GET", job, None, key)
+            answer = await connection.call("GET", self._path(job), None, key)
             if answer is not None:
                 self._check_reply(job, answer, asked_at, node)
             await asyncio.sleep(self.open_pause_s)
@@ -228,7 +241,7 @@
         self.standin.cell.jobs[own_job] = decode_job(json.dumps(body).encode())
         for method, name in (("POST", own_job), ("GET", job), ("DELETE", job)):
             payload = body if method == "POST" else None
-            code = (await self._fetch(method, PREFIX + name, payload, UNKNOWN_KEY)).code
+            code = (await self._fetch(method, self._path(name), payload, UNKNOWN_KEY)).code
             self.reply_counts[f"stranger {code}"] += 1
             if code in ACCEPTED:
                 self._unauthorised_successes.append(f"{method} {name}")
@@ -250,14 +263,14 @@
             steps.append({"count": 1, "cpu": 500, "memMb": 64, "dependsOn": [0]})
         return {"spec": "payload", "steps": steps}
 
-    async def _send_for_status(self, method: str, path: str, body: object = None) -> int:
+    async def _send_for_status(self, method: str, job: str, body: object = None) -> int:
         """Make a call and return the status of its reply; 0 without a reply."""
-        return (await self._send(method, path.rpartition("/")[2], body)).code
+        return (await self._send(method, job, body)).code
 
     async def _send(self, method: str, job: str, body: object = None) -> Answer:
         """Make a call about a job with the key of its organisation."""
         key = KEYS[self.standin.cell.owners[job]]
-        return await self._fetch(method, PREFIX + job, body, key)
+        return await self._fetch(method, self._path(job), body, key)
 
     async def _fetch(
         self,
@@ -292,7 +305,7 @@
         key = KEYS[self.standin.cell.owners[job]]
         node = self.rng.choice(self.nodes.rows)
         asked_at = time.monotonic()
-        answer = await self._fetch("GET", PREFIX + job, None, key, node)
+        answer = await self._fetch("GET", self._path(job), None, key, node)
         return self._check_reply(job, answer, asked_at, node)
 
     def _check_reply(self, job: str, answer: Answer, asked_at: float, node: Node) -> str:
--- a/tests/platform/bodies.py
+++ b/tests/platform/bodies.py
@@ -29,6 +29,7 @@
         "dependsOn": list(step.after),
         "checkpoint": step.saves,
         "gang": step.gang,
+        "constraints": step.label,
         "antiAffinity": step.spread,
     }
     return {name: value for name, value in fields.items() if value}
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -50,6 +50,8 @@
 SERVICE = "desk"
 HOST = "queues.example"
 PREFIX = "/lohu930/"
+SECOND_SERVICE = "shelf"
+SECOND_PREFIX = "/tamun417/"
 HOST_ADDRESS = "127.0.0.1"
 BACKLOG = 128
 CAPACITY = Shape(16_000, 65_536, 0)
@@ -86,6 +88,8 @@
         """Number of connections that each worker takes from now on; it resets further ones."""
         self._worker_servers: dict[str, LimitedHTTPServer] = {}
         self._addresses: dict[str, str] = {}
+        self.has_second_service = False
+        """Whether the configuration has a second queue, whose tasks run on a second service."""
         self.links: dict[str, Link] | None = None
         """Proxies of the workers, by incarnation; ``None`` for none, ``{}`` to create them."""
         self._tasks: set[asyncio.Future[None]] = set()
@@ -212,11 +216,20 @@
             "advice": {"decideMs": 9.0, "eachMs": 0.1, "validMs": 2000},
             "fieldOfTheFuture": 1,
         }
-        configuration: dict[str, object] = {
+        configuration: dict[str, Any] = {
             "version": version,
             "routes": [route | changes],
             "services": [{"name": SERVICE, "maxConns": self.accepted_connections}],
         }
+        if self.has_second_service:
+            second = {"name": "r-2", "pathPrefix": SECOND_PREFIX, "service": SECOND_SERVICE}
+            configuration["routes"] = [route | changes, route | changes | second]
+            names = (SERVICE, SECOND_SERVICE)
+            configuration["services"] = [
+                {"name": name, "maxConns": self.accepted_connections} for name in names
+            ]
+        routes: list[dict[str, Any]] = configuration["routes"]
+        self.cell.routes.record({row["host"] + row["pathPrefix"]: row["service"] for row in routes})
         if tenants:
             configuration["tenants"] = tenants
             self.cell.caps.record([_organisation(row) for row in tenants], loop_time())
@@ -227,8 +240,8 @@
 
     # -- Workers -----------------------------------------------------------------------------
 
-    def add_worker(self, rack: str) -> Vm:
-        worker = self.cell.add("machine", rack, CAPACITY)
+    def add_worker(self, rack: str, kind: str = "a", service: str = SERVICE) -> Vm:
+        worker = self.cell.add("machine", rack, CAPACITY, pool=service, kind=kind)
         address = self._serve_worker(worker)
         if self.links is not None:
             link = self.links[worker.info.name] = Link(address, self.cell.rng)
@@ -237,6 +250,11 @@
         self._list(worker)
         return worker
 
+    def add_worker_like(self, worker: Vm) -> Vm:
+        """Start a worker of the rack, kind and service of another one."""
+        kind, rack = worker.info.labels
+        return self.add_worker(rack, kind, worker.info.pool)
+
     def _serve_worker(self, worker: Vm, listening: socket.socket | None = None) -> str:
         async def serve(request: httputil.HTTPServerRequest) -> tuple[int, object]:
             return await self._worker(worker, request)
@@ -285,7 +303,7 @@
         """Return a worker's entry."""
         capacity = worker.info.capacity
         entry = {
-            "service": SERVICE,
+            "service": worker.info.pool,
             "addr": self.address_of(worker),
             "zone": "z",
             "version": "v1",
@@ -318,7 +336,7 @@
             return
         self.crash_worker(worker)
         loop = asyncio.get_running_loop()
-        loop.call_later(after, self.add_worker, worker.info.rack)
+        loop.call_later(after, self.add_worker_like, worker)
 
     def address_of(self, worker: Vm) -> str:
         """Return the address at which a worker is called."""
--- a/tests/test_job_verdicts.py
+++ b/tests/test_job_verdicts.py
@@ -134,3 +134,22 @@
     verdicts.record_attempt("late", store_down=True)
     verdicts.record_attempt("late", store_down=False)
     assert verdicts.check_accepted_share(0.8) == ["only 8 of 11 jobs were accepted"]
+
+
+@pytest.mark.parametrize(
+    ("state", "wrong"), [("pending", False), ("running", True), ("succeeded", True)]
+)
+def test_a_job_that_no_vm_can_run_is_shown_as_more_than_pending(state: str, wrong: bool) -> None:
+    verdicts = _verdicts()
+    verdicts.unserved.add("job")
+    verdicts.check_reply("job", 200, state, LATER_S, "n0")
+    found = [f"n0 reports job as {state}, which no VM can run"] if wrong else []
+    assert verdicts.violations == found
+
+
+@pytest.mark.parametrize("state", ["410", "running", "succeeded", "failed", "cancelled"])
+def test_a_job_that_no_vm_can_run_stays_pending(state: str) -> None:
+    verdicts = _verdicts()
+    verdicts.unserved.add("job")
+    assert verdicts.is_allowed_final_state("job", "pending")
+    assert not verdicts.is_allowed_final_state("job", state)
