Start no task while an unwanted run of it works, and trust no unknown status

Callers could see a task run twice. Causes, both by reading and shown by tests only: a task that waits again was started although a run of it that is not wanted was still being stopped at another VM; and a start that was answered with a status outside the protocol counted as certainly not made, so that its place was released and its task started elsewhere.

Change: the number of unwanted runs is kept by task, and a task with one is not startable; only the statuses of the protocol make a refusal certain.

Before: test_a_task_is_not_started_again_while_an_unwanted_run_of_it_is_being_ stopped and 3 of 4 cases of test_a_start_answered_with_an_unknown_status_may_ have_been_made failed; all pass.

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -1,6 +1,7 @@
 """The state of the job scheduler: its tables, its time and its outgoing actions."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from sablemount.jobs.actions import Action
@@ -80,7 +81,9 @@
         self.unverified_vms: dict[str, VmRow] = {}
         """VMs that must show by a probe that they list their completions."""
         self.orphans: dict[tuple[str, str, int], RunRow] = {}
-        """Runs that belong to no open task and are being stopped, by VM, task and run."""
+        """Runs that are not wanted and are being stopped, by VM, task and run."""
+        self.unwanted_runs: Counter[str] = Counter()
+        """Number of these runs by task."""
         self.broken_gangs: list[tuple[StepRow, int]] = []
         """Steps and run numbers of gangs that have lost the run of a member."""
         self.suspected_jobs: dict[str, JobRow] = {}
@@ -324,7 +327,7 @@
         if vm is not None and vm.drop_run(run):
             self.usage.add(run.organisation, run.cap_charge, -1)
             self.capacity_version += 1
-        self.orphans.pop((run.vm, run.task, run.number), None)
+        self._drop_orphan(run)
         task = self.task(run.task)
         if task is None or run not in task.runs:
             return
@@ -356,4 +359,21 @@
             return
         log_run_not_wanted(self.run_logger, run, why)
         run.state = RunState.STOPPING
-        self.orphans[(run.vm, run.task, run.number)] = run
+        self.add_orphan(run)
+
+    def add_orphan(self, run: RunRow) -> None:
+        """Keep a run among those that are not wanted, until it is over."""
+        key = (run.vm, run.task, run.number)
+        if key not in self.orphans:
+            self.orphans[key] = run
+            self.unwanted_runs[run.task] += 1
+
+    def _drop_orphan(self, run: RunRow) -> None:
+        if self.orphans.pop((run.vm, run.task, run.number), None) is None:
+            return
+        self.unwanted_runs[run.task] -= 1
+        if not self.unwanted_runs[run.task]:
+            del self.unwanted_runs[run.task]
+            task = self.task(run.task)
+            if task is not None and task.state is TaskState.WAITING:
+                self.mark_for_placement(task.step)
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -211,10 +211,12 @@
     def is_startable(self, task: TaskRow) -> bool:
         """Return whether a waiting task may be started now.
 
-        While the store does not answer, tasks whose start has to be recorded first may not.
+        While the store does not answer, tasks whose start has to be recorded first may not. Nor
+        may a task of which a run that is not wanted works until it has been stopped.
         """
         return (
             task.state is TaskState.WAITING
+            and task.key not in self._state.unwanted_runs
             and not self._is_held(task)
             and task.awaits_verdict_until <= self._state.now
             and (self._state.store_answers or not task.must_record_first)
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -211,7 +211,7 @@
             for run in list(member.runs):
                 if run.number == number and member is not task:
                     self._state.keep_completion(run, DONE)
-                    self._state.orphans[(run.vm, run.task, run.number)] = run
+                    self._state.add_orphan(run)
                 elif run.number != number:
                     self._state.orphan_run(run, DONE_BY_OTHER_RUN)
             member.runs.clear()
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -24,6 +24,7 @@
 
 INSTANCE_HEADER = "Expect-Instance"
 OK = 200
+BAD_REQUEST = 400
 CONFLICT = 409
 WRONG_INSTANCE_STATUS = 421
 """The process at the address does not have the worker id in ``Expect-Instance``."""
@@ -123,7 +124,10 @@
     async def start(
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
-        """Start a run; return when it started or why it was refused."""
+        """Start a run; return when it started or why it was refused.
+
+        Any status that is not part of the protocol counts as no answer: the run may be there.
+        """
         body = _Start(
             action.task,
             action.run,
@@ -144,13 +148,11 @@
             reply = _Reply()
         if response.status == OK:
             return Started(reply.clock_ms)
+        if response.status == BAD_REQUEST:
+            return StartRefusal.REJECTED
         if response.status == CONFLICT and reply.reason != FENCE:
             return REFUSALS.get(reply.reason, StartRefusal.REJECTED)
-        return (
-            _call_error(response)
-            if response.status in (CONFLICT, WRONG_INSTANCE_STATUS)
-            else StartRefusal.REJECTED
-        )
+        return _call_error(response)
 
     async def stop(
         self, action: StopRun, address: str, fence: int, timeout: float
--- a/tests/jobs/test_bounds.py
+++ b/tests/jobs/test_bounds.py
@@ -12,10 +12,12 @@
 from tornado.httputil import HTTPHeaders
 
 from sablemount.adapters.upstream import Response
+from sablemount.control.ports import CallError
 from sablemount.control.vm_calls import VmCalls
 from sablemount.jobs.actions import LaterIncarnation, StartRun, VmReport
 from sablemount.jobs.model import AdviceTerms, Shape, StepSpec, VmInfo
 from sablemount.jobs.records import Record
+from sablemount.jobs.scheduler import StartRefusal
 from sablemount.jobs.tables import MAX_CRASH_WEIGHT, JobRow, RunState
 from sablemount.platform.workers import PlatformWorkers
 from tests.emulator.loop import run
@@ -284,6 +286,26 @@
     assert {stop.task.partition(".")[0] for stop in rig.stopped()} == {"ended"}
 
 
+def test_a_task_is_not_started_again_while_an_unwanted_run_of_it_is_being_stopped() -> None:
+    rig = Rig(vms=2)
+    rig.accept("job", spec(StepSpec(1, CORE)))
+    rig.start_and_hold_all()
+    (start,) = rig.started()
+    (other,) = set(rig.vm_names) - {start.vm}
+    late = StartRun(other, start.task, start.run + 6, "", 0.0)
+    rig.hold(late)
+    rig.report(other)
+    rig.complete(start, "failed")
+    for _ in range(3):
+        rig.wait(0.3)
+    assert [stop.vm for stop in rig.stopped()][:1] == [other]
+    assert len(rig.started()) == 1
+    rig.complete(late, "stopped")
+    for _ in range(4):
+        rig.wait(0.3)
+    assert len(rig.started()) == 2
+
+
 # -- Presence --------------------------------------------------------------------------------
 
 
@@ -343,10 +365,30 @@
 
 
 class _Pool:
-    """Answers each request with success and without a body."""
+    """Answers each request with a status and without a body."""
+
+    def __init__(self, status: int = 200) -> None:
+        self._status = status
 
     async def fetch(self, *args: object, **kwargs: object) -> Response:
-        return Response(200, HTTPHeaders(), b"")
+        return Response(self._status, HTTPHeaders(), b"")
+
+
+@pytest.mark.parametrize(
+    ("status", "result"),
+    [
+        (400, StartRefusal.REJECTED),
+        (404, CallError.NO_ANSWER),
+        (500, CallError.NO_ANSWER),
+        (502, CallError.NO_ANSWER),
+    ],
+)
+def test_a_start_answered_with_an_unknown_status_may_have_been_made(
+    status: int, result: StartRefusal | CallError
+) -> None:
+    workers = PlatformWorkers(_Pool(status))  # type: ignore[arg-type]
+    start = StartRun("w0", "job.0.0.0", 1, "payload", 0.0)
+    assert run(workers.start(start, "a0", 1, 1, 1.0)) is result
 
 
 def test_a_run_whose_start_was_answered_without_a_clock_is_kept() -> None:
