Keep claiming after a claim is won beside a check, and after any error

A check whether to claim waited for the read of the persistent state and then looked at the field that holds the read again.

- A check keeps the read that it waits for, and has failed if a leadership has taken it.
- What a read has returned is asked in one place.
A read that was cancelled or failed with an error has read nothing, for checks, takeovers and the leadership that has taken it, which reads anew.
- A check that has met its own claim starts no read beside that of the leadership.
- The five loops of a member (claims, leader records, configuration, link to the leader, discovery) all ended for good on an unexpected error.
They are started again after a pause.

--- a/src/sablemount/control/election.py
+++ b/src/sablemount/control/election.py
@@ -14,7 +14,7 @@
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.member_settings import MemberSettings
 from sablemount.control.messages import LeaderRecord, LeaderView
-from sablemount.control.preload import JobsSnapshot
+from sablemount.control.preload import JobsSnapshot, read_result
 from sablemount.control.standing import claim_delay
 from sablemount.control.store import (
     Appended,
@@ -204,7 +204,7 @@
         if grounds.at == self._conflict_position:
             await self._poll_for_later_leader()
             return
-        if not await self._verified(reason):
+        if not await self._verified(grounds):
             self._paused_until = monotonic() + CLAIM_PAUSE_S
             return
         if self._is_stale(grounds):
@@ -247,8 +247,9 @@
             return None
         return suspicion.claim_reason(now, self._claim_delay())
 
-    async def _verified(self, reason: str) -> bool:
+    async def _verified(self, grounds: ClaimGrounds) -> bool:
         """Return whether the checks available to this member support the claim."""
+        reason = grounds.reason
         if reason in UNCERTAIN_REASONS:
             return (
                 self._reads_succeed() or await self._preloaded()
@@ -256,7 +257,12 @@
         if reason == ClaimReason.STORE_LOST:
             return await self._store_reachable()
         if reason == ClaimReason.LOAD_STALLED:
-            return await self._store_healthy() and await self._preloaded()
+            return (
+                await self._store_healthy()
+                # This member may lead by now, and load.
+                and not self._is_stale(grounds)
+                and await self._preloaded()
+            )
         return True
 
     async def _preloaded(self) -> bool:
@@ -265,12 +271,12 @@
         If so, the leader is pinged once more, so that its present state counts. A member that
         cannot read the state would fail to lead, so that its claim would only cost time.
         """
-        if self._preload_task is None:
-            self._preload_task = self._start_preload()
-        await asyncio.wait([self._preload_task], timeout=PRELOAD_WAIT_S)
-        if not self._preload_task.done():
+        preload_task = self._preload_task = self._preload_task or self._start_preload()
+        await asyncio.wait([preload_task], timeout=PRELOAD_WAIT_S)
+        if preload_task is not self._preload_task or not preload_task.done():
+            # A leadership that was won meanwhile has taken it, or it is still being read.
             return False
-        if self._preload_task.result() is None:
+        if read_result(preload_task) is None:
             self._preload_task = None
             self._store_failed_at = monotonic()
             return False
--- a/src/sablemount/control/hand_over.py
+++ b/src/sablemount/control/hand_over.py
@@ -13,7 +13,7 @@
 from sablemount.control.leader_link import LeaderLink
 from sablemount.control.messages import TakeOver, TakeOverReply
 from sablemount.control.network import CallFailed, Link
-from sablemount.control.preload import Preload
+from sablemount.control.preload import Preload, read_result
 
 __all__ = ["Successor", "hand_over_leadership", "offer_leadership"]
 
@@ -128,7 +128,7 @@
         await asyncio.wait(
             [preload_task], timeout=TAKEOVER_TIMEOUT_S if once_read else PRELOAD_TIMEOUT_S
         )
-        if once_read and not (preload_task.done() and preload_task.result() is not None):
+        if once_read and not (preload_task.done() and read_result(preload_task) is not None):
             _logger.info("takeover declined", extra={"epoch": epoch, "why": "records not read"})
             return
         self._on_prepared(epoch)
--- a/src/sablemount/control/member.py
+++ b/src/sablemount/control/member.py
@@ -141,13 +141,13 @@
         address = self.settings.rpc_address
         self._listener = self._network.listen(address, self._handle, self._on_link_closed)
         for work in (
-            self._leader_follower.run(),
-            self._configuration_follower.run(),
-            self._link.run(),
-            self._claim_when_due(),
-            self._discovery.run(),
+            self._leader_follower.run,
+            self._configuration_follower.run,
+            self._link.run,
+            self._claim_when_due,
+            self._discovery.run,
         ):
-            self._background.spawn(work)
+            self._background.keep(work)
 
     async def stop(self) -> None:
         """Hand over the leadership if this member leads."""
@@ -233,6 +233,8 @@
     async def _lead(self, epoch: int) -> None:
         if self.leader is not None or self.stopping:
             return
+        record = self._link.record
+        assert record is not None
         preload_task = self._preload.take()
         uplink = self.settings.limits.link_mbps * BYTES_PER_MBIT
         leader = Leader(
@@ -253,8 +255,6 @@
         self._configuration_follower.set_intervals(
             LEADING_RELIST_INTERVAL_S, min(LEADING_RELIST_INTERVAL_S, self._max_read_wait())
         )
-        record = self._link.record
-        assert record is not None
         announce_task = self._background.spawn(
             announce(record, self._link, lambda: leader.leading, leader.members.recently_heard)
         )
--- a/src/sablemount/control/preload.py
+++ b/src/sablemount/control/preload.py
@@ -17,7 +17,7 @@
 from sablemount.control.store import Records, Store, Topic, Unavailable
 from sablemount.jobs.records import Record
 
-__all__ = ["Preload", "JobsSnapshot", "load_records"]
+__all__ = ["Preload", "JobsSnapshot", "load_records", "read_result"]
 
 RETRY_INTERVAL_S = 0.4
 """Seconds without data after which a page, or the tail after the snapshot, is requested again."""
@@ -65,6 +65,9 @@
         return preload_task
 
     def _on_done(self, preload_task: "asyncio.Task[JobsSnapshot | None]") -> None:
+        error = None if preload_task.cancelled() else preload_task.exception()
+        if error is not None:
+            _logger.error("internal error", exc_info=error)
         if preload_task is self._task:
             self._read_at = monotonic()
 
@@ -72,14 +75,20 @@
         preload_task = self._task
         if preload_task is None or not preload_task.done():
             return preload_task
-        failed = (
-            preload_task.cancelled()
-            or preload_task.exception() is not None
-            or preload_task.result() is None
-        )
+        failed = read_result(preload_task) is None
         return None if failed or monotonic() - self._read_at >= MAX_PRELOAD_AGE_S else preload_task
 
 
+def read_result(preload_task: "asyncio.Task[JobsSnapshot | None]") -> JobsSnapshot | None:
+    """Return what a read that is done has returned; ``None`` if it failed or was cancelled.
+
+    A leadership that takes a read cancels it if it ends before.
+    """
+    if preload_task.cancelled() or preload_task.exception() is not None:
+        return None
+    return preload_task.result()
+
+
 async def load_records(
     store: Store,
     preload_task: "asyncio.Task[JobsSnapshot | None] | None",
@@ -90,7 +99,7 @@
     ``preload_task`` is a read that may have begun before. Return ``None`` if the store does not
     answer.
     """
-    snapshot = await preload_task if preload_task is not None else None
+    snapshot = await _finish(preload_task) if preload_task is not None else None
     if snapshot is not None and end is not None:
         newest = {record.key: record for record in snapshot.records}
         if await _catch_up(store, newest, snapshot.end, end):
@@ -99,6 +108,15 @@
     return None if complete is None else complete.records
 
 
+async def _finish(preload_task: "asyncio.Task[JobsSnapshot | None]") -> JobsSnapshot | None:
+    """Wait for a read, which is cancelled if the wait is; return ``None`` if it fails."""
+    try:
+        await asyncio.wait([preload_task])
+    finally:
+        preload_task.cancel()
+    return read_result(preload_task)
+
+
 async def _read_snapshot(store: Store) -> JobsSnapshot | None:
     loaded = await read_newest(store, Topic.JOBS, RETRY_INTERVAL_S, STALL_TIMEOUT_S)
     if isinstance(loaded, Unavailable):
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -1,7 +1,9 @@
 """A claim repeated after a lost answer wins only where the first attempt would have won."""
 
 import asyncio
+import logging
 import random
+from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -20,7 +22,7 @@
     TakeOverReply,
 )
 from sablemount.control.network import Link
-from sablemount.control.preload import Preload
+from sablemount.control.preload import JobsSnapshot, Preload, load_records
 from sablemount.control.progress import TransferProgress
 from sablemount.control.store import AppendResult, Page, Topic, Unavailable
 from sablemount.jobs.records import Record
@@ -40,6 +42,10 @@
 longest pause, and the duration of a claim."""
 VIEW_DELAY_S = 0.1
 """Seconds that another member takes to return its view."""
+SLOW_READ_S = 0.12
+"""Seconds that a read of the leader topic takes, within which a store counts as fast."""
+OUTCOMES = ["read", "nothing", "cancelled", "error"]
+"""How a read of the persistent state ends."""
 
 
 class _FirstAppendLost(InterceptingStore):
@@ -70,6 +76,43 @@
         return Unavailable("status 503", certain=True)
 
 
+class _ReadsSlowly(EmulatedStore):
+    """Takes some seconds for a page of the leader topic; ``on_read`` is called meanwhile."""
+
+    def __init__(self, state: StoreState, name: str) -> None:
+        super().__init__(state, name)
+        self.on_read: Callable[[], None] = lambda: None
+
+    async def newest(
+        self, topic: Topic, after: str, timeout: float, progress: TransferProgress | None = None
+    ) -> Page | Unavailable:
+        if topic is Topic.LEADER:
+            await asyncio.sleep(SLOW_READ_S)
+            self.on_read()
+        return await super().newest(topic, after, timeout, progress)
+
+
+class _Reads:
+    """Starts reads of the persistent state, which end as a test says."""
+
+    def __init__(self, outcome: str, seconds: float) -> None:
+        self.outcome = outcome
+        self.seconds = seconds
+        self.tasks: list[asyncio.Task[JobsSnapshot | None]] = []
+
+    def start(self) -> "asyncio.Task[JobsSnapshot | None]":
+        self.tasks.append(asyncio.get_running_loop().create_task(self._read()))
+        return self.tasks[-1]
+
+    async def _read(self) -> JobsSnapshot | None:
+        await asyncio.sleep(self.seconds)
+        if self.outcome == "cancelled":
+            raise asyncio.CancelledError
+        if self.outcome == "error":
+            raise ValueError("wrong")
+        return JobsSnapshot([], 0) if self.outcome == "read" else None
+
+
 async def _decline_takeover(link: Link, message: Message) -> Reply:
     return TakeOverReply(False)
 
@@ -86,6 +129,7 @@
         state: StoreState | None = None,
         name: str = "mine",
     ) -> None:
+        self.name = name
         self.state = state or StoreState(random.Random(1))
         self.store = kind(self.state, name)
         self.won: list[int] = []
@@ -122,6 +166,29 @@
         self.link.addresses = {"third": "third"}
         self.wires.member_network("third").listen("third", _view_without_leader, lambda link: None)
 
+    def use_reads(self, outcome: str, seconds: float) -> _Reads:
+        """Read the persistent state in this way; this member is not sure that it can."""
+        reads = _Reads(outcome, seconds)
+        self.election._start_preload = reads.start
+        self.election._reads_succeed = lambda: False
+        return reads
+
+    def own_claim_is_read(self) -> None:
+        """Read a claim of the next epoch by this member, which got no answer."""
+        claim = LeaderRecord(
+            self.link.epoch + 1, self.name, self.name, self.election._incarnation, 2
+        )
+        record = Record(LEADER_KEY, msgspec.msgpack.encode(claim))
+        self.state.topics[Topic.LEADER].add([record])
+        self.election.on_records([record], self.state.topics[Topic.LEADER].end)
+
+    def hear_stalled_load(self) -> None:
+        """Hear, for long enough, that the leader's load makes no progress."""
+        now = asyncio.get_running_loop().time()
+        pong = Pong(self.link.epoch, False, 0.0, True, loaded=0)
+        for ago in (60.0, 0.0):
+            self.link.suspicion.on_pong(pong, now - ago)
+
     async def claim_within(self, seconds: float) -> None:
         """Check whether a claim is due until this member has won one or the time is over."""
         loop = asyncio.get_running_loop()
@@ -264,3 +331,119 @@
         assert not await check
 
     run(scenario())
+
+
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_a_claim_won_while_its_preload_is_read_is_not_claimed_again(outcome: str) -> None:
+    """The leadership takes the read, and may end before it does."""
+
+    async def scenario() -> None:
+        candidate = _Candidate(EmulatedStore)
+        candidate.follow("other")
+        reads = candidate.use_reads(outcome, 0.2)
+        await asyncio.sleep(1.0)
+        check = asyncio.create_task(candidate.election.claim_if_due())
+        await asyncio.sleep(0.1)
+        candidate.own_claim_is_read()
+        assert candidate.election.take_preload() is reads.tasks[0]
+        await check
+        assert candidate.won == [2]
+        assert candidate.state.topics[Topic.LEADER].end == 2
+        assert candidate.election.take_preload() is None
+        assert len(reads.tasks) == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_a_read_that_a_later_check_has_begun_survives_the_former_one(outcome: str) -> None:
+    async def scenario() -> None:
+        candidate = _Candidate(EmulatedStore)
+        reads = candidate.use_reads(outcome, 0.2)
+        former = asyncio.create_task(candidate.election._preloaded())
+        await asyncio.sleep(0.1)
+        candidate.election.take_preload()
+        later = asyncio.create_task(candidate.election._preloaded())
+        await asyncio.sleep(0.05)
+        assert not await former
+        assert await later == (outcome == "read")
+        assert len(reads.tasks) == 2
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("outcome", ["nothing", "cancelled", "error"])
+def test_a_member_whose_preload_fails_reads_again_and_claims(outcome: str) -> None:
+    async def scenario() -> None:
+        candidate = _Candidate(EmulatedStore)
+        candidate.follow("other")
+        reads = candidate.use_reads(outcome, 0.1)
+        await asyncio.sleep(1.0)
+        await candidate.election.claim_if_due()
+        assert candidate.won == []
+        reads.outcome = "read"
+        await candidate.claim_within(5.0)
+        assert candidate.won == [2]
+        assert len(reads.tasks) == 2
+
+    run(scenario())
+
+
+def test_a_claim_won_while_the_store_is_checked_reads_nothing_beside_the_load() -> None:
+    async def scenario() -> None:
+        candidate = _Candidate(_ReadsSlowly)
+        candidate.follow("other")
+        reads = candidate.use_reads("read", 0.1)
+        candidate.hear_stalled_load()
+        assert isinstance(candidate.store, _ReadsSlowly)
+        candidate.store.on_read = candidate.own_claim_is_read
+        await candidate.election.claim_if_due()
+        assert candidate.won == [2]
+        assert reads.tasks == []
+        assert candidate.state.topics[Topic.LEADER].end == 2
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_a_leadership_reads_anew_if_the_read_that_it_has_taken_fails(outcome: str) -> None:
+    async def scenario() -> None:
+        candidate = _Candidate(EmulatedStore)
+        record = Record("any", b"value")
+        candidate.state.topics[Topic.JOBS].add([record])
+        reads = candidate.use_reads(outcome, 0.1)
+        loaded = await load_records(candidate.store, reads.start(), 1)
+        assert loaded == [record]
+
+    run(scenario())
+
+
+def test_a_load_that_is_cancelled_cancels_the_read_that_it_has_taken() -> None:
+    async def scenario() -> None:
+        candidate = _Candidate(EmulatedStore)
+        reading = candidate.use_reads("read", 5.0).start()
+        load = asyncio.create_task(load_records(candidate.store, reading, 0))
+        await asyncio.sleep(0.1)
+        load.cancel()
+        await asyncio.wait([load, reading], timeout=0.5)
+        assert load.cancelled()
+        assert reading.cancelled()
+
+    run(scenario())
+
+
+def test_a_read_that_fails_with_an_error_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    class Failing(EmulatedStore):
+        async def newest(
+            self, topic: Topic, after: str, timeout: float, progress: TransferProgress | None = None
+        ) -> Page | Unavailable:
+            raise ValueError("wrong")
+
+    async def scenario() -> None:
+        preload = Preload(Failing(StoreState(random.Random(1)), "m"))
+        await asyncio.wait([preload.start()])
+        assert preload.take() is None
+
+    with caplog.at_level(logging.ERROR):
+        run(scenario())
+    assert [record.message for record in caplog.records] == ["internal error"]
