Do not hold back steps that no earlier leader can have opened

Callers saw a job stand still for some 39 s after two of three members and a VM were lost at once, though its next step's turn came long afterwards. Cause: a new leader that hears no majority of the members counted by its predecessor may be beside a leader that is cut off from the store, and holds back all tasks of earlier jobs while a VM is silent that has no seal.

Change: a step is not held back if a task that it waits for ended too late for an earlier leader to learn of it: the task was listed as running, or started, more than 2 s of the VM's clock after the first report to this leader. By then the VM refuses earlier leaders, and none of their polls waits there any more.

Two more tests hold what is still held back.

--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -160,10 +160,13 @@
         if step.opened_at > 0 or not step.open_tasks:
             return
         steps = step.job.steps
-        for number in step.spec.after:
-            if steps[(step.repetition, number)].open_tasks:
-                return
+        predecessors = {number: steps[(step.repetition, number)] for number in step.spec.after}
+        if any(earlier.open_tasks for earlier in predecessors.values()):
+            return
         step.opened_at = self._state.now
+        step.opened_here = any(
+            task.ended_unseen for number in step.spec.after for task in predecessors[number].tasks
+        )
         self._state.open_step(step)
 
     def followers(self, step: StepRow) -> list[StepRow]:
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -148,7 +148,7 @@
         job = step.job
         if not job.durable or _gang_may_run(step):
             return False
-        if not job.from_previous_leader:
+        if not job.from_previous_leader or step.opened_here:
             return True
         # What a previous leader accepted may still run on a VM that was not polled yet.
         held = self._state.held_tasks
@@ -224,8 +224,10 @@
 
     def _is_held(self, task: TaskRow) -> bool:
         """Return whether a task may run on a VM that has not reported to this leader."""
+        if not task.step.job.from_previous_leader or task.step.opened_here:
+            return False
         held = self._state.held_tasks
-        return task.step.job.from_previous_leader and (held is None or task.key in held)
+        return held is None or task.key in held
 
     def allowed_rows(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the VMs on which a step may run, whether they have free capacity or not."""
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -113,6 +113,7 @@
         state.recorded_suspects.pop(vm.name, None)
         if vm.first_report_at < 0:
             vm.first_report_at = state.now
+            vm.first_clock_ms = vm_report.clock_ms
             # From here on no previous leader can extend the VM's leases.
             self._leases.extend_by_others(vm, LeaseSource.PREVIOUS_LEADER)
         new = [
@@ -191,6 +192,8 @@
             self.on_completion(vm.name, task.step.job.name, False, False)
             if run is not None:
                 self.on_success(vm, task, run)
+            if run is not None and run.outlasts_earlier_polls:
+                task.ended_unseen = not task.step.spec.gang
             self._run_succeeded(task, completion.run)
         elif completion.outcome == FAILED:
             self.on_completion(vm.name, task.step.job.name, True, self._failed_elsewhere(task, vm))
@@ -287,6 +290,7 @@
             run.percent = report.percent
             run.percent_at = now
         run.metric = report.metric
+        run.outlasts_earlier_polls = vm.refuses_earlier_polls(vm.clock_ms)
         if report.saved:
             self._save_state(run, report.saved)
         if run.state is RunState.STOPPING and now - run.stop_sent_at > STOP_RETRY_S:
@@ -353,6 +357,7 @@
         run.percent_at = self._state.now
         # Without the VM's time, only a report after the latest time of the start shows it missing.
         run.settle_clock_ms = clock_ms or run.settle_clock_ms
+        run.outlasts_earlier_polls = vm is not None and vm.refuses_earlier_polls(clock_ms)
         self._run_began(run)
 
     def _run_began(self, run: RunRow) -> None:
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -6,6 +6,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from math import inf
 
 import msgspec
 
@@ -51,6 +52,8 @@
 MAX_CRASH_WEIGHT = 3.0
 """Largest evidence weight of one crash against a task, as the logarithm of odds: another cause can
 never be excluded."""
+LONGEST_POLL_MS = 2_000.0
+"""Longest time in ms that a VM lets a poll wait, on its own clock."""
 MIN_CLOCK_RATE = 0.98
 """Lowest rate of a VM's clock relative to true time."""
 
@@ -119,6 +122,9 @@
     """Whether the VM has listed the run in a report."""
     found: bool = False
     """Whether this leader knows the run only because its VM listed it."""
+    outlasts_earlier_polls: bool = False
+    """Whether the run was on its VM when no poll of a previous leader could wait there any more, so
+    that no previous leader learns of its end."""
     resumed: bool = False
     """Whether the run continues from state that an earlier run saved."""
     previous_vm: str = ""
@@ -183,6 +189,8 @@
     awaits_verdict_until: float = NEVER
     """Time until which the task is not started, since its last crash may show that it crashes
     VMs."""
+    ended_unseen: bool = False
+    """Whether the task is done, and no previous leader can have learnt of it."""
     run_lost: bool = False
     """Whether a run of the task was lost with its VM, which the task may have crashed."""
 
@@ -278,6 +286,8 @@
     waiting: int = 0
     """Number of tasks that wait for a start."""
     opened_at: float = NEVER
+    opened_here: bool = False
+    """Whether no previous leader can have opened the step, and so have started tasks of it."""
     advice: AdviceRow | None = None
     awaiting_tickets: dict[str, int] = field(default_factory=dict)
     """Number of tasks by VM for which capacity is reserved while tickets are requested."""
@@ -429,6 +439,8 @@
     first_report_at: float = NEVER
     connections_refused_since: float = 2 * NEVER
     """Since when nothing listens at its address; earlier than its last report if something does."""
+    first_clock_ms: float = inf
+    """Its clock at the first report, by which it refuses the calls of previous leaders."""
     clock_ms: float = 0.0
     clock_read_at: float = NEVER
     """When the answer with ``clock_ms`` arrived."""
@@ -584,6 +596,13 @@
         """Return the age of its last report in seconds; ``None`` if it never reported."""
         return round(now - self.last_report_at, 3) if self.last_report_at > 0 else None
 
+    def refuses_earlier_polls(self, clock_ms: float) -> bool:
+        """Return whether no poll of a previous leader waits any more at a time of its clock.
+
+        One that it took before its first report to this leader may wait, and show an end.
+        """
+        return clock_ms > self.first_clock_ms + LONGEST_POLL_MS
+
     def is_reserved_against(self, step: "StepRow", priority: int, now: float) -> bool:
         """Return whether preemption has reserved its capacity against a step of some priority."""
         if self.reserved_for_preemptor_until <= now or priority < self.preemptor_priority:
--- a/tests/jobs/test_seals.py
+++ b/tests/jobs/test_seals.py
@@ -229,6 +229,50 @@
     assert _sealed(rig, row.name) == (1, ())
 
 
+def _leader_after_a_vm_was_lost_beside_the_leader(first: StepSpec) -> tuple[Rig, Rig]:
+    """Return a leader, and its successor that cannot reach a VM without a seal."""
+    rig = Rig(vms=4)
+    second = StepSpec(2, CORE, expected_ms=LONG_MS, after=(0,))
+    rig.accept("job", spec(first, second))
+    rig.start_and_hold_all()
+    rig.commit()
+    busy = {start.vm for start in rig.started()}
+    rig.vm_names.remove(next(vm for vm in rig.vm_names if vm not in busy))
+    return rig, rig.successor()
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_step_that_only_this_leader_can_have_opened_is_not_held_back(gang: bool) -> None:
+    # Guards against jobs that stand still for a lease although their turn came afterwards.
+    rig, successor = _leader_after_a_vm_was_lost_beside_the_leader(StepSpec(1, CORE))
+    job = successor.scheduler.state.jobs["job"]
+    job.steps[(0, 1)].spec = StepSpec(2, CORE, expected_ms=LONG_MS, after=(0,), gang=gang)
+    _pass(successor, 2.5)
+    assert _tasks(successor) == []
+    rig.complete(rig.started()[0], "done")
+    _pass(successor, STARTED_WITHIN_S)
+    assert sorted(_tasks(successor)) == ["job.0.1.0", "job.0.1.1"]
+
+
+def test_a_step_is_held_back_whose_turn_an_earlier_leader_may_have_seen() -> None:
+    # A poll of the earlier leader may have waited at the VM for up to 2 s, and shown the end.
+    rig, successor = _leader_after_a_vm_was_lost_beside_the_leader(StepSpec(1, CORE))
+    _pass(successor, 1.5)
+    rig.complete(rig.started()[0], "done")
+    _pass(successor, TAKEOVER_S)
+    assert _tasks(successor) == []
+
+
+def test_a_step_after_a_gang_is_held_back() -> None:
+    # The end of a gang may have been shown by a member's VM that only the earlier leader reached.
+    rig, successor = _leader_after_a_vm_was_lost_beside_the_leader(StepSpec(2, CORE, gang=True))
+    _pass(successor, 2.5)
+    for start in rig.started():
+        rig.complete(start, "done")
+    _pass(successor, TAKEOVER_S)
+    assert _tasks(successor) == []
+
+
 def test_a_gang_waits_for_any_of_its_members() -> None:
     rig = Rig(vms=4)
     rig.accept("gang", spec(StepSpec(2, WIDE, gang=True, expected_ms=LONG_MS)))
