Count capacity that a stop frees for one urgent step only

Change: within a round, less urgent steps count what the more urgent ones leave.

Before: test_capacity_that_a_stop_frees_is_counted_for_one_urgent_step_only failed; it passes.

--- a/src/sablemount/jobs/model.py
+++ b/src/sablemount/jobs/model.py
@@ -80,6 +80,14 @@
             self.accelerators + times * other.accelerators,
         )
 
+    def less(self, other: "Shape") -> "Shape":
+        """Return what is left of this shape beside another one, at least 0 of each resource."""
+        return Shape(
+            max(0, self.cores - other.cores),
+            max(0, self.memory - other.memory),
+            max(0, self.accelerators - other.accelerators),
+        )
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A step of a job: a number of identical tasks."""
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -82,6 +82,8 @@
         """Steps tried in this pass over all open steps, which may take several rounds."""
         self._reserved_until: dict[str, float] = {}
         """Steps that capacity is being freed for, and until when it is reserved."""
+        self._expected: dict[str, Shape] = {}
+        """What more urgent steps will use of the capacity soon free, by VM, in this round."""
 
     def run(self) -> None:
         """Free capacity for the most urgent waiting steps."""
@@ -89,6 +91,7 @@
         if not self._timer.due(now) or not self._state.store_answers:
             return
         self._release_reservations()
+        self._expected.clear()
         usable: list[VmRow] | None = None
         evaluated = 0
         for step in self._placement.steps_by_urgency():
@@ -169,6 +172,7 @@
             chosen.append(offer)
             slots += offer.slots
         if not any(offer.victims for offer in chosen):
+            self._expect(step, chosen)
             return
         if slots < wanted and step.spec.gang:
             return
@@ -204,13 +208,20 @@
         return offers
 
     def _soon_free(self, row: VmRow) -> Shape:
-        """Return what the runs that are being stopped on a VM will free, unless it is reserved."""
+        """Return what stops on a VM will free, less what is reserved or others will use."""
         found = Shape()
         if row.reserved_for_preemptor_until <= self._state.now:
             for run in row.runs.values():
                 if run.state is RunState.STOPPING:
                     found = found.plus(run.charge)
-        return found
+        expected = self._expected.get(row.name)
+        return found if expected is None else found.less(expected)
+
+    def _expect(self, step: StepRow, chosen: list[_Offer]) -> None:
+        """Leave to a step what is free or soon free on some VMs."""
+        for offer in chosen:
+            expected = self._expected.get(offer.row.name, Shape())
+            self._expected[offer.row.name] = expected.plus(step.spec.charge, offer.slots)
 
     def _victims(self, row: VmRow, step: StepRow) -> list[tuple[float, RunRow]]:
         """Return the runs of a VM that may be stopped, each with the core seconds lost."""
--- a/tests/jobs/test_bounds.py
+++ b/tests/jobs/test_bounds.py
@@ -286,6 +286,21 @@
     assert {stop.task.partition(".")[0] for stop in rig.stopped()} == {"ended"}
 
 
+def test_capacity_that_a_stop_frees_is_counted_for_one_urgent_step_only() -> None:
+    rig = Rig(vms=2, queues=(URGENT, CHEAP))
+    rig.accept("ended", spec(StepSpec(1, HALF, expected_ms=5000.0)), URGENT)
+    rig.accept("cheap", spec(msgspec.structs.replace(CHEAP_TASKS, count=3)), CHEAP)
+    rig.start_and_hold_all()
+    for number in range(2):
+        rig.accept(f"quote{number}", spec(StepSpec(1, HALF, expected_ms=3000.0)), URGENT)
+    rig.tick()
+    rig.clock.time += 0.68
+    rig.report_all()
+    rig.scheduler.cancel("ended")
+    rig.tick()
+    assert sorted(stop.task.partition(".")[0] for stop in rig.stopped()) == ["cheap", "ended"]
+
+
 def test_a_task_is_not_started_again_while_an_unwanted_run_of_it_is_being_stopped() -> None:
     rig = Rig(vms=2)
     rig.accept("job", spec(StepSpec(1, CORE)))
