Limit the tasks of the spread mixes to two leases

A task of 34 s was the last but one of its step, so that a job of a mix ended after the settle time: the draws of their seconds have a long tail.

--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -39,6 +39,8 @@
 """Mean seconds of a task of the whole job model, whose jobs have more tasks."""
 LONG_TASK_SECONDS = 4.0
 """Mean seconds of a task that mostly outlasts the cuts of its VM."""
+MAX_LONG_TASK_SECONDS = 12.0
+"""Limit of these tasks where few of a step run at once, so that the step ends in time."""
 SPREAD_JOBS = 12
 SPREAD_JOB_INTERVAL_S = 0.6
 SPREAD_CAPS_MILLICORES = (6_000, 10_000, 20_000)
@@ -109,6 +111,7 @@
     system = System(seed, vms=8, advice=advice, pools=("pool", "other"), kinds=kinds)
     system.emulates_time_of_day = True
     system.cell.mean_task_seconds = LONG_TASK_SECONDS
+    system.cell.max_task_seconds = MAX_LONG_TASK_SECONDS
     rng = random.Random(seed + 5)
     jobs = SpreadJobs(rng, kinds, emulated_wall_ms)
     callers = ("",)
