Weigh a task that was added to a crash recorded by an earlier leader

A leader failed with KeyError in each tick. Cause: recorded weights are revised for all tasks of a crash, also for one that was added after the record was read. Change: such a task has full weight before the revision.

Before: test_a_task_that_a_later_leader_adds_to_a_recorded_crash_is_weighed failed; it passes.

--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -304,7 +304,8 @@
     weights = {}
     for key, task in crash.tasks.items():
         by_others = sum(gains.values()) - gains[task.step.job.name]
-        weights[key] = _weight(exp(-crash.recorded_weights[key]) + max(0.0, by_others))
+        recorded = crash.recorded_weights.get(key, MAX_CRASH_WEIGHT)
+        weights[key] = _weight(exp(-recorded) + max(0.0, by_others))
     return weights
 
 
--- a/tests/jobs/test_evidence.py
+++ b/tests/jobs/test_evidence.py
@@ -362,3 +362,21 @@
         rig.scheduler.vms.incarnation_ended(vm)
     evidence.weigh()
     assert evidence.threshold(isolated=False) == ATTRIBUTION_THRESHOLD
+
+
+def test_a_task_that_a_later_leader_adds_to_a_recorded_crash_is_weighed() -> None:
+    """The revision of recorded weights failed in each tick for a task that had none."""
+    rig = Rig(vms=VMS)
+    task = _run_task(rig, "a")
+    vm = _vm_of(task)
+    _crash(rig, vm)
+    rig.commit()
+    later = rig.successor()
+    later.wait(0.1)
+    added = _run_task(later, "b")
+    (run,) = added.runs
+    run.previous_vm = vm
+    later.scheduler.crashes.run_lost(run)
+    later.wait(0.4)
+    assert vm in later.scheduler.state.jobs["a"].steps[(0, 0)].tasks[0].crashes
+    assert 0.0 <= added.crash_weight(vm) <= MAX_CRASH_WEIGHT
