--- a/benchmarks/job_verdicts.py
+++ b/benchmarks/job_verdicts.py
@@ -26,7 +26,7 @@
         """Jobs whose submission was refused in all attempts."""
         self.cancelled: set[str] = set()
         self.unserved: set[str] = set()
-        """Jobs that ask for a label which no VM has."""
+        """Jobs that the VMs can't run: none has their label, or they are too few for a gang."""
         self._cancelled_at: dict[str, float] = {}
         """When the cancellation of a job was acknowledged before the job had ended."""
         self.violations: list[str] = []
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -40,6 +40,7 @@
     "main",
     "run_soak",
     "with_long_tasks",
+    "with_longer_tasks",
 ]
 
 PROCESSES = 4
@@ -52,6 +53,8 @@
 TASK_SECONDS = 0.6
 LONG_TASK_SECONDS = 2.5
 SPREAD_TASK_SECONDS = 4.0
+SPREAD_SETTLE_TIMEOUT_S = 90.0
+"""Tasks of a step whose spread binds run one after another."""
 LONG_JOB_INTERVAL_S = 0.4
 LONG_OPEN_PAUSE_S = 2.0
 PAGE_RECORDS = 200
@@ -85,6 +88,8 @@
     """Mean seconds between two jobs."""
     open_pause_s: float = 0.0
     """Seconds between two jobs of a caller with an open connection."""
+    settle_timeout_s: float = SETTLE_TIMEOUT_S
+    """Seconds within which the accepted jobs have to end after the load."""
 
 
 class Soak:
@@ -175,7 +180,7 @@
 
     async def _check(self) -> list[str]:
         self.connections, self.resets = self.standin.connection_counts(), self.standin.resets()
-        limit = time.monotonic() + SETTLE_TIMEOUT_S
+        limit = time.monotonic() + self.size.settle_timeout_s
         unfinished = await self.callers.unfinished()
         while unfinished and time.monotonic() < limit:
             await asyncio.sleep(1.0)
@@ -206,6 +211,15 @@
     )
 
 
+def with_longer_tasks(size: Size) -> Size:
+    """Return a soak whose tasks often still run when a VM that was silent comes back."""
+    return replace(
+        with_long_tasks(size),
+        task_seconds=SPREAD_TASK_SECONDS,
+        settle_timeout_s=SPREAD_SETTLE_TIMEOUT_S,
+    )
+
+
 async def _run_soak(seed: int, size: Size, folder: Path) -> tuple[Soak, list[str]]:
     # The stand-in has to be created inside the event loop that its servers use.
     soak = Soak(seed, size, folder)
@@ -272,10 +286,10 @@
     folder = Path(tempfile.mkdtemp(prefix="sablemount-soak-"))
     chosen = faults_named(faults)
     size = Size(seconds, processes, vms, chosen, fault_every)
-    if any(fault in LEASE_FAULTS + SPREAD_FAULTS for fault in chosen):
-        size = with_long_tasks(size)
     if any(fault in SPREAD_FAULTS for fault in chosen):
-        size = replace(size, task_seconds=SPREAD_TASK_SECONDS)
+        size = with_longer_tasks(size)
+    elif any(fault in LEASE_FAULTS for fault in chosen):
+        size = with_long_tasks(size)
     soak, wrong = asyncio.run(_run_soak(seed, size, folder))
     verdicts = soak.callers.verdicts
     print(f"seed {seed}, {seconds:.0f} s, {processes} processes, {vms} VMs:", end=" ")
--- a/benchmarks/spread_faults.py
+++ b/benchmarks/spread_faults.py
@@ -5,17 +5,19 @@
 
 from benchmarks.lease_faults import cut_off, pick_busy_vm
 from benchmarks.node_faults import Fault, Target, leaders_killed
+from tests.emulator.vm import Vm
 
 __all__ = ["SPREAD_FAULTS"]
 
 WITHIN_LEASE_S = (0.5, 5.0)
 """Range of the seconds of a silence in which the tasks of a VM stay leased."""
-BEYOND_LEASE_S = (6.2, 9.0)
+BEYOND_LEASE_S = (6.5, 9.5)
 """Range of the seconds of a silence after which they may run elsewhere."""
 SILENT_VMS = (1, 3)
 """Range of the number of VMs that are silent in one fault."""
 SILENCES = (2, 3)
 """Range of the number of silences in succession."""
+MIN_WAITING = 3
 BETWEEN_VMS_S = (0.0, 1.0)
 BEFORE_LEADER_S = (0.0, 7.0)
 LEADERS_STRUCK = (1, 2)
@@ -26,10 +28,26 @@
 """Number of machines that a soak loses at most: their processes stay until its end."""
 
 
+def _pick_vm(target: Target) -> Vm | None:
+    """Return a VM that is not cut off; if any, one with a step whose spread lets tasks wait."""
+    vms = [vm for vm in target.standin.cell.vms.values() if vm.up and not vm.unreachable]
+    found = [vm for vm in vms if any(_has_waiting_tasks(target, task) for task, _ in vm.runs)]
+    return target.rng.choice(found) if found else pick_busy_vm(target)
+
+
+def _has_waiting_tasks(target: Target, task: str) -> bool:
+    """Return whether some tasks of a task's step have not started, for which its spread binds."""
+    cell = target.standin.cell
+    job, repetition, number, _ = task.split(".")
+    step = cell.jobs[job].steps[int(number)]
+    names = (f"{job}.{repetition}.{number}.{index}" for index in range(step.count))
+    return bool(step.spread) and sum(name not in cell.starts for name in names) >= MIN_WAITING
+
+
 async def _silence(target: Target, seconds: tuple[float, float]) -> None:
     silences = []
     for _ in range(target.rng.randint(*SILENT_VMS)):
-        vm = pick_busy_vm(target)
+        vm = _pick_vm(target)
         if vm is not None:
             silences.append(asyncio.ensure_future(cut_off(target, vm, seconds)))
         await asyncio.sleep(target.rng.uniform(*BETWEEN_VMS_S))
@@ -91,6 +109,7 @@
 
 
 SPREAD_FAULTS: tuple[Fault, ...] = (
+    vms_silent_beyond_their_lease,
     vms_silent_beyond_their_lease,
     vms_silent_beyond_their_lease,
     vms_silent_within_their_lease,
