--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -1,10 +1,11 @@
 """The state of the job scheduler: its tables, its time and its outgoing actions."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from sablemount.jobs.actions import Action
 from sablemount.jobs.caps import Usage
+from sablemount.jobs.job_lines import log_beyond_spread, log_run_not_wanted, step_counts
 from sablemount.jobs.model import (
     Configuration,
     Organisation,
@@ -12,6 +13,7 @@
     Shape,
     StepSpec,
     job_name_of,
+    step_key_of,
 )
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import (
@@ -43,6 +45,10 @@
 without being recorded."""
 
 
+def _ignore_cause(cause: str) -> None:
+    """Ignore a run beyond the spread of its step."""
+
+
 class State:
     """Tables that the systems work on; times are local monotonic seconds."""
 
@@ -104,6 +110,8 @@
         self.store_answers = True
         """Whether the store answers, so that completions can be recorded."""
         self.actions: list[Action] = []
+        self.on_beyond_spread: Callable[[str], None] = _ignore_cause
+        """Called with how a run came to a VM that has more runs of a step than its spread."""
         self.unreported_leases_end = NEVER
         """Time until which VMs that have not reported may hold leases of previous leaders."""
         self._fence = 0
@@ -148,6 +156,7 @@
     def close_step(self, step: StepRow) -> None:
         """Place no more tasks of a step, since none waits or its job is closed."""
         self._open_steps.pop(step.key, None)
+        self.release_ticket_reservations(step)
 
     # -- Lookups -----------------------------------------------------------------------------
 
@@ -219,9 +228,19 @@
         step = task.step
         if not step.spec.may_miss:
             return True
-        away = sum(1 for other in step.tasks if other is not task and not _at_work(other))
+        away = sum(1 for other in step.tasks if other is not task and not self._at_work(other))
         return away < step.spec.may_miss
 
+    def _at_work(self, task: TaskRow) -> bool:
+        """Return whether a task is at work, on a VM that has reported recently."""
+        silent_since = self.now - self.settings.max_report_age_s
+        return any(
+            run.state is RunState.RUNNING
+            and run.percent >= AT_WORK_PERCENT
+            and self.vms[run.vm].last_report_at >= silent_since
+            for run in task.runs
+        )
+
     def next_run_number(self, tasks: list[TaskRow]) -> int:
         """Return a run number above all previous ones of some tasks."""
         base = (self.epoch - 1) * RUN_NUMBERS_PER_EPOCH
@@ -239,13 +258,22 @@
     def charge(self, run: RunRow) -> None:
         """Charge a VM, and the cap of the run's organisation, for a run."""
         vm = self.vms[run.vm]
-        vm.runs[(run.task, run.number)] = run
-        vm.free_capacity = vm.free_capacity.plus(run.charge, -1)
+        vm.add_run(run)
         step = self.step_spec_of(run.task)
         job = self.jobs.get(job_name_of(run.task))
         run.organisation = "" if job is None else job.organisation
         run.cap_charge = run.charge if step is None else step.shape
         self.usage.add(run.organisation, run.cap_charge)
+        if step is not None and step.spread:
+            self._check_spread(run, vm, step.spread)
+
+    def _check_spread(self, run: RunRow, vm: VmRow, spread: int) -> None:
+        """Report a run by which more tasks of a step may run on a VM than the step's spread."""
+        counts = step_counts(vm, step_key_of(run.task))
+        if sum(counts.values()) <= spread:
+            return
+        self.on_beyond_spread("found" if run.found else "started")
+        log_beyond_spread(self.logger, run, vm, spread, counts)
 
     def keep_completion(self, run: RunRow, outcome: str) -> None:
         """Keep how a run ended for the log line of its job's end."""
@@ -276,9 +304,7 @@
         key = (run.task, run.number)
         run.previous_vm = run.previous_vm or run.vm
         orphaned = self.orphans.pop((run.vm, *key), None)
-        previous = self.vms[run.vm]
-        del previous.runs[key]
-        previous.free_capacity = previous.free_capacity.plus(run.charge)
+        self.vms[run.vm].drop_run(run)
         run.vm = vm.name
         run.listed = False
         run.started_at = 0.0
@@ -287,8 +313,7 @@
         run.stop_sent_at = NEVER
         if run.state is RunState.RUNNING:
             run.state = RunState.SENT
-        vm.runs[key] = run
-        vm.free_capacity = vm.free_capacity.plus(run.charge, -1)
+        vm.add_run(run)
         if orphaned is not None:
             self.orphans[(run.vm, *key)] = run
 
@@ -296,8 +321,7 @@
         """Remove a run that ended with some outcome, and release what was charged for it."""
         self.keep_completion(run, outcome)
         vm = self.vms.get(run.vm)
-        if vm is not None and vm.runs.pop((run.task, run.number), None) is not None:
-            vm.free_capacity = vm.free_capacity.plus(run.charge)
+        if vm is not None and vm.drop_run(run):
             self.usage.add(run.organisation, run.cap_charge, -1)
             self.capacity_version += 1
         self.orphans.pop((run.vm, run.task, run.number), None)
@@ -319,22 +343,17 @@
 
     def release_ticket_reservations(self, step: StepRow) -> None:
         """Release the capacity that was reserved while a step's tickets were requested."""
-        for name, count in step.awaiting_tickets.items():
+        for name in step.awaiting_tickets:
             vm = self.vms.get(name)
             if vm is not None:
-                vm.free_capacity = vm.free_capacity.plus(step.spec.charge, count)
+                vm.release(step)
         step.awaiting_tickets.clear()
 
-    def orphan_run(self, run: RunRow) -> None:
+    def orphan_run(self, run: RunRow, why: str) -> None:
         """Keep a run charged until it is stopped; one that was not requested is removed at once."""
         if run.state is RunState.RECORDING:
             self.remove_run(run, NOT_REQUESTED)
             return
+        log_run_not_wanted(self.run_logger, run, why)
         run.state = RunState.STOPPING
         self.orphans[(run.vm, run.task, run.number)] = run
-
-
-def _at_work(task: TaskRow) -> bool:
-    return any(
-        run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT for run in task.runs
-    )
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -27,6 +27,8 @@
 """Outcome of a run that its VM does not list and that can no longer arrive there."""
 NOT_STARTED = "not started"
 NOT_LISTED = "not listed"
+NOT_WANTED = "found, and not wanted"
+DONE_BY_OTHER_RUN = "its task is done by another run"
 ATTEMPTS_USED_UP = "attempts used up"
 """Why a job failed: a task of it has failed as often as its queue allows."""
 MAX_LISTED_COMPLETIONS = 500
@@ -211,7 +213,7 @@
                     self._state.keep_completion(run, DONE)
                     self._state.orphans[(run.vm, run.task, run.number)] = run
                 elif run.number != number:
-                    self._state.orphan_run(run)
+                    self._state.orphan_run(run, DONE_BY_OTHER_RUN)
             member.runs.clear()
 
     def _run_failed(self, task: TaskRow, vm: VmRow, number: int) -> None:
@@ -254,6 +256,7 @@
         charge = vm.info.capacity if step is None else step.charge
         run = RunRow(report.task, report.run, vm.name, charge, state.now, RunState.RUNNING)
         run.charges_whole_vm = step is None
+        run.found = True
         run.started_at = state.now
         run.percent_at = state.now
         run.speed_percent = None
@@ -263,7 +266,7 @@
             self._job_began(task.step.job)
         else:
             state.charge(run)
-            state.orphan_run(run)
+            state.orphan_run(run, NOT_WANTED)
         state.run_logger.info(
             "run found",
             extra={"task": run.task, "run": run.number, "vm": vm.name, "kept": is_wanted},
@@ -340,7 +343,7 @@
     # -- Starts ------------------------------------------------------------------------------
 
     def run_started(self, vm_name: str, task: str, number: int, clock_ms: float) -> None:
-        """Record a VM's answer that a run has started."""
+        """Record a VM's answer that a run has started; ``clock_ms`` is 0 if it named no time."""
         vm = self._state.vms.get(vm_name)
         run = None if vm is None else vm.runs.get((task, number))
         if run is None or run.state is not RunState.SENT:
@@ -348,7 +351,8 @@
         run.state = RunState.RUNNING
         run.started_at = self._state.now
         run.percent_at = self._state.now
-        run.settle_clock_ms = clock_ms
+        # Without the VM's time, only a report after the latest time of the start shows it missing.
+        run.settle_clock_ms = clock_ms or run.settle_clock_ms
         self._run_began(run)
 
     def _run_began(self, run: RunRow) -> None:
