Check starts on sealed VMs against the seals that count

The check of the emulated system reported a start on any VM whose record in the store has a seal. The case is allowed: no leader relies on the seal.

Now a seal counts for the leader that set it, all earlier ones and the next one, as strictly as before.

--- a/tests/jobs/test_watch.py
+++ b/tests/jobs/test_watch.py
@@ -215,6 +215,15 @@
     rig.assert_one_violation("epoch 1", "start requested on vm, which is sealed", "a.0.0.1")
 
 
+@pytest.mark.parametrize(("epoch", "violations"), [(1, 1), (2, 1), (3, 1), (4, 0)])
+def test_a_seal_counts_for_its_leader_and_the_next_one(epoch: int, violations: int) -> None:
+    """A later leader counts no seal of an earlier one, so that starts beside it do no harm."""
+    record = VmRecord("address", "pool", sealed_epoch=2, sealed_tasks=("a.0.0.0",))
+    rig = _Rig([ACCEPTED, Record("w/vm", encode(record))])
+    rig.checker.check_start_request(epoch, "vm", "a.0.0.1")
+    assert len(rig.checker.violations) == violations
+
+
 @pytest.mark.parametrize(("epoch", "violations"), [(1, 0), (2, 1), (3, 1)])
 def test_a_start_request_after_its_job_was_reported_as_ended(epoch: int, violations: int) -> None:
     """An earlier leader may not know of the end yet."""
