--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -305,3 +305,83 @@
         assert (call.acked_completion, call.until_ms > 0) == (acked, not acked)
 
     run(scenario())
+
+
+class _HeldPort(_Port):
+    """A VM whose answers a test gives, in the order of the polls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers: list[asyncio.Future[HoldResult]] = []
+
+    async def hold(self, call: HoldCall, timeout: float) -> HoldResult:
+        self.holds.append(call)
+        self.answers.append(asyncio.get_running_loop().create_future())
+        return await self.answers[-1]
+
+
+class _RestartDuringPolls:
+    """A VM that restarts, as its entry shows, while polls for the previous incarnation are due."""
+
+    def __init__(self, polls: int = 1, acked: int = 0) -> None:
+        self.rig = Rig(vms=1)
+        self.port = _HeldPort()
+        self.vm_calls = _vm_calls(self.rig, self.port)
+        self.previous = self.rig.scheduler.state.vms["w0"]
+        self.previous.last_report_at = asyncio.get_running_loop().time()
+        self.previous.last_recorded_completion = acked
+        self.polls = [asyncio.create_task(self.vm_calls._poll(self.previous)) for _ in range(polls)]
+
+    async def restart(self, info: VmInfo = NEXT_INCARNATION) -> VmRow:
+        """Read the entry of the next incarnation, and let it report."""
+        await asyncio.sleep(0.01)
+        # An acknowledgement that got no answer.
+        self.rig.scheduler.state.vms[self.previous.name].ack_in_flight = True
+        self.rig.scheduler.update_vm(info)
+        self.rig.commit()
+        row = self.rig.scheduler.state.vms[info.name]
+        assert row.unverified
+        row.first_report_at = row.last_report_at = asyncio.get_running_loop().time()
+        return row
+
+    async def answer(self, number: int, result: HoldResult) -> None:
+        """Answer a poll."""
+        self.port.answers[number].set_result(result)
+        await self.polls[number]
+
+    def can_probe(self, row: VmRow) -> bool:
+        row.last_report_at = self.rig.scheduler.state.now
+        return self.rig.scheduler.vms.can_probe(row)
+
+    def previous_report(self) -> VmReport:
+        """Return the answer of the previous incarnation."""
+        now = asyncio.get_running_loop().time()
+        return VmReport(self.previous.name, now, now * 1000.0, (), ())
+
+
+CARRIED_OUT = {
+    "answer of the next": LaterIncarnation(NEXT_INCARNATION.name, NEXT_INCARNATION.born),
+}
+"""Results of a poll that the next incarnation has carried out, or may have."""
+
+
+@pytest.mark.parametrize("result", CARRIED_OUT.values(), ids=CARRIED_OUT)
+def test_a_vm_is_not_probed_while_a_poll_for_its_predecessor_is_in_flight(
+    result: HoldResult,
+) -> None:
+    """The poll had extended the lease, and its answer was on its way when the probe started."""
+
+    async def scenario() -> None:
+        vm = _RestartDuringPolls()
+        row = await vm.restart()
+        assert vm.port.holds[0].until_ms > 0
+        assert not vm.can_probe(row)
+        vm.rig.scheduler.state.now += 0.3
+        assert not vm.can_probe(row)
+        await vm.answer(0, result)
+        assert not vm.can_probe(row)
+        assert row.lease_extended_until > vm.rig.scheduler.state.now + 1.0
+        vm.rig.scheduler.state.now = row.lease_extended_until
+        assert vm.can_probe(row)
+
+    run(scenario())
