Probe no VM while a poll for its predecessor may extend its lease

The leader now keeps the polls in flight that extend a lease, by entry. While one for an earlier incarnation is in flight, the next one is not probed, and its record says that it may be leased. A poll that the next incarnation answers, or that gets no answer, counts as having extended the lease from its end on; one that the previous incarnation answers, that is refused or that was not sent does not.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -88,6 +88,7 @@
 MIN_REMAINING_S = 0.05
 """Remaining validity of a start request below which it is not sent again."""
 NOTHING_SENT = (CallError.NOT_SENT, CallError.REFUSED, CallError.RESET_UNSENT)
+NOT_CARRIED_OUT = (*NOTHING_SENT, CallError.FENCED, CallError.OTHER_INCARNATION)
 RESETS = (CallError.RESET_ON_OPEN, CallError.RESET_UNSENT)
 EPOCH_SHIFT = 32
 """Number of low bits of a fence. They increase under one leader, by one for each incarnation of a
@@ -246,7 +247,7 @@
             timeout = ACK_TIMEOUT_S
             scheduler.acks.ack_sent(row)
         sent_at = monotonic()
-        result = await self._port.hold(call, timeout)
+        result = await self._hold(row, call, timeout)
         scheduler.update_time()
         self._check_connection(row, turn, result)
         if result in NOTHING_SENT:
@@ -257,6 +258,21 @@
             scheduler.acks.ack_unanswered(row, result not in NOTHING_SENT)
         return _Poll(fence, acked, until > 0, silent, monotonic() - sent_at, result)
 
+    async def _hold(self, row: VmRow, call: HoldCall, timeout: float) -> HoldResult:
+        """Send a poll; until its end, it may extend the lease of the VM's next incarnation."""
+        if not call.until_ms:
+            return await self._port.hold(call, timeout)
+        scheduler = self._scheduler
+        scheduler.leases.poll_sent(row)
+        may_have_extended = True
+        try:
+            result = await self._port.hold(call, timeout)
+            may_have_extended = not (isinstance(result, VmReport) or result in NOT_CARRIED_OUT)
+        finally:
+            scheduler.update_time()
+            scheduler.vms.poll_ended(row, may_have_extended)
+        return result
+
     def _handle_failed_poll(self, row: VmRow, poll: _Poll) -> None:
         scheduler, result = self._scheduler, poll.result
         if isinstance(result, LaterIncarnation):
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -168,7 +168,7 @@
             info.born,
             row.completions_unreliable,
             row.recorded_speed,
-            row.lease_extended_until > self._state.now,
+            row.earlier_poll_in_flight or row.lease_extended_until > self._state.now,
             self._state.epoch if row.sealed else 0,
             _sealed_tasks(row) if row.sealed else (),
         )
--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -28,6 +28,8 @@
 
     def __init__(self, state: State) -> None:
         self._state = state
+        self._polls: dict[str, list[VmRow]] = {}
+        """By entry, the incarnation of each poll in flight that extends a lease."""
         self.on_event: Callable[[str], None] = _ignore_event
         """Called with the name of what happened to a lease."""
 
@@ -81,6 +83,21 @@
         """
         row.lease_extended_until = self._state.latest_lease_end()
 
+    def poll_sent(self, row: VmRow) -> None:
+        """Record that a poll that extends a VM's lease is on its way."""
+        self._polls.setdefault(row.info.entry_key, []).append(row)
+
+    def poll_ended(self, row: VmRow) -> None:
+        """Record that such a poll was answered, or is not waited for any more."""
+        polls = self._polls[row.info.entry_key]
+        polls.remove(row)
+        if not polls:
+            del self._polls[row.info.entry_key]
+
+    def has_earlier_poll(self, row: VmRow) -> bool:
+        """Return whether such a poll for an earlier incarnation is on its way."""
+        return any(polled is not row for polled in self._polls.get(row.info.entry_key, ()))
+
     # -- Ends --------------------------------------------------------------------------------
 
     def are_over(self, row: VmRow) -> bool:
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -105,6 +105,7 @@
         self._state.vms[row.name] = row
         self._state.vms_version += 1
         previous = self._incarnations.make_current(row)
+        row.earlier_poll_in_flight = self._leases.has_earlier_poll(row)
         if previous is not None:
             self._handle_succession(previous, row)
 
@@ -137,6 +138,7 @@
             row.completions_unreliable
             and row.unverified
             and row.lease_extended_until <= self._state.now
+            and not row.earlier_poll_in_flight
             and not row.runs
             and self._accepts_starts(row)
         )
@@ -303,6 +305,19 @@
             if row.completions_unreliable:
                 self.on_completions_unreliable(row)
 
+    def poll_ended(self, row: VmRow, may_have_extended: bool) -> None:
+        """Record that a poll that extends a lease has ended, and whether it may have done so.
+
+        If another incarnation has become known meanwhile, the poll may have reached that one.
+        """
+        self._leases.poll_ended(row)
+        current = self._incarnations.current(row.info.entry_key)
+        if current is None or current is row:
+            return
+        current.earlier_poll_in_flight = self._leases.has_earlier_poll(current)
+        if may_have_extended:
+            self.lease_extended(current.name)
+
     def has_reported_recently(self, row: VmRow) -> bool:
         """Return whether a VM has reported recently."""
         return self._state.now - row.last_report_at < self._state.settings.max_report_age_s
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -438,6 +438,8 @@
     """Number of probes started on the VM."""
     lease_extended_until: float = NEVER
     """End of the lease that a call for the previous incarnation may have given to this one."""
+    earlier_poll_in_flight: bool = False
+    """Whether a poll for an earlier incarnation is unanswered that may extend its lease."""
     next_probe_at: float = NEVER
     """Earliest time of the next probe."""
     recorded_speed: float = 0.0
--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -19,6 +19,7 @@
 RESTARTS_ALL_THE_TIME = (17, 31, 36, 57, 81, 153, 235)
 FAILED_BY_A_NEW_LEADER = (103, 278)
 PROBED_UNDER_A_LONG_LEASE = (8176, 20391, 20395)
+PROBED_DURING_A_POLL = (91050,)
 GANG_BEHIND_ITS_CAP = (8007,)
 
 
@@ -86,6 +87,12 @@
     assert _play(seed) == []
 
 
+@pytest.mark.parametrize("seed", PROBED_DURING_A_POLL)
+def test_a_probe_does_not_complete_under_the_lease_of_a_poll_on_its_way(seed: int) -> None:
+    """The poll was for the previous incarnation, and its answer came after the probe's start."""
+    assert _play(seed) == []
+
+
 @pytest.mark.parametrize("seed", GANG_BEHIND_ITS_CAP)
 def test_a_gang_that_needs_most_of_its_cap_is_served(seed: int) -> None:
     """A gang of 37.5 cores under a cap of 40 was still pending 60 s after the traffic."""
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -361,8 +361,19 @@
 
 CARRIED_OUT = {
     "answer of the next": LaterIncarnation(NEXT_INCARNATION.name, NEXT_INCARNATION.born),
+    "no answer": CallError.NO_ANSWER,
+    "reset": CallError.RESET_ON_OPEN,
 }
 """Results of a poll that the next incarnation has carried out, or may have."""
+NOT_CARRIED_OUT = {
+    "answer of the previous": None,
+    "not sent": CallError.NOT_SENT,
+    "reset unsent": CallError.RESET_UNSENT,
+    "refused": CallError.REFUSED,
+    "fenced": CallError.FENCED,
+    "another VM": CallError.OTHER_INCARNATION,
+}
+"""Results of a poll that it has not carried out; ``None`` is a report of the previous one."""
 
 
 @pytest.mark.parametrize("result", CARRIED_OUT.values(), ids=CARRIED_OUT)
@@ -385,3 +396,70 @@
         assert vm.can_probe(row)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("result", NOT_CARRIED_OUT.values(), ids=NOT_CARRIED_OUT)
+def test_a_vm_is_probed_once_no_poll_for_its_predecessor_can_have_extended_its_lease(
+    result: HoldResult | None,
+) -> None:
+    async def scenario() -> None:
+        vm = _RestartDuringPolls(polls=2)
+        row = await vm.restart()
+        await vm.answer(1, result or vm.previous_report())
+        assert not vm.can_probe(row)
+        await vm.answer(0, result or vm.previous_report())
+        assert vm.can_probe(row)
+
+    run(scenario())
+
+
+def test_a_vm_is_probed_while_a_poll_that_extends_no_lease_is_in_flight() -> None:
+    async def scenario() -> None:
+        vm = _RestartDuringPolls(acked=1)
+        row = await vm.restart()
+        assert vm.port.holds[0].until_ms == 0
+        assert vm.can_probe(row)
+
+    run(scenario())
+
+
+def test_a_vm_that_restarts_twice_is_not_probed_while_the_first_poll_is_in_flight() -> None:
+    async def scenario() -> None:
+        vm = _RestartDuringPolls()
+        middle = await vm.restart()
+        middle.ack_in_flight = True
+        later = msgspec.structs.replace(NEXT_INCARNATION, name="w0/9", born=9)
+        row = await vm.restart(later)
+        assert not vm.can_probe(row)
+        await vm.answer(0, LaterIncarnation(later.name, later.born))
+        assert not vm.can_probe(row)
+        vm.rig.scheduler.state.now = row.lease_extended_until
+        assert vm.can_probe(row)
+
+    run(scenario())
+
+
+def test_a_later_leader_knows_of_a_poll_for_the_predecessor_that_was_in_flight() -> None:
+    async def scenario() -> None:
+        vm = _RestartDuringPolls()
+        row = await vm.restart()
+        later = Rig(0, 3)
+        later.scheduler.load([Record(key, value) for key, value in vm.rig.store.items()])
+        loaded = later.scheduler.state.vms[row.name]
+        assert loaded.lease_extended_until > later.clock.time + 1.0
+
+    run(scenario())
+
+
+def test_a_poll_that_fails_with_an_error_may_have_extended_the_lease() -> None:
+    async def scenario() -> None:
+        vm = _RestartDuringPolls()
+        row = await vm.restart()
+        vm.port.answers[0].set_exception(ValueError("wrong"))
+        await asyncio.wait(vm.polls)
+        assert isinstance(vm.polls[0].exception(), ValueError)
+        assert not vm.can_probe(row)
+        vm.rig.scheduler.state.now = row.lease_extended_until
+        assert vm.can_probe(row)
+
+    run(scenario())
