--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -2,9 +2,10 @@
 
 Leaders are killed while writes are late; VMs crash, shrink and restart under their ids; the
 connections between the processes fail; VMs cannot be reached while their leases run; leaders are
-lost in series while VMs take few connections. The checks do not depend on the speed of the machine:
-every process knows the accepted jobs, they end, no task runs twice, and a process that is asked to
-stop ends with exit code 0.
+lost in series while VMs take few connections; VMs come back with ends of tasks that run elsewhere,
+while further tasks of their steps wait. The checks do not depend on the speed of the machine: every
+process knows the accepted jobs, they end, no task runs twice, and a process that is asked to stop
+ends with exit code 0.
 """
 
 import asyncio
@@ -16,7 +17,8 @@
 from benchmarks.connection_faults import CONNECTION_FAULTS
 from benchmarks.lease_faults import LEASE_FAULTS
 from benchmarks.link_faults import LINK_FAULTS
-from benchmarks.process_soak import Size, Soak, with_long_tasks
+from benchmarks.process_soak import Size, Soak, with_long_tasks, with_longer_tasks
+from benchmarks.spread_faults import SPREAD_FAULTS
 
 STOPS = (node_faults.leaders_killed, node_faults.power_lost, node_faults.planned_stop)
 VMS = 12
@@ -27,9 +29,18 @@
     "lives": (*node_faults.LIFE_FAULTS, node_faults.planned_stop),
     "leases": LEASE_FAULTS,
     "connections": CONNECTION_FAULTS,
+    "spread": SPREAD_FAULTS,
     "links": (*LINK_FAULTS, node_faults.leaders_killed, node_faults.planned_stop),
 }
-SOAKS = [(1, "leaders"), (2, "vms"), (3, "links"), (4, "lives"), (5, "leases"), (6, "connections")]
+SOAKS = [
+    (1, "leaders"),
+    (2, "vms"),
+    (3, "links"),
+    (4, "lives"),
+    (5, "leases"),
+    (6, "connections"),
+    (7, "spread"),
+]
 
 
 async def _run_soak(seed: int, kind: str, folder: Path) -> list[str]:
@@ -39,6 +50,8 @@
     )
     if kind == "leases":
         size = with_long_tasks(size)
+    elif kind == "spread":
+        size = with_longer_tasks(size)
     # The stand-in's servers belong to the event loop in which they are created.
     return await Soak(seed, size, folder).run()
 
