--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.bench
 	$(BIN)/python -m benchmarks.job_core
+	$(BIN)/python -m benchmarks.placement_rounds
 	$(BIN)/python -m benchmarks.organisations
 
 slopes: $(STAMP)
@@ -49,6 +50,7 @@
 	$(BIN)/python -m benchmarks.job_soak --kind leases
 	$(BIN)/python -m benchmarks.job_soak --kind steps
 	$(BIN)/python -m benchmarks.job_soak --kind connections
+	$(BIN)/python -m benchmarks.job_soak --kind spread
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
