Send no start request again for a run that is over

Cause: an unanswered request is repeated unless its run was listed as running or is being stopped. A run that ended before any report listed it as running is neither, and was requested up to twice more, when its task was done and its place had been given to others. A VM refuses a run that has ended there; its next incarnation would not.

Change: a request is sent only for a run that still has its place at that VM.

--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -519,10 +519,7 @@
             remaining = self._remaining(action)
             if row.terminated or remaining < MIN_REMAINING_S or not self._has_authority():
                 return None
-            # If it is listed, another request could start it on the VM's next incarnation after it
-            # has completed on this one. If it is stopping, it was given up: its job has ended, say,
-            # or its gang has lost a member.
-            if run.listed or run.state is RunState.STOPPING:
+            if not _still_to_start(row, run):
                 return None
             timeout = min(START_TIMEOUT_S, remaining)
             fence = self._fence(row)
@@ -576,3 +573,14 @@
     def close(self) -> None:
         """Stop polling and cancel the requests in flight."""
         self._background.close()
+
+
+def _still_to_start(row: VmRow, run: RunRow) -> bool:
+    """Return whether a start request for a run may be sent to a VM.
+
+    If the run was listed, or is over, another request could start it on the VM's next incarnation
+    after it has completed on this one. If it is stopping, it was given up: its job has ended, say,
+    or its gang has lost a member.
+    """
+    is_there = row.runs.get((run.task, run.number)) is run
+    return is_there and not run.listed and run.state is not RunState.STOPPING
--- a/tests/jobs/test_given_up_starts.py
+++ b/tests/jobs/test_given_up_starts.py
@@ -28,13 +28,12 @@
         return CallError.NO_ANSWER
 
 
-def _placed(rig: Rig) -> StartRun:
-    """Return the start of a job with a single task."""
+def _placed(rig: Rig, count: int = 1) -> StartRun:
+    """Return the first start of a job with some tasks."""
     rig.clock.time = asyncio.get_running_loop().time()
     rig.report_all()
-    rig.accept("job", spec(StepSpec(1, CORE)))
-    (start,) = [action for action in rig.tick() if isinstance(action, StartRun)]
-    return start
+    rig.accept("job", spec(StepSpec(count, CORE)))
+    return next(action for action in rig.tick() if isinstance(action, StartRun))
 
 
 def _calls(rig: Rig, port: _Port) -> VmCalls:
@@ -85,3 +84,26 @@
         calls.close()
 
     run(scenario())
+
+
+def test_an_unanswered_start_is_not_sent_again_once_its_run_is_over() -> None:
+    """The run had ended before any report listed it as running."""
+
+    async def scenario() -> None:
+        rig = Rig(vms=1)
+        start = _placed(rig, 2)
+
+        def end() -> None:
+            if not rig.completions:
+                rig.complete(start, "done")
+                rig.report("w0")
+
+        port = _Port(end)
+        calls = _calls(rig, port)
+        calls.start(start)
+        await asyncio.sleep(2.0)
+        assert (start.task, start.run) not in rig.scheduler.state.vms["w0"].runs
+        assert port.requests == 1
+        calls.close()
+
+    run(scenario())
