Draw spreads that bind in the mixes of the whole job model

Cause: steps of at most 2 tasks had a spread of 2, which can't bind. Change: steps have up to 3 tasks, and three in ten of them that are no gangs a spread of 1 or 2.

--- a/tests/emulator/job_model.py
+++ b/tests/emulator/job_model.py
@@ -14,13 +14,15 @@
 __all__ = ["JobModel", "task_names"]
 
 MAX_STEPS = 3
-MAX_COUNT = 2
-"""Tasks of a step at most: a job has some six tasks on average."""
+MAX_COUNT = 3
+"""Tasks of a step at most: a job has some eight tasks on average."""
 CORES = (500, 1_000, 4_000)
 DEPENDENCY_SHARE = 0.5
 """Share of the earlier steps that a step depends on."""
 GANG_SHARE = 0.2
-SPREAD_SHARE = 0.1
+SPREAD_SHARE = 0.3
+SPREADS = (1, 1, 2)
+"""Spreads that bind for steps of up to ``MAX_COUNT`` tasks."""
 SAVES_SHARE = 0.3
 TIMED_SHARE = 0.6
 MAX_TIMES = 4
@@ -85,7 +87,9 @@
         )
         if self.draws(GANG_SHARE):
             return msgspec.structs.replace(step, gang=True)
-        return msgspec.structs.replace(step, spread=2 if self.draws(SPREAD_SHARE) else 0)
+        if self.draws(SPREAD_SHARE):
+            return msgspec.structs.replace(step, spread=self._rng.choice(SPREADS))
+        return step
 
     def cancel_delay(self, spec: JobSpec) -> float | None:
         """Draw the seconds until a job is cancelled; ``None`` if it is not."""
