Hold back steps whose turn an earlier run of a task may have shown

What callers see: a task may run twice after a change of leader. A leader that is cut off from the store reads that a task is done by its first run, on a VM that was silent and came back to it alone, and starts the next step. The later leader finds the second run of that task on another VM, and started the next step too as that run ended. Found by reading; no random fault is known to reach it.

Change: a run that the later leader finds shows this only if it is the first run of its task, which its number tells: run numbers of a leader begin at its epoch, and the job's record has the epoch that accepted it. Runs that the later leader has started itself count as before, as it starts no task that may run on a VM that has not reported.

--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -46,6 +46,11 @@
 without being recorded."""
 
 
+def _first_run_number(epoch: int) -> int:
+    """Return the number of the first run of a task that the leader of an epoch starts."""
+    return (epoch - 1) * RUN_NUMBERS_PER_EPOCH + 1
+
+
 def _ignore_cause(cause: str) -> None:
     """Ignore a run beyond the spread of its step."""
 
@@ -248,8 +253,11 @@
 
     def next_run_number(self, tasks: list[TaskRow]) -> int:
         """Return a run number above all previous ones of some tasks."""
-        base = (self.epoch - 1) * RUN_NUMBERS_PER_EPOCH
-        return max(base, *(task.last_run for task in tasks)) + 1
+        return max(_first_run_number(self.epoch), *(task.last_run + 1 for task in tasks))
+
+    def is_first_run(self, task: TaskRow, number: int) -> bool:
+        """Return whether a run is the first one that any leader has started of a task."""
+        return number == _first_run_number(task.step.job.record.epoch)
 
     def add_run(self, task: TaskRow, run: RunRow) -> None:
         """Add a run of an open task and charge its VM."""
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -192,8 +192,7 @@
             self.on_completion(vm.name, task.step.job.name, False, False)
             if run is not None:
                 self.on_success(vm, task, run)
-            if run is not None and run.outlasts_earlier_polls:
-                task.ended_unseen = not task.step.spec.gang
+                task.ended_unseen = self._is_end_unseen(task, run)
             self._run_succeeded(task, completion.run)
         elif completion.outcome == FAILED:
             self.on_completion(vm.name, task.step.job.name, True, self._failed_elsewhere(task, vm))
@@ -201,6 +200,15 @@
             task.failed_at = self._state.now
             self._run_failed(task, vm, completion.run)
 
+    def _is_end_unseen(self, task: TaskRow, run: RunRow) -> bool:
+        """Return whether no previous leader can have learnt that a task is done.
+
+        The end of another member of its gang, or of an earlier run, may have shown it on a VM that
+        only a previous leader has reached since.
+        """
+        may_have_other_end = run.found and not self._state.is_first_run(task, run.number)
+        return run.outlasts_earlier_polls and not task.step.spec.gang and not may_have_other_end
+
     @staticmethod
     def _failed_elsewhere(task: TaskRow, vm: VmRow) -> bool:
         return any(other.failed_on - {vm.name} for other in task.step.tasks)
--- a/tests/jobs/test_seals.py
+++ b/tests/jobs/test_seals.py
@@ -273,6 +273,36 @@
     assert _tasks(successor) == []
 
 
+def test_a_step_is_held_back_whose_turn_another_run_may_have_shown_to_an_earlier_leader() -> None:
+    rig = Rig(vms=6)
+    second = StepSpec(2, CORE, expected_ms=LONG_MS, after=(0,), label="b")
+    rig.accept("job", spec(StepSpec(1, CORE), second))
+    rig.start_and_hold_all()
+    (lost,) = rig.started()
+    rig.vm_names.remove(lost.vm)
+    while len(rig.started()) == 1:
+        _pass(rig, 0.1)
+    again = rig.started()[1]
+    assert again.task == lost.task
+    rig.hold(again)
+    rig.report(again.vm)
+    # The first run was done before its lease was over, and the store does not take this any more.
+    rig.complete(lost, "done")
+    rig.vm_names.append(lost.vm)
+    rig.report(lost.vm)
+    rig.tick()
+    following = rig.started()[2:]
+    assert [start.task for start in following] == ["job.0.1.0", "job.0.1.1"]
+    cut_off = {lost.vm, *(start.vm for start in following)}
+    assert again.vm not in cut_off
+    successor = rig.successor()
+    successor.vm_names = [vm for vm in rig.vm_names if vm not in cut_off]
+    _pass(successor, 2.5)
+    rig.complete(again, "done")
+    _pass(successor, TAKEOVER_S)
+    assert _tasks(successor) == []
+
+
 def test_a_gang_waits_for_any_of_its_members() -> None:
     rig = Rig(vms=4)
     rig.accept("gang", spec(StepSpec(2, WIDE, gang=True, expected_ms=LONG_MS)))
