Log no run as unwanted that has completed its job

What operators saw: each job that succeeded left a line "run not wanted" (its job has ended) for the run whose end completed it.

Cause: the end of the job orphans the runs of its tasks, and the run that had just completed still was among them.

Change: the runs of a task leave it before it counts as done.

--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -217,15 +217,17 @@
         """Record that a run succeeded: the completion of one member counts for the whole gang."""
         members = task.step.tasks if task.step.spec.gang else [task]
         for member in members:
+            runs = list(member.runs)
+            # The end of its job must not take the run that has completed for an unwanted one.
+            member.runs.clear()
             self._lifecycle.task_done(member)
             # Its remaining runs are copies, or members whose completions are still on their way.
-            for run in list(member.runs):
+            for run in runs:
                 if run.number == number and member is not task:
                     self._state.keep_completion(run, DONE)
                     self._state.add_orphan(run)
                 elif run.number != number:
                     self._state.orphan_run(run, DONE_BY_OTHER_RUN)
-            member.runs.clear()
 
     def _run_failed(self, task: TaskRow, vm: VmRow, number: int) -> None:
         step = task.step
--- a/tests/jobs/test_spread_lines.py
+++ b/tests/jobs/test_spread_lines.py
@@ -54,3 +54,19 @@
         ("job.0.0.0", "w0", "running", "its job has ended"),
         ("other.0.0.0", "w0", "running", "found, and not wanted"),
     ]
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_runs_whose_end_completes_their_job_are_not_logged_as_unwanted(
+    caplog: pytest.LogCaptureFixture, gang: bool
+) -> None:
+    rig = Rig(vms=1)
+    rig.accept("job", spec(StepSpec(2, CORE, gang=gang)))
+    rig.start_and_hold_all()
+    for start in rig.started():
+        rig.complete(start, "done")
+    rig.report_all()
+    rig.tick(1.0)
+    assert _lines(caplog, NOT_WANTED) == []
+    assert rig.stopped() == []
+    assert rig.scheduler.state.vms["w0"].runs == {}
