Request advice for the VMs of the pool that a queue is sent to

A step whose queue needs advice recorded, by the version of the VMs, that it knew the answer for each VM of its pool. A configuration that sent the queue to another pool left that version as it was, so no advice was requested for the VMs there: the step waited, with all of them free, until any VM changed.

A configuration now counts as a change of the VMs, so that each waiting step looks once more for VMs without an answer.

The test fails without the change.

--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -274,6 +274,8 @@
         for organisation in configuration.organisations:
             state.organisations[organisation.name] = organisation
         state.capacity_version += 1
+        # A queue may have been sent to VMs that no advice has been requested for.
+        state.vms_version += 1
         for info in list(self._vms_of_unnamed_pools.values()):
             self.update_vm(info)
         state.logger.info(
--- a/tests/jobs/test_advice.py
+++ b/tests/jobs/test_advice.py
@@ -1,7 +1,9 @@
 """Tests dividing a request for advice over free call slots, and handling each answer by itself."""
 
+from msgspec.structs import replace
+
 from sablemount.jobs.actions import AskAdvice
-from sablemount.jobs.model import AdviceTerms, Shape, StepSpec
+from sablemount.jobs.model import AdviceTerms, Queue, Shape, StepSpec, VmInfo
 from tests.jobs.rig import Rig, queue, spec
 
 SLOW = AdviceTerms(400.0, 6.0, 2000.0)
@@ -100,3 +102,28 @@
         rig.tick(0.3)
     assert step.advice.tickets
     assert terminated not in step.advice.tickets
+
+
+def test_the_vms_of_the_pool_that_a_queue_is_sent_to_are_asked_about() -> None:
+    """A step that knew all answers for one pool waited in the next for a change of the VMs."""
+    advised = queue("q", advice=QUICK)
+    rig = Rig(vms=4, queues=(advised,))
+    rig.scheduler.advice.set_call_slots({"l0"})
+    rig.accept("moved", spec(StepSpec(6, HALF, expected_ms=4000.0, spread=1)), advised)
+    for name in ("x0", "x1"):
+        rig.scheduler.update_vm(VmInfo(name, name, "next", Shape(16_000, 64_000)))
+        rig.vm_names.append(name)
+    rig.commit()
+    rig.report_all()
+    rig.tick()
+    (call,) = rig.advice_calls()
+    _answer(rig, call, good=4)
+    rig.report_all()
+    rig.wait(0.1)
+    sent = Queue(advised.host, advised.prefix, replace(advised.terms, pool="next"))
+    rig.scheduler.apply_configuration(
+        replace(rig.configuration, version=rig.configuration.version + 1, queues=(sent,))
+    )
+    rig.report_all()
+    rig.wait(0.1)
+    assert sorted(rig.advice_calls()[-1].vms) == ["x0", "x1"]
