Draw queues that move, machines that change and gangs beside a spread

No rig drew a queue that is sent to another pool while its steps run, a machine that drains, shrinks or returns as another kind beside a spread, or gangs and large tasks of two priorities for which capacity and spread bind together.

The emulated VMs check spread, label, pool and capacity at each start as before. Two checks are new: a leader requests no start in a pool that only versions allow which it has replaced for more than 2 s, and none on a VM that it has known to drain for more than 2 s.

An id may now restart as another kind. A request names only the id, so label and pool are judged by the incarnation that the start was requested of; the spread and the capacity by what runs there.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	$(BIN)/python -m benchmarks.job_soak --kind steps
 	$(BIN)/python -m benchmarks.job_soak --kind connections
 	$(BIN)/python -m benchmarks.job_soak --kind spread
+	$(BIN)/python -m benchmarks.job_soak --kind placement
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -10,6 +10,7 @@
 python -m benchmarks.job_soak --kind steps --first 0 --count 500
 python -m benchmarks.job_soak --kind connections --first 0 --count 500
 python -m benchmarks.job_soak --kind spread --first 0 --count 500
+python -m benchmarks.job_soak --kind placement --first 0 --count 500
 
 With leases and steps it also prints how often a task ran twice, and how long tasks waited that were
 lost with their VM.
@@ -28,6 +29,7 @@
     connection_faults,
     lease_faults,
     life_faults,
+    placement_faults,
     spread_faults,
     step_faults,
     vm_faults,
@@ -43,6 +45,7 @@
     run_spread_mix,
     run_store_mix,
 )
+from tests.emulator.placement_mix import run_placement_mix
 from tests.emulator.store_faults import draw
 
 FAULTS_PER_MIX = 5
@@ -67,6 +70,8 @@
     """Leaders lost in series, at VMs that take few connections."""
     SPREAD = "spread"
     """VMs that are silent and return, under steps whose spread binds."""
+    PLACEMENT = "placement"
+    """The same beside queues that move from pool to pool, and machines that change their kind."""
 
 
 class MixResult(msgspec.Struct):
@@ -143,6 +148,13 @@
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def run_placement_seed(seed: int) -> MixResult:
+    """Run a seed's mix of queues that move, and of machines that drain, shrink and change."""
+    chosen = placement_faults.draw(seed)
+    wrong = run(run_placement_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
@@ -165,6 +177,7 @@
     Kind.STEPS: run_steps_seed,
     Kind.CONNECTIONS: run_connections_seed,
     Kind.SPREAD: run_spread_seed,
+    Kind.PLACEMENT: run_placement_seed,
 }
 
 
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -22,6 +22,7 @@
     "run_organisation_mix",
     "run_spread_mix",
     "run_store_mix",
+    "run_system",
 ]
 
 Background = Callable[[System, random.Random], Coroutine[object, object, None]]
@@ -52,14 +53,14 @@
 async def run_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
     """Inject faults while jobs are submitted and some of them cancelled."""
     system = System(seed, advice=advice)
-    return await _run(system, seed, chosen, system.traffic("a", 60, 0.2), _cancel_some)
+    return await run_system(system, seed, chosen, system.traffic("a", 60, 0.2), _cancel_some)
 
 
 async def run_connection_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
     """Inject faults that leave connections at VMs, most of which take few of them."""
     system = System(seed, members=5, advice=advice)
     system.limit_connections(FEW_CONNECTIONS if seed % 4 else MANY_CONNECTIONS)
-    return await _run(system, seed, chosen, system.traffic("a", 150, 0.2), _cancel_some)
+    return await run_system(system, seed, chosen, system.traffic("a", 150, 0.2), _cancel_some)
 
 
 async def run_organisation_mix(
@@ -70,14 +71,14 @@
     system.configure(2, organisations=organisations(CAPS_MILLICORES[0]))
     callers = ("rueda", "rueda", "yard")
     traffic = system.traffic("a", 90, 0.1, callers)
-    return await _run(system, seed, chosen, traffic, _change_caps)
+    return await run_system(system, seed, chosen, traffic, _change_caps)
 
 
 async def run_store_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
     """Inject faults of the store and changes of leader, with small pages for odd seeds."""
     system = System(seed, advice=advice)
     system.store.page_records = SMALL_PAGE_RECORDS if seed % 2 else system.store.page_records
-    return await _run(system, seed, chosen, system.traffic("a", 100, 0.12), _cancel_some)
+    return await run_system(system, seed, chosen, system.traffic("a", 100, 0.12), _cancel_some)
 
 
 async def run_lease_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
@@ -92,7 +93,7 @@
     system = System(seed, advice=advice)
     system.cell.mean_task_seconds = LONG_TASK_SECONDS
     traffic = system.traffic("a", 40, 0.4)
-    violations = await _run(system, seed, chosen, traffic, _cancel_some)
+    violations = await run_system(system, seed, chosen, traffic, _cancel_some)
     return violations, system.cell.waits_s
 
 
@@ -102,7 +103,9 @@
     system.emulates_time_of_day = True
     system.cell.mean_task_seconds = MODEL_TASK_SECONDS
     model = JobModel(random.Random(seed + 5), emulated_wall_ms)
-    return await _run(system, seed, chosen, system.model_traffic(model, 60, 0.2), _cancel_some)
+    return await run_system(
+        system, seed, chosen, system.model_traffic(model, 60, 0.2), _cancel_some
+    )
 
 
 async def run_spread_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
@@ -119,7 +122,7 @@
         callers = ("rueda", "yard")
         system.configure(2, organisations=organisations(rng.choice(SPREAD_CAPS_MILLICORES)))
     traffic = _submit_spread_jobs(system, rng, jobs, callers)
-    return await _run(system, seed, chosen, traffic, _cancel_few)
+    return await run_system(system, seed, chosen, traffic, _cancel_few)
 
 
 async def _submit_spread_jobs(
@@ -144,7 +147,7 @@
     )
 
 
-async def _run(
+async def run_system(
     system: System,
     seed: int,
     chosen: Sequence[Fault],
--- a/tests/emulator/spread_faults.py
+++ b/tests/emulator/spread_faults.py
@@ -19,7 +19,16 @@
 from tests.emulator.system import System
 from tests.emulator.vm import Vm
 
-__all__ = ["SPREAD_FAULTS", "draw"]
+__all__ = [
+    "BEYOND_LEASE_S",
+    "CHANGES",
+    "SPREAD_FAULTS",
+    "draw",
+    "leaders_change_beside_silent_vms",
+    "silence",
+    "vms_silent_beyond_their_lease",
+    "vms_silent_within_their_lease",
+]
 
 FAULTS_PER_MIX = 5
 OWN_SHARE = 0.85
@@ -39,7 +48,7 @@
     return rng.choice([vm for vm in reached if vm.runs] or reached or vms)
 
 
-async def _silence(system: System, rng: random.Random, vm: Vm, seconds: float) -> None:
+async def silence(system: System, rng: random.Random, vm: Vm, seconds: float) -> None:
     """Cut a VM off from everybody, or from the leader and perhaps others, for some seconds."""
     vm.refuses_when_cut = rng.random() < 0.3
     if rng.random() < CUT_OFF_FROM_ALL_SHARE:
@@ -62,7 +71,7 @@
     silences = []
     for _ in range(rng.randint(1, MAX_SILENT_VMS)):
         vm = _pick_vm(system, rng, await running_vms(system))
-        silences.append(_silence(system, rng, vm, rng.uniform(*seconds)))
+        silences.append(silence(system, rng, vm, rng.uniform(*seconds)))
         await asyncio.sleep(rng.uniform(0.0, 1.0))
     return asyncio.gather(*silences)
 
@@ -81,20 +90,20 @@
 async def leaders_change_beside_silent_vms(system: System, rng: random.Random) -> None:
     """Let leaders be replaced, by any means, while VMs are silent and after they return."""
     seconds = rng.choice((BEYOND_LEASE_S, BEYOND_LEASE_S, WITHIN_LEASE_S))
-    silence = await _silence_some(system, rng, seconds)
+    silent = await _silence_some(system, rng, seconds)
     for _ in range(rng.randint(1, 2)):
         await asyncio.sleep(rng.uniform(0.5, 5.0))
         await rng.choice(CHANGES)(system, rng)
-    await silence
+    await silent
     await asyncio.sleep(rng.uniform(0.0, 1.0))
     await rng.choice(CHANGES)(system, rng)
 
 
 async def requests_late_beside_silent_vms(system: System, rng: random.Random) -> None:
     """Let many requests be carried out late, or their answers be lost, while VMs are silent."""
-    silence = await _silence_some(system, rng, rng.choice((BEYOND_LEASE_S, WITHIN_LEASE_S)))
+    silent = await _silence_some(system, rng, rng.choice((BEYOND_LEASE_S, WITHIN_LEASE_S)))
     await late_orders(system, rng)
-    await silence
+    await silent
 
 
 async def _leader_frozen(system: System, rng: random.Random) -> None:
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -33,6 +33,7 @@
 from tests.emulator.directory import Codec, directory_entry
 from tests.emulator.entries import Entries
 from tests.emulator.job_model import JobModel, task_names
+from tests.emulator.leader_view import LeaderView
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.narrow import LimitedLink, LimitedLinkStore
 from tests.emulator.network import EmulatedNetwork
@@ -123,21 +124,21 @@
         organisations: tuple[Organisation, ...] | None = None,
         public: bool = False,
         idle: int = 0,
+        queues: tuple[Queue, ...] = (),
     ) -> None:
         """Publish a configuration; callers need keys if it names organisations.
 
-        ``idle`` is the number of additional queues without callers.
+        ``idle`` is the number of additional queues without callers. ``queues`` replaces those to
+        the first two pools.
         """
-        terms = QueueTerms(
-            "work", self._pools[0], 0, self.cell.max_attempts, 2.0, 1000.0, self._advice
-        )
+        terms = self.terms("work", self._pools[0])
         others = [
             Queue(HOST, OTHER_PREFIX, msgspec.structs.replace(terms, name=f"to {pool}", pool=pool))
-            for pool in self._pools[1:]
+            for pool in self._pools[1:2]
         ]
         configuration = Configuration(
             version,
-            (Queue(HOST, prefix, terms, public), *others, *_idle_queues(terms, idle)),
+            queues or (Queue(HOST, prefix, terms, public), *others, *_idle_queues(terms, idle)),
             keyed=organisations is not None,
             organisations=organisations or (),
             pools=frozenset(self._pools),
@@ -150,6 +151,10 @@
         value = msgspec.msgpack.encode(configuration)
         self.store.topics[Topic.CONFIGURATION].add([Record("config", value)])
 
+    def terms(self, name: str, pool: str, priority: int = 0) -> QueueTerms:
+        """Return the terms of a queue to a pool."""
+        return QueueTerms(name, pool, priority, self.cell.max_attempts, 2.0, 1000.0, self._advice)
+
     def limit_connections(self, accepted: int) -> None:
         """Let all VMs take so many connections, and publish this."""
         self.cell.accepted_connections = accepted
@@ -183,22 +188,44 @@
         if restart_delay_s is not None:
             asyncio.get_running_loop().call_later(restart_delay_s, self._replace_vm, vm)
 
-    def restart_vm(self, vm: Vm, restart_delay_s: float, capacity: Shape = CAPACITY) -> None:
-        """Crash a VM and start it again under the same id, which its entry may outlast."""
+    def restart_vm(
+        self, vm: Vm, restart_delay_s: float, capacity: Shape = CAPACITY, kind: str = ""
+    ) -> None:
+        """Crash a VM and start it again under the same id, which its entry may outlast.
+
+        It is of the same kind again unless ``kind`` names another one.
+        """
         if not vm.up:
             return
         self.cell.crash(vm)
-        asyncio.create_task(self._replace_incarnation(vm, restart_delay_s, capacity))
+        asyncio.create_task(self._replace_incarnation(vm, restart_delay_s, capacity, kind))
 
-    async def _replace_incarnation(self, vm: Vm, restart_delay_s: float, capacity: Shape) -> None:
+    async def _replace_incarnation(
+        self, vm: Vm, restart_delay_s: float, capacity: Shape, kind: str
+    ) -> None:
         await asyncio.sleep(restart_delay_s)
-        new = self.cell.restart(vm, capacity)
+        new = self.cell.restart(vm, capacity, kind)
         await asyncio.sleep(self.rng.uniform(*LISTING_DELAY_S))
         while self.store.down:
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
         if new.up:
             self.list_vm(new)
 
+    def replace_vm(
+        self, vm: Vm, restart_delay_s: float, capacity: Shape, pool: str, kind: str
+    ) -> None:
+        """Crash a VM; its machine starts another one, under another id at the same address."""
+        if not vm.up:
+            return
+        self.cell.crash(vm)
+        info = vm.info
+
+        def replace() -> None:
+            rack = info.labels[-1]
+            self.list_vm(self.cell.add(info.machine, rack, capacity, info.address, pool, kind))
+
+        asyncio.get_running_loop().call_later(restart_delay_s, replace)
+
     def _on_task_crashes_vm(self, vm: Vm) -> None:
         """Handle a VM that a task crashes: it is replaced some seconds later."""
         self.crash_vm(vm, self.rng.uniform(1.0, 4.0))
@@ -239,6 +266,7 @@
             self.checker,
             partial(self.network.is_partitioned, name),
             partial(self.stalls.step, name),
+            partial(self._view_of, name),
         )
         self.vm_networks[name] = vms.network
         ports = LeaderPorts(
@@ -262,6 +290,10 @@
         self.members[name] = member
         member.start()
 
+    def _view_of(self, name: str) -> LeaderView | None:
+        member = self.members.get(name)
+        return None if member is None else member.view
+
     def _store_of(self, name: str) -> EmulatedStore:
         link = self.store_links.get(name)
         if link is None:
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -12,6 +12,7 @@
 from sablemount.jobs.actions import CompletionReport, StartRun
 from sablemount.jobs.model import JobSpec, Shape, StepSpec, VmInfo
 from sablemount.jobs.scheduler import StartRefusal
+from sablemount.platform.lives import worker_id_of
 from tests.emulator.advice import is_valid_ticket
 from tests.emulator.caps import PublishedCaps
 from tests.emulator.routes import PublishedRoutes
@@ -108,6 +109,8 @@
         self.urls: dict[str, str] = {}
         """Host and path that a job was submitted to, by job; others are not checked for pools."""
         self.routes = PublishedRoutes()
+        self._requested_of: dict[tuple[str, int], Vm] = {}
+        """Incarnation that each run was requested of, by task and run."""
 
     # -- VMs ---------------------------------------------------------------------------------
 
@@ -128,10 +131,15 @@
         )
         return self._add_incarnation(info, info.name)
 
-    def restart(self, vm: Vm, capacity: Shape) -> Vm:
-        """Start a new incarnation of a VM under the same id; its network faults stay in force."""
+    def restart(self, vm: Vm, capacity: Shape, kind: str = "") -> Vm:
+        """Start a new incarnation of a VM under the same id, perhaps of another kind.
+
+        The network faults of the VM stay in force.
+        """
         self._incarnations += 1
         info = msgspec.structs.replace(vm.info, capacity=capacity, draining=False, revision=1)
+        if kind:
+            info = msgspec.structs.replace(info, labels=(kind, info.rack))
         new = self._add_incarnation(info, f"{info.name}#{self._incarnations}")
         new.unreachable, new.refuses_when_cut = vm.unreachable, vm.refuses_when_cut
         # A smaller new capacity counts as a shrink, which binds after the same delay as for a VM
@@ -228,6 +236,17 @@
 
     # -- Tasks -------------------------------------------------------------------------------
 
+    def record_request(self, action: StartRun, started_at_ms: int) -> None:
+        """Record which incarnation of a VM's id, by its time of start, a start is requested of.
+
+        The request carries the id alone, and is carried out by the next incarnation if it arrives
+        after a restart under the same id.
+        """
+        vm_id = worker_id_of(action.vm)
+        for vm in self.vms.values():
+            if vm.info.name == vm_id and vm.started_at_ms == started_at_ms:
+                self._requested_of[action.task, action.run] = vm
+
     def start(self, vm: Vm, action: StartRun, fence: int, until: int) -> StartResult:
         now = asyncio.get_running_loop().time()
         clock = vm.clock_ms(now)
@@ -268,7 +287,7 @@
     def _begin(self, vm: Vm, action: StartRun, now: float) -> None:
         spec = self._step(action.task)
         self._check_start(vm, action, spec.charge)
-        self._check_place(vm, action.task, spec)
+        self._check_place(vm, action, spec)
         self._check_cap(action, spec.charge)
         self.starts.setdefault(action.task, []).append(now)
         if action.task in self._lost_at:
@@ -356,22 +375,27 @@
                         f"started before its predecessors were done: {action.task}"
                     )
 
-    def _check_place(self, vm: Vm, task: str, spec: StepSpec) -> None:
+    def _check_place(self, vm: Vm, action: StartRun, spec: StepSpec) -> None:
         """Check a start against the spread, the label and the pool that its step asks for.
 
-        Whatever runs on the VM counts towards the spread, also while it is being stopped.
+        Whatever runs on the VM counts towards the spread, also while it is being stopped. Label and
+        pool are those of the incarnation that the run was requested of.
         """
+        task = action.task
         step = task.rpartition(".")[0]
         beside = {run.task for run in vm.runs.values() if run.task.rpartition(".")[0] == step}
         count = len(beside | {task})
         if spec.spread and count > spec.spread:
             where = f"{vm.incarnation} ({count} of {spec.spread} tasks)"
             self.violations.append(f"beyond its spread: {task} on {where}")
-        if spec.label and spec.label not in vm.info.labels:
+        info = self._requested_of.get((task, action.run), vm).info
+        if info.name != vm.info.name:
+            info = vm.info
+        if spec.label and spec.label not in info.labels:
             self.violations.append(f"without its label {spec.label}: {task} on {vm.incarnation}")
         url = self.urls.get(task.partition(".")[0])
-        if url is not None and vm.info.pool not in self.routes.pools_of(url):
-            self.violations.append(f"in pool {vm.info.pool}: {task} on {vm.incarnation}")
+        if url is not None and info.pool not in self.routes.pools_of(url):
+            self.violations.append(f"in pool {info.pool}: {task} on {vm.incarnation}")
 
     def _finish(self, vm: Vm, run: Run) -> None:
         if run.task in self.crash_delays_s:
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -12,9 +12,11 @@
 from sablemount.control.vm_calls import EPOCH_SHIFT
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.journal import Batch
+from sablemount.jobs.model import INCARNATION_SEPARATOR
 from sablemount.jobs.records import Record
 from sablemount.jobs.tables import Lease, VmRow
 from sablemount.platform.lives import worker_id_of
+from tests.emulator.leader_view import LeaderView
 from tests.emulator.vm import Vm
 from tests.emulator.vm_ports import EmulatedVms
 from tests.emulator.vms import Cell
@@ -82,6 +84,8 @@
         self._find_vm = find_vm
         self.wall_ms: Callable[[], float] | None = None
         """Returns the time of day in ms since 1970; ``None`` for that of the machine."""
+        self.view: LeaderView | None = None
+        """What its newest leader knows."""
         super().__init__(settings, ports, network, rng)
 
     @property
@@ -93,6 +97,7 @@
         self._checked_leader = leader
         if leader is not None:
             check_leader(leader, self._checker, self._find_vm)
+            self.view = LeaderView(leader)
         if leader is not None and self.wall_ms is not None:
             leader.scheduler._clock.wall_ms = self.wall_ms  # type: ignore[method-assign]
 
@@ -108,6 +113,11 @@
         return reply
 
 
+def _no_view() -> LeaderView | None:
+    """Check no start against what the leader knows."""
+    return None
+
+
 async def _go_on() -> None:
     """Send a call without a delay."""
 
@@ -121,8 +131,10 @@
         checker: InvariantChecker,
         is_partitioned: Callable[[str], bool] = lambda vm: False,
         before_call: Callable[[], Awaitable[None]] = _go_on,
+        find_view: Callable[[], LeaderView | None] = _no_view,
     ) -> None:
         super().__init__(cell, is_partitioned)
+        self._find_view = find_view
         self._cell = cell
         self._checker = checker
         self._before_call = before_call
@@ -138,6 +150,13 @@
         self, action: StartRun, address: str, fence: int, until_ms: int, timeout: float
     ) -> StartResult:
         await self._before_call()
+        epoch = fence >> EPOCH_SHIFT
         up = self._cell.newest_incarnation(worker_id_of(action.vm)).up
-        self._checker.check_start_request(fence >> EPOCH_SHIFT, action.vm, action.task, up)
+        self._checker.check_start_request(epoch, action.vm, action.task, up)
+        born = action.vm.partition(INCARNATION_SEPARATOR)[2]
+        self._cell.record_request(action, int(born or 0))
+        view = self._find_view()
+        if view is not None and view.epoch == epoch:
+            url = self._cell.urls.get(action.task.partition(".")[0])
+            self._checker.violations += view.faults_of(action, url)
         return await super().start(action, address, fence, until_ms, timeout)
--- a/tests/jobs/test_vm_checks.py
+++ b/tests/jobs/test_vm_checks.py
@@ -234,3 +234,24 @@
         assert place.start("0.0.0") == violations
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("requested_of_later", "violations"),
+    [(False, []), (True, ["without its label b: job.0.0.0 on machine-1#2"])],
+)
+def test_the_label_is_that_of_the_incarnation_that_a_start_was_requested_of(
+    requested_of_later: bool, violations: list[str]
+) -> None:
+    async def scenario() -> None:
+        place = _Place(label="b")
+        earlier = place.vm
+        place.cell.crash(earlier)
+        later = place.cell.restart(earlier, earlier.info.capacity, "a")
+        action = StartRun(earlier.info.name, "job.0.0.0", 1, "payload", 0.0)
+        asked = later if requested_of_later else earlier
+        place.cell.record_request(action, asked.started_at_ms)
+        place.vm = later
+        assert place.start("0.0.0") == violations
+
+    run(scenario())
