Refuse a job at once that no VM can run, where that is certain

What callers saw: a job with a label that no VM has, with a task larger than any VM, or with a gang wider than all VMs run at a time was accepted and stayed pending, or running up to that step. Nobody was told.

Cause: a submission was checked for its own errors, its size and the cap of its organisation, never against the VMs.

Change: the leader keeps, by pool and label, the machines and capacities that it has seen since its election, whatever became of them. If the entries were read without a gap for 30 s, each machine of the pool was described, and the job is due, a step that none of these could ever have run is refused: 503 with Retry-After 10, the field and the reason. 400 would lose a job whose VMs come later, and a second would bring callers back in vain ten times as often. Repeats of known jobs are answered as before. One line each, `no VM can run job`, and a label of its own, `unserved`, in the counter of submissions. A submission looks up one kind for each step and no VM.

The soak's jobs that no VM can run may now be refused with this reason or be pending. A job that VMs can run must never be refused with it, nor one that was accepted; a refused one must not be shown nor started, and needs no acceptance in the share of accepted jobs. It is the same change, as the checks as they were only know such jobs as pending.

--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -12,11 +12,13 @@
     Operation,
     Outcome,
     not_taken_reply,
+    unserved_reply,
     version_mismatch_reply,
 )
 from sablemount.jobs.caps import cap_error
 from sablemount.jobs.model import Configuration, JobSpec, Queue, QueueTable, SpecError, check_spec
 from sablemount.jobs.scheduler import JobScheduler, Submission
+from sablemount.jobs.systems.unserved import UnservedStep
 from sablemount.jobs.tables import JobRow, JobState
 
 __all__ = ["CallerService"]
@@ -27,6 +29,8 @@
 """Interval of checking whether a job that was not yet sent to the store has to be refused."""
 MAX_NAME_LENGTH = 64
 """Maximum length of a job's name; the platform's names have 16 characters."""
+MAX_LOGGED_LABEL = 64
+"""Longest part of a caller's label that is logged, in characters."""
 STORE_SILENT = "the store has not answered"
 NO_JOB = "no such job"
 
@@ -128,6 +132,10 @@
             if refusal is not None:
                 return refusal
         self._scheduler.update_time()
+        unserved = self._scheduler.find_unserved_step(queue, spec) if known is None else None
+        if unserved is not None:
+            self._log_unserved(name, queue, spec, unserved)
+            return unserved_reply(unserved.path, unserved.reason)
         if self._scheduler.submit(name, queue, spec, call.organisation) is Submission.KNOWN:
             self._log("job known", name, queue)
             return CallerReply(Outcome.DONE, state="known")
@@ -159,6 +167,22 @@
         epoch = self._scheduler.state.epoch
         _logger.info(text, extra={"job": name, "queue": queue.terms.name, "epoch": epoch})
 
+    def _log_unserved(self, name: str, queue: Queue, spec: JobSpec, step: UnservedStep) -> None:
+        extra = {
+            "job": name,
+            "queue": queue.terms.name,
+            "pool": queue.terms.pool,
+            "step": step.number,
+            "bound": step.bound.value,
+            "label": spec.steps[step.number].label[:MAX_LOGGED_LABEL],
+            "needed": step.needed,
+            "offered": step.offered,
+            "vms": step.vms,
+            "known_ago": round(step.known_ago, 3),
+            "epoch": self._scheduler.state.epoch,
+        }
+        _logger.info("no VM can run job", extra=extra)
+
     def _unknown_outcome(self) -> CallerReply:
         """Return the answer to a request that may be stored; a later leader knows the outcome."""
         return CallerReply(Outcome.UNKNOWN, reason=STORE_SILENT, changing=not self._has_authority())
--- a/src/sablemount/control/leader.py
+++ b/src/sablemount/control/leader.py
@@ -45,6 +45,8 @@
 """Seconds that a planned handover waits for appends at most: 100 times the time of a usual one."""
 DRAIN_POLL_INTERVAL_S = 0.005
 """Seconds between checks whether these appends are done: about the duration of one."""
+UNSERVED = "unserved"
+"""Label of submissions that are not taken because no VM can run the job."""
 
 _logger = logging.getLogger("sablemount.control.leader")
 _run_logger = logging.getLogger(RUN_LOGGER)
@@ -371,7 +373,9 @@
         began = monotonic()
         reply = await self.callers.serve(call)
         self.metrics.observe(f"call_{call.operation.name.lower()}", monotonic() - began)
-        self.metrics.count(call.operation.name.lower(), reply.outcome.name.lower())
+        self.metrics.count(
+            call.operation.name.lower(), UNSERVED if reply.unserved else reply.outcome.name.lower()
+        )
         if reply.outcome is Outcome.DONE:
             return reply
         return msgspec.structs.replace(reply, epoch=self.epoch)
--- a/src/sablemount/control/messages.py
+++ b/src/sablemount/control/messages.py
@@ -29,11 +29,15 @@
     "TakeOverReply",
     "ViewCall",
     "not_taken_reply",
+    "unserved_reply",
     "version_mismatch_reply",
 ]
 
 RETRY_AFTER_S = 1.0
 """Seconds after which a refused caller is asked to retry."""
+UNSERVED_RETRY_AFTER_S = 10.0
+"""Seconds after which a caller whose job no VM can run is asked to retry: only a VM of another kind
+changes the answer, and takes some seconds to start."""
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
@@ -226,6 +230,8 @@
     """The organisation whose call was refused, for the log line; empty if unknown."""
     epoch: int = 0
     """Epoch of the leader that answered, for the log line; 0 if none was asked."""
+    unserved: bool = False
+    """Whether a job was not taken because no VM can run it, for the counter of submissions."""
 
 
 def not_taken_reply(reason: str, changing: bool = False) -> CallerReply:
@@ -235,6 +241,17 @@
     )
 
 
+def unserved_reply(path: str, reason: str) -> CallerReply:
+    """Return the answer to a job that no VM can run now, though a later one might."""
+    return CallerReply(
+        Outcome.NOT_TAKEN,
+        path=path,
+        reason=reason,
+        retry_after=UNSERVED_RETRY_AFTER_S,
+        unserved=True,
+    )
+
+
 def version_mismatch_reply(version: int) -> CallerReply:
     """Return the answer to a call that was admitted under a version other than the leader's."""
     reply = not_taken_reply("the configuration is changing", changing=True)
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -44,6 +44,7 @@
 from sablemount.jobs.systems.seals import Seals
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.starts import Starts
+from sablemount.jobs.systems.unserved import UnservedJobs, UnservedStep
 from sablemount.jobs.systems.vms import Vms
 from sablemount.jobs.tables import JobRow, JobState, RunState, VmRow
 
@@ -143,6 +144,7 @@
         self.reconcile.on_completion = self.health.task_ended
         self.evacuation = Evacuation(self.state, self.reconcile)
         self.throttling = Throttling(self.state)
+        self._unserved_jobs = UnservedJobs(self.state)
         self._vms_of_unnamed_pools: dict[str, VmInfo] = {}
         """VMs of pools that the configuration does not name; they are not used."""
         self._slow_systems_ran_at = created_at
@@ -362,6 +364,10 @@
         record = self._job_record(queue, spec, organisation)
         return record_size_error(name, record, self.state.settings.record_bytes)
 
+    def find_unserved_step(self, queue: Queue, spec: JobSpec) -> UnservedStep | None:
+        """Return a step of a new job that certainly no VM can run; ``None`` where in doubt."""
+        return self._unserved_jobs.find(spec, queue.terms.pool)
+
     def _job_record(self, queue: Queue, spec: JobSpec, organisation: str) -> JobRecord:
         state = self.state
         return JobRecord(queue.terms, spec, state.wall_ms, state.epoch, organisation, queue.public)
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -7,6 +7,7 @@
 from sablemount.jobs.actions import Action
 from sablemount.jobs.caps import Usage
 from sablemount.jobs.job_lines import log_beyond_spread, log_run_not_wanted, step_counts
+from sablemount.jobs.kinds import VmKinds
 from sablemount.jobs.model import (
     Configuration,
     Organisation,
@@ -72,6 +73,7 @@
         """Jobs that have not ended."""
         self._open_steps: dict[str, StepRow] = {}
         self.vms: dict[str, VmRow] = {}
+        self.kinds = VmKinds()
         self.entries_read_at: float | None = None
         """Time up to which the VMs' entries were read; ``None`` where that is not tracked."""
         self.entries_read_before_gap = NEVER
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -104,6 +104,10 @@
     def _add(self, row: VmRow) -> None:
         self._state.vms[row.name] = row
         self._state.vms_version += 1
+        if row.listed:
+            self._state.kinds.describe(row.info)
+        else:
+            self._state.kinds.expect(row.info)
         previous = self._incarnations.make_current(row)
         row.earlier_poll_in_flight = self._leases.has_earlier_poll(row)
         if previous is not None:
@@ -123,6 +127,7 @@
         if info != row.info:
             self._state.vms_version += 1
             self._state.capacity_version += 1
+            self._state.kinds.describe(info)
         row.info = info
         row.listed = True
         row.entry_pending = False
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -38,6 +38,7 @@
 }
 PLATFORM_FIELD_NAMES = {
     ".after": ".dependsOn",
+    ".label": ".constraints",
     ".payload": ".spec",
     ".times": ".maxRuns",
     ".shape.cores": ".cpu",
--- a/tests/test_job_verdicts.py
+++ b/tests/test_job_verdicts.py
@@ -153,3 +153,49 @@
     verdicts.unserved.add("job")
     assert verdicts.is_allowed_final_state("job", "pending")
     assert not verdicts.is_allowed_final_state("job", state)
+
+
+def test_a_job_that_vms_can_run_is_refused_as_one_that_no_vm_can_run() -> None:
+    verdicts = _verdicts()
+    verdicts.record_told_unserved("job")
+    verdicts.record_told_unserved("job")
+    assert verdicts.violations == ["job was refused as no VM can run it, and VMs can"]
+
+
+def test_a_job_that_was_refused_as_no_vm_can_run_it_is_shown() -> None:
+    verdicts = _verdicts()
+    verdicts.unserved.add("job")
+    verdicts.record_told_unserved("job")
+    assert verdicts.violations == []
+    verdicts.check_reply("job", 410, "410", LATER_S, "n0")
+    assert verdicts.violations == []
+    verdicts.check_reply("job", 200, "pending", LATER_S, "n0")
+    assert verdicts.violations == ["n0 reports job, which was refused"]
+
+
+def test_a_job_that_a_later_leader_accepted_may_be_shown_as_pending_only() -> None:
+    verdicts = _verdicts()
+    verdicts.unserved.add("job")
+    verdicts.record_told_unserved("job")
+    verdicts.record_acceptance("job", 0.0)
+    verdicts.check_reply("job", 200, "pending", LATER_S, "n0")
+    assert verdicts.violations == []
+    verdicts.check_reply("job", 200, "running", LATER_S, "n0")
+    assert verdicts.violations == ["n0 reports job as running, which no VM can run"]
+
+
+def test_a_repeat_of_an_accepted_job_is_refused_as_no_vm_can_run_it() -> None:
+    verdicts = _verdicts()
+    verdicts.unserved.add("job")
+    verdicts.record_acceptance("job", 0.0)
+    verdicts.record_told_unserved("job")
+    assert verdicts.violations == ["job was refused as no VM can run it, once accepted"]
+
+
+def test_only_jobs_that_no_vm_can_run_need_no_acceptance_once_refused_so() -> None:
+    verdicts = _verdicts()
+    for job in ("served", "unserved"):
+        verdicts.record_attempt(job, store_down=False)
+        verdicts.record_told_unserved(job)
+    verdicts.unserved.add("unserved")
+    assert verdicts.check_accepted_share(1.0) == ["only 0 of 1 jobs were accepted"]
