Begin the load of a soak once its processes listen

A soak began its load as soon as it had started its processes.

The load now waits until every process listens, and the soak fails if one does not within 60 s. The share of jobs that have to be accepted and all other checks are unchanged.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -25,7 +25,7 @@
 from benchmarks.link_faults import LINK_FAULTS
 from benchmarks.node_faults import FAULTS, LIFE_FAULTS, VM_FAULTS, Fault, Target
 from benchmarks.node_logs import internal_errors
-from benchmarks.node_processes import Nodes
+from benchmarks.node_processes import Node, Nodes
 from benchmarks.soak_callers import KEYS, Callers
 from benchmarks.spread_faults import SPREAD_FAULTS
 from benchmarks.spread_jobs import SpreadJobs, add_workers
@@ -49,6 +49,9 @@
 """Mean seconds between two jobs."""
 FAULT_INTERVAL_S = 2.5
 """Mean seconds between two faults; some of them overlap."""
+START_TIMEOUT_S = 60.0
+"""Seconds within which all processes have to listen."""
+START_POLL_INTERVAL_S = 0.1
 SETTLE_TIMEOUT_S = 60.0
 TASK_SECONDS = 0.6
 LONG_TASK_SECONDS = 2.5
@@ -127,6 +130,8 @@
         self._add_workers()
         await self.nodes.start()
         try:
+            if silent := await self._silent_nodes():
+                return [f"{node.name} does not listen after its start" for node in silent]
             await self._run_load()
             return await self._check()
         finally:
@@ -134,6 +139,16 @@
             await self.nodes.close()
             self.standin.close()
 
+    async def _silent_nodes(self) -> list[Node]:
+        """Wait until the processes listen, and return those that do not in time."""
+        limit = time.monotonic() + START_TIMEOUT_S
+        silent = self.nodes.rows
+        while silent := [node for node in silent if not await node.listens()]:
+            if time.monotonic() > limit:
+                break
+            await asyncio.sleep(START_POLL_INTERVAL_S)
+        return silent
+
     def _add_workers(self) -> None:
         if self.has_spread_jobs:
             add_workers(self.standin, self.size.vms)
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -59,3 +59,29 @@
 @pytest.mark.parametrize(("seed", "kind"), SOAKS)
 def test_processes_keep_what_they_have_accepted(seed: int, kind: str, tmp_path: Path) -> None:
     assert asyncio.run(_run_soak(seed, kind, tmp_path)) == []
+
+
+LATE_START = """
+import runpy, sys, time
+time.sleep(6.0)
+runpy.run_path(sys.argv[1], run_name="__main__")
+"""
+"""Starts a program later than the callers of a soak of one second stop trying."""
+
+
+async def _no_fault(target: node_faults.Target) -> None:
+    """Leave all processes as they are."""
+
+
+async def _run_late_soak(folder: Path) -> tuple[list[str], int]:
+    size = Size(seconds=1.0, processes=2, faults=(_no_fault,), fault_interval_s=0.5)
+    soak = Soak(8, size, folder)
+    for node in soak.nodes.rows:
+        node._wrapper = ["-c", LATE_START]
+    wrong = await soak.run()
+    return wrong, soak.callers.reply_counts["submit 0"]
+
+
+def test_the_load_begins_once_the_processes_listen(tmp_path: Path) -> None:
+    """Callers of a soak of many processes stopped trying before most of them had started."""
+    assert asyncio.run(_run_late_soak(tmp_path)) == ([], 0)
