Count a run that is being stopped as a suspect and as a cause until it is over

What callers saw: the VM of a job without fault crashed under the run of a suspect whose job had just ended, and the crash counted in full for the job (3.0, half of what fails it). The next suspect was started beside that run, and the isolation of its VM ended with its job, so that calm jobs were, too.

Cause: which tasks a crash counts for, and beside what a suspect starts, was looked up among the open jobs. A run works on for 0.4 s after the end of its job, on a silent VM until its leases are over, and after a change of leader until it is found.

A run now keeps its task until it is over, whatever became of the job: ended, removed from the tables, or another one accepted under its id, which no longer gets the crash. The record of an ended job names the crashes under its open tasks and their weights, while its state is kept, so that a later leader that finds such a run, or a recorded suspect, knows it. Nothing more is kept once no run and no crash refers to the task. A record that is too large keeps its end, organisation and time. A task that is done is no cause, as before.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -188,7 +188,7 @@
     def _is_suspected(self, run: RunRow) -> bool:
         if run.state is RunState.RECORDING:
             return True
-        task = self._state.task(run.task)
+        task = run.owner
         return task is not None and (task.run_lost or bool(task.crashes))
 
     def _add_dropped(self, builder: "_BatchBuilder") -> None:
--- a/src/sablemount/jobs/sizes.py
+++ b/src/sablemount/jobs/sizes.py
@@ -77,7 +77,7 @@
     if record_size(record) <= limit:
         return record
     done_only = {key: StepProgress(step.done) for key, step in progress.steps.items()}
-    kept = Progress(progress.state, done_only)
+    kept = msgspec.structs.replace(progress, steps=done_only, crashes={}, weights={})
     base_size = record_size(Record(PROGRESS_PREFIX + name, encode(kept)))
     free_bytes = (
         limit - base_size - TABLE_HEADER_GROWTH_BYTES * len(done_only) - MAX_CRASH_TABLES_BASE_BYTES
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -6,6 +6,7 @@
 
 from sablemount.jobs.actions import Action
 from sablemount.jobs.caps import Usage
+from sablemount.jobs.ended_tasks import EndedTasks
 from sablemount.jobs.job_lines import log_beyond_spread, log_run_not_wanted, step_counts
 from sablemount.jobs.model import (
     Configuration,
@@ -70,6 +71,7 @@
         self.jobs: dict[str, JobRow] = {}
         self.open_jobs: dict[str, JobRow] = {}
         """Jobs that have not ended."""
+        self.ended_tasks = EndedTasks()
         self._open_steps: dict[str, StepRow] = {}
         self.vms: dict[str, VmRow] = {}
         self.entries_read_at: float | None = None
@@ -137,6 +139,17 @@
         """Have the progress of a job recorded with the next batch."""
         self.dirty_jobs[job.name] = job
 
+    def crashes_changed(self, task: TaskRow) -> None:
+        """Have the crashes under a task recorded while a run of it may be there or follow."""
+        job = task.step.job
+        if self.jobs.get(job.name) is not job:
+            return
+        if job.state.is_final:
+            if task.key not in self.unwanted_runs:
+                return
+            job.ended_crashes.add(task)
+        self.mark_dirty(job)
+
     def mark_for_placement(self, step: StepRow) -> None:
         """Have a step considered in the next placement round."""
         self.steps_marked_for_placement.add(step.key)
@@ -186,6 +199,13 @@
             return None
         return step.tasks[index]
 
+    def owner_of(self, key: str) -> TaskRow | None:
+        """Return a task whether its job is open or has ended; ``None`` if the job is not known."""
+        job = self.jobs.get(job_name_of(key))
+        if job is None or job.is_open:
+            return self.task(key)
+        return self.ended_tasks.find(job, key)
+
     def terms_of(self, job: JobRow) -> QueueTerms:
         """Return the terms in force for a job: its queue's, or those of its acceptance."""
         return self.terms.get(job.record.terms.name, job.record.terms)
@@ -253,6 +273,7 @@
 
     def add_run(self, task: TaskRow, run: RunRow) -> None:
         """Add a run of an open task and charge its VM."""
+        run.owner = task
         task.runs.append(run)
         task.last_run = max(task.last_run, run.number)
         if task.state is TaskState.WAITING:
--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -2,7 +2,8 @@
 
 A crash is the end of a VM's incarnation that the VM has not announced, while its entry was listed.
 It counts for all tasks that ran there, with a weight for each (``evidence.py``); ``trials.py`` has
-suspected tasks started where the next crash is informative. The counts are part of the persistent
+suspected tasks started where the next crash is informative. A run that is being stopped counts like
+any other until it is over, although its job may have ended. The counts are part of the persistent
 state, and so are the tasks that were started on a VM recently or run on one that has fallen silent:
 a crash therefore counts even if the leader's term ends before it was certain of the crash.
 """
@@ -89,7 +90,7 @@
 
     def run_lost(self, run: RunRow) -> None:
         """Record that a run was lost with an incarnation, since the next one does not list it."""
-        task = self._state.task(run.task)
+        task = run.owner
         if task is None or task.state is TaskState.DONE:
             return
         self._count(task, run.previous_vm, run.sent_at)
@@ -97,12 +98,12 @@
         self._state.logger.info("VM crashed", extra=extra)
 
     def _affected_tasks(self, row: VmRow) -> list[TaskRow]:
-        """Return the open tasks that a crash counts for: only those of an isolated job, if any."""
+        """Return the tasks that a crash counts for: only those of an isolated job, if any."""
         state = self._state
-        uncertain = (state.task(name) for name in state.recorded_suspects.pop(row.name, ()))
+        uncertain = (state.owner_of(name) for name in state.recorded_suspects.pop(row.name, ()))
         found = {task.key: task for task in uncertain if task is not None}
         for run in row.runs.values():
-            task = state.task(run.task)
+            task = run.owner
             if (
                 task is None
                 or _never_reached_vm(run, row)
@@ -113,7 +114,9 @@
                 # It counts for the incarnation that it was requested at, once it is known not to be
                 # here.
                 continue
-            found[task.key] = task
+            if task.key not in found or not task.step.job.state.is_final:
+                # Of two jobs that were accepted under one id, the open one can still be failed.
+                found[task.key] = task
         isolated_job = self._isolated_job(row)
         isolated = [task for task in found.values() if task.step.job.name == isolated_job]
         return [task for task in isolated or found.values() if task.state is not TaskState.DONE]
@@ -137,11 +140,12 @@
         if len(task.crashes) >= MAX_ISOLATED_CRASHES:
             task.awaits_verdict_until = self._state.now + MAX_VERDICT_WAIT_S
         self._watch(task.step.job)
-        self._state.mark_dirty(task.step.job)
+        self._state.crashes_changed(task)
 
     def _watch(self, job: JobRow) -> None:
         job.has_crashes = True
-        self._state.suspected_jobs[job.name] = job
+        if job.is_open:
+            self._state.suspected_jobs[job.name] = job
 
     def _isolated_job(self, row: VmRow) -> str:
         """Return the job isolated on a VM, if all else there has been at work for long."""
--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -250,8 +250,7 @@
     def _set_weight(self, task: TaskRow, vm: str, weight: float) -> None:
         task.crash_weights[vm] = weight
         self._is_revision_due = True
-        if not task.step.job.state.is_final:
-            self._state.mark_dirty(task.step.job)
+        self._state.crashes_changed(task)
 
     def _other_vms(self, crash: Crash) -> OtherVms:
         """Return the other VMs around a crash, and keep them once enough is known of them."""
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -6,6 +6,7 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.tables import (
     AdviceRow,
+    CrashTable,
     JobRow,
     JobState,
     StepRow,
@@ -85,6 +86,7 @@
         job.drop_payload()
         job.state = job.visible_state = JobState(progress.state)
         job.ended_ms = progress.ended_ms
+        job.ended_crashes = CrashTable(progress.crashes, progress.weights)
         self._state.jobs[name] = job
         return job
 
@@ -219,11 +221,14 @@
     def _close(self, job: JobRow) -> None:
         """Take from a job all that could open work, and orphan its runs."""
         state = self._state
+        _add_crashes(job, job.ended_crashes)
         state.open_jobs.pop(job.name, None)
         self._waiting_for_due_time.pop(job.name, None)
         for step in job.close():
             state.close_step(step)
             for task in step.tasks:
+                if task.runs:
+                    state.ended_tasks.keep(task)
                 for run in list(task.runs):
                     state.orphan_run(run, JOB_CLOSED)
                 task.runs.clear()
@@ -237,16 +242,16 @@
     def progress(self, job: JobRow) -> Progress:
         """Return what is to be recorded of a job."""
         if job.state.is_final:
-            return Progress(int(job.state), {}, job.ended_ms, job.organisation, job.public)
+            progress = Progress(int(job.state), {}, job.ended_ms, job.organisation, job.public)
+            return _with_crashes(progress, job.ended_crashes)
         steps = {}
         for (repetition, number), step in job.steps.items():
             recorded = _step_progress(step)
             if recorded is not None:
                 steps[f"{repetition}.{number}"] = recorded
-        progress = Progress(int(job.state), steps)
-        if job.has_crashes:
-            _add_crashes(job, progress)
-        return progress
+        crashes = CrashTable()
+        _add_crashes(job, crashes)
+        return _with_crashes(Progress(int(job.state), steps), crashes)
 
     def remove_old(self) -> list[JobRow]:
         """Remove the ended jobs whose state no longer has to be available, and return them."""
@@ -259,18 +264,23 @@
         ]
         for job in old:
             del self._state.jobs[job.name]
+            self._state.dirty_jobs.pop(job.name, None)
         return old
 
 
-def _add_crashes(job: JobRow, progress: Progress) -> None:
+def _add_crashes(job: JobRow, crashes: CrashTable) -> None:
     """Add the VMs that have crashed under a job's open tasks."""
+    if not job.has_crashes:
+        return
     for step in job.steps.values():
         for task in step.tasks:
-            if task.crashes and task.state is not TaskState.DONE:
-                key = f"{step.repetition}.{step.number}.{task.index}"
-                progress.crashes[key] = tuple(task.crashes)
-                if any(vm in task.crash_weights for vm in task.crashes):
-                    progress.weights[key] = tuple(map(task.crash_weight, task.crashes))
+            crashes.add(task)
+
+
+def _with_crashes(progress: Progress, crashes: CrashTable) -> Progress:
+    progress.crashes = crashes.vms
+    progress.weights = crashes.weights
+    return progress
 
 
 RETENTION_FACTOR = 1.5
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -268,6 +268,7 @@
             state.add_run(task, run)
             self._job_began(task.step.job)
         else:
+            run.owner = state.owner_of(report.task)
             state.charge(run)
             state.orphan_run(run, NOT_WANTED)
         state.run_logger.info(
--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -3,7 +3,7 @@
 After one crash, tasks of different jobs that it counts for are kept apart until they have been at
 work for a while. After two, a task is isolated: its VM takes nothing of other jobs until the task
 has ended, and the task starts there once all else has been at work for a while, so that a crash has
-no other likely cause.
+no other likely cause. A run that is being stopped is a suspect's neighbour until it is over.
 """
 
 from sablemount.jobs.model import job_name_of
@@ -39,7 +39,7 @@
     def begin_round(self, usable: list[VmRow]) -> None:
         """Begin a placement round: isolate VMs of running tasks, and release those not needed."""
         state = self._state
-        if not state.suspected_jobs and not self._isolated_since:
+        if not (state.suspected_jobs or state.orphans or self._isolated_since):
             return
         self._max_isolated = max(1, int(MAX_ISOLATED_SHARE * len(usable)))
         for name in [name for name in state.suspected_jobs if name not in state.open_jobs]:
@@ -47,28 +47,31 @@
         for job in state.suspected_jobs.values():
             for step in job.steps.values():
                 self._isolate_running(step)
+        for run in state.orphans.values():
+            if run.owner is not None and run.owner.state is not TaskState.DONE:
+                self._isolate_run(run)
         for name in [name for name in self._isolated_since if not self._is_needed(name)]:
             self._release(name)
 
     def _isolate_running(self, step: StepRow) -> None:
         for task in step.tasks:
             for run in task.runs if task.needs_isolation else ():
-                row = self._state.vms.get(run.vm)
-                if row is not None and not row.isolated_job and _within_isolation_time(run, row):
-                    self._isolate(row, step.job.name)
+                self._isolate_run(run)
+
+    def _isolate_run(self, run: RunRow) -> None:
+        row = self._state.vms.get(run.vm)
+        if row is not None and not row.isolated_job and _must_be_isolated(run, row):
+            self._isolate(row, job_name_of(run.task))
 
     def _is_needed(self, name: str) -> bool:
         row = self._state.vms.get(name)
-        job = None if row is None else self._state.open_jobs.get(row.isolated_job)
-        if row is None or job is None:
+        if row is None:
             return False
         for run in row.runs.values():
-            task = self._state.task(run.task)
-            if task is None or task.step.job is not job:
-                continue
-            if task.needs_isolation and _within_isolation_time(run, row):
+            if job_name_of(run.task) == row.isolated_job and _must_be_isolated(run, row):
                 return True
-        return self._state.now - self._isolated_since[name] < START_TIMEOUT_S
+        is_open = row.isolated_job in self._state.open_jobs
+        return is_open and self._state.now - self._isolated_since[name] < START_TIMEOUT_S
 
     def _isolate(self, row: VmRow, job: str) -> None:
         row.isolated_job = job
@@ -159,11 +162,14 @@
         """Return whether a run belongs to a task of another job under which a VM has crashed."""
         if job_name_of(run.task) == job:
             return False
-        task = self._state.task(run.task)
-        return task is not None and bool(task.crashes)
+        return run.owner is not None and bool(run.owner.crashes)
 
 
-def _within_isolation_time(run: RunRow, row: VmRow) -> bool:
+def _must_be_isolated(run: RunRow, row: VmRow) -> bool:
+    """Return whether a run needs a VM without other jobs, until it has been at work for long."""
+    task = run.owner
+    if task is None or not task.needs_isolation:
+        return False
     return run.seconds_at_work(row.last_report_at) < ISOLATION_TIME_S
 
 
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -460,9 +460,8 @@
 
     def _mark_lost(self, run: RunRow) -> None:
         """Record that a run may have ended its VM, unless it was not requested yet."""
-        task = self._state.task(run.task)
-        if task is not None and run.state is not RunState.RECORDING:
-            task.run_lost = True
+        if run.owner is not None and run.state is not RunState.RECORDING:
+            run.owner.run_lost = True
 
     def _log(self, text: str, row: VmRow, **more: object) -> None:
         now = self._state.now
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -29,6 +29,7 @@
     "MAX_KEPT_COMPLETIONS",
     "NEVER",
     "AdviceRow",
+    "CrashTable",
     "JobRow",
     "JobState",
     "Lease",
@@ -144,6 +145,8 @@
     progress_rate: float | None = None
     """Last measured progress rate, as the share of the work done per second."""
     best_progress_rate: float = 0.0
+    owner: "TaskRow | None" = None
+    """Its task, also once the job has ended; ``None`` if this leader knows nothing of the job."""
     completion_kept: bool = False
     """Whether the completion is already kept for the log line of its job's end."""
 
@@ -164,7 +167,7 @@
     outcome: str
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class TaskRow:
     """A task and its current runs."""
 
@@ -236,6 +239,35 @@
         return self.run_lost or bool(self.crashes) or self.step.job.from_previous_leader
 
 
+@dataclass(slots=True)
+class CrashTable:
+    """Crashes under the tasks of a job, as they are recorded."""
+
+    vms: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """VMs that crashed under a task, by repetition, step and index joined by dots."""
+    weights: dict[str, tuple[float, ...]] = field(default_factory=dict)
+    """Evidence weight of each of these crashes, where some are below the maximum."""
+
+    def add(self, task: TaskRow) -> None:
+        """Add the crashes under a task, unless it is done and so does not crash VMs."""
+        if not task.crashes or task.state is TaskState.DONE:
+            return
+        key = _key_in_job(task)
+        self.vms[key] = tuple(task.crashes)
+        if any(vm in task.crash_weights for vm in task.crashes):
+            self.weights[key] = tuple(map(task.crash_weight, task.crashes))
+
+    def restore(self, task: TaskRow) -> None:
+        """Restore the crashes under a task."""
+        key = _key_in_job(task)
+        task.crashes = list(self.vms.get(key, ()))
+        task.crash_weights = dict(zip(task.crashes, self.weights.get(key, ()), strict=False))
+
+
+def _key_in_job(task: TaskRow) -> str:
+    return f"{task.step.repetition}.{task.step.number}.{task.index}"
+
+
 @dataclass(slots=True)
 class Ticket:
     """Permission to run a step on a VM, until a local time."""
@@ -361,6 +393,9 @@
     """Number of completed runs that were not kept."""
     has_crashes: bool = False
     """Whether VMs have crashed under its tasks."""
+    ended_crashes: CrashTable = field(default_factory=CrashTable)
+    """Crashes under its tasks, once it has ended: their runs may be there until they are
+    stopped."""
 
     @property
     def organisation(self) -> str:
