Split the calls to VMs into modules by concept

Cause: vm_calls.py had grown to 578 lines that mix polls, starts, stops, connections and checks; the wait of a poll was bounded twice, what a result shows of the connections was noted after each of three calls, and the estimate of a VM's connections was looked up up to four times a poll.

Change: vm_calls.py starts and ends the background tasks. vm_polls.py sends one poll, vm_poll_loop.py repeats it, vm_starts.py and vm_requests.py send requests, over vm_connections.py, whose VmLink sends a call in its turn and notes what the result shows; vm_rooms.py keeps the estimates and vm_room_checks.py checks VMs. vm_call_context.py holds what all of them share. A call looks up the estimate once. The wait of polls is bounded in one place. No decision changes.

Estimates of VMs that have gone stay until the leadership ends, as before.

--- a/benchmarks/leading.py
+++ b/benchmarks/leading.py
@@ -18,7 +18,7 @@
 from sablemount.control.network import Link
 from sablemount.control.ports import HoldCall
 from sablemount.control.rpc import TcpNetwork
-from sablemount.control.vm_calls import HOLD_WAIT_S, IDLE_POLLS_PER_S, MAX_HOLD_WAIT_S
+from sablemount.control.vm_polls import HOLD_WAIT_S, IDLE_POLLS_PER_S, MAX_HOLD_WAIT_S
 from sablemount.jobs.records import Record
 from sablemount.platform.directory import PlatformDirectory
 from sablemount.platform.workers import PlatformWorkers
--- a/src/sablemount/control/turns.py
+++ b/src/sablemount/control/turns.py
@@ -3,7 +3,11 @@
 import asyncio
 from types import TracebackType
 
-__all__ = ["TimedSemaphore"]
+__all__ = ["MAX_SLOT_S", "TimedSemaphore"]
+
+MAX_SLOT_S = 0.02
+"""Time after which a call that opens a connection to a VM no longer delays others: a VM that
+answers takes a few ms, and many VMs may be silent."""
 
 
 class TimedSemaphore:
--- a/src/sablemount/control/vm_room.py
+++ b/src/sablemount/control/vm_room.py
@@ -1,8 +1,8 @@
 """Estimates whether a VM has connections left for later leaders.
 
-Connections of a machine that is lost without a word, and those that go silent, may stay open at a
-VM for good. A VM that may have few left is called over connections that are closed after each call:
-a leader that is lost in turn then leaves none, as long as it is not lost during a call.
+Connections of a machine that is lost silently, and those that go silent, may stay open at a VM for
+good. A VM that may have few left is called over connections that are closed after each call: a
+leader that is lost in turn then leaves none, as long as it is not lost during a call.
 """
 
 __all__ = ["RESERVED_CONNECTIONS", "Room"]
--- a/src/sablemount/control/vm_turns.py
+++ b/src/sablemount/control/vm_turns.py
@@ -1,8 +1,8 @@
 """Limits how many calls a leader has at a VM at once, and in which order further ones follow.
 
 A call takes a connection of its own. A VM takes a limited number of connections, and those of a
-machine that is lost without a word may stay open there for good, so that a leader opens only a
-small share of them.
+machine that is lost silently may stay open there for good, so that a leader opens only a small
+share of them.
 """
 
 import asyncio
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -15,7 +15,7 @@
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.standing import MachineLimits
 from sablemount.control.store import Topic
-from sablemount.control.vm_calls import EPOCH_SHIFT
+from sablemount.control.vm_call_context import EPOCH_SHIFT
 from sablemount.jobs.model import (
     AdviceTerms,
     Configuration,
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -9,7 +9,7 @@
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.network import Network
 from sablemount.control.ports import HoldCall, HoldResult, StartResult
-from sablemount.control.vm_calls import EPOCH_SHIFT
+from sablemount.control.vm_call_context import EPOCH_SHIFT
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.journal import Batch
 from sablemount.jobs.records import Record
--- a/tests/jobs/test_given_up_starts.py
+++ b/tests/jobs/test_given_up_starts.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from sablemount.control.ports import CallError
-from sablemount.control.vm_calls import MAX_START_ATTEMPTS, VmCalls
+from sablemount.control.vm_calls import VmCalls
+from sablemount.control.vm_starts import MAX_START_ATTEMPTS
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import StepSpec
 from tests.emulator.loop import run
--- a/tests/jobs/test_many_vms.py
+++ b/tests/jobs/test_many_vms.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started
-from sablemount.control.vm_calls import HOLD_WAIT_S, MAX_HOLD_WAIT_S, VmCalls
+from sablemount.control.vm_calls import VmCalls
+from sablemount.control.vm_polls import HOLD_WAIT_S, MAX_HOLD_WAIT_S
 from sablemount.jobs.actions import RunReport, StartRun, VmReport
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.settings import JobSettings
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -10,7 +10,8 @@
 import pytest
 
 from sablemount.control.ports import CallError, HoldCall, HoldResult, StartResult
-from sablemount.control.vm_calls import PROBE_LEASE_S, SHORT_PROBES, VmCalls
+from sablemount.control.vm_calls import VmCalls
+from sablemount.control.vm_starts import PROBE_LEASE_S, SHORT_PROBES
 from sablemount.jobs.actions import LaterIncarnation, StartRun, VmReport
 from sablemount.jobs.model import AdviceTerms, StepSpec, VmInfo
 from sablemount.jobs.records import Record
--- a/tests/jobs/test_vm_connections.py
+++ b/tests/jobs/test_vm_connections.py
@@ -9,7 +9,8 @@
 
 from sablemount.control.figures import Metrics
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started
-from sablemount.control.vm_calls import SHORT_WAIT_S, VmCalls
+from sablemount.control.vm_calls import VmCalls
+from sablemount.control.vm_polls import SHORT_WAIT_S
 from sablemount.jobs.actions import StartRun, StopRun, VmReport
 from sablemount.jobs.model import StepSpec
 from tests.emulator.loop import run
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -29,7 +29,7 @@
     Trimmed,
     Unavailable,
 )
-from sablemount.control.vm_calls import EPOCH_SHIFT
+from sablemount.control.vm_call_context import EPOCH_SHIFT
 from sablemount.jobs.model import Organisation, Shape
 from sablemount.jobs.records import Record
 from sablemount.platform.front import respond
