Move the rows of runs and VMs and the leases out of the tables

Change: run_row.py has the rows of runs and what is kept of ended ones, vm_row.py the row of a VM with what may run there, lease.py the leases and times.py the time of what has not happened. tables.py keeps jobs, steps and tasks. Imports follow; the test of an earlier crash names what it needs of a VM, so that tables.py does not depend on vm_row.py. No decision changes.

--- a/src/sablemount/control/vm_call_context.py
+++ b/src/sablemount/control/vm_call_context.py
@@ -5,7 +5,7 @@
 
 from sablemount.control.ports import CallError, VmPort
 from sablemount.jobs.scheduler import JobScheduler
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = [
     "EPOCH_SHIFT",
--- a/src/sablemount/control/vm_calls.py
+++ b/src/sablemount/control/vm_calls.py
@@ -16,7 +16,7 @@
 from sablemount.control.vm_starts import VmStarts
 from sablemount.jobs.actions import PollVm, StartRun, StopRun, ThrottleRun
 from sablemount.jobs.scheduler import JobScheduler
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["VmCalls"]
 
--- a/src/sablemount/control/vm_connections.py
+++ b/src/sablemount/control/vm_connections.py
@@ -11,7 +11,7 @@
 from sablemount.control.vm_room import Room
 from sablemount.control.vm_rooms import VmRooms
 from sablemount.control.vm_turns import CallKind, Turn, VmTurns, connection_limit
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["VmConnections", "VmLink"]
 
--- a/src/sablemount/control/vm_poll_loop.py
+++ b/src/sablemount/control/vm_poll_loop.py
@@ -7,7 +7,7 @@
 from sablemount.control.turns import MAX_SLOT_S, TimedSemaphore
 from sablemount.control.vm_call_context import RETRY_PAUSE_S, VmCallContext
 from sablemount.control.vm_room_checks import VmRoomChecks
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["VmPollLoop"]
 
--- a/src/sablemount/control/vm_polls.py
+++ b/src/sablemount/control/vm_polls.py
@@ -12,7 +12,7 @@
 from sablemount.control.vm_connections import VmConnections, VmLink
 from sablemount.control.vm_turns import CallKind, Turn
 from sablemount.jobs.actions import LaterIncarnation, VmReport
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["HOLD_WAIT_S", "IDLE_POLLS_PER_S", "MAX_HOLD_WAIT_S", "SHORT_WAIT_S", "VmPolls"]
 
--- a/src/sablemount/control/vm_room_checks.py
+++ b/src/sablemount/control/vm_room_checks.py
@@ -11,7 +11,7 @@
 from sablemount.control.vm_room import RESERVED_CONNECTIONS, Room
 from sablemount.control.vm_rooms import SCARCE_POLL_PAUSE_S
 from sablemount.control.vm_turns import CallKind
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["VmRoomChecks"]
 
--- a/src/sablemount/control/vm_rooms.py
+++ b/src/sablemount/control/vm_rooms.py
@@ -6,7 +6,7 @@
 from sablemount.control.vm_call_context import VmCallContext
 from sablemount.control.vm_room import Room
 from sablemount.control.vm_turns import connection_limit
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["SCARCE_POLL_PAUSE_S", "VmRooms"]
 
--- a/src/sablemount/control/vm_starts.py
+++ b/src/sablemount/control/vm_starts.py
@@ -10,8 +10,9 @@
 from sablemount.control.vm_connections import VmConnections
 from sablemount.control.vm_turns import CallKind, TurnExpired
 from sablemount.jobs.actions import StartRun
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.scheduler import StartRefusal
-from sablemount.jobs.tables import RunRow, RunState, VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["MAX_START_ATTEMPTS", "PROBE_LEASE_S", "SHORT_PROBES", "VmStarts"]
 
--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -8,15 +8,9 @@
 from collections import Counter
 
 from sablemount.jobs.model import step_key_of
-from sablemount.jobs.tables import (
-    JobRow,
-    RunCompletion,
-    RunRow,
-    RunState,
-    StepRow,
-    TaskRow,
-    VmRow,
-)
+from sablemount.jobs.run_row import RunCompletion, RunRow, RunState
+from sablemount.jobs.tables import JobRow, StepRow, TaskRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = [
     "RunLogRow",
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -17,10 +17,12 @@
     VmRecord,
     encode,
 )
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.sizes import call_size, progress_record, record_size
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.lifecycle import Lifecycle
-from sablemount.jobs.tables import JobRow, JobState, RunRow, RunState, VmRow
+from sablemount.jobs.tables import JobRow, JobState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Batch", "Journal"]
 
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -24,6 +24,7 @@
     decode_progress,
     decode_vm,
 )
+from sablemount.jobs.run_row import RunState
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.sizes import record_size_error
 from sablemount.jobs.state import State
@@ -45,7 +46,8 @@
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.starts import Starts
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import JobRow, JobState, RunState, VmRow
+from sablemount.jobs.tables import JobRow, JobState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Clock", "JobScheduler", "StartRefusal", "Submission"]
 
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -16,20 +16,11 @@
     job_name_of,
     step_key_of,
 )
+from sablemount.jobs.run_row import RunCompletion, RunRow, RunState
 from sablemount.jobs.settings import JobSettings
-from sablemount.jobs.tables import (
-    MAX_KEPT_COMPLETIONS,
-    MIN_CLOCK_RATE,
-    NEVER,
-    JobRow,
-    RunCompletion,
-    RunRow,
-    RunState,
-    StepRow,
-    TaskRow,
-    TaskState,
-    VmRow,
-)
+from sablemount.jobs.tables import MAX_KEPT_COMPLETIONS, JobRow, StepRow, TaskRow, TaskState
+from sablemount.jobs.times import NEVER
+from sablemount.jobs.vm_row import MIN_CLOCK_RATE, VmRow
 from sablemount.structured_logs import RUN_LOGGER
 
 __all__ = ["NOT_REQUESTED", "State"]
--- a/src/sablemount/jobs/systems/acks.py
+++ b/src/sablemount/jobs/systems/acks.py
@@ -8,8 +8,9 @@
 receives an acknowledgement meant for another one has then started nothing that counts.
 """
 
+from sablemount.jobs.run_row import RunState
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import RunState, VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Acks"]
 
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -12,7 +12,9 @@
 from sablemount.jobs.actions import AskAdvice
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import IntervalTimer
-from sablemount.jobs.tables import NEVER, AdviceRow, StepRow, Ticket, VmRow
+from sablemount.jobs.tables import AdviceRow, StepRow, Ticket
+from sablemount.jobs.times import NEVER
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Advice"]
 
--- a/src/sablemount/jobs/systems/caps.py
+++ b/src/sablemount/jobs/systems/caps.py
@@ -3,7 +3,8 @@
 from sablemount.jobs.caps import NO_LIMIT, remaining_places
 from sablemount.jobs.model import Organisation, Shape
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import StepRow, VmRow
+from sablemount.jobs.tables import StepRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Caps"]
 
--- a/src/sablemount/jobs/systems/causes.py
+++ b/src/sablemount/jobs/systems/causes.py
@@ -4,7 +4,8 @@
 from math import exp, log
 
 from sablemount.jobs.systems.vm_crash import Crash
-from sablemount.jobs.tables import NEVER, TaskRow, TaskState
+from sablemount.jobs.tables import TaskRow, TaskState
+from sablemount.jobs.times import NEVER
 
 __all__ = ["MIN_PRIOR", "attribution", "estimate_prior", "has_likely_cause", "prior_evidence"]
 
--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -7,7 +7,8 @@
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.speeds import Speeds
 from sablemount.jobs.systems.trials import Isolation
-from sablemount.jobs.tables import StepRow, TaskRow, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Assignment", "Choice"]
 
--- a/src/sablemount/jobs/systems/control_group.py
+++ b/src/sablemount/jobs/systems/control_group.py
@@ -5,7 +5,7 @@
 from math import exp
 
 from sablemount.jobs.systems.vm_crash import CRASH_WINDOW_S, Crash
-from sablemount.jobs.tables import NEVER
+from sablemount.jobs.times import NEVER
 
 __all__ = ["Chance", "ControlGroup", "entries_by_job"]
 
--- a/src/sablemount/jobs/systems/crashes.py
+++ b/src/sablemount/jobs/systems/crashes.py
@@ -11,6 +11,7 @@
 
 from sablemount.jobs.model import job_name_of, task_key
 from sablemount.jobs.records import Progress
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import IntervalTimer
 from sablemount.jobs.systems.evidence import (
@@ -20,16 +21,9 @@
 )
 from sablemount.jobs.systems.lifecycle import Lifecycle
 from sablemount.jobs.systems.vm_crash import Crash
-from sablemount.jobs.tables import (
-    NEVER,
-    JobRow,
-    JobState,
-    RunRow,
-    RunState,
-    TaskRow,
-    TaskState,
-    VmRow,
-)
+from sablemount.jobs.tables import JobRow, JobState, TaskRow, TaskState
+from sablemount.jobs.times import NEVER
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Crashes"]
 
--- a/src/sablemount/jobs/systems/evacuation.py
+++ b/src/sablemount/jobs/systems/evacuation.py
@@ -6,10 +6,12 @@
 of them may be away are moved a few at a time.
 """
 
+from sablemount.jobs.run_row import RunRow
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import IntervalTimer
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, TaskRow, VmRow
+from sablemount.jobs.tables import TaskRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Evacuation"]
 
--- a/src/sablemount/jobs/systems/evidence.py
+++ b/src/sablemount/jobs/systems/evidence.py
@@ -25,7 +25,9 @@
 )
 from sablemount.jobs.systems.control_group import ControlGroup, entries_by_job
 from sablemount.jobs.systems.vm_crash import CRASH_WINDOW_S, RATE_WINDOW_S, Crash, OtherVms
-from sablemount.jobs.tables import MAX_CRASH_WEIGHT, NEVER, TaskRow, VmRow
+from sablemount.jobs.tables import MAX_CRASH_WEIGHT, TaskRow
+from sablemount.jobs.times import NEVER
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = [
     "ATTRIBUTION_THRESHOLD",
--- a/src/sablemount/jobs/systems/health.py
+++ b/src/sablemount/jobs/systems/health.py
@@ -6,10 +6,11 @@
 
 from statistics import median
 
+from sablemount.jobs.run_row import RunRow
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import IntervalTimer
 from sablemount.jobs.systems.reconcile import Reconcile
-from sablemount.jobs.tables import RunRow, VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Health"]
 
--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -11,7 +11,8 @@
 from sablemount.jobs.systems.reservation import GangReservations
 from sablemount.jobs.systems.trials import Isolation
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import StepRow, TaskRow, TaskState, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow, TaskState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["BlockingAnalysis", "BlockingReason"]
 
--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -7,8 +7,9 @@
 
 from collections.abc import Callable
 
+from sablemount.jobs.lease import Lease, LeaseSource
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import MIN_CLOCK_RATE, Lease, LeaseSource, VmRow
+from sablemount.jobs.vm_row import MIN_CLOCK_RATE, VmRow
 
 __all__ = ["Leases"]
 
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -4,14 +4,7 @@
 from sablemount.jobs.records import JobRecord, Progress, StepProgress
 from sablemount.jobs.schedule import Schedule
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import (
-    AdviceRow,
-    JobRow,
-    JobState,
-    StepRow,
-    TaskRow,
-    TaskState,
-)
+from sablemount.jobs.tables import AdviceRow, JobRow, JobState, StepRow, TaskRow, TaskState
 
 __all__ = ["Lifecycle", "critical_paths"]
 
--- a/src/sablemount/jobs/systems/lives.py
+++ b/src/sablemount/jobs/systems/lives.py
@@ -8,7 +8,7 @@
 
 from sablemount.jobs.model import VmInfo
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Incarnations"]
 
--- a/src/sablemount/jobs/systems/pacing.py
+++ b/src/sablemount/jobs/systems/pacing.py
@@ -7,8 +7,9 @@
 
 from sablemount.jobs.actions import ThrottleRun
 from sablemount.jobs.model import StepSpec
+from sablemount.jobs.run_row import RunRow
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import RunRow, VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Throttling"]
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -18,7 +18,8 @@
 from sablemount.jobs.systems.starts import Starts
 from sablemount.jobs.systems.trials import Isolation
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import StepRow, TaskRow, TaskState, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow, TaskState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Placement"]
 
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from sablemount.jobs.model import Shape
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
@@ -15,7 +16,9 @@
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.urgency import Urgency
-from sablemount.jobs.tables import NEVER, RunRow, RunState, StepRow, VmRow
+from sablemount.jobs.tables import StepRow
+from sablemount.jobs.times import NEVER
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Preemption"]
 
--- a/src/sablemount/jobs/systems/proofs.py
+++ b/src/sablemount/jobs/systems/proofs.py
@@ -12,7 +12,8 @@
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.starts import Starts
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import StepRow, TaskRow, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Probes"]
 
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -4,20 +4,14 @@
 from typing import TypeAlias
 
 from sablemount.jobs.actions import CompletionReport, RunReport, StopRun, VmReport
+from sablemount.jobs.lease import LeaseSource
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.state import NOT_REQUESTED, State
 from sablemount.jobs.systems.acks import Acks
 from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.lifecycle import Lifecycle
-from sablemount.jobs.tables import (
-    JobRow,
-    JobState,
-    LeaseSource,
-    RunRow,
-    RunState,
-    TaskRow,
-    TaskState,
-    VmRow,
-)
+from sablemount.jobs.tables import JobRow, JobState, TaskRow, TaskState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["ATTEMPTS_USED_UP", "Reconcile"]
 
--- a/src/sablemount/jobs/systems/reservation.py
+++ b/src/sablemount/jobs/systems/reservation.py
@@ -6,7 +6,8 @@
 """
 
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import StepRow, VmRow
+from sablemount.jobs.tables import StepRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["GangReservations"]
 
--- a/src/sablemount/jobs/systems/seals.py
+++ b/src/sablemount/jobs/systems/seals.py
@@ -11,7 +11,7 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import IntervalTimer
 from sablemount.jobs.systems.leases import Leases
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Seals"]
 
--- a/src/sablemount/jobs/systems/speeds.py
+++ b/src/sablemount/jobs/systems/speeds.py
@@ -14,9 +14,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from sablemount.jobs.run_row import RunRow
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.every import IntervalTimer
-from sablemount.jobs.tables import RunRow, StepRow, TaskRow, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Speeds"]
 
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -16,12 +16,14 @@
 
 from sablemount.jobs.actions import PollVm, StartRun
 from sablemount.jobs.journal import Journal
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.state import NOT_REQUESTED, State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.choice import Assignment
 from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import RunRow, RunState, StepRow, VmRow
+from sablemount.jobs.tables import StepRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Starts"]
 
--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -7,8 +7,10 @@
 """
 
 from sablemount.jobs.model import job_name_of
+from sablemount.jobs.run_row import RunRow
 from sablemount.jobs.state import State
-from sablemount.jobs.tables import RunRow, StepRow, TaskRow, TaskState, VmRow
+from sablemount.jobs.tables import StepRow, TaskRow, TaskState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Isolation"]
 
--- a/src/sablemount/jobs/systems/vm_crash.py
+++ b/src/sablemount/jobs/systems/vm_crash.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from sablemount.jobs.tables import NEVER, TaskRow
+from sablemount.jobs.tables import TaskRow
+from sablemount.jobs.times import NEVER
 
 __all__ = ["CRASH_WINDOW_S", "RATE_WINDOW_S", "Crash", "OtherVms"]
 
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -6,13 +6,15 @@
 import msgspec
 
 from sablemount.jobs.job_lines import log_lost_runs
+from sablemount.jobs.lease import LeaseSource
 from sablemount.jobs.model import Shape, VmInfo
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.acks import Acks
 from sablemount.jobs.systems.endings import Ending
 from sablemount.jobs.systems.leases import Leases
 from sablemount.jobs.systems.lives import Incarnations
-from sablemount.jobs.tables import LeaseSource, RunRow, RunState, VmRow
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Vms"]
 
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -1,49 +1,41 @@
-"""The in-memory tables of the job scheduler: jobs, steps, tasks, runs and VMs.
+"""The in-memory tables of the job scheduler: jobs, steps and tasks.
 
-All times are local monotonic seconds unless a name says otherwise. The systems change rows in
-place; only records and messages are immutable.
+Those of runs and VMs are in ``run_row.py`` and ``vm_row.py``. All times are local monotonic seconds
+unless a name says otherwise. The systems change rows in place; only records and messages are
+immutable.
 """
 
 import enum
 from dataclasses import dataclass, field
-from math import inf
+from typing import Protocol
 
 import msgspec
 
 from sablemount.jobs.model import (
     INCARNATION_SEPARATOR,
-    UNLIMITED_COPIES,
     JobSpec,
-    Shape,
     StepSpec,
     VmInfo,
     step_key,
-    step_key_of,
     task_key,
 )
 from sablemount.jobs.records import JobRecord
+from sablemount.jobs.run_row import RunCompletion, RunRow
 from sablemount.jobs.schedule import Schedule
+from sablemount.jobs.times import NEVER
 
 __all__ = [
     "MAX_CRASH_WEIGHT",
     "MAX_KEPT_COMPLETIONS",
-    "NEVER",
     "AdviceRow",
     "JobRow",
     "JobState",
-    "Lease",
-    "LeaseSource",
-    "RunCompletion",
-    "RunRow",
-    "RunState",
     "StepRow",
     "TaskRow",
     "TaskState",
     "Ticket",
-    "VmRow",
 ]
 
-NEVER = -1e9
 MAX_KEPT_COMPLETIONS = 400
 """Completed runs kept per job until its end is logged: at most three times the tasks of a job,
 except for long-running jobs."""
@@ -52,10 +44,6 @@
 MAX_CRASH_WEIGHT = 3.0
 """Largest evidence weight of one crash against a task, as the logarithm of odds: another cause can
 never be excluded."""
-LONGEST_POLL_MS = 2_000.0
-"""Longest time in ms that a VM lets a poll wait, on its own clock."""
-MIN_CLOCK_RATE = 0.98
-"""Lowest rate of a VM's clock relative to true time."""
 
 
 class JobState(enum.IntEnum):
@@ -81,87 +69,11 @@
     DONE = "done"
 
 
-class RunState(enum.Enum):
-    """State of a run, as far as the leader knows it."""
+class Incarnation(Protocol):
+    """What the rows of tasks need to know of an incarnation of a VM."""
 
-    RECORDING = "noting"
-    """The run is being recorded. It is requested only afterwards: otherwise it would leave no trace
-    if the leader ended."""
-    SENT = "sent"
-    """The start request is in flight, or was not answered."""
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclass(slots=True, eq=False)
-class RunRow:
-    """A run that may occupy capacity on a VM."""
-
-    task: str
-    number: int
-    vm: str
-    charge: Shape
-    sent_at: float
-    state: RunState = RunState.SENT
-    recorded: bool = False
-    """Whether the store holds everything that must be recorded before the start request."""
-    is_probe: bool = False
-    """Whether the run is a probe: it shows whether its VM lists completions, and ends before it has
-    done any work."""
-    charges_whole_vm: bool = False
-    """Whether the whole VM is charged for the run, because its job is no longer known."""
-    organisation: str = ""
-    """Organisation that owns the run; empty if unknown."""
-    cap_charge: Shape = Shape()
-    """What the run counts against its organisation's cap."""
-    settle_clock_ms: float = 0.0
-    """Time on the VM's clock after which a run that the VM does not list will never be there."""
-    started_at: float = 0.0
-    stop_sent_at: float = NEVER
-    listed: bool = False
-    """Whether the VM has listed the run in a report."""
-    found: bool = False
-    """Whether this leader knows the run only because its VM listed it."""
-    outlasts_earlier_polls: bool = False
-    """Whether the run was on its VM when no poll of a previous leader could wait there any more, so
-    that no previous leader learns of its end."""
-    resumed: bool = False
-    """Whether the run continues from state that an earlier run saved."""
-    previous_vm: str = ""
-    """Incarnation with which the run may have ended, until it is known whether the run reached the
-    next incarnation."""
-    percent: float = 0.0
-    percent_at: float = 0.0
-    """When the percentage last rose."""
-    metric: float = 0.0
-    """See ``RunReport``."""
-    speed_percent: int | None = 100
-    """Percentage of full speed last granted to the run; ``None`` if unknown."""
-    saved: str = ""
-    progress_sampled_at: float = NEVER
-    progress_sampled_percent: float = 0.0
-    """When the progress rate was last measured, and the progress at that time."""
-    progress_rate: float | None = None
-    """Last measured progress rate, as the share of the work done per second."""
-    best_progress_rate: float = 0.0
-    completion_kept: bool = False
-    """Whether the completion is already kept for the log line of its job's end."""
-
-    def seconds_at_work(self, until: float) -> float:
-        """Return for how many seconds the run is known to have worked up to a local time."""
-        return until - self.started_at if self.started_at > 0 else 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class RunCompletion:
-    """How a run ended, kept until its job's end is logged; times are local seconds."""
-
-    task: str
-    number: int
-    vm: str
-    started_at: float
-    ended_at: float
-    outcome: str
+    info: VmInfo
+    name: str
 
 
 @dataclass(slots=True, eq=False)
@@ -199,7 +111,7 @@
         """Return whether so many VMs crashed under the task that it must run isolated."""
         return len(self.crashes) >= ISOLATE_AFTER_CRASHES
 
-    def crashed_before(self, vm: "VmRow") -> bool:
+    def crashed_before(self, vm: Incarnation) -> bool:
         """Return whether an earlier incarnation of a VM crashed while the task ran there."""
         return self.crashed_in(vm.info.entry_key, vm.name)
 
@@ -388,229 +300,3 @@
         """Drop what no start needs any more; the shapes remain, for runs that are reported late."""
         spec = JobSpec("", self.record.spec.steps)
         self.record = msgspec.structs.replace(self.record, spec=spec)
-
-
-class LeaseSource(enum.Enum):
-    """What may have extended a lease last; the value is logged."""
-
-    NONE = "nothing"
-    POLL = "poll"
-    START = "start"
-    PREVIOUS_LEADER = "previous leader"
-    """Up to the first report to this leader, a previous one may have extended it."""
-    PREVIOUS_INCARNATION = "previous incarnation"
-    """A call for the previous incarnation may have reached this one."""
-
-
-@dataclass(slots=True, frozen=True, eq=False)
-class Lease:
-    """A lease of everything that runs on a VM, told from others by identity."""
-
-    end: float
-    """Local time after which nothing that was leased there can run."""
-    source: LeaseSource = LeaseSource.NONE
-    until_ms: int = 0
-    """The end on the VM's clock as it was requested; 0 if this leader did not request it."""
-
-
-@dataclass(slots=True, eq=False)
-class VmRow:
-    """One incarnation of a VM."""
-
-    info: VmInfo
-    name: str = field(init=False)
-    """Name of this incarnation."""
-    listed: bool = True
-    unlisted_at: float | None = None
-    """When its entry was found missing; ``None`` while it is present or no list has been read."""
-    revision: int = 0
-    """Revision of the newest description that the VM has published of itself."""
-    described_at: float = NEVER
-    """When a description with a newer revision arrived."""
-    free_capacity: Shape = Shape()
-    """Its capacity less what runs are charged and what is reserved for steps."""
-    runs: dict[tuple[str, int], RunRow] = field(default_factory=dict)
-    """All runs that may be on the VM, wanted or not, by task and number."""
-    tasks_by_step: dict[str, int] = field(default_factory=dict)
-    """Number of these runs, and of the places reserved, by the key of their step."""
-    reserved: dict[str, int] = field(default_factory=dict)
-    """Number of places that are reserved for a step until it has tickets, by its key."""
-    last_report_at: float = NEVER
-    first_report_at: float = NEVER
-    connections_refused_since: float = 2 * NEVER
-    """Since when nothing listens at its address; earlier than its last report if something does."""
-    first_clock_ms: float = inf
-    """Its clock at the first report, by which it refuses the calls of previous leaders."""
-    clock_ms: float = 0.0
-    clock_read_at: float = NEVER
-    """When the answer with ``clock_ms`` arrived."""
-    behind_logged_at: float = NEVER
-    """When an answer with a clock far behind was last logged."""
-    fence: int = 0
-    """Fence of its calls, among those of one leader; it rises with each incarnation."""
-    entry_pending: bool = False
-    """Whether the VM is known from its answers only, and its entry has not been read yet."""
-    completions_unreliable: bool = False
-    """Whether completions there may go unlisted, so that nothing may be started."""
-    unverified: bool = False
-    """Whether that is only suspected, so that a probe may show that the VM lists its completions;
-    see ``proofs.py``."""
-    probes: int = 0
-    """Number of probes started on the VM."""
-    lease_extended_until: float = NEVER
-    """End of the lease that a call for the previous incarnation may have given to this one."""
-    earlier_poll_in_flight: bool = False
-    """Whether a poll for an earlier incarnation is unanswered that may extend its lease."""
-    next_probe_at: float = NEVER
-    """Earliest time of the next probe."""
-    recorded_speed: float = 0.0
-    """Its speed as recorded, or as about to be recorded."""
-    follows_crash_at: float = NEVER
-    """When it was found to follow an incarnation under the same id whose end was not planned."""
-    last_seen_completion: int = 0
-    """Last completion that the VM has listed."""
-    last_batched_completion: int = 0
-    """Last completion that was put into a batch."""
-    last_recorded_completion: int = 0
-    """Last completion that the store holds, so that it may be acknowledged."""
-    last_acknowledged_completion: int = 0
-    """Last completion whose acknowledgement the VM is known to have received."""
-    starts_in_flight: int = 0
-    """Number of start requests in flight."""
-    start_timed_out_at: float = NEVER
-    """When a start request last timed out without an answer."""
-    ack_in_flight: bool = False
-    """Whether an acknowledgement of completions is in flight, so that nothing may be started."""
-    delayed_by_ack: bool = False
-    """Whether an acknowledgement in flight or overdue has delayed a start there."""
-    unacknowledged_since: float | None = None
-    """Since when there are recorded completions that were not acknowledged to the VM."""
-    leaves_at: float | None = None
-    """Time until which a draining incarnation lasts at least, if it has announced one."""
-    lease: Lease = Lease(NEVER)
-    """The longest lease there, as far as this leader can know."""
-    lease_logged_at: float = NEVER
-    """When its lease was last logged because it had fallen silent."""
-    lease_returned_at: float = NEVER
-    """When it was last logged that a call to extend the lease was not sent."""
-    terminated: bool = False
-    throttled_at: float = NEVER
-    """When the speed of some run there was last changed."""
-    avoid_until: float = NEVER
-    """No new work before this time, because the VM refused a start or its tasks fail or make no
-    progress."""
-    failed_jobs: set[str] = field(default_factory=set)
-    """Jobs of which a task has failed there since any task last succeeded there."""
-    preemptor_priority: int = 0
-    """Priority for which preemption has reserved its capacity."""
-    preemptor_step: str = ""
-    """Only step that preemption has reserved its capacity for; empty if any of that priority may
-    use it."""
-    reserved_for_preemptor_until: float = NEVER
-    """Until when its capacity is reserved for that step, or for work of that priority or more
-    urgent work."""
-    quarantines: int = 0
-    """Number of quarantines since a task last succeeded there; each doubles the next pause."""
-    recorded: bool = False
-    """Whether its record says, or is about to say, that it may run something."""
-    use_record_number: int = 0
-    """Number of the newest use record that this leader made for it."""
-    in_use: bool = False
-    """Whether that record is in the store, so that runs may be started."""
-    sealed: bool = False
-    """Whether its record names the only tasks that may run there, so that nothing is started."""
-    sealed_at: float = NEVER
-    """When it was sealed last."""
-    earlier_tasks: frozenset[str] | None = None
-    """The only tasks that previous leaders' runs there may be of, up to its first report; ``None``
-    if they may be of any."""
-    earlier_runs_possible: bool = False
-    """Whether a previous leader may have started something there, or a start request for its
-    earlier incarnation may have reached it."""
-    isolated_job: str = ""
-    """Job that alone may start runs there, because VMs have crashed under its tasks."""
-    uncertainty_recorded_at: float = NEVER
-    """When its runs were last recorded as uncertain because it had fallen silent."""
-
-    def __post_init__(self) -> None:
-        self.name = self.info.name
-
-    # -- What may run there ------------------------------------------------------------------
-
-    def add_run(self, run: RunRow) -> None:
-        """Count a run that may be on the VM from now on."""
-        self.runs[(run.task, run.number)] = run
-        self._take(step_key_of(run.task), run.charge, 1)
-
-    def drop_run(self, run: RunRow) -> bool:
-        """Release the place of a run that is over, and return whether it had one."""
-        if self.runs.pop((run.task, run.number), None) is None:
-            return False
-        self._take(step_key_of(run.task), run.charge, -1)
-        return True
-
-    def reserve(self, step: StepRow) -> None:
-        """Reserve a place for a task of a step."""
-        self.reserved[step.key] = self.reserved.get(step.key, 0) + 1
-        self._take(step.key, step.spec.charge, 1)
-
-    def release(self, step: StepRow) -> None:
-        """Release the places that are reserved for a step."""
-        self._take(step.key, step.spec.charge, -self.reserved.pop(step.key, 0))
-
-    def _take(self, step: str, charge: Shape, places: int) -> None:
-        """Take places for tasks of a step, or release them if the number is negative."""
-        self.free_capacity = self.free_capacity.plus(charge, -places)
-        taken = self.tasks_by_step.get(step, 0) + places
-        if taken:
-            self.tasks_by_step[step] = taken
-        else:
-            self.tasks_by_step.pop(step, None)
-
-    def spread_left(self, step: StepRow) -> int:
-        """Return how many more tasks of a step its spread allows; negative if too many are there.
-
-        Capacity doesn't count.
-        """
-        if not step.spec.spread:
-            return UNLIMITED_COPIES
-        return step.spec.spread - self.tasks_by_step.get(step.key, 0)
-
-    def places_for(self, step: StepRow) -> int:
-        """Return how many more tasks of a step may start, by capacity and by its spread."""
-        return max(0, min(step.spec.charge.copies_in(self.free_capacity), self.spread_left(step)))
-
-    def has_place_for(self, step: StepRow) -> bool:
-        """Return whether a task of a step may start, by capacity and by the step's spread."""
-        return step.spec.charge.fits(self.free_capacity) and self.spread_left(step) > 0
-
-    def has_kept_place_for(self, step: StepRow) -> bool:
-        """Return whether a task of a step that has a place may still start.
-
-        It may not if the VM has shrunk since, or if runs were found there.
-        """
-        charge = step.spec.charge
-        return charge.fits(self.free_capacity.plus(charge)) and self.spread_left(step) >= 0
-
-    # -- Reports and reservations ------------------------------------------------------------
-
-    def report_age(self, now: float) -> float | None:
-        """Return the age of its last report in seconds; ``None`` if it never reported."""
-        return round(now - self.last_report_at, 3) if self.last_report_at > 0 else None
-
-    def refuses_earlier_polls(self, clock_ms: float) -> bool:
-        """Return whether no poll of a previous leader waits any more at a time of its clock.
-
-        One that it took before its first report to this leader may wait, and show an end.
-        """
-        return clock_ms > self.first_clock_ms + LONGEST_POLL_MS
-
-    def is_reserved_against(self, step: "StepRow", priority: int, now: float) -> bool:
-        """Return whether preemption has reserved its capacity against a step of some priority."""
-        if self.reserved_for_preemptor_until <= now or priority < self.preemptor_priority:
-            return False
-        return priority > self.preemptor_priority or self.preemptor_step not in ("", step.key)
-
-    def min_clock_ms(self, now: float) -> float:
-        """Return the lowest value in ms that the VM's clock can show now."""
-        return self.clock_ms + max(0.0, now - self.clock_read_at) * 1000.0 * MIN_CLOCK_RATE
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -12,8 +12,9 @@
 from sablemount.control.vm_call_context import EPOCH_SHIFT
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.journal import Batch
+from sablemount.jobs.lease import Lease
 from sablemount.jobs.records import Record
-from sablemount.jobs.tables import Lease, VmRow
+from sablemount.jobs.vm_row import VmRow
 from sablemount.platform.lives import worker_id_of
 from tests.emulator.vm import Vm
 from tests.emulator.vm_ports import EmulatedVms
--- a/tests/jobs/test_acks.py
+++ b/tests/jobs/test_acks.py
@@ -16,7 +16,7 @@
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.records import Record
 from sablemount.jobs.systems.acks import MAX_ACK_DELAY_S, MAX_ACK_REPORT_AGE_S
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 from tests.emulator.loop import run
 from tests.jobs.rig import CORE, Rig, spec
 
--- a/tests/jobs/test_bounds.py
+++ b/tests/jobs/test_bounds.py
@@ -17,8 +17,9 @@
 from sablemount.jobs.actions import LaterIncarnation, StartRun, VmReport
 from sablemount.jobs.model import AdviceTerms, Shape, StepSpec, VmInfo
 from sablemount.jobs.records import Record
+from sablemount.jobs.run_row import RunState
 from sablemount.jobs.scheduler import StartRefusal
-from sablemount.jobs.tables import MAX_CRASH_WEIGHT, JobRow, RunState
+from sablemount.jobs.tables import MAX_CRASH_WEIGHT, JobRow
 from sablemount.platform.workers import PlatformWorkers
 from tests.emulator.loop import run
 from tests.jobs.rig import CAPACITY, CORE, Rig, queue, spec
--- a/tests/jobs/test_lease_search.py
+++ b/tests/jobs/test_lease_search.py
@@ -14,11 +14,12 @@
 from sablemount.control.ports import CallError, HoldCall, HoldResult, Started, StartResult
 from sablemount.control.vm_calls import VmCalls
 from sablemount.jobs.actions import PollVm, RunReport, StartRun, StopRun, VmReport
+from sablemount.jobs.lease import Lease
 from sablemount.jobs.model import Configuration, StepSpec, VmInfo
 from sablemount.jobs.scheduler import JobScheduler, StartRefusal
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.systems.leases import Leases
-from sablemount.jobs.tables import Lease, VmRow
+from sablemount.jobs.vm_row import VmRow
 from tests.emulator.loop import run
 from tests.jobs.rig import CAPACITY, CORE, queue, spec
 
--- a/tests/jobs/test_next_life.py
+++ b/tests/jobs/test_next_life.py
@@ -5,8 +5,10 @@
 from sablemount.jobs.actions import LaterIncarnation, PollVm, StartRun, StopRun
 from sablemount.jobs.model import Shape, StepSpec, VmInfo
 from sablemount.jobs.records import Record, VmRecord, encode
+from sablemount.jobs.run_row import RunState
 from sablemount.jobs.scheduler import StartRefusal
-from sablemount.jobs.tables import JobState, RunState, VmRow
+from sablemount.jobs.tables import JobState
+from sablemount.jobs.vm_row import VmRow
 from tests.jobs.rig import CAPACITY, CORE, Rig, spec
 
 BORN = 1_780_000_000_000
--- a/tests/jobs/test_places.py
+++ b/tests/jobs/test_places.py
@@ -13,7 +13,7 @@
 from sablemount.jobs.actions import Action, LaterIncarnation, RunReport, StartRun, StopRun
 from sablemount.jobs.model import AdviceTerms, JobSpec, Shape, StepSpec, VmInfo, step_key_of
 from sablemount.jobs.scheduler import StartRefusal
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 from tests.jobs.rig import CAPACITY, CORE, WALL_MS, Rig, queue
 
 URGENT = queue("fast", 0)
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -15,7 +15,8 @@
 from sablemount.jobs.actions import LaterIncarnation, StartRun, VmReport
 from sablemount.jobs.model import AdviceTerms, StepSpec, VmInfo
 from sablemount.jobs.records import Record
-from sablemount.jobs.tables import RunState, VmRow
+from sablemount.jobs.run_row import RunState
+from sablemount.jobs.vm_row import VmRow
 from tests.emulator.loop import run
 from tests.jobs.rig import CAPACITY, CORE, Rig, queue, spec
 
--- a/tests/jobs/test_speeds.py
+++ b/tests/jobs/test_speeds.py
@@ -11,8 +11,8 @@
 import pytest
 
 from sablemount.jobs.model import Shape, StepSpec
+from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.systems.speeds import Speeds
-from sablemount.jobs.tables import RunRow, RunState
 from tests.jobs.replay import Arrival, Kind, Outcome, Replay, arrivals, queue
 from tests.jobs.rig import CORE, Rig, spec
 
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -11,7 +11,9 @@
 from sablemount.jobs.job_lines import log_job_end, log_placement
 from sablemount.jobs.model import JobSpec, QueueTerms, Shape, StepSpec, VmInfo
 from sablemount.jobs.records import JobRecord
-from sablemount.jobs.tables import JobRow, RunCompletion, StepRow, VmRow
+from sablemount.jobs.run_row import RunCompletion
+from sablemount.jobs.tables import JobRow, StepRow
+from sablemount.jobs.vm_row import VmRow
 from sablemount.structured_logs import (
     DECISION_BURST_BYTES,
     RUN_BURST_BYTES,
