--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -24,6 +24,7 @@
     decode_progress,
     decode_vm,
 )
+from sablemount.jobs.run_row import RunState
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.sizes import record_size_error
 from sablemount.jobs.state import State
@@ -46,7 +47,8 @@
 from sablemount.jobs.systems.starts import Starts
 from sablemount.jobs.systems.unserved import UnservedJobs, UnservedStep
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import JobRow, JobState, RunState, VmRow
+from sablemount.jobs.tables import JobRow, JobState
+from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["Clock", "JobScheduler", "StartRefusal", "Submission"]
 
--- a/tests/emulator/leader_view.py
+++ b/tests/emulator/leader_view.py
@@ -5,7 +5,7 @@
 from sablemount.control.leader import Leader
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import Configuration, VmInfo
-from sablemount.jobs.tables import VmRow
+from sablemount.jobs.vm_row import VmRow
 from tests.emulator.routes import AppliedRoutes
 from tests.emulator.vms import loop_time
 
--- a/tests/emulator/watched.py
+++ b/tests/emulator/watched.py
@@ -9,12 +9,13 @@
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
 from sablemount.control.network import Network
 from sablemount.control.ports import HoldCall, HoldResult, StartResult
-from sablemount.control.vm_calls import EPOCH_SHIFT
+from sablemount.control.vm_call_context import EPOCH_SHIFT
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.journal import Batch
+from sablemount.jobs.lease import Lease
 from sablemount.jobs.model import INCARNATION_SEPARATOR
 from sablemount.jobs.records import Record
-from sablemount.jobs.tables import Lease, VmRow
+from sablemount.jobs.vm_row import VmRow
 from sablemount.platform.lives import worker_id_of
 from tests.emulator.leader_view import LeaderView
 from tests.emulator.vm import Vm
--- a/tests/jobs/test_proofs.py
+++ b/tests/jobs/test_proofs.py
@@ -10,11 +10,13 @@
 import pytest
 
 from sablemount.control.ports import CallError, HoldCall, HoldResult, StartResult
-from sablemount.control.vm_calls import PROBE_LEASE_S, SHORT_PROBES, VmCalls
+from sablemount.control.vm_calls import VmCalls
+from sablemount.control.vm_starts import PROBE_LEASE_S, SHORT_PROBES
 from sablemount.jobs.actions import LaterIncarnation, StartRun, VmReport
 from sablemount.jobs.model import AdviceTerms, StepSpec, VmInfo
 from sablemount.jobs.records import Record
-from sablemount.jobs.tables import RunState, VmRow
+from sablemount.jobs.run_row import RunState
+from sablemount.jobs.vm_row import VmRow
 from tests.emulator.loop import run
 from tests.jobs.rig import CAPACITY, CORE, Rig, queue, spec
 
