Charge the runs that are being stopped to their organisation's quota

What callers saw: nothing that was reported; found by reading. A run that belongs to no open task works until its worker has stopped it, but was charged only to its VM. The owner of a shard could start further tasks of the organisation, or grant its share to another shard, as if the run had already ended, so that the organisation ran more than its quota.

Cause: the bound counted the runs that are wanted, not those that may still run.

Change: such a run is charged to the quota share of the shard for as long as it is charged to its VM, and its end counts as freed capacity, for which waiting tasks are tried again. A run whose task the ledger no longer names can be charged to its VM only.

--- a/src/sablemount/core/state.py
+++ b/src/sablemount/core/state.py
@@ -15,6 +15,7 @@
 from sablemount.core.tables import (
     HeldShard,
     HoldState,
+    Orphan,
     PeerRow,
     RunRow,
     VmRow,
@@ -188,6 +189,24 @@
         self.capacity_changes[row.shard] += 1
         self.reindex(row)
 
+    def add_orphan(self, row: VmRow, run: str, shape: Shape) -> None:
+        """Charge a VM and the run's organisation for a run that belongs to no open task."""
+        task = self.ledger.tasks.get(task_of(run))
+        orphan = Orphan(shape, "" if task is None else task.template.organisation)
+        row.orphans[run] = orphan
+        row.charge(shape)
+        self.add_usage((orphan.organisation, row.shard), shape.cores, shape.accelerators)
+
+    def drop_orphan(self, row: VmRow, run: str) -> None:
+        """Remove an orphan, if the VM has it, and release what was charged for it."""
+        orphan = row.orphans.pop(run, None)
+        if orphan is None:
+            return
+        shape = orphan.shape
+        row.release(shape)
+        self.add_usage((orphan.organisation, row.shard), -shape.cores, -shape.accelerators)
+        self.capacity_changes[row.shard] += 1
+
     def _charge_quota(self, run: RunRow, sign: int) -> None:
         key = (run.organisation, run.shard)
         self.add_usage(key, sign * run.shape.cores, sign * run.shape.accelerators)
--- a/src/sablemount/core/systems/inventory.py
+++ b/src/sablemount/core/systems/inventory.py
@@ -148,6 +148,8 @@
             return
         for run in list(row.runs):
             state.drop_run(state.runs[run])
+        for run in list(row.orphans):
+            state.drop_orphan(row, run)
         row.stage = VmStage.UNKNOWN
         state.reindex(row)
         state.vms.pop(row.vm, None)
--- a/src/sablemount/core/systems/ownership.py
+++ b/src/sablemount/core/systems/ownership.py
@@ -109,6 +109,8 @@
         for row in list(state.shard_vms[shard].values()):
             for run in list(row.runs):
                 state.drop_run(state.runs[run])
+            for run in list(row.orphans):
+                state.drop_orphan(row, run)
             row.reset_ownership_state()
             state.reindex(row)
         state.free_indexes.pop(shard, None)
--- a/src/sablemount/core/systems/reconcile.py
+++ b/src/sablemount/core/systems/reconcile.py
@@ -87,7 +87,7 @@
         for name in [run for run in row.runs if run not in reported]:
             self._not_reported(self._state.runs[name], event.sent_at)
         for name in [run for run in row.orphans if run not in reported]:
-            row.release(row.orphans.pop(name))
+            self._state.drop_orphan(row, name)
         self._reconcile_requests(row, event)
         row.reconciled = True
         if row.stage is VmStage.LOST:
@@ -158,13 +158,11 @@
     def _disown(self, row: VmRow, report: RunReport, ended: bool) -> None:
         if ended:
             row.acknowledge[report.run] = None
-            if report.run in row.orphans:
-                row.release(row.orphans.pop(report.run))
+            self._state.drop_orphan(row, report.run)
             return
         if report.run not in row.orphans:
             self._state.meter.count("orphans")
-            row.orphans[report.run] = report.shape
-            row.charge(report.shape)
+            self._state.add_orphan(row, report.run, report.shape)
             row.urgent_poll = True
 
     def _not_reported(self, run: RunRow, sent_at: float) -> None:
--- a/src/sablemount/core/tables.py
+++ b/src/sablemount/core/tables.py
@@ -1,6 +1,7 @@
 """Rows of the in-memory state of one scheduler; nothing here is persistent."""
 
 import enum
+from typing import NamedTuple
 
 from sablemount.core.actions import CommandKind
 from sablemount.core.documents import PRIORITY_RANK, Shape, TemplateDocument
@@ -10,6 +11,7 @@
 __all__ = [
     "HeldShard",
     "HoldState",
+    "Orphan",
     "PeerRow",
     "RunRow",
     "RunStage",
@@ -35,12 +37,19 @@
     LOST = "lost"
 
 
+class Orphan(NamedTuple):
+    """What is charged for a run that belongs to no open task; it works until it is stopped."""
+
+    shape: Shape
+    organisation: str
+
+
 class VmRow:
     """One VM: its capacity, the part of it that is in use, and its polls.
 
     ``requests`` maps each request sent to the VM to the time at which it was abandoned, or to
     infinity while it is in flight. ``foreign_slots`` is the number of slots held by requests of
-    other schedulers. ``orphans`` are runs that belong to no open task, with the shapes charged for
+    other schedulers. ``orphans`` are runs that belong to no open task, with what is charged for
     them. ``reserved_for`` maps the tasks for which preemption frees capacity to their shapes.
     ``bucket_position`` and ``slot_position`` are the row's positions in the indexes.
     """
@@ -103,7 +112,7 @@
         self.reconciled = False
         self.boot = ""
         self.runs: dict[str, None] = {}
-        self.orphans: dict[str, Shape] = {}
+        self.orphans: dict[str, Orphan] = {}
         self.commands: dict[str, CommandKind] = {}
         self.acknowledge: dict[str, None] = {}
         self.requests: dict[str, float] = {}
@@ -122,11 +131,8 @@
 
     def reset_ownership_state(self) -> None:
         """Discard what only the shard's owner knows; requests in flight stay charged."""
-        for shape in self.orphans.values():
-            self.release(shape)
         self.free_slots += self.foreign_slots
         self.foreign_slots = 0
-        self.orphans.clear()
         self.commands.clear()
         self.acknowledge.clear()
         self.reserved_for.clear()
