Send no start to a VM that has lost its room since the choice

What callers saw: nothing that was reported; found by reading. A task that must not run twice is started once its intent is in the log. If its VM was found meanwhile to hold runs that nobody had known of, or runs that were larger than known, the start was sent all the same, so that the VM worked on more than its capacity.

Cause: the capacity was checked at the choice and not at the request.

Change: a start whose VM is charged beyond its capacity when the intent is settled is not sent; the task waits again. The run is charged from the choice on, so that nothing else takes its room.

Measured: test_no_start_is_sent_to_a_vm_that_has_lost_its_room_since_the_choice failed before (the task ran beside a run of 15 of 16 cores), and passes now.

--- a/src/sablemount/core/systems/placement.py
+++ b/src/sablemount/core/systems/placement.py
@@ -259,7 +259,9 @@
             return
         vm = state.vms[run.vm]
         usable = vm.stage is VmStage.USABLE and not vm.missed_polls and not state.is_leaving(vm)
-        if settled is Settlement.ACCEPTED and usable and state.has_lease():
+        # The run itself is charged already.
+        has_room = not vm.is_overcommitted
+        if settled is Settlement.ACCEPTED and usable and has_room and state.has_lease():
             self._send(run, row)
             return
         state.drop_run(run)
--- a/src/sablemount/core/tables.py
+++ b/src/sablemount/core/tables.py
@@ -150,6 +150,11 @@
             and shape.slots <= self.free_slots
         )
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether more is charged than the VM has, as by runs that were found there."""
+        return not self.can_fit(Shape())
+
     def charge(self, shape: Shape) -> None:
         """Subtract a shape from the free capacity."""
         self.free_cores -= shape.cores
