Log that a step waits for its unwanted runs to be stopped

What operators saw: `step is waiting` counted the VMs as `open` for a task that is held because a run of it that is not wanted works until it has been stopped; nothing told why it was not started. Found by reading.

Cause: the reasons in the log knew nothing of the runs that are being stopped.

Change: `held` has `being stopped` for a step all of whose waiting tasks are held so. If others wait as well, the reasons are those of one that is not held so.

Measured: test_a_step_whose_unwanted_run_is_being_stopped_is_not_logged_as_open and test_a_run_that_is_being_stopped_does_not_hide_what_blocks_other_tasks failed before (`open`: 3), and pass now.

--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -35,6 +35,8 @@
     """As many tasks of the step may run there as its spread allows."""
     RESERVED_FOR_GANG = "reserved"
     """The VM is reserved for a more urgent gang that waits for capacity."""
+    BEING_STOPPED = "being stopped"
+    """A run of the task that is not wanted works until it has been stopped."""
     FAILED_BEFORE = "failed there"
     SUSPECTS = "suspects"
     """VMs have crashed under the task, and it may not run beside what runs there."""
@@ -65,10 +67,16 @@
         pool = self._state.terms_of(step.job).pool
         rows = [row for row in self._state.vms.values() if row.info.pool == pool]
         unreserved = {row.name for row in self._gang_reservations.available_to(step, rows)}
-        task = next((task for task in step.tasks if task.state is TaskState.WAITING), None)
+        task = self._next_task(step)
         found = Counter(self._reason(step, task, row, row.name in unreserved) for row in rows)
         return {reason.value: found[reason] for reason in BlockingReason if found[reason]}
 
+    def _next_task(self, step: StepRow) -> TaskRow | None:
+        """Return a waiting task, if possible one of which no run is being stopped."""
+        waiting = [task for task in step.tasks if task.state is TaskState.WAITING]
+        unwanted = self._state.unwanted_runs
+        return min(waiting, key=lambda task: task.key in unwanted, default=None)
+
     def _reason(
         self, step: StepRow, task: TaskRow | None, row: VmRow, unreserved: bool
     ) -> BlockingReason:
@@ -101,6 +109,8 @@
         return BlockingReason.NOT_BLOCKED if task is None else self._task_reason(task, row)
 
     def _task_reason(self, task: TaskRow, row: VmRow) -> BlockingReason:
+        if task.key in self._state.unwanted_runs:
+            return BlockingReason.BEING_STOPPED
         if row.name in task.failed_on:
             return BlockingReason.FAILED_BEFORE
         if not self._isolation.may_start(task, row):
