Keep the suspects of a VM that a leader in between has not heard of

Its first crash was counted for nobody.

Cause: the record of a VM names the tasks that its crash would count for. The third leader never heard of the VM, and wrote its record anew as it began, as completions there may go unlisted. It named only the runs that it knew itself: none. It ended before the crash was certain, and the fourth leader found no suspect. Each leader does the same to the records of sealed VMs.

Until a VM's first report, its record now names what previous leaders recorded as well, so that nothing is lost however many leaders end in between.

Evidence: the record as written in that mix names a0036.0.0.0 under epoch 2, nobody under 3 and 4; now the fourth leader counts the crash, and the job fails after three. Two cases of test_crashes.py and the mix, now a test, failed before.

--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -183,7 +183,10 @@
         if row.uncertainty_recorded_at < row.last_report_at:
             after = self._state.now - SUSPECT_TIME_S
             runs = [run for run in runs if run.sent_at > after or self._is_suspected(run)]
-        return tuple(run.task for run in runs[:MAX_SUSPECTS])
+        tasks = [run.task for run in runs]
+        # Until its first report, the VM may run what a previous leader recorded.
+        tasks += self._state.recorded_suspects.get(row.name, ())
+        return tuple(dict.fromkeys(tasks))[:MAX_SUSPECTS]
 
     def _is_suspected(self, run: RunRow) -> bool:
         if run.state is RunState.RECORDING:
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -103,6 +103,30 @@
     assert later.scheduler.state.jobs["a"].steps[TASK].tasks[0].crashes == [vm]
 
 
+@pytest.mark.parametrize("seals", [False, True])
+def test_a_crash_counts_though_leaders_in_between_wrote_the_record_of_its_vm(seals: bool) -> None:
+    """The record named no suspects from the second leader on, which had not heard of the VM."""
+    rig = Rig(vms=4)
+    vm = _run_task(rig, "a").runs[0].vm
+    rig.vm_names.remove(vm)
+    for _ in range(8 if seals else 4):
+        rig.wait(0.5)
+        rig.commit()
+    for _ in range(2):
+        store = rig.store
+        rig = rig.successor()
+        rig.store = store
+        rig.report_all()
+        if not seals:
+            rig.scheduler.journal.update_vm_record(rig.scheduler.state.vms[vm])
+        rig.tick()
+        rig.commit()
+    later = rig.successor()
+    later.report_all()
+    later.scheduler.vms.incarnation_ended(vm)
+    assert later.scheduler.state.jobs["a"].steps[TASK].tasks[0].crashes == [vm]
+
+
 def test_runs_missing_from_a_report_to_a_later_leader_are_not_suspected() -> None:
     rig = Rig(vms=2)
     task = _run_task(rig, "a")
--- a/tests/jobs/test_life_mixes.py
+++ b/tests/jobs/test_life_mixes.py
@@ -21,6 +21,7 @@
 PROBED_UNDER_A_LONG_LEASE = (8176, 20391, 20395)
 PROBED_DURING_A_POLL = (91050,)
 GANG_BEHIND_ITS_CAP = (8007,)
+FORGOTTEN_SUSPECTS = (39,)
 
 
 def _play(seed: int) -> list[str]:
@@ -99,6 +100,12 @@
     assert _play(seed) == []
 
 
+@pytest.mark.parametrize("seed", FORGOTTEN_SUSPECTS)
+def test_crashes_count_under_leaders_that_have_never_heard_of_the_vm(seed: int) -> None:
+    """The third leader wrote the record of a crashed VM anew without the task that ran there."""
+    assert _play(seed) == []
+
+
 def _play_restarts(seed: int) -> list[str]:
     return run(run_mix(seed, draw_restarts(seed), advice=seed % 2 == 0))
 
