Log that a poll for an earlier incarnation may have extended a lease

The line has the end that the leader counts on (lease_left) and for how long the incarnation had reported; no logic changes.

--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -83,6 +83,8 @@
         Until that lease is over, a probe there could complete its work.
         """
         row.lease_extended_until = self._state.latest_lease_end()
+        reported_for = self._state.now - row.first_report_at if row.first_report_at > 0 else None
+        self._log("lease may be extended by an earlier call", row, reported_for=reported_for)
 
     def poll_sent(self, row: VmRow) -> None:
         """Record that a poll that extends a VM's lease is on its way."""
