Count with the longest lease that a VM grants where calls were for others

Callers saw a task that must run once run twice (TWICE). A VM that has restarted under its id carries out calls that were meant for its earlier incarnation. The end of the lease that they name is of the earlier clock; where the next clock is lower it lies far ahead, and the VM grants its longest lease, 10 s on some deployments, while the leader counted with the 6 s that it requests itself. A VM that was cut off soon after was given up 2 to 4 s before its runs ended.

Leases now has one place for both lengths: a call for the VM's own incarnation gives what was requested; any other call, of this leader or a former one, a poll or a start, answered, refused or not, gives the longest that a VM grants, counted up to the first report, since the fence of the call that this answers keeps all earlier ones from acting. The same holds for VMs that a new leader has not reached, and for probes.

--- a/src/sablemount/jobs/settings.py
+++ b/src/sablemount/jobs/settings.py
@@ -9,7 +9,9 @@
     """Limits and intervals of the job scheduler."""
 
     lease_s: float = 6.0
-    """Longest lease that a VM grants."""
+    """Longest lease that is requested of a VM."""
+    max_lease_s: float = 10.0
+    """Longest lease that a VM grants, whatever a call requests."""
     stop_time_s: float = 0.4
     """Longest time that stopping a run takes."""
     state_retention_s: float = 120.0
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -22,7 +22,7 @@
 from sablemount.jobs.settings import JobSettings
 from sablemount.jobs.tables import MAX_KEPT_COMPLETIONS, JobRow, StepRow, TaskRow, TaskState
 from sablemount.jobs.times import NEVER
-from sablemount.jobs.vm_row import MIN_CLOCK_RATE, VmRow
+from sablemount.jobs.vm_row import VmRow
 from sablemount.structured_logs import RUN_LOGGER
 
 __all__ = ["NOT_REQUESTED", "State"]
@@ -32,8 +32,6 @@
 """Progress in percent that a long-running task reports once it is at work."""
 NOT_REQUESTED = "not ordered"
 """Outcome of a run whose start was never requested."""
-LEASE_SLACK_S = 0.1
-"""Time beyond the end of a lease until what ran under it counts as over."""
 RUN_NUMBERS_PER_EPOCH = 10_000
 """Distance between the run numbers of two epochs, so that run numbers rise from leader to leader
 without being recorded."""
@@ -218,14 +216,6 @@
         number = int(parts[2])
         return steps[number] if number < len(steps) else None
 
-    def latest_lease_end(self) -> float:
-        """Return the latest end of a lease that a VM grants now."""
-        return self.lease_end_after(self.settings.lease_s)
-
-    def lease_end_after(self, seconds: float) -> float:
-        """Return the latest end of a lease of some seconds on a VM's clock that begins now."""
-        return self.now + seconds / MIN_CLOCK_RATE + LEASE_SLACK_S
-
     def next_fence(self) -> int:
         """Return a fence above all that were given to VMs before."""
         self._fence += 1
--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -3,18 +3,26 @@
 A lease only grows: each call that may extend it counts from the moment at which it is made, and is
 taken back only if it was certainly not sent. What runs on a VM that cannot be reached may start
 elsewhere once the lease is over, and the store has confirmed the leadership since.
+
+A call names the end of a lease on the clock of the incarnation that it is meant for. If that one
+carries it out, the lease is as long as requested. Any other incarnation under the same id reads
+this time on its own clock and may grant its longest lease. It carries out such calls until it
+answers one with its own fence, so that its first report to a leader bounds them.
 """
 
 from collections.abc import Callable
 
 from sablemount.jobs.lease import Lease, LeaseSource
 from sablemount.jobs.state import State
+from sablemount.jobs.times import NEVER
 from sablemount.jobs.vm_row import MIN_CLOCK_RATE, VmRow
 
 __all__ = ["Leases"]
 
 LEASE_SHARE = 0.97
 """Share of the longest lease that is requested, so that it is never cut short."""
+LEASE_SLACK_S = 0.1
+"""Time beyond the end of a lease until what ran under it counts as over."""
 MS_PER_S = 1000.0
 MAX_VMS_PER_LINE = 20
 """Largest number of VMs named in one log line."""
@@ -34,6 +42,21 @@
         self.on_event: Callable[[str], None] = _ignore_event
         """Called with the name of what happened to a lease."""
 
+    # -- Lengths -----------------------------------------------------------------------------
+
+    @staticmethod
+    def _end_after(since: float, seconds: float) -> float:
+        """Return the latest local end of a lease of some seconds on a VM's clock."""
+        return since + seconds / MIN_CLOCK_RATE + LEASE_SLACK_S
+
+    def _requested_end(self) -> float:
+        """Return the latest end of a lease that a call for the VM's own incarnation gives now."""
+        return self._end_after(self._state.now, self._state.settings.lease_s)
+
+    def _granted_end(self, since: float) -> float:
+        """Return the latest end of a lease that any call has given up to a local time."""
+        return self._end_after(since, self._state.settings.max_lease_s)
+
     # -- Extensions --------------------------------------------------------------------------
 
     def extend(self, row: VmRow) -> int:
@@ -45,18 +68,21 @@
         state = self._state
         length = state.settings.lease_s * LEASE_SHARE
         until_ms = int(row.min_clock_ms(state.now) + length * MS_PER_S)
-        self._extend_to(row, state.latest_lease_end(), LeaseSource.POLL, until_ms)
+        self._extend_to(row, self._requested_end(), LeaseSource.POLL, until_ms)
         return until_ms
 
     def extend_by_start(self, row: VmRow, seconds: float) -> None:
         """Record that a start request extends a VM's lease, also where polls do not."""
-        end = self._state.lease_end_after(seconds)
+        end = self._end_after(self._state.now, seconds)
         until_ms = int(row.min_clock_ms(self._state.now) + seconds * MS_PER_S)
         self._extend_to(row, end, LeaseSource.START, until_ms)
 
     def extend_by_others(self, row: VmRow, source: LeaseSource) -> None:
-        """Record that calls which this leader did not make may have extended a VM's lease."""
-        self._extend_to(row, self._state.latest_lease_end(), source, 0)
+        """Record that any calls up to now may have extended a VM's lease.
+
+        Another leader made them, or this one for an earlier incarnation.
+        """
+        self._extend_to(row, self._granted_end(self._state.now), source, 0)
 
     def _extend_to(self, row: VmRow, end: float, source: LeaseSource, until_ms: int) -> None:
         if end < row.lease.end:
@@ -77,13 +103,26 @@
         self.on_event("returned" if is_latest else "kept")
         self._log("lease not extended", row, why=why, returned=is_latest)
 
+    def reported_first(self, row: VmRow) -> None:
+        """Record the first report of a VM: it has refused all earlier calls since it answered."""
+        self.extend_by_others(row, LeaseSource.PREVIOUS_LEADER)
+        if row.lease_extended_until > NEVER:
+            row.lease_extended_until = self._granted_end(self._state.now)
+
     def extend_next_incarnation(self, row: VmRow) -> None:
-        """Record that a call for the previous incarnation has extended the lease of this one.
+        """Record that a call for the previous incarnation may have extended the lease of this one.
 
-        Until that lease is over, a probe there could complete its work.
+        Until that lease is over, a probe there could complete its work. Such a call has no effect
+        after the first report.
         """
-        row.lease_extended_until = self._state.latest_lease_end()
-        reported_for = self._state.now - row.first_report_at if row.first_report_at > 0 else None
+        now = self._state.now
+        reported_for = None
+        if row.first_report_at > 0:
+            reported_for = now - row.first_report_at
+            row.lease_extended_until = self._granted_end(row.first_report_at)
+        else:
+            row.lease_extended_until = self._granted_end(now)
+            self.extend_by_others(row, LeaseSource.PREVIOUS_INCARNATION)
         self._log("lease may be extended by an earlier call", row, reported_for=reported_for)
 
     def poll_sent(self, row: VmRow) -> None:
@@ -161,7 +200,7 @@
         """Record that a previous leader may have extended leases up to this moment."""
         state = self._state
         settings = state.settings
-        end = state.now + settings.takeover_margin_s + settings.lease_s / MIN_CLOCK_RATE
+        end = self._granted_end(state.now + settings.takeover_margin_s)
         state.unreported_leases_end = max(state.unreported_leases_end, end)
 
     def are_previous_over(self) -> bool:
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -4,7 +4,6 @@
 from typing import TypeAlias
 
 from sablemount.jobs.actions import CompletionReport, RunReport, StopRun, VmReport
-from sablemount.jobs.lease import LeaseSource
 from sablemount.jobs.run_row import RunRow, RunState
 from sablemount.jobs.state import NOT_REQUESTED, State
 from sablemount.jobs.systems.acks import Acks
@@ -108,8 +107,7 @@
         if vm.first_report_at < 0:
             vm.first_report_at = state.now
             vm.first_clock_ms = vm_report.clock_ms
-            # From here on no previous leader can extend the VM's leases.
-            self._leases.extend_by_others(vm, LeaseSource.PREVIOUS_LEADER)
+            self._leases.reported_first(vm)
         new = [
             completion
             for completion in vm_report.completions
--- a/src/sablemount/platform/settings.py
+++ b/src/sablemount/platform/settings.py
@@ -16,8 +16,8 @@
 METRICS_PORT = 9464
 """Port of a process's metrics; the deployment file names the same port."""
 MAX_LEASE_S = 6.0
-"""Longest lease of a run, in seconds. The tasks of a silent worker start elsewhere only after
-their lease has expired; a change of leader takes about one second."""
+"""Longest lease that is requested, in seconds. The tasks of a silent worker start elsewhere only
+after their lease has expired; a change of leader takes about one second."""
 TENANTS_CONTRACT = "tenants"
 """Contract under which callers have to present keys."""
 MS_PER_S = 1000.0
@@ -110,6 +110,7 @@
     bounds = boot.bounds
     jobs = JobSettings(
         lease_s=min(bounds.hold_max_ms / MS_PER_S, MAX_LEASE_S),
+        max_lease_s=bounds.hold_max_ms / MS_PER_S,
         stop_time_s=bounds.stop_ms / MS_PER_S,
         state_retention_s=bounds.status_s,
         restore_s=bounds.restore_ms / MS_PER_S,
