Hold runs that were requested and never listed for the longest lease

A run whose start request got no answer, or an answer that does not show which incarnation gave it, may be on the VM's next incarnation. If that one is cut off before the leader knows of it, the leader counted only with the lease of the incarnation that it knew, 6.6 s after the last report in the test, and started the task elsewhere while the other one could hold it for 10 s: the same class as the lease of an earlier call.

A silent VM with such runs is now held until the request can no longer be carried out and the longest lease after that is over; the lines name it as unlisted start. A request that is delayed on its way by seconds, to an incarnation that nobody reaches, is not covered (docs/design/lease-ends.md).

--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -153,9 +153,21 @@
 
     def end(self, row: VmRow) -> float:
         """Return when the leases of a silent VM are over (local time)."""
-        if row.first_report_at > 0:
-            return row.lease.end
-        return max(row.lease.end, self._state.unreported_leases_end)
+        end = max(row.lease.end, self._unlisted_end(row))
+        return end if row.first_report_at > 0 else max(end, self._state.unreported_leases_end)
+
+    def _unlisted_end(self, row: VmRow) -> float:
+        """Return when the leases are over of runs that were requested and never listed.
+
+        A next incarnation that is not known may have carried out the request; the answer does not
+        show which incarnation has.
+        """
+        requested = (run.requested_until for run in row.runs.values() if not run.listed)
+        return self._granted_end(max(requested, default=NEVER))
+
+    def _source(self, row: VmRow) -> LeaseSource:
+        unlisted = self._unlisted_end(row) > row.lease.end
+        return LeaseSource.UNLISTED_START if unlisted else row.lease.source
 
     def log_runs_free(self, row: VmRow, why: str) -> None:
         """Log why what ran on a VM may start elsewhere; to be called before that is dropped."""
@@ -189,7 +201,7 @@
             "runs": len(row.runs),
             "lease_left": round(self.end(row) - now, 3),
             "lease_until_ms": row.lease.until_ms,
-            "lease_by": row.lease.source.value,
+            "lease_by": self._source(row).value,
             **more,
         }
         self._state.logger.info(text, extra=extra)
--- a/src/sablemount/jobs/systems/starts.py
+++ b/src/sablemount/jobs/systems/starts.py
@@ -205,14 +205,20 @@
             valid_s = min(valid_s, self._vms.capacity_known_for(row))
             run.state = RunState.SENT
             run.sent_at = state.now
+            run.requested_until = state.now + valid_s
             run.settle_clock_ms = (
                 row.min_clock_ms(state.now) + (valid_s + CLOCK_MARGIN_S) * MS_PER_S
             )
             ticket = "" if step.advice is None else step.advice.tickets[row.name].text
-            not_after = state.now + valid_s
             self._leases.extend_by_start(row, valid_s)
             state.emit(
                 StartRun(
-                    row.name, run.task, run.number, step.payload, not_after, start.saved, ticket
+                    row.name,
+                    run.task,
+                    run.number,
+                    step.payload,
+                    run.requested_until,
+                    start.saved,
+                    ticket,
                 )
             )
