Send no stop for an incarnation that has ended

An acknowledgement without an answer raises the fence of its incarnation. A stop for that one, sent after the next incarnation was known, carried the raised fence there, above the fence of the calls for that one: by reading, these were refused from then on and the leadership ended. A fence of one incarnation was taken for another's.

--- a/src/sablemount/control/vm_requests.py
+++ b/src/sablemount/control/vm_requests.py
@@ -41,11 +41,11 @@
         """Send a request if the leader has the authority; return the error of the call, if any."""
         context = self._context
         row = context.scheduler.state.vms.get(vm)
-        if row is None:
+        if row is None or row.terminated:
             return None
         link = self._connections.link(row)
         async with link.turn(kind) as turn:
-            if not context.has_authority():
+            if row.terminated or not context.has_authority():
                 return None
             fence = context.fence(row)
             result = await link.send(turn, call(row.info.address, fence, REQUEST_TIMEOUT_S))
