Do not settle a start by the clock of the next incarnation

The answer to a start request names a time, and a report past that time which does not list the run settles it. The next incarnation may give the answer; where its clock is lower, a report of the earlier one that was under way settled the run as not there, and its task waited again while the run was on the next incarnation.

--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -358,8 +358,10 @@
         run.state = RunState.RUNNING
         run.started_at = self._state.now
         run.percent_at = self._state.now
-        # Without the VM's time, only a report after the latest time of the start shows it missing.
-        run.settle_clock_ms = clock_ms or run.settle_clock_ms
+        if vm is not None and clock_ms >= vm.clock_ms:
+            # Without the VM's time, only a report after the latest time of the start shows it
+            # missing. A lower time is of the next incarnation's clock.
+            run.settle_clock_ms = clock_ms
         run.outlasts_earlier_polls = vm is not None and vm.refuses_earlier_polls(clock_ms)
         self._run_began(run)
 
