Expect a run on the next incarnation if an attempt to start it went unanswered

Of two attempts to start a run the first got no answer, the second was answered and the VM listed the run. When the VM restarted under its id, the task was started elsewhere at once, as its run had ended with the incarnation that listed it; but the next one may carry out the first attempt, under the same run number (TWICE).

Runs that a new leader found on a VM are not covered: it does not know their attempts.

--- a/src/sablemount/control/vm_starts.py
+++ b/src/sablemount/control/vm_starts.py
@@ -155,6 +155,7 @@
             scheduler.vms.connection_refused(request.row)
         if error not in NOTHING_SENT:
             request.certain = False
+            request.run.attempt_unanswered = True
             scheduler.acks.start_timed_out(request.row)
 
     def _give_up(self, request: _Request) -> None:
--- a/src/sablemount/jobs/run_row.py
+++ b/src/sablemount/jobs/run_row.py
@@ -48,6 +48,8 @@
     """What the run counts against its organisation's cap."""
     settle_clock_ms: float = 0.0
     """Time on the VM's clock after which a run that the VM does not list will never be there."""
+    attempt_unanswered: bool = False
+    """Whether an attempt of its start request got no answer, so that it may still arrive."""
     requested_until: float = NEVER
     """Until when its start request may be carried out, if it is not delayed on its way."""
     started_at: float = 0.0
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -445,7 +445,8 @@
         if not is_planned:
             successor.follows_crash_at = self._state.now
         for run in list(row.runs.values()):
-            if run.listed or run.state is RunState.RECORDING:
+            settled = run.listed and not run.attempt_unanswered
+            if settled or run.state is RunState.RECORDING:
                 continue
             if not is_planned:
                 self._mark_lost(run)
