Remember an unanswered acknowledgement after its incarnation has reported

A report of the incarnation that an acknowledgement was meant for shows that it cannot reach that one any more, since its fence is refused. The leader took it to be gone altogether; the next incarnation, which knows no fence yet, could still receive it, forget completions of its own, and got work without a probe (by reading TWICE).

--- a/src/sablemount/jobs/systems/acks.py
+++ b/src/sablemount/jobs/systems/acks.py
@@ -20,6 +20,9 @@
 LATE_START_WINDOW_S = 0.75
 """Time after an unanswered start request during which it may still arrive. Requests time out after
 half of it."""
+MAX_CALL_DELAY_S = 15.0
+"""Time after a call without an answer during which a later incarnation may still carry it out: the
+platform states seconds."""
 MAX_ACK_DELAY_S = 1.0
 """Longest time for which start requests to a VM may delay its acknowledgement: the VM lists at most
 500 completions."""
@@ -76,6 +79,14 @@
         since = row.unacknowledged_since
         return since is not None and self._state.now - since > MAX_ACK_DELAY_S
 
+    def may_reach_next_incarnation(self, row: VmRow) -> bool:
+        """Return whether an acknowledgement may still reach the incarnation that follows.
+
+        A report shows only that it cannot reach this one any more.
+        """
+        recent = self._state.now - row.ack_unanswered_at < MAX_CALL_DELAY_S
+        return row.ack_in_flight or recent
+
     @staticmethod
     def ack_sent(row: VmRow) -> None:
         """Record that an acknowledgement is on its way."""
@@ -102,4 +113,6 @@
         is assumed to have received it.
         """
         row.ack_in_flight = arrives
+        if arrives:
+            row.ack_unanswered_at = self._state.now
         row.fence = self._state.next_fence()
--- a/src/sablemount/jobs/vm_row.py
+++ b/src/sablemount/jobs/vm_row.py
@@ -83,6 +83,8 @@
     """Number of start requests in flight."""
     start_timed_out_at: float = NEVER
     """When a start request last timed out without an answer."""
+    ack_unanswered_at: float = NEVER
+    """When an acknowledgement last went without an answer, so that it may still arrive."""
     ack_in_flight: bool = False
     """Whether an acknowledgement of completions is in flight, so that nothing may be started."""
     delayed_by_ack: bool = False
