--- a/tests/jobs/test_lease_ends.py
+++ b/tests/jobs/test_lease_ends.py
@@ -40,14 +40,18 @@
         return self._error
 
 
+def pass_lease_of_earlier_calls(rig: Rig) -> None:
+    """Let VMs report until no lease of a call before their first report can last."""
+    for _ in range(int(GRANTED_S) + 1):
+        rig.wait(1.0)
+
+
 def rig_with_a_task() -> Rig:
     """Return a rig of two VMs, one of which runs a task under a new lease and reports no more."""
     rig = Rig()
     rig.accept("job", spec(StepSpec(1, CORE, expected_ms=30_000.0)))
     rig.start_and_hold_all()
-    # Calls before the first report no longer count.
-    for _ in range(int(GRANTED_S) + 1):
-        rig.wait(1.0)
+    pass_lease_of_earlier_calls(rig)
     rig.scheduler.leases.extend(rig.scheduler.state.vms[_vm(rig)])
     rig.vm_names.remove(_vm(rig))
     return rig
--- a/tests/jobs/test_vms.py
+++ b/tests/jobs/test_vms.py
@@ -6,6 +6,7 @@
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.systems.vms import RELIST_TIMEOUT_S
 from tests.jobs.rig import CORE, Rig, spec
+from tests.jobs.test_lease_ends import pass_lease_of_earlier_calls
 
 
 def _lapsed_entry(seconds: float) -> Rig:
@@ -107,6 +108,7 @@
 def _draining_vm(notice_s: float, draining: bool = True) -> Rig:
     """Return a rig where one of two VMs drains with a run on it, and leaves after some seconds."""
     rig = Rig(vms=2)
+    pass_lease_of_earlier_calls(rig)
     rig.accept("job", spec(StepSpec(1, CORE, expected_ms=9000.0)))
     rig.tick()
     (start,) = rig.started()
