Emulated VMs grant leases of their own longest length

The emulated VMs cut a lease to 6 s, the length that the product requests, so no lease could outlast what a leader assumes, although a VM that starts again under its id has another clock, and takes calls that were meant for its earlier incarnation.

A cell has max_lease_s now, 10 s, to which its VMs cut a lease; so does the VM of the random courses of calls.

--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -18,7 +18,6 @@
 from tests.emulator.routes import PublishedRoutes
 from tests.emulator.vm import OpenCompletion, Run, Vm, work_owner
 
-LEASE_S = 6.0
 STOP_TIME_S = 0.3
 GANG_TIMEOUT_S = 3.0
 CRASHES_BEFORE_COUNTING = 3
@@ -91,6 +90,8 @@
         self.violations: list[str] = []
         self.wall_ms: Callable[[], float] = emulated_wall_ms
         """Returns the time of day in ms since 1970."""
+        self.max_lease_s = 10.0
+        """Longest lease that a VM grants, on its own clock; a longer one is cut to it."""
         self.late_request_share = 0.0
         self.requires_ticket = False
         """Whether a start needs a ticket of the advice service."""
@@ -454,7 +455,7 @@
 
     def _extend_lease(self, vm: Vm, until_ms: float, now: float) -> None:
         clock = vm.clock_ms(now)
-        vm.lease_until_ms = max(vm.lease_until_ms, min(until_ms, clock + LEASE_S * 1000.0))
+        vm.lease_until_ms = max(vm.lease_until_ms, min(until_ms, clock + self.max_lease_s * 1000.0))
         if vm.lease_timer is not None:
             vm.lease_timer.cancel()
         left = max(0.0, vm.lease_until_ms - clock) / 1000.0 / vm.clock_rate
--- a/tests/jobs/test_lease_search.py
+++ b/tests/jobs/test_lease_search.py
@@ -26,7 +26,8 @@
 SEEDS = range(24)
 COURSE_S = 40.0
 STEP_S = 0.05
-LEASE_MS = 6_000.0
+MAX_LEASE_MS = 10_000.0
+"""Longest lease that the VM grants; longer than those that the product requests."""
 TOLERANCE_S = 0.003
 MAX_LATE_S = 12.0
 CLOCK_RATES = (0.98, 0.99, 1.0)
@@ -52,7 +53,7 @@
     def extend(self, until_ms: float) -> None:
         if until_ms:
             self.extended += 1
-            self._until_ms = max(self._until_ms, min(until_ms, self.clock_ms() + LEASE_MS))
+            self._until_ms = max(self._until_ms, min(until_ms, self.clock_ms() + MAX_LEASE_MS))
 
     def start(self, action: StartRun, until_ms: float) -> StartResult:
         if until_ms < self.clock_ms():
@@ -220,7 +221,7 @@
 
 
 def _counted_short(self: Leases, row: VmRow) -> int:
-    until_ms = int(row.min_clock_ms(self._state.now) + 0.97 * LEASE_MS)
+    until_ms = int(row.min_clock_ms(self._state.now) + 970.0 * self._state.settings.lease_s)
     row.lease = Lease(max(row.lease.end, self._state.now + 5.0))
     return until_ms
 
--- a/tests/jobs/test_vm_checks.py
+++ b/tests/jobs/test_vm_checks.py
@@ -10,9 +10,10 @@
 from sablemount.control.ports import HoldCall
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
+from sablemount.jobs.settings import JobSettings
 from tests.emulator.loop import run
 from tests.emulator.vm import Vm
-from tests.emulator.vms import EARLY_MS, LEASE_S, Cell
+from tests.emulator.vms import EARLY_MS, Cell
 
 TASK = "job.0.0.0"
 RUN_TIME_S = 0.1
@@ -71,7 +72,7 @@
 
 async def _noted_after_the_lease_was_over(cell: Cell, one: Vm, other: Vm) -> None:
     await _run_to_completion(cell, one)
-    await asyncio.sleep(LEASE_S * 1.1)
+    await asyncio.sleep(cell.max_lease_s * 1.1)
     _acknowledge(cell, one)
     _start(cell, other, 2)
 
@@ -190,7 +191,7 @@
         place.start("0.0.0")
         place.cell.stop(place.vm, "job.0.0.0", 1, 1)
         assert len(place.start("0.0.1")) == 1
-        await asyncio.sleep(LEASE_S * 1.1)
+        await asyncio.sleep(place.cell.max_lease_s * 1.1)
         assert len(place.start("0.0.2")) == 1
 
     run(scenario())
@@ -255,3 +256,20 @@
         assert place.start("0.0.0") == violations
 
     run(scenario())
+
+
+def test_a_lease_for_an_earlier_incarnation_lasts_for_the_longest_that_is_granted() -> None:
+    # Guards against VMs that cut leases to the length which the product requests.
+    async def scenario() -> None:
+        place = _Place()
+        cell, earlier = place.cell, place.vm
+        cell.crash(earlier)
+        later = place.vm = cell.restart(earlier, earlier.info.capacity)
+        assert abs(later.clock_start - earlier.clock_start) > cell.max_lease_s * 1000.0
+        now = asyncio.get_running_loop().time()
+        assert place.start("0.0.0") == []
+        lease_s = (later.lease_end(now) - now) * later.clock_rate
+        assert lease_s == pytest.approx(cell.max_lease_s, abs=0.002)
+        assert cell.max_lease_s > JobSettings().lease_s
+
+    run(scenario())
