--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -67,6 +67,7 @@
         self,
         name: str,
         address: str,
+        body: Body,
         act: Callable[[Vm], Coroutine[Any, Any, Reply | CallError]],
         timeout: float,
         rejection: Reply | CallError,
@@ -78,7 +79,7 @@
         answer: asyncio.Future[Reply | CallError] = asyncio.get_running_loop().create_future()
         try:
             with self._connection(self._cell.newest_incarnation(name), address):
-                self._spawn(self._execute(name, address, act, rejection, answer))
+                self._spawn(self._execute(name, address, body, act, rejection, answer))
                 async with asyncio.timeout(timeout):
                     return await answer
         except TimeoutError:
@@ -108,6 +109,7 @@
         self,
         name: str,
         address: str,
+        body: Body,
         act: Callable[[Vm], Coroutine[Any, Any, Reply | CallError]],
         rejection: Reply | CallError,
         answer: "asyncio.Future[Reply | CallError]",
@@ -126,20 +128,16 @@
             if not answer.done():
                 answer.set_result(rejection)
             return
-        draw = cell.rng.random()
-        if draw < cell.late_request_share:
-            await asyncio.sleep(cell.rng.uniform(2.0, 12.0))
+        delivery = cell.delivery(vm, body)
+        if not delivery.carried_out:
+            return
+        if delivery.late_s:
+            await asyncio.sleep(delivery.late_s)
         result = await act(vm)
         await asyncio.sleep(self._draw_transit_time())
         if self._is_unreachable(vm):
             _reset(vm, answer, CallError.NO_ANSWER)
-        # The share of lost replies equals that of late requests.
-        if (
-            draw >= 2.0 * cell.late_request_share
-            and vm.up
-            and not self._is_unreachable(vm)
-            and not answer.done()
-        ):
+        if delivery.answered and vm.up and not self._is_unreachable(vm) and not answer.done():
             answer.set_result(result)
 
     async def _reply_without_vm(
@@ -176,7 +174,7 @@
             return await act(self._cell, vm, fields)
 
         name = headers["Expect-Instance"]
-        result = await self._call(name, address, execute, timeout, refusal)
+        result = await self._call(name, address, fields, execute, timeout, refusal)
         if result is CallError.REFUSED:
             raise RequestNotSent("refused", refused=True)
         if result is CallError.OTHER_INCARNATION:
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from math import inf
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -47,6 +48,15 @@
         return 0.0
 
 
+class Delivery(NamedTuple):
+    """What happens to a call that has arrived at a VM."""
+
+    late_s: float = 0.0
+    """Seconds after which it is carried out."""
+    carried_out: bool = True
+    answered: bool = True
+
+
 class Cell:
     """All VMs of a cell, and the true outcome of each task."""
 
@@ -87,6 +97,8 @@
         """Called with each run that a VM has started."""
         self.on_lease_extended: Callable[[Vm], None] = lambda vm: None
         """Called with a VM whose lease a call has just extended."""
+        self.delivery: Callable[[Vm, dict[str, Any]], Delivery] = self.draw_delivery
+        """Returns what happens to a call, given by its body, that has arrived at a VM."""
         self.violations: list[str] = []
         self.wall_ms: Callable[[], float] = emulated_wall_ms
         """Returns the time of day in ms since 1970."""
@@ -451,6 +463,15 @@
         vm.highest_ended_run[task] = max(vm.highest_ended_run[task], number)
         return None
 
+    # -- Calls ------------------------------------------------------------------------------
+
+    def draw_delivery(self, vm: Vm, body: dict[str, Any]) -> Delivery:
+        """Draw whether a call is carried out late, or its reply is lost, which is as frequent."""
+        draw = self.rng.random()
+        if draw < self.late_request_share:
+            return Delivery(self.rng.uniform(2.0, 12.0), answered=False)
+        return Delivery(answered=draw >= 2.0 * self.late_request_share)
+
     # -- Leases ------------------------------------------------------------------------------
 
     def _extend_lease(self, vm: Vm, until_ms: float, now: float) -> None:
