Hold only the runs that were never listed for the longest lease

A silent VM with one run that was requested and never listed kept back all that ran there for the longest lease: callers of tasks that the VM had listed waited some 4 s longer than needed. A next incarnation that is not known can hold only what was requested and never listed.

These runs alone wait now; the rest is over with the VM's own lease. The crash of the VM counts once, as before.

--- a/src/sablemount/jobs/lease.py
+++ b/src/sablemount/jobs/lease.py
@@ -16,8 +16,6 @@
     """Up to the first report to this leader, a previous one may have extended it."""
     PREVIOUS_INCARNATION = "previous incarnation"
     """A call for the previous incarnation may have reached this one."""
-    UNLISTED_START = "unlisted start"
-    """A run that was requested and never listed may be on a next incarnation that is not known."""
 
 
 @dataclass(slots=True, frozen=True, eq=False)
--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 
 from sablemount.jobs.lease import Lease, LeaseSource
+from sablemount.jobs.run_row import RunRow
 from sablemount.jobs.state import State
 from sablemount.jobs.times import NEVER
 from sablemount.jobs.vm_row import MIN_CLOCK_RATE, VmRow
@@ -153,21 +154,18 @@
 
     def end(self, row: VmRow) -> float:
         """Return when the leases of a silent VM are over (local time)."""
-        end = max(row.lease.end, self._unlisted_end(row))
-        return end if row.first_report_at > 0 else max(end, self._state.unreported_leases_end)
+        if row.first_report_at > 0:
+            return row.lease.end
+        return max(row.lease.end, self._state.unreported_leases_end)
 
-    def _unlisted_end(self, row: VmRow) -> float:
-        """Return when the leases are over of runs that were requested and never listed.
+    def is_over(self, run: RunRow) -> bool:
+        """Return whether a run cannot be on a next incarnation of its silent VM either.
 
-        A next incarnation that is not known may have carried out the request; the answer does not
-        show which incarnation has.
+        One that is not known may have carried out the request of a run that was never listed: the
+        answer does not show which incarnation has.
         """
-        requested = (run.requested_until for run in row.runs.values() if not run.listed)
-        return self._granted_end(max(requested, default=NEVER))
-
-    def _source(self, row: VmRow) -> LeaseSource:
-        unlisted = self._unlisted_end(row) > row.lease.end
-        return LeaseSource.UNLISTED_START if unlisted else row.lease.source
+        end = self._granted_end(run.requested_until)
+        return run.listed or self._state.leadership_confirmed_at > end
 
     def log_runs_free(self, row: VmRow, why: str) -> None:
         """Log why what ran on a VM may start elsewhere; to be called before that is dropped."""
@@ -201,7 +199,8 @@
             "runs": len(row.runs),
             "lease_left": round(self.end(row) - now, 3),
             "lease_until_ms": row.lease.until_ms,
-            "lease_by": self._source(row).value,
+            "unlisted": sum(not run.listed for run in row.runs.values()),
+            "lease_by": row.lease.source.value,
             **more,
         }
         self._state.logger.info(text, extra=extra)
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -342,10 +342,7 @@
             silent = now - row.last_report_at > self._state.settings.max_report_age_s
             may_be_used = bool(row.runs) or row.name in self._state.recorded_suspects
             if row.terminated or (silent and may_be_used and self._leases.are_over(row)):
-                self._leases.log_runs_free(row, LEASE_OVER)
-                if self._counts_as_crashed(row):
-                    self.on_crash(row)
-                self._drop_runs(row)
+                self._free_runs(row)
             # A VM that reports is kept without an entry, with all that is known of it.
             is_gone = row.terminated or (silent and not row.listed)
             if is_gone and not row.runs and self._leases.are_over(row):
@@ -356,6 +353,16 @@
                 self._log("VM removed", row)
         return removed
 
+    def _free_runs(self, row: VmRow) -> None:
+        """Drop the runs that are over on a silent VM; its crash counts once, for all of them."""
+        runs = [run for run in row.runs.values() if row.terminated or self._leases.is_over(run)]
+        if runs:
+            self._leases.log_runs_free(row, LEASE_OVER)
+        if row.crashed_at < row.last_report_at and self._counts_as_crashed(row):
+            row.crashed_at = self._state.now
+            self.on_crash(row)
+        self._drop_runs(row, runs)
+
     def drained_or_expired(self) -> list[VmRow]:
         """Return the VMs in use on which nothing can run any more.
 
@@ -413,7 +420,7 @@
         self._leases.log_runs_free(row, why.value)
         if not self._ended_as_planned(row):
             self.on_crash(row)
-        self._drop_runs(row)
+        self._drop_runs(row, list(row.runs.values()))
 
     @staticmethod
     def _ended_as_planned(row: VmRow) -> bool:
@@ -454,8 +461,7 @@
             if is_planned:
                 run.previous_vm = ""
 
-    def _drop_runs(self, row: VmRow) -> None:
-        runs: list[RunRow] = list(row.runs.values())
+    def _drop_runs(self, row: VmRow, runs: list[RunRow]) -> None:
         if runs:
             log_lost_runs(self._state.logger, row, self._state.now)
         is_planned = self._ended_as_planned(row)
--- a/src/sablemount/jobs/vm_row.py
+++ b/src/sablemount/jobs/vm_row.py
@@ -99,6 +99,9 @@
     """When its lease was last logged because it had fallen silent."""
     lease_returned_at: float = NEVER
     """When it was last logged that a call to extend the lease was not sent."""
+    crashed_at: float = 2 * NEVER
+    """When it was found to have crashed, as its leases were over; earlier than its last report if
+    it was not since."""
     terminated: bool = False
     throttled_at: float = NEVER
     """When the speed of some run there was last changed."""
--- a/tests/jobs/test_granted_leases.py
+++ b/tests/jobs/test_granted_leases.py
@@ -109,3 +109,22 @@
     extended_at = rig.clock.time
     seconds = _time_of_start_elsewhere(rig) - extended_at
     assert LEASE_S - STEP_S < seconds <= LEASE_S + FREED_WITHIN_S
+
+
+def test_only_the_run_that_was_never_listed_waits_for_the_longest_lease() -> None:
+    # Guards against longer waits of what the VM has listed beside it.
+    rig = _restarted_vm(answers_earlier_poll=False)
+    _start_and_cut_off(rig, after_s=GRANTED_S + 1.0)
+    (vm,) = {start.vm for start in rig.started()}
+    extended_at = rig.clock.time
+    rig.vm_names.remove(_info(1, "w1").name)
+    rig.accept("unlisted", JOB)
+    rig.tick()
+    assert [start.vm for start in rig.started()] == [vm, vm]
+    rig.vm_names.append(_info(1, "w1").name)
+    seconds = _time_of_start_elsewhere(rig) - extended_at
+    assert LEASE_S - STEP_S < seconds <= LEASE_S + FREED_WITHIN_S
+    assert rig.started()[-1].task == "job.0.0.0"
+    rig.hold(rig.started()[-1])
+    assert _time_of_start_elsewhere(rig) - extended_at >= GRANTED_S
+    assert rig.started()[-1].task == "unlisted.0.0.0"
