Log which calls may have extended the lease of a next incarnation

Each succession has a line now: the calls for the earlier incarnation that were on their way, when the last ended, and the lease that is counted. A start that is answered at a time before the VM's last report has one too.

--- a/src/sablemount/jobs/systems/leases.py
+++ b/src/sablemount/jobs/systems/leases.py
@@ -126,6 +126,21 @@
             self.extend_by_others(row, LeaseSource.PREVIOUS_INCARNATION)
         self._log("lease may be extended by an earlier call", row, reported_for=reported_for)
 
+    def log_succession(self, previous: VmRow, row: VmRow) -> None:
+        """Log which calls for an earlier incarnation may have extended the lease of this one."""
+        now = self._state.now
+        polls = self._polls.get(row.info.entry_key, ())
+        extra = {
+            "after": previous.name,
+            "earlier_clock_ms": previous.clock_ms,
+            "polls": sum(polled is not row for polled in polls),
+            "starts": previous.starts_in_flight,
+            "called_ago": round(now - previous.call_ended_at, 3)
+            if previous.call_ended_at > NEVER
+            else None,
+        }
+        self._log("VM follows an earlier incarnation", row, **extra)
+
     def call_ended(self, row: VmRow) -> None:
         """Record the end of a call that extends leases and may have reached a next incarnation."""
         row.call_ended_at = self._state.now
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -362,9 +362,20 @@
             # Without the VM's time, only a report after the latest time of the start shows it
             # missing. A lower time is of the next incarnation's clock.
             run.settle_clock_ms = clock_ms
+        elif vm is not None and clock_ms:
+            self._log_other_clock(vm, run, clock_ms)
         run.outlasts_earlier_polls = vm is not None and vm.refuses_earlier_polls(clock_ms)
         self._run_began(run)
 
+    def _log_other_clock(self, vm: VmRow, run: RunRow, clock_ms: float) -> None:
+        extra = {
+            "task": run.task,
+            "run": run.number,
+            "vm": vm.name,
+            "behind_ms": vm.clock_ms - clock_ms,
+        }
+        self._state.run_logger.info("start answered at an earlier time of the VM", extra=extra)
+
     def _run_began(self, run: RunRow) -> None:
         task = self._state.task(run.task)
         if task is not None:
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -254,6 +254,7 @@
         row.earlier_runs_possible = True
         row.earlier_tasks = _earlier_tasks(previous, row)
         self._leases.extend_by_others(row, LeaseSource.PREVIOUS_INCARNATION)
+        self._leases.log_succession(previous, row)
         if self._acks.may_reach_next_incarnation(previous) or previous.earlier_runs_possible:
             # An acknowledgement for the previous one may reach this one, also under another
             # leader's fence.
