Keep the record of a silent VM whose completions are unreliable

A VM that may have been told to forget completions gets no work before it has listed one.

Open: a VM whose row was removed, as its entry had gone too, and that is listed again (on the list).

--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -377,13 +377,19 @@
         return [
             row
             for row in self._state.vms.values()
-            if row.recorded and not row.runs and (self._has_drained(row) or self._has_expired(row))
+            if row.recorded and not row.runs and (self._has_drained(row) or self._is_forgotten(row))
         ]
 
     def _has_drained(self, row: VmRow) -> bool:
         return row.info.draining and row.first_report_at > 0 and not row.terminated
 
-    def _has_expired(self, row: VmRow) -> bool:
+    def _is_forgotten(self, row: VmRow) -> bool:
+        """Return whether a later leader needs no record of a silent VM.
+
+        It must not give work to a VM whose completions are unreliable.
+        """
+        if row.completions_unreliable and row.listed:
+            return False
         return not self.has_reported_recently(row) and self._leases.are_over(row)
 
     def unrecorded(self) -> list[VmRow]:
