Mixes in which VMs are cut off soon after they are back under their ids

No mix cut a VM off soon after it had started again under its id while tasks run for longer than a lease.

Tasks mostly last 12 s. Calls that are open at a VM are reset as it crashes, so that the next ones reach its next incarnation.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 	$(BIN)/python -m benchmarks.job_soak --kind connections
 	$(BIN)/python -m benchmarks.job_soak --kind spread
 	$(BIN)/python -m benchmarks.job_soak --kind placement
+	$(BIN)/python -m benchmarks.job_soak --kind recuts
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -11,9 +11,10 @@
 python -m benchmarks.job_soak --kind connections --first 0 --count 500
 python -m benchmarks.job_soak --kind spread --first 0 --count 500
 python -m benchmarks.job_soak --kind placement --first 0 --count 500
+python -m benchmarks.job_soak --kind recuts --first 0 --count 500
 
-With leases and steps it also prints how often a task ran twice, and how long tasks waited that were
-lost with their VM.
+With leases, steps and recuts it also prints how often a task ran twice; with leases and steps, how
+long tasks waited that were lost with their VM.
 """
 
 import enum
@@ -30,6 +31,7 @@
     lease_faults,
     life_faults,
     placement_faults,
+    recut_faults,
     spread_faults,
     step_faults,
     vm_faults,
@@ -42,6 +44,7 @@
     run_measured_lease_mix,
     run_mix,
     run_organisation_mix,
+    run_recut_mix,
     run_spread_mix,
     run_store_mix,
 )
@@ -72,6 +75,8 @@
     """VMs that are silent and return, under steps whose spread binds."""
     PLACEMENT = "placement"
     """The same beside queues that move from pool to pool, and machines that change their kind."""
+    RECUTS = "recuts"
+    """VMs that restart under their ids and are cut off soon after, under long tasks."""
 
 
 class MixResult(msgspec.Struct):
@@ -155,6 +160,13 @@
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def run_recuts_seed(seed: int) -> MixResult:
+    """Run a seed's mix of VMs that are cut off soon after they are back under their ids."""
+    chosen = recut_faults.draw(seed)
+    wrong = run(run_recut_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
@@ -178,6 +190,7 @@
     Kind.CONNECTIONS: run_connections_seed,
     Kind.SPREAD: run_spread_seed,
     Kind.PLACEMENT: run_placement_seed,
+    Kind.RECUTS: run_recuts_seed,
 }
 
 
@@ -227,7 +240,7 @@
                 typer.echo(f"seed {result.seed} {result.faults}: {result.violations[:3]}")
     seconds = time.monotonic() - started_at
     typer.echo(f"{count} mixes, {failed} bad, {seconds:.0f} s")
-    if kind in (Kind.LEASES, Kind.STEPS):
+    if kind in (Kind.LEASES, Kind.STEPS, Kind.RECUTS):
         typer.echo(errors.summary())
     raise typer.Exit(1 if failed else 0)
 
--- a/tests/emulator/mixes.py
+++ b/tests/emulator/mixes.py
@@ -20,6 +20,7 @@
     "run_measured_lease_mix",
     "run_mix",
     "run_organisation_mix",
+    "run_recut_mix",
     "run_spread_mix",
     "run_store_mix",
     "run_system",
@@ -40,8 +41,11 @@
 """Mean seconds of a task of the whole job model, whose jobs have more tasks."""
 LONG_TASK_SECONDS = 4.0
 """Mean seconds of a task that mostly outlasts the cuts of its VM."""
+OUTLASTING_TASK_SECONDS = 30.0
+RECUT_VMS = 16
+"""Number of VMs of which some restart, enough that the others have room for what ran there."""
 MAX_LONG_TASK_SECONDS = 12.0
-"""Limit of these tasks where few of a step run at once, so that the step ends in time."""
+"""Limit of such tasks where few of a step run at once, so that the step ends in time."""
 SPREAD_JOBS = 12
 SPREAD_JOB_INTERVAL_S = 0.6
 SPREAD_CAPS_MILLICORES = (6_000, 10_000, 20_000)
@@ -97,6 +101,15 @@
     return violations, system.cell.waits_s
 
 
+async def run_recut_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
+    """Inject faults of VMs that restart and are cut off, with tasks that mostly outlast both."""
+    system = System(seed, vms=RECUT_VMS, advice=advice)
+    system.cell.resets_open_calls = True
+    system.cell.mean_task_seconds = OUTLASTING_TASK_SECONDS
+    system.cell.max_task_seconds = MAX_LONG_TASK_SECONDS
+    return await run_system(system, seed, chosen, system.traffic("a", 24, 0.6), _cancel_few)
+
+
 async def run_job_mix(seed: int, chosen: Sequence[Fault], advice: bool = False) -> list[str]:
     """Inject faults with jobs of the whole job model, which are cancelled at any moment."""
     system = System(seed, advice=advice)
--- a/tests/emulator/vm_ports.py
+++ b/tests/emulator/vm_ports.py
@@ -135,6 +135,8 @@
             await asyncio.sleep(delivery.late_s)
         result = await act(vm)
         await asyncio.sleep(self._draw_transit_time())
+        if cell.resets_open_calls and not vm.up and not answer.done():
+            answer.set_result(CallError.NO_ANSWER)
         if self._is_unreachable(vm):
             _reset(vm, answer, CallError.NO_ANSWER)
         if delivery.answered and vm.up and not self._is_unreachable(vm) and not answer.done():
--- a/tests/emulator/vms.py
+++ b/tests/emulator/vms.py
@@ -111,6 +111,8 @@
         """Share of the calls and replies that are delayed in transit."""
         self.accepted_connections = 64
         """Number of connections that each VM takes."""
+        self.resets_open_calls = False
+        """Whether a VM that crashes resets the calls that are open there."""
         self.max_attempts = 4
         self.failure_share = 0.03
         self.mean_task_seconds = 1.0
@@ -173,6 +175,8 @@
 
     def crash(self, vm: Vm) -> None:
         vm.up = False
+        if self.resets_open_calls:
+            vm.report_ready.set()
         vm.resets_connections = self.rng.random() < 0.5
         for run in vm.runs.values():
             self.crashes_while_running[run.task] += 1
