--- a/src/sablemount/adapters/ending_server.py
+++ b/src/sablemount/adapters/ending_server.py
@@ -5,21 +5,27 @@
 says that no request is accepted, and then closes only its sending direction of the connection. A
 request that was already on its way gets this response, and a client without one sees the end of the
 stream. Whatever still arrives is read and discarded.
+
+The number of connections may be limited. A new one beyond it replaces the one that has been without
+a request for longest, or the one whose request has been incomplete for longest.
 """
 
 import asyncio
 import logging
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from http import HTTPStatus
 
-from tornado import httputil, iostream
+from tornado import httputil, ioloop, iostream
 from tornado.httpserver import HTTPServer
 
 __all__ = ["GracefulServer", "final_response"]
 
 DISCARD_CHUNK_BYTES = 64 * 1024
 """Bytes read at a time from a connection whose input is discarded."""
+ACCEPTS_PER_ITERATION = 16
+"""Connections accepted at a listener in one iteration of the event loop, so that a crowd of new
+connections does not delay the others."""
 RETRY_AFTER_S = 1
 """Seconds after which a client may retry, preferably at another server."""
 
@@ -44,15 +50,23 @@
     """Serves HTTP and answers every connection before it closes it on shutdown."""
 
     def initialize(self, *args: object, **options: object) -> None:
-        """Accept the options of tornado's server and ``final``, each connection's last response."""
+        """Accept the options of tornado's server and two more.
+
+        ``final`` is each connection's last response, ``max_connections`` the number of connections
+        that may be open, without a limit if it is 0.
+        """
+        limit = options.pop("max_connections", 0)
+        self.max_connections = limit if isinstance(limit, int) else 0
+        self.replaced_connections = 0
+        """Number of connections closed for new ones."""
         final = options.pop("final", None)
         self._final = final if isinstance(final, bytes) else final_response(b"{}")
         super().initialize(*args, **options)  # type: ignore[arg-type]
         self._shutting_down = False
-        self._idle: set[iostream.IOStream] = set()
-        """Connections of whose next request no byte has been read."""
-        self._partial: set[iostream.IOStream] = set()
-        """Connections of whose current request only a part has been read."""
+        self._idle: dict[iostream.IOStream, None] = {}
+        """Connections of whose next request no byte has been read, the longest idle first."""
+        self._partial: dict[iostream.IOStream, None] = {}
+        """Connections of whose current request only a part has been read, the oldest first."""
         self._finalized: set[iostream.IOStream] = set()
         """Connections to which the final response has been written."""
 
@@ -77,6 +91,10 @@
 
     def handle_stream(self, stream: iostream.IOStream, address: tuple[str, int]) -> None:
         """Serve a connection, with the time limits of idle connections and headers."""
+        if not self._make_room():
+            stream.close()
+            return
+        self._idle[stream] = None
         read = stream.read_until_regex
 
         def read_headers(regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
@@ -89,11 +107,42 @@
         stream.read_until_regex = read_headers  # type: ignore[method-assign]
         super().handle_stream(stream, address)
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept connections at listening sockets, few in each iteration of the event loop."""
+        for listener in sockets:
+            self._sockets[listener.fileno()] = listener
+            self._handlers[listener.fileno()] = self._accept_at(listener)
+
+    def _accept_at(self, listener: socket.socket) -> Callable[[], None]:
+        """Accept connections at a socket until the returned function is called."""
+        loop = ioloop.IOLoop.current()
+
+        def accept(ready: socket.socket, events: int) -> None:
+            for _ in range(ACCEPTS_PER_ITERATION):
+                if not self._accept(listener):
+                    return
+
+        loop.add_handler(listener, accept, ioloop.IOLoop.READ)
+        return lambda: loop.remove_handler(listener)
+
+    def _make_room(self) -> bool:
+        """Close a connection if there are as many as may be open; return whether a new one fits."""
+        if not self.max_connections or len(self._connections) < self.max_connections:
+            return True
+        oldest = next(iter(self._idle), None) or next(iter(self._partial), None)
+        if oldest is None:
+            return False
+        self._idle.pop(oldest, None)
+        self._partial.pop(oldest, None)
+        self.replaced_connections += 1
+        oldest.close()
+        return True
+
     async def _read_headers(
         self, stream: iostream.IOStream, read: Callable[[], Awaitable[bytes]]
     ) -> bytes:
         """Wait for a request for as long as the connection may be idle, then read its headers."""
-        self._idle.add(stream)
+        self._idle[stream] = None
         if self._shutting_down:
             self._send_final(stream)
         try:
@@ -101,7 +150,7 @@
                 first = await stream.read_bytes(1)
             self._mark_begun(stream)
             async with asyncio.timeout(self.header_seconds):
-                headers = first + await read()
+                headers = first + await self.read_headers(stream, read)
         except TimeoutError as error:
             stream.close()
             raise iostream.StreamClosedError() from error
@@ -109,11 +158,17 @@
             await stream.read_bytes(DISCARD_CHUNK_BYTES, partial=True)
         return headers
 
+    async def read_headers(
+        self, stream: iostream.IOStream, read: Callable[[], Awaitable[bytes]]
+    ) -> bytes:
+        """Read the headers of a request after their first byte; a subclass may limit them."""
+        return await read()
+
     def _mark_begun(self, stream: iostream.IOStream) -> None:
         """Record that the first byte of a request has arrived."""
         if stream in self._idle:
-            self._idle.remove(stream)
-            self._partial.add(stream)
+            del self._idle[stream]
+            self._partial[stream] = None
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -126,15 +181,18 @@
     def mark_received(self, connection: httputil.HTTPConnection) -> bool:
         """Record that a request is complete or refused; return whether it may still be answered."""
         stream = connection.stream  # type: ignore[attr-defined]
-        self._partial.discard(stream)
+        self._partial.pop(stream, None)
         return stream not in self._finalized
 
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection."""
         super().on_close(server_conn)
         stream = server_conn.stream  # type: ignore[attr-defined]
-        for streams in (self._idle, self._partial, self._finalized):
-            streams.discard(stream)
+        self._idle.pop(stream, None)
+        self._partial.pop(stream, None)
+        self._finalized.discard(stream)
+        # The replaced method refers to its stream, whose buffers would wait for a collection.
+        stream.__dict__.pop("read_until_regex", None)
 
     # -- Shutdown ----------------------------------------------------------------------------
 
@@ -167,19 +225,26 @@
 
     def _accept_pending(self, listener: socket.socket) -> None:
         """Accept pending connections, which closing the listener would reset."""
-        while True:
-            try:
-                connection, address = listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                _logger.warning("pending connection not accepted", extra={"error": repr(error)})
-                return
-            self._handle_connection(connection, address)
+        while self._accept(listener):
+            pass
+
+    def _accept(self, listener: socket.socket) -> bool:
+        """Accept one connection; return whether there may be another one."""
+        try:
+            connection, address = listener.accept()
+        except BlockingIOError:
+            return False
+        except ConnectionAbortedError:
+            return True
+        except OSError as error:
+            _logger.warning("pending connection not accepted", extra={"error": repr(error)})
+            return False
+        self._handle_connection(connection, address)
+        return True
 
     def _send_final(self, stream: iostream.IOStream) -> None:
-        self._idle.discard(stream)
-        self._partial.discard(stream)
+        self._idle.pop(stream, None)
+        self._partial.pop(stream, None)
         self._finalized.add(stream)
         try:
             writing = stream.write(self._final)
--- a/src/sablemount/control/rpc.py
+++ b/src/sablemount/control/rpc.py
@@ -15,8 +15,10 @@
 
 from sablemount.control.background import Background, error_logger
 from sablemount.control.clock import monotonic
+from sablemount.control.memory_budget import MemoryBudget
 from sablemount.control.messages import Message, Reply
 from sablemount.control.network import CallFailed, Handler, Link
+from sablemount.control.refusal_log import RefusalLog
 from sablemount.listening import listen
 
 __all__ = ["Connection", "RpcServer", "TcpNetwork", "set_user_timeout"]
@@ -24,6 +26,8 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 """Maximum size of a frame: far above a job's 256 KB, and small compared with a process's memory."""
+MIN_GRANTED_FRAME_BYTES = 4 * 1024
+"""Frames from this size on need a grant of memory; the buffer of a connection holds others."""
 USER_TIMEOUT_MS = 3_000
 """Time for which sent bytes may stay unacknowledged before the connection is dropped."""
 IDLE_TIMEOUT_S = 5.0
@@ -52,15 +56,24 @@
 _DECODER = msgspec.msgpack.Decoder(_Frame)
 
 
+class FrameMemory:
+    """What the frames of all connections that are not complete may hold."""
+
+    def __init__(self, memory_mb: float = 0.0) -> None:
+        self.budget = MemoryBudget.of_machine(memory_mb, MAX_FRAME_BYTES)
+        self.log = RefusalLog(_logger, "link closed")
+
+
 class Connection:
     """One connection; ``peer`` is the name of the other side, once it is known."""
 
-    def __init__(self, stream: iostream.IOStream, handler: Handler) -> None:
+    def __init__(self, stream: iostream.IOStream, handler: Handler, memory: FrameMemory) -> None:
         self.peer = ""
         self.last_frame_at = monotonic()
         """When the last frame was received."""
         self._stream = stream
         self._handler = handler
+        self._memory = memory
         self._pending_calls: dict[int, asyncio.Future[Reply]] = {}
         self._last_number = 0
         self._answer_tasks = Background(error_logger(_logger))
@@ -106,7 +119,7 @@
         length = int.from_bytes(header, "big")
         if length > MAX_FRAME_BYTES:
             raise iostream.StreamClosedError()
-        frame = _DECODER.decode(await self._stream.read_bytes(length))
+        frame = _DECODER.decode(await self._read_payload(length))
         self.last_frame_at = monotonic()
         if frame.message is not None:
             self._answer_tasks.spawn(self._answer(frame))
@@ -115,6 +128,19 @@
         if future is not None and frame.reply is not None and not future.done():
             future.set_result(frame.reply)
 
+    async def _read_payload(self, length: int) -> bytes:
+        """Read a frame; the connection is closed if there is no memory for a large one."""
+        if length < MIN_GRANTED_FRAME_BYTES:
+            return await self._stream.read_bytes(length)
+        grant = self._memory.budget.open(self._stream.close)
+        try:
+            if not grant.extend_to(length):
+                self._memory.log.add("no memory", peer=self.peer)
+                raise iostream.StreamClosedError()
+            return await self._stream.read_bytes(length)
+        finally:
+            grant.close()
+
     async def _answer(self, frame: _Frame) -> None:
         assert frame.message is not None
         reply = await self._handler(self, frame.message)
@@ -151,8 +177,11 @@
 class RpcServer(tcpserver.TCPServer):
     """Accepts connections of other members."""
 
-    def __init__(self, handler: Handler, closed: Callable[[Link], None]) -> None:
+    def __init__(
+        self, handler: Handler, closed: Callable[[Link], None], memory: FrameMemory
+    ) -> None:
         super().__init__()
+        self._memory = memory
         self._handler = handler
         self._on_closed = closed
         self._connections: set[Connection] = set()
@@ -172,7 +201,7 @@
 
     async def handle_stream(self, stream: iostream.IOStream, address: object) -> None:
         """Serve one connection until it is closed."""
-        connection = Connection(stream, self._handler)
+        connection = Connection(stream, self._handler, self._memory)
         self._connections.add(connection)
         if self._sweep_timer is None:
             self._close_idle()
@@ -192,7 +221,14 @@
 
 
 class TcpNetwork:
-    """Connects members over TCP."""
+    """Connects members over TCP.
+
+    All frames that are not complete share a memory budget, that of a machine of ``memory_mb`` MB
+    (0 is no limit) and at least one frame.
+    """
+
+    def __init__(self, memory_mb: float = 0.0) -> None:
+        self._memory = FrameMemory(memory_mb)
 
     async def connect(self, address: str, handler: Handler, timeout: float) -> Connection:
         """Connect to a member; raises ``CallFailed``."""
@@ -204,10 +240,10 @@
             raise CallFailed("no connection in time", False) from error
         except (OSError, iostream.StreamClosedError) as error:
             raise CallFailed(type(error).__name__, False, refused=True) from error
-        return Connection(stream, handler)
+        return Connection(stream, handler, self._memory)
 
     def listen(self, address: str, handler: Handler, closed: Callable[[Link], None]) -> RpcServer:
         """Accept connections at an address; raises ``ListenError``."""
-        server = RpcServer(handler, closed)
+        server = RpcServer(handler, closed, self._memory)
         listen(server, address, "other members", LISTEN_BACKLOG)
         return server
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -9,11 +9,20 @@
 import msgspec
 from tornado import httputil
 
-from sablemount.adapters.caller_server import BODY_TIMEOUT_S, DEFAULT_LIMITS, CallerServer
+from sablemount.adapters.caller_server import (
+    BODY_TIMEOUT_S,
+    DEFAULT_LIMITS,
+    TOO_BUSY,
+    CallerServer,
+    max_connections,
+)
 from sablemount.adapters.ending_server import GracefulServer, final_response
 from sablemount.control.gate import key_digest
 from sablemount.control.member import Member
+from sablemount.control.memory_budget import MemoryBudget
 from sablemount.control.messages import CallerCall, CallerReply, Operation, Outcome
+from sablemount.control.refusal_log import RefusalLog
+from sablemount.control.standing import MachineLimits
 from sablemount.jobs.model import JobSpec, Shape, StepSpec
 
 __all__ = ["Frontend", "decode_job", "request_key_digest", "metrics_server", "ready_server"]
@@ -46,6 +55,15 @@
     ".shape.accelerators": ".gpu",
 }
 """The platform's names of fields of a job, by the product's path of the field."""
+RETRY_AFTER_S = 1
+"""Seconds after which a caller that is refused for load may come back."""
+MAX_SMALL_BODY_BYTES = 4 * 1024
+MAX_SMALL_HEADER_BYTES = 16 * 1024
+SMALL_READ_BYTES = 4 * 1024
+SMALL_IDLE_S = 30.0
+"""Limits of a request for readiness or metrics, and seconds until its headers are there."""
+MAX_READY_CONNECTIONS = 64
+MAX_METRICS_CONNECTIONS = 16
 READY_PATH = "/api/readyz"
 MS_PER_S = 1000.0
 
@@ -125,11 +143,17 @@
 UNFINISHED = CallerReply(Outcome.UNKNOWN, reason="the process ends before the answer is there")
 
 
+NO_LIMITS = MachineLimits()
+
+
 class Frontend:
     """Serves callers over HTTP."""
 
     def __init__(
-        self, member: Member, spawn: Callable[[Coroutine[object, object, None]], object]
+        self,
+        member: Member,
+        spawn: Callable[[Coroutine[object, object, None]], object],
+        machine: MachineLimits = NO_LIMITS,
     ) -> None:
         self._member = member
         self._spawn = spawn
@@ -140,16 +164,29 @@
         self.in_flight = 0
         self._replies: set[asyncio.Task[CallerReply]] = set()
         final = final_response(_ENCODER.encode(_ErrorBody(STOPPING.reason)))
-        self.server = CallerServer(self._accept, body_timeout=BODY_TIMEOUT_S, final=final)
+        self.server = CallerServer(
+            self._accept,
+            body_timeout=BODY_TIMEOUT_S,
+            final=final,
+            budget=MemoryBudget.of_machine(machine.memory_mb),
+            max_connections=max_connections(machine),
+        )
+        self._refusal_log = RefusalLog(_logger, "refused")
+        self.server.count_refusal = self._count_refusal
         self.server.refuse = self._refuse
         self.server.set_limits(DEFAULT_LIMITS)
         member.feed.subscribe(lambda configuration: self.server.set_limits(configuration.limits))
 
     def _refuse(self, connection: httputil.HTTPConnection, status: HTTPStatus, reason: str) -> None:
         """Answer a request that exceeds a limit; no more of it is read."""
+        headers = {"Content-Type": "application/json", "Connection": "close"}
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            headers["Retry-After"] = str(RETRY_AFTER_S)
+        _write(connection, status, _ENCODER.encode(_ErrorBody(reason)), headers)
+
+    def _count_refusal(self, status: HTTPStatus, reason: str) -> None:
         self._member.metrics.count("refused", reason)
-        _logger.info("refused", extra={"status": int(status), "why": reason})
-        _write(connection, status, _ENCODER.encode(_ErrorBody(reason)), {"Connection": "close"})
+        self._refusal_log.add(reason, status=int(status))
 
     def _accept(self, request: httputil.HTTPServerRequest) -> None:
         self.in_flight += 1
@@ -163,6 +200,8 @@
             reply = CallerReply(Outcome.UNKNOWN, reason="internal error")
         finally:
             self.in_flight -= 1
+        if request.connection is not None:
+            self.server.release(request.connection)
         self._answer(request, reply)
 
     async def _reply_or_unfinished(self, request: httputil.HTTPServerRequest) -> CallerReply:
@@ -207,6 +246,8 @@
             return CallerReply(Outcome.INVALID, reason="no such method")
         spec = None
         if operation is Operation.SUBMIT:
+            if (refusal := self._refusal_of_size(request)) is not None:
+                return refusal
             try:
                 spec = decode_job(request.body)
             except msgspec.DecodeError as error:
@@ -218,6 +259,16 @@
             call, _timeout(request), request_key_digest(request.headers)
         )
 
+    def _refusal_of_size(self, request: httputil.HTTPServerRequest) -> CallerReply | None:
+        """Return the reply to a job for whose decoding there is no memory, or ``None``."""
+        refusal = self.server.admit_decoding(request)
+        if refusal is HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            return CallerReply(Outcome.INVALID, path="$.steps", reason="too many values")
+        if refusal is HTTPStatus.SERVICE_UNAVAILABLE:
+            self._count_refusal(refusal, TOO_BUSY)
+            return CallerReply(Outcome.NOT_TAKEN, reason=TOO_BUSY, retry_after=RETRY_AFTER_S)
+        return None
+
     def _answer(self, request: httputil.HTTPServerRequest, reply: CallerReply) -> None:
         status = STATUS_OF_OUTCOME[reply.outcome]
         if status is not HTTPStatus.OK:
@@ -306,7 +357,7 @@
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
         respond(request, status, b"{}", {"Content-Type": "application/json"})
 
-    return GracefulServer(answer)
+    return _small_server(answer, MAX_READY_CONNECTIONS)
 
 
 def metrics_server(member: Member, more: Callable[[], dict[str, float]]) -> GracefulServer:
@@ -317,4 +368,23 @@
         text = member.metrics.render(member.gauges() | more(), accepted_types)
         respond(request, HTTPStatus.OK, text, {"Content-Type": "text/plain; version=0.0.4"})
 
-    return GracefulServer(answer)
+    # Rendering takes long compared with a request: one for each connection.
+    return _small_server(answer, MAX_METRICS_CONNECTIONS, no_keep_alive=True)
+
+
+def _small_server(
+    answer: Callable[[httputil.HTTPServerRequest], None],
+    connections: int,
+    no_keep_alive: bool = False,
+) -> GracefulServer:
+    """Return a server of requests without bodies, on few connections."""
+    return GracefulServer(
+        answer,
+        max_connections=connections,
+        no_keep_alive=no_keep_alive,
+        chunk_size=SMALL_READ_BYTES,
+        max_header_size=MAX_SMALL_HEADER_BYTES,
+        max_body_size=MAX_SMALL_BODY_BYTES,
+        idle_connection_timeout=SMALL_IDLE_S,
+        body_timeout=BODY_TIMEOUT_S,
+    )
--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -32,6 +32,8 @@
 """Maximum number of connections to one address."""
 IDLE_TIMEOUT_S = 12.0
 """Seconds after which an idle connection is closed."""
+CALLER_BACKLOG = 512
+"""Connections of callers that may wait to be accepted."""
 STOP_SERVING_S = 2.4
 """Seconds after the stop signal for which new connections are still served: the platform checks
 readiness every second and removes a process after the second failed check."""
@@ -63,15 +65,17 @@
             PlatformAdvice(boot.advice, self._pool),
             PlatformDirectory(boot.keyed),
         )
-        self.member = Member(member_settings(boot), ports, TcpNetwork(), random.Random())
-        self.frontend = Frontend(self.member, self._background.spawn)
+        network = TcpNetwork(boot.limits.memory_mb)
+        settings = member_settings(boot)
+        self.member = Member(settings, ports, network, random.Random())
+        self.frontend = Frontend(self.member, self._background.spawn, settings.limits)
         self._ready = ready_server(lambda: self.member.ready)
         self._metrics = metrics_server(self.member, self._gauges)
         self.metrics_port = metrics_port
         self._stop = asyncio.Event()
 
     def _gauges(self) -> dict[str, float]:
-        return self._connection_gauges() | self._log_gauges()
+        return self._connection_gauges() | self.frontend.server.gauges() | self._log_gauges()
 
     def _connection_gauges(self) -> dict[str, float]:
         return {
@@ -108,7 +112,7 @@
     def _listen(self) -> None:
         """Listen at all addresses and start the member; raises ``ListenError``."""
         listen(self._ready, self.boot.listen.ready, "readiness checks")
-        listen(self.frontend.server, self.boot.listen.front, "callers")
+        listen(self.frontend.server, self.boot.listen.front, "callers", CALLER_BACKLOG)
         listen(self._metrics, f"{self.boot.ip}:{self.metrics_port}", "metrics")
         self.member.start()
 
