Process soak: VMs that are cut off soon after they are back under their ids

The settings files of the processes name that length as holdMaxMs.

The faults recuts restart four VMs under their ids and cut them off 1 to 3 s after they are back, for 8 to 10 s; leaders are killed beside them, and calls come late. Tasks mostly last 12 s. They are part of make process-soak.

There is no case in tests/platform yet.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(BIN)/python -m benchmarks.process_soak --seed 5 --vms 12 --faults leases
 	$(BIN)/python -m benchmarks.process_soak --seed 6 --faults connections
 	$(BIN)/python -m benchmarks.process_soak --seed 7 --faults spread
+	$(BIN)/python -m benchmarks.process_soak --seed 8 --vms 12 --faults recuts
 	$(BIN)/python -m benchmarks.kept_soaks
 
 generate: $(STAMP)
--- a/benchmarks/node_faults.py
+++ b/benchmarks/node_faults.py
@@ -41,6 +41,8 @@
         self.is_ending = False
         self.accepted = asyncio.Event()
         """Set when the acceptance of a job is reported to its caller."""
+        self.recut: set[str] = set()
+        """Ids of VMs that a fault restarts and cuts off at present."""
         self._spawned: set[asyncio.Future[None]] = set()
         self.leader_kills_lock = asyncio.Lock()
         """Held by ``leaders_killed``, which runs once at a time."""
--- a/benchmarks/node_processes.py
+++ b/benchmarks/node_processes.py
@@ -73,7 +73,7 @@
             "portRange": [port, port + 1],
             "platform": {"addr": standin.store_address},
             "advice": standin.advice_address,
-            "bounds": {"graceS": 6},
+            "bounds": {"graceS": 6, "holdMaxMs": int(standin.cell.max_lease_s * 1000.0)},
             "limits": SMALL_LIMITS if small else {},
         }
 
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, replace
+from math import inf
 from pathlib import Path
 from typing import Annotated
 
@@ -26,6 +27,7 @@
 from benchmarks.node_faults import FAULTS, LIFE_FAULTS, VM_FAULTS, Fault, Target
 from benchmarks.node_logs import internal_errors
 from benchmarks.node_processes import Node, Nodes
+from benchmarks.recut_faults import RECUT_FAULTS
 from benchmarks.soak_callers import KEYS, Callers
 from benchmarks.spread_faults import SPREAD_FAULTS
 from benchmarks.spread_jobs import SpreadJobs, add_workers
@@ -41,6 +43,7 @@
     "run_soak",
     "with_long_tasks",
     "with_longer_tasks",
+    "with_outlasting_tasks",
 ]
 
 PROCESSES = 4
@@ -55,6 +58,10 @@
 SETTLE_TIMEOUT_S = 60.0
 TASK_SECONDS = 0.6
 LONG_TASK_SECONDS = 2.5
+OUTLASTING_TASK_SECONDS = 30.0
+MAX_TASK_SECONDS = 12.0
+"""Limit of tasks that outlast the cuts of their VMs, so that their steps end in time."""
+OUTLASTING_JOB_INTERVAL_S = 0.8
 SPREAD_TASK_SECONDS = 4.0
 SPREAD_SETTLE_TIMEOUT_S = 90.0
 """Tasks of a step whose spread binds run one after another."""
@@ -87,6 +94,7 @@
     min_accepted_share: float = MIN_ACCEPTED_SHARE
     task_seconds: float = TASK_SECONDS
     """Mean seconds of a task."""
+    max_task_seconds: float = inf
     job_interval_s: float = JOB_INTERVAL_S
     """Mean seconds between two jobs."""
     open_pause_s: float = 0.0
@@ -104,6 +112,7 @@
         self.standin = Standin()
         self.standin.page_size = PAGE_RECORDS
         self.standin.cell.mean_task_seconds = size.task_seconds
+        self.standin.cell.max_task_seconds = size.max_task_seconds
         self.standin.cell.failure_share = 0.02
         if any(fault in CONNECTION_FAULTS for fault in size.faults):
             self.standin.accepted_connections = FEW_CONNECTIONS
@@ -235,6 +244,17 @@
     )
 
 
+def with_outlasting_tasks(size: Size) -> Size:
+    """Return a soak with few tasks, most of which outlast the leases of their VMs."""
+    return replace(
+        with_long_tasks(size),
+        task_seconds=OUTLASTING_TASK_SECONDS,
+        max_task_seconds=MAX_TASK_SECONDS,
+        job_interval_s=OUTLASTING_JOB_INTERVAL_S,
+        settle_timeout_s=SPREAD_SETTLE_TIMEOUT_S,
+    )
+
+
 async def _run_soak(seed: int, size: Size, folder: Path) -> tuple[Soak, list[str]]:
     # The stand-in has to be created inside the event loop that its servers use.
     soak = Soak(seed, size, folder)
@@ -244,7 +264,7 @@
 def faults_named(names: str) -> tuple[Fault, ...]:
     """Return the faults of comma-separated names; raise ``ValueError`` for an unknown name."""
     known = FAULTS + VM_FAULTS + LIFE_FAULTS + LINK_FAULTS + LEASE_FAULTS + CONNECTION_FAULTS
-    known += SPREAD_FAULTS
+    known += SPREAD_FAULTS + RECUT_FAULTS
     by_name = {fault.__name__: fault for fault in known}
     if names == "vms":
         return FAULTS + VM_FAULTS * 2
@@ -256,6 +276,8 @@
         return FAULTS + CONNECTION_FAULTS * 6
     if names == "spread":
         return FAULTS + SPREAD_FAULTS * 8
+    if names == "recuts":
+        return FAULTS + RECUT_FAULTS * 10
     if names == "links":
         return FAULTS + LINK_FAULTS * 4
     try:
@@ -280,7 +302,7 @@
         float, typer.Option(help="Mean seconds between faults.")
     ] = FAULT_INTERVAL_S,
     faults: Annotated[
-        str, typer.Option(help="By comma; vms, lives, links, leases, connections, spread too.")
+        str, typer.Option(help="By comma; vms, lives, links, leases, connections, spread, recuts.")
     ] = "",
 ) -> None:
     """Run a soak and print its results."""
@@ -303,6 +325,8 @@
     size = Size(seconds, processes, vms, chosen, fault_every)
     if any(fault in SPREAD_FAULTS for fault in chosen):
         size = with_longer_tasks(size)
+    elif any(fault in RECUT_FAULTS for fault in chosen):
+        size = with_outlasting_tasks(size)
     elif any(fault in LEASE_FAULTS for fault in chosen):
         size = with_long_tasks(size)
     soak, wrong = asyncio.run(_run_soak(seed, size, folder))
