--- a/src/sablemount/adapters/ending_server.py
+++ b/src/sablemount/adapters/ending_server.py
@@ -129,19 +129,23 @@
         """Close a connection if there are as many as may be open; return whether a new one fits."""
         if not self.max_connections or len(self._connections) < self.max_connections:
             return True
-        oldest = next(iter(self._idle), None) or next(iter(self._partial), None)
-        if oldest is None:
-            return False
-        self._idle.pop(oldest, None)
-        self._partial.pop(oldest, None)
-        self.replaced_connections += 1
-        oldest.close()
-        return True
+        for streams in (self._idle, self._partial):
+            while streams:
+                oldest = next(iter(streams))
+                del streams[oldest]
+                if not oldest.closed():
+                    self.replaced_connections += 1
+                    oldest.close()
+                    return True
+        return False
 
     async def _read_headers(
         self, stream: iostream.IOStream, read: Callable[[], Awaitable[bytes]]
     ) -> bytes:
         """Wait for a request for as long as the connection may be idle, then read its headers."""
+        if stream.closed():
+            # Requests that are still buffered would be served for a client that has gone.
+            raise iostream.StreamClosedError()
         self._idle[stream] = None
         if self._shutting_down:
             self._send_final(stream)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -176,6 +176,18 @@
     run_scenario(scenario, connections=2)
 
 
+def test_requests_that_are_queued_on_a_replaced_connection_are_not_served() -> None:
+    async def scenario(harness: _Server) -> None:
+        await harness.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 20)
+        await until(lambda: len(harness.requests) == 1)
+        harness.requests[0].connection.stream.close()  # type: ignore[union-attr]
+        await until(lambda: not harness.server.open_connections)
+        assert len(harness.requests) == 1
+        assert not harness.server._idle
+
+    run_scenario(scenario)
+
+
 def test_a_large_body_limit_is_lowered_to_the_budget() -> None:
     async def scenario(harness: _Server) -> None:
         harness.server.set_limits(RequestLimits(body_bytes=64 * KB * KB))
