Log only the runs that are lost with a VM

Runs that were never listed may be held longer than the rest of their silent VM: the line of lost runs named them as lost as well, and again when they were.

--- a/src/sablemount/jobs/job_lines.py
+++ b/src/sablemount/jobs/job_lines.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Iterable
 
 from sablemount.jobs.model import step_key_of
 from sablemount.jobs.run_row import RunCompletion, RunRow, RunState
@@ -102,12 +103,12 @@
     logger.warning("more runs of a step than its spread", extra=extra)
 
 
-def log_lost_runs(logger: logging.Logger, vm: VmRow, now: float) -> None:
-    """Log the runs lost with a VM, the latest start first; to be called before they are removed.
+def log_lost_runs(logger: logging.Logger, vm: VmRow, lost: Iterable[RunRow], now: float) -> None:
+    """Log the runs lost with a VM, the latest start first.
 
     A run that was started just before the VM's last report is the most likely cause of the crash.
     """
-    runs = sorted(vm.runs.values(), key=lambda run: -run.sent_at)
+    runs = sorted(lost, key=lambda run: -run.sent_at)
     rows = [_lost_run_row(run, vm.last_report_at) for run in runs]
     for first in range(0, len(rows), MAX_RUNS_PER_LINE):
         extra = {
--- a/src/sablemount/jobs/systems/vms.py
+++ b/src/sablemount/jobs/systems/vms.py
@@ -474,7 +474,7 @@
 
     def _drop_runs(self, row: VmRow, runs: list[RunRow]) -> None:
         if runs:
-            log_lost_runs(self._state.logger, row, self._state.now)
+            log_lost_runs(self._state.logger, row, runs, self._state.now)
         is_planned = self._ended_as_planned(row)
         for run in runs:
             if not is_planned:
