--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -67,6 +67,9 @@
     """VMs that crashed under a task, by repetition, step and index joined by dots."""
     weights: dict[str, tuple[float, ...]] = {}
     """Evidence weight of each of these crashes, where some are below the maximum."""
+    completed: str = ""
+    """Bit mask, as a hexadecimal number, of the repetitions of which all tasks are done. They are
+    not among the steps."""
 
 
 class VmRecord(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/sablemount/jobs/schedule.py
+++ b/src/sablemount/jobs/schedule.py
@@ -20,6 +20,9 @@
 
     spec: JobSpec
     next_repetition: int = 0
+    """The first repetition that has not been opened."""
+    _opened_ahead: int = 0
+    """Bit mask of the repetitions from there on that have been opened or completed."""
 
     @property
     def is_complete(self) -> bool:
@@ -28,13 +31,42 @@
 
     def is_due(self, wall_ms: float) -> bool:
         """Return whether the next repetition may be opened at a time of day, in ms since 1970."""
-        if self.is_complete:
-            return False
-        margin_ms = DUE_MARGIN_MS if self.spec.times else 0.0
-        return wall_ms >= self.spec.due_ms(self.next_repetition) + margin_ms
+        return not self.is_complete and wall_ms >= self.next_due_ms
+
+    @property
+    def next_due_ms(self) -> float:
+        """Return the time of day from which the next repetition may be opened."""
+        return self._due_ms(self.next_repetition)
+
+    def count_due(self, wall_ms: float) -> int:
+        """Return how many repetitions are due and not open, not regarding those opened ahead."""
+        if not self.is_due(wall_ms):
+            return 0
+        last = len(self.spec.repetitions())
+        if self.spec.interval_ms > 0:
+            late_ms = wall_ms - self.next_due_ms
+            last = min(last, self.next_repetition + 1 + int(late_ms / self.spec.interval_ms))
+        return last - self.next_repetition
+
+    def may_open(self, repetition: int, wall_ms: float) -> bool:
+        """Return whether a repetition is due and has not been opened."""
+        return (
+            self.next_repetition <= repetition < len(self.spec.repetitions())
+            and not self._opened_ahead >> repetition & 1
+            and wall_ms >= self._due_ms(repetition)
+        )
+
+    def _due_ms(self, repetition: int) -> float:
+        return self.spec.due_ms(repetition) + (DUE_MARGIN_MS if self.spec.times else 0.0)
 
     def take(self) -> int:
         """Return the number of the next repetition, which counts as opened from now on."""
         number = self.next_repetition
-        self.next_repetition += 1
+        self.take_ahead(1 << number)
         return number
+
+    def take_ahead(self, mask: int) -> None:
+        """Count some repetitions, given as a bit mask, as opened from now on."""
+        self._opened_ahead |= mask
+        while self._opened_ahead >> self.next_repetition & 1:
+            self.next_repetition += 1
--- a/src/sablemount/jobs/sizes.py
+++ b/src/sablemount/jobs/sizes.py
@@ -24,8 +24,9 @@
 """Bytes before the key of a record."""
 RECORD_HEADER_BYTES = 4
 """Bytes before each record of a call."""
-MAX_PROGRESS_BASE_BYTES = 64
-"""Upper bound of a progress record's bytes without its steps, while the job has not ended."""
+MAX_PROGRESS_BASE_BYTES = 96
+"""Upper bound of a progress record's bytes without its steps and masks, while the job has not
+ended."""
 MAX_STEP_BASE_BYTES = 11
 """Upper bound of the bytes of a step's progress without its key and mask: five value headers."""
 TABLE_HEADER_GROWTH_BYTES = 8
@@ -68,7 +69,9 @@
     steps = sum(
         MAX_STEP_BASE_BYTES + key + step.count // TASKS_PER_MASK_DIGIT + 1 for step in spec.steps
     )
-    return record_size(Record(PROGRESS_PREFIX + name)) + MAX_PROGRESS_BASE_BYTES + times * steps
+    completed = times // TASKS_PER_MASK_DIGIT + 1
+    base = record_size(Record(PROGRESS_PREFIX + name)) + MAX_PROGRESS_BASE_BYTES
+    return base + completed + times * steps
 
 
 def progress_record(name: str, progress: Progress, limit: int) -> Record:
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -42,6 +42,10 @@
     return (epoch - 1) * RUN_NUMBERS_PER_EPOCH + 1
 
 
+def _open_nothing(job: JobRow, repetition: int) -> None:
+    """Leave a repetition closed."""
+
+
 def _ignore_cause(cause: str) -> None:
     """Ignore a run beyond the spread of its step."""
 
@@ -113,6 +117,8 @@
         self.actions: list[Action] = []
         self.on_beyond_spread: Callable[[str], None] = _ignore_cause
         """Called with how a run came to a VM that has more runs of a step than its spread."""
+        self.open_repetition: Callable[[JobRow, int], None] = _open_nothing
+        """Called with a repetition of a job whose tasks are asked for while it is not open."""
         self.unreported_leases_end = NEVER
         """Time until which VMs that have not reported may hold leases of previous leaders."""
         self._fence = 0
@@ -162,12 +168,15 @@
         if not step.job.is_open:
             self.logger.error("step of a closed job not opened", extra={"step": step.key})
             return
-        self._open_steps[step.key] = step
+        if step.key not in self._open_steps:
+            self._open_steps[step.key] = step
+            step.job.placeable_steps += 1
         self.mark_for_placement(step)
 
     def close_step(self, step: StepRow) -> None:
         """Place no more tasks of a step, since none waits or its job is closed."""
-        self._open_steps.pop(step.key, None)
+        if self._open_steps.pop(step.key, None) is not None:
+            step.job.placeable_steps -= 1
         if step.awaiting_tickets:
             self.capacity_version += 1
             self.release_ticket_reservations(step)
@@ -179,7 +188,11 @@
         return (self.terms_of(step.job).priority, step.job.objective_at)
 
     def task(self, key: str) -> TaskRow | None:
-        """Return a task of a job that has not ended."""
+        """Return a task of a job that has not ended.
+
+        A repetition that is due but not open yet is opened: VMs tell of tasks that a previous
+        leader has started.
+        """
         parts = key.split(".")
         if len(parts) != TASK_KEY_PARTS:
             return None
@@ -187,10 +200,12 @@
         if job is None:
             return None
         try:
-            step = job.steps.get((int(parts[1]), int(parts[2])))
-            index = int(parts[3])
+            repetition, number, index = int(parts[1]), int(parts[2]), int(parts[3])
         except ValueError:
             return None
+        if (repetition, number) not in job.steps:
+            self.open_repetition(job, repetition)
+        step = job.steps.get((repetition, number))
         if step is None or not 0 <= index < len(step.tasks):
             return None
         return step.tasks[index]
@@ -241,7 +256,8 @@
         step = task.step
         if not step.spec.may_miss:
             return True
-        away = sum(1 for other in step.tasks if other is not task and not self._at_work(other))
+        others = [other for other in step.tasks.rows() if other is not task]
+        away = len(step.tasks) - 1 - sum(1 for other in others if self._at_work(other))
         return away < step.spec.may_miss
 
     def _at_work(self, task: TaskRow) -> bool:
--- a/src/sablemount/jobs/systems/choice.py
+++ b/src/sablemount/jobs/systems/choice.py
@@ -177,7 +177,7 @@
         """Return the VMs of one rack that can run all tasks, or all VMs if there is none."""
         used = {
             self._state.vms[run.vm].info.rack
-            for task in step.tasks
+            for task in step.tasks.rows()
             for run in task.runs
             if run.vm in self._state.vms
         }
--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -73,8 +73,11 @@
         return {reason.value: found[reason] for reason in BlockingReason if found[reason]}
 
     def _next_task(self, step: StepRow) -> TaskRow | None:
-        """Return a waiting task, if possible one of which no run is being stopped."""
-        waiting = [task for task in step.tasks if task.state is TaskState.WAITING]
+        """Return a waiting task, if possible one of which no run is being stopped.
+
+        ``None`` stands for a task of which nothing is known but that it waits.
+        """
+        waiting = [task for task in step.tasks.rows() if task.state is TaskState.WAITING]
         unwanted = self._state.unwanted_runs
         return min(waiting, key=lambda task: task.key in unwanted, default=None)
 
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -4,6 +4,7 @@
 from sablemount.jobs.records import JobRecord, Progress, StepProgress
 from sablemount.jobs.schedule import Schedule
 from sablemount.jobs.state import State
+from sablemount.jobs.systems.openings import Openings
 from sablemount.jobs.tables import (
     AdviceRow,
     CrashTable,
@@ -41,8 +42,8 @@
 
     def __init__(self, state: State) -> None:
         self._state = state
-        self._waiting_for_due_time: dict[str, JobRow] = {}
-        """Open jobs with repetitions that are not due yet."""
+        self.openings = Openings(state, self._open_next)
+        state.open_repetition = self._open_if_due
 
     # -- Creation ----------------------------------------------------------------------------
 
@@ -58,7 +59,10 @@
         state.jobs[name] = job
         state.open_jobs[name] = job
         state.terms.setdefault(terms.name, terms)
-        self._open_due(job)
+        if record.spec.times:
+            self.openings.add(job)
+        else:
+            self._open_next(job)
         return job
 
     def restore(self, name: str, record: JobRecord, progress: Progress | None) -> JobRow:
@@ -93,46 +97,60 @@
     def _apply_progress(self, job: JobRow, progress: Progress) -> None:
         job.state = JobState(progress.state)
         job.begun = job.state is not JobState.PENDING
+        job.completed = int(progress.completed or "0", 16)
+        if job.schedule is not None:
+            job.schedule.take_ahead(job.completed)
         for key, recorded in progress.steps.items():
             repetition, _, number = key.partition(".")
             # There is none once the steps so far have completed the job.
             if job.schedule is not None:
                 step = self._step(job, job.schedule, int(repetition), int(number))
-                self._apply_step_progress(step, recorded)
+                if step is not None:
+                    self._apply_step_progress(step, recorded)
+        self._end_if_done(job)
 
     def _apply_step_progress(self, step: StepRow, recorded: StepProgress) -> None:
-        mask = int(recorded.done or "0", 16)
-        for task in step.tasks:
-            task.failed_runs = set(recorded.failures.get(task.index, ()))
-            task.saved = recorded.saved.get(task.index, "")
-            if mask >> task.index & 1:
-                self.task_done(task)
-
-    def _step(self, job: JobRow, schedule: Schedule, repetition: int, number: int) -> StepRow:
-        """Return a step's row, opening the repetitions up to its own where necessary."""
-        while repetition >= schedule.next_repetition:
-            self._open_repetition(job, schedule)
-        return job.steps[(repetition, number)]
+        tasks = step.tasks
+        done = tasks.restore_done(int(recorded.done or "0", 16))
+        for index in recorded.failures.keys() | recorded.saved.keys():
+            if index < len(tasks) and not tasks.done >> index & 1:
+                tasks[index].failed_runs = set(recorded.failures.get(index, ()))
+                tasks[index].saved = recorded.saved.get(index, "")
+        step.waiting -= done
+        step.open_tasks -= done
+        if done:
+            self._state.mark_dirty(step.job)
+        if done and not step.open_tasks:
+            self._step_done(step)
+
+    def _step(
+        self, job: JobRow, schedule: Schedule, repetition: int, number: int
+    ) -> StepRow | None:
+        """Return a step's row, opening its repetition if necessary; ``None`` if it is complete."""
+        bit = 1 << repetition
+        if (repetition, 0) not in job.steps and not job.completed & bit:
+            schedule.take_ahead(bit)
+            self._open_repetition(job, repetition, schedule.spec)
+        return job.steps.get((repetition, number))
 
     # -- Opening -----------------------------------------------------------------------------
 
     def open_due_repetitions(self) -> None:
-        """Open the repetitions that are due."""
-        for job in list(self._waiting_for_due_time.values()):
-            self._open_due(job)
+        """Open the repetitions that are due, as far as there is room for them."""
+        self.openings.run()
+
+    def _open_next(self, job: JobRow) -> None:
+        if job.schedule is not None:
+            self._open_repetition(job, job.schedule.take(), job.schedule.spec)
 
-    def _open_due(self, job: JobRow) -> None:
+    def _open_if_due(self, job: JobRow, repetition: int) -> None:
+        """Open a repetition that is due, whether it is the next one or not."""
         schedule = job.schedule
-        while schedule is not None and schedule.is_due(self._state.wall_ms):
-            self._open_repetition(job, schedule)
-        if schedule is None or schedule.is_complete:
-            self._waiting_for_due_time.pop(job.name, None)
-        else:
-            self._waiting_for_due_time[job.name] = job
+        if schedule is not None and schedule.may_open(repetition, self._state.wall_ms):
+            schedule.take_ahead(1 << repetition)
+            self._open_repetition(job, repetition, schedule.spec)
 
-    def _open_repetition(self, job: JobRow, schedule: Schedule) -> None:
-        repetition = schedule.take()
-        spec = schedule.spec
+    def _open_repetition(self, job: JobRow, repetition: int, spec: JobSpec) -> None:
         if spec.times:
             self._log_opening(job, repetition, spec)
         rows = []
@@ -166,18 +184,15 @@
         if any(earlier.open_tasks for earlier in predecessors.values()):
             return
         step.opened_at = self._state.now
-        step.opened_here = any(
-            task.ended_unseen for number in step.spec.after for task in predecessors[number].tasks
-        )
+        step.opened_here = any(earlier.ended_unseen for earlier in predecessors.values())
         self._state.open_step(step)
 
     def followers(self, step: StepRow) -> list[StepRow]:
         """Return the steps of the same repetition that depend on a step."""
-        return [
-            row
-            for (repetition, _), row in step.job.steps.items()
-            if repetition == step.repetition and step.number in row.spec.after
-        ]
+        steps = step.job.steps
+        numbers = range(step.number + 1, len(step.job.record.spec.steps))
+        rows = [steps.get((step.repetition, number)) for number in numbers]
+        return [row for row in rows if row is not None and step.number in row.spec.after]
 
     # -- Completion --------------------------------------------------------------------------
 
@@ -189,15 +204,30 @@
         if task.state is TaskState.WAITING:
             step.waiting -= 1
         task.state = TaskState.DONE
+        step.ended_unseen = step.ended_unseen or task.ended_unseen
+        step.tasks.mark_done(task)
         step.open_tasks -= 1
         self._state.mark_dirty(step.job)
-        if step.open_tasks:
-            return
+        if not step.open_tasks:
+            self._step_done(step)
+            self._end_if_done(step.job)
+
+    def _step_done(self, step: StepRow) -> None:
+        job = step.job
         self._state.close_step(step)
-        step.job.open_steps -= 1
+        job.open_steps -= 1
         for follower in self.followers(step):
             self._open_if_ready(follower)
-        self._end_if_done(step.job)
+        self._drop_if_complete(job, step.repetition)
+
+    def _drop_if_complete(self, job: JobRow, repetition: int) -> None:
+        """Drop the steps of a repetition once all of them are done."""
+        keys = [(repetition, number) for number in range(len(job.record.spec.steps))]
+        if not job.record.spec.times or any(job.steps[key].open_tasks for key in keys):
+            return
+        job.completed |= 1 << repetition
+        for key in keys:
+            del job.steps[key]
 
     def _end_if_done(self, job: JobRow) -> None:
         schedule = job.schedule
@@ -223,10 +253,9 @@
         state = self._state
         _add_crashes(job, job.ended_crashes)
         state.open_jobs.pop(job.name, None)
-        self._waiting_for_due_time.pop(job.name, None)
         for step in job.close():
             state.close_step(step)
-            for task in step.tasks:
+            for task in step.tasks.rows():
                 if task.runs:
                     state.ended_tasks.keep(task)
                 for run in list(task.runs):
@@ -251,7 +280,8 @@
                 steps[f"{repetition}.{number}"] = recorded
         crashes = CrashTable()
         _add_crashes(job, crashes)
-        return _with_crashes(Progress(int(job.state), steps), crashes)
+        completed = f"{job.completed:x}" if job.completed else ""
+        return _with_crashes(Progress(int(job.state), steps, completed=completed), crashes)
 
     def remove_old(self) -> list[JobRow]:
         """Remove the ended jobs whose state no longer has to be available, and return them."""
@@ -273,7 +303,7 @@
     if not job.has_crashes:
         return
     for step in job.steps.values():
-        for task in step.tasks:
+        for task in step.tasks.rows():
             crashes.add(task)
 
 
@@ -288,12 +318,11 @@
 
 
 def _step_progress(step: StepRow) -> StepProgress | None:
-    mask = 0
+    mask = step.tasks.done
     failures: dict[int, tuple[int, ...]] = {}
     saved: dict[int, str] = {}
-    for task in step.tasks:
+    for task in step.tasks.rows():
         if task.state is TaskState.DONE:
-            mask |= 1 << task.index
             continue
         if task.failed_runs:
             failures[task.index] = tuple(sorted(task.failed_runs))
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -5,8 +5,10 @@
 requested.
 """
 
+from dataclasses import dataclass
+
 from sablemount.jobs.job_lines import log_placement
-from sablemount.jobs.model import Shape
+from sablemount.jobs.model import Shape, step_key_of
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.advice import Advice
 from sablemount.jobs.systems.caps import Caps
@@ -34,10 +36,26 @@
 """Maximum number of VMs evaluated in a round, where a VM counts once for each step that is matched
 against it; the remaining steps are left to the next round. This is some 40 ms of a processor core,
 in which the process does nothing else."""
+MAX_STARTS_PER_STEP = 1_000
+"""Maximum number of tasks of a step that are matched in one round, except for a gang's."""
+EVALUATIONS_PER_START = 20
+"""Number of evaluations for which a start counts in a round: it takes some 40 us."""
 RETRY_INTERVAL_S = 0.25
 """Time after which a step that found no capacity is tried again in any case."""
 
 
+@dataclass(slots=True)
+class _Selection:
+    """Tasks of a step that are matched against some VMs."""
+
+    tasks: list[TaskRow]
+    rows: list[VmRow]
+    is_partial: bool
+    """Whether there are more that may be started."""
+    takes_all_room: bool
+    """Whether the VMs have no room for more."""
+
+
 class Placement:
     """Assigns waiting tasks to VMs and requests their starts."""
 
@@ -68,6 +86,8 @@
         VM."""
         self._evaluated = 0
         """VMs evaluated in this round, counted as for ``MAX_VM_EVALUATIONS``."""
+        self._has_unmatched = False
+        """Whether a step has more tasks than were matched at once, and capacity may be left."""
         self._tried: set[str] = set()
         """Steps tried in this pass over all open steps, which may take several rounds."""
         self._pass_capacity_version = -1
@@ -80,8 +100,9 @@
     def run(self) -> None:
         """Run a placement round if something has changed since the last pass."""
         state = self._state
-        if state.now - self._last_round_at > RETRY_INTERVAL_S:
+        if state.now - self._last_round_at > RETRY_INTERVAL_S or self._has_unmatched:
             state.capacity_version += 1
+        self._has_unmatched = False
         if self._wait_log_timer.due(state.now):
             self._log_waiting()
         if (
@@ -108,8 +129,8 @@
 
     @property
     def has_untried_steps(self) -> bool:
-        """Whether some steps were left to the next round."""
-        return bool(self._tried)
+        """Whether some steps, or tasks of them, were left to the next round."""
+        return bool(self._tried) or self._has_unmatched
 
     def _round(self, usable: list[VmRow]) -> bool:
         """Try steps until enough VMs were evaluated; return whether every step was tried.
@@ -155,7 +176,7 @@
         held = self._state.held_tasks
         if held is None:
             return False
-        return not step.spec.gang or not any(task.key in held for task in step.tasks)
+        return not step.spec.gang or not any(step_key_of(task) == step.key for task in held)
 
     def _place(self, step: StepRow, usable: list[VmRow]) -> None:
         if step.awaiting_tickets and step.advice is not None and step.advice.calls_in_flight:
@@ -173,8 +194,7 @@
             self._caps.reserve_for_gang(step)
             if step.spec.gang or not places:
                 return
-        tasks = [task for task in step.tasks if self.is_startable(task)][:places]
-        if len(tasks) < step.waiting and (step.spec.gang or not tasks):
+        if not self._has_startable(step):
             return
         if self._fits_nowhere(step):
             self._request_unknown(step, usable)
@@ -182,13 +202,65 @@
         rows = self.allowed_rows(step, usable)
         self._evaluated += len(usable)
         self._isolation.isolate_for(step, rows)
-        chosen = self._choice.assign(step, tasks, self._gang_reservations.available_to(step, rows))
-        if len(chosen) < len(tasks):
+        available = self._gang_reservations.available_to(step, rows)
+        made: list[TaskRow] = []
+        self._match(step, usable, rows, self._select(step, places, available, made))
+        step.tasks.release(made)
+
+    def _has_startable(self, step: StepRow) -> bool:
+        """Return whether a task may be started, or all tasks of a gang.
+
+        A task without a row is taken for one that may.
+        """
+        if step.job.from_previous_leader and not self._state.store_answers:
+            # Each start has to be recorded first.
+            return False
+        known = [task for task in step.tasks.rows() if task.state is TaskState.WAITING]
+        if step.spec.gang:
+            return all(map(self.is_startable, known))
+        return len(known) < step.waiting or any(map(self.is_startable, known))
+
+    def _select(
+        self, step: StepRow, places: int, rows: list[VmRow], made: list[TaskRow]
+    ) -> _Selection:
+        """Return the tasks to be matched against some VMs, at most ``places``.
+
+        Of a step with many tasks these are no more than the VMs have room for, beside those with
+        failures or crashes, which may not start on any VM. ``made`` gets the rows made for them.
+        """
+        room = _places_up_to(step, rows, step.waiting)
+        if step.spec.gang and room < step.waiting:
+            return _Selection([], rows, True, True)
+        limit = room if step.spec.gang else min(room, MAX_STARTS_PER_STEP)
+        tasks: list[TaskRow] = []
+        unhampered = 0
+        for task in step.tasks.waiting(made):
+            if unhampered >= limit or len(tasks) >= places:
+                break
+            if self.is_startable(task):
+                tasks.append(task)
+                unhampered += not (task.failed_on or task.crashes)
+        is_partial = unhampered >= limit and len(tasks) < min(places, step.waiting)
+        return _Selection(tasks, rows, is_partial, room <= limit)
+
+    def _match(
+        self, step: StepRow, usable: list[VmRow], rows: list[VmRow], selected: _Selection
+    ) -> None:
+        """Start the selected tasks of a step on the VMs with capacity for them."""
+        tasks = selected.tasks
+        if step.spec.gang and len(tasks) < step.waiting and not selected.is_partial:
+            return
+        chosen = self._choice.assign(step, tasks, selected.rows)
+        lacks_room = len(chosen) < len(tasks) or (selected.is_partial and selected.takes_all_room)
+        if lacks_room:
             self._max_free = _max_free_capacity(usable)
             self._request_unknown(step, usable)
             if step.spec.gang:
                 self._gang_reservations.reserve_vms(step, rows)
                 return
+        elif selected.is_partial:
+            self._has_unmatched = True
+        self._evaluated += EVALUATIONS_PER_START * len(chosen)
         self._start_or_request(step, chosen)
 
     def _release_ticket_reservations(self, step: StepRow) -> None:
@@ -254,7 +326,10 @@
         """
         if not step.job.has_crashes:
             return True
-        return any(self._isolation.may_start(task, row) for task in step.tasks if _is_waiting(task))
+        if step.tasks.has_rowless():
+            return True
+        waiting = (task for task in step.tasks.rows() if task.state is TaskState.WAITING)
+        return any(self._isolation.may_start(task, row) for task in waiting)
 
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the usable VMs of a step's pool and label, computed once a round."""
@@ -297,7 +372,7 @@
                 "of": step.open_tasks,
                 "ready": self.is_ready(step),
                 "noting": state.store_answers,
-                "crashes": max(len(task.crashes) for task in step.tasks),
+                "crashes": max((len(task.crashes) for task in step.tasks.rows()), default=0),
                 "booked": len(step.awaiting_tickets),
                 "asking": 0 if advice is None else advice.calls_in_flight,
                 "unasked_for": round(self._advice.slot_wait_s(step), 3),
@@ -406,6 +481,16 @@
         log_placement(self._state.logger, step, chosen, self._state.now)
 
 
+def _places_up_to(step: StepRow, rows: list[VmRow], most: int) -> int:
+    """Return how many tasks of a step some VMs have room for, counted up to ``most``."""
+    places = 0
+    for row in rows:
+        places += row.places_for(step)
+        if places >= most:
+            return most
+    return places
+
+
 def _max_free_capacity(rows: list[VmRow], least: Shape = NO_CAPACITY) -> Shape:
     """Return the most of each resource that is free on any one VM, and at least ``least``."""
     capacities = [least, *(row.free_capacity for row in rows)]
@@ -420,10 +505,6 @@
     return row.info.pool == pool and (not label or label in row.info.labels)
 
 
-def _is_waiting(task: TaskRow) -> bool:
-    return task.state is TaskState.WAITING
-
-
 def _gang_may_run(step: StepRow) -> bool:
     """Return whether a member of a gang may still run, so that none can be started yet."""
     return step.spec.gang and step.waiting < step.open_tasks
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -147,7 +147,7 @@
             return False
         if step.spec.lasting:
             return False
-        if step.job.has_crashes and any(task.needs_isolation for task in step.tasks):
+        if step.job.has_crashes and any(task.needs_isolation for task in step.tasks.rows()):
             # Isolated tasks wait for their own VM, so that capacity on another is of no use to
             # them.
             return False
--- a/src/sablemount/jobs/systems/proofs.py
+++ b/src/sablemount/jobs/systems/proofs.py
@@ -73,19 +73,21 @@
     def _probe(self, row: VmRow, steps: list[StepRow]) -> None:
         unadvised = None
         for step in steps:
-            task = self._startable_task(step, row)
-            if task is None:
-                continue
-            if self._advice.permits(step, row):
+            made: list[TaskRow] = []
+            task = self._startable_task(step, row, made)
+            if task is not None and self._advice.permits(step, row):
                 self._start(row, step, task)
                 return
+            step.tasks.release(made)
+            if task is None:
+                continue
             if unadvised is None and self._advice.lacks_advice(step, row):
                 unadvised = step
         if unadvised is not None:
             self._advice.request(unadvised, [row.name])
 
-    def _startable_task(self, step: StepRow, row: VmRow) -> TaskRow | None:
-        """Return a task of a step that may start on a VM."""
+    def _startable_task(self, step: StepRow, row: VmRow, made: list[TaskRow]) -> TaskRow | None:
+        """Return a task of a step that may start on a VM; ``made`` gets the rows made for that."""
         if not self._placement.is_candidate(step, row) or not row.has_place_for(step):
             return None
         if step.spec.gang and not self._placement.is_ready(step):
@@ -96,7 +98,7 @@
         return next(
             (
                 task
-                for task in step.tasks
+                for task in step.tasks.waiting(made)
                 if self._placement.is_startable(task)
                 and not (avoids_suspects and _is_suspect(task, row))
             ),
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -203,7 +203,7 @@
 
     @staticmethod
     def _failed_elsewhere(task: TaskRow, vm: VmRow) -> bool:
-        return any(other.failed_on - {vm.name} for other in task.step.tasks)
+        return any(other.failed_on - {vm.name} for other in task.step.tasks.rows())
 
     def _run_succeeded(self, task: TaskRow, number: int) -> None:
         """Record that a run succeeded: the completion of one member counts for the whole gang."""
@@ -408,13 +408,13 @@
                 continue
             for step in job.steps.values():
                 if step.spec.gang and 0 < step.waiting < step.open_tasks:
-                    numbers = {run.number for task in step.tasks for run in task.runs}
+                    numbers = {run.number for task in step.tasks.rows() for run in task.runs}
                     self._state.broken_gangs += [(step, number) for number in numbers]
 
     def stop_broken_gangs(self) -> None:
         """Stop the rest of the gangs that have lost a member: alone it does no work."""
         for step, number in self._state.broken_gangs:
-            for task in step.tasks:
+            for task in step.tasks.rows():
                 for run in list(task.runs):
                     if run.number == number and run.state is not RunState.STOPPING:
                         self.stop(run)
--- a/src/sablemount/jobs/systems/trials.py
+++ b/src/sablemount/jobs/systems/trials.py
@@ -56,7 +56,7 @@
             self._release(name)
 
     def _isolate_running(self, step: StepRow) -> None:
-        for task in step.tasks:
+        for task in step.tasks.rows():
             for run in task.runs if task.needs_isolation else ():
                 self._isolate_run(run)
 
@@ -93,7 +93,7 @@
         """Isolate VMs, among those a step may use, for its tasks that wait for isolation."""
         if step.job.name not in self._state.suspected_jobs:
             return
-        waiting = sum(1 for task in step.tasks if self._waits_for_isolation(task))
+        waiting = sum(1 for task in step.tasks.rows() if self._waits_for_isolation(task))
         if not waiting:
             return
         wanted = waiting if step.spec.gang else 1
@@ -113,7 +113,7 @@
         A VM that has just restarted comes later although it is empty, since it may crash again.
         """
         restarted = self._state.now - row.follows_crash_at < RECENT_RESTART_S
-        may_crash_again = restarted or any(task.crashed_before(row) for task in step.tasks)
+        may_crash_again = restarted or any(task.crashed_before(row) for task in step.tasks.rows())
         return (
             not row.has_place_for(step),
             may_crash_again,
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -1,27 +1,21 @@
-"""The in-memory tables of the job scheduler: jobs, steps and tasks.
+"""The in-memory tables of the job scheduler: jobs and their steps.
 
-Those of runs and VMs are in ``run_row.py`` and ``vm_row.py``. All times are local monotonic seconds
-unless a name says otherwise. The systems change rows in place; only records and messages are
-immutable.
+Those of tasks, runs and VMs are in ``task_row.py``, ``run_row.py`` and ``vm_row.py``. All times are
+local monotonic seconds unless a name says otherwise. The systems change rows in place; only records
+and messages are immutable.
 """
 
 import enum
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import msgspec
 
-from sablemount.jobs.model import (
-    INCARNATION_SEPARATOR,
-    JobSpec,
-    StepSpec,
-    VmInfo,
-    step_key,
-    task_key,
-)
+from sablemount.jobs.model import JobSpec, StepSpec, step_key
 from sablemount.jobs.records import JobRecord
-from sablemount.jobs.run_row import RunCompletion, RunRow
+from sablemount.jobs.run_row import RunCompletion
 from sablemount.jobs.schedule import Schedule
+from sablemount.jobs.step_tasks import StepTasks
+from sablemount.jobs.task_row import MAX_CRASH_WEIGHT, TaskRow, TaskState
 from sablemount.jobs.times import NEVER
 
 __all__ = [
@@ -40,11 +34,6 @@
 MAX_KEPT_COMPLETIONS = 400
 """Completed runs kept per job until its end is logged: at most three times the tasks of a job,
 except for long-running jobs."""
-ISOLATE_AFTER_CRASHES = 2
-"""Crashes under a task after which it runs isolated from other jobs."""
-MAX_CRASH_WEIGHT = 3.0
-"""Largest evidence weight of one crash against a task, as the logarithm of odds: another cause can
-never be excluded."""
 
 
 class JobState(enum.IntEnum):
@@ -62,93 +51,6 @@
         return self >= JobState.SUCCEEDED
 
 
-class TaskState(enum.Enum):
-    """State of a task."""
-
-    WAITING = "waiting"
-    PLACED = "placed"
-    DONE = "done"
-
-
-class Incarnation(Protocol):
-    """What the rows of tasks need to know of an incarnation of a VM."""
-
-    info: VmInfo
-    name: str
-
-
-@dataclass(slots=True, eq=False, weakref_slot=True)
-class TaskRow:
-    """A task and its current runs."""
-
-    key: str
-    step: "StepRow"
-    index: int
-    state: TaskState = TaskState.WAITING
-    failed_runs: set[int] = field(default_factory=set)
-    """Runs whose failure has been counted, so that a completion listed again counts once."""
-    saved: str = ""
-    last_run: int = 0
-    runs: list[RunRow] = field(default_factory=list)
-    failed_on: set[str] = field(default_factory=set)
-    """VMs on which the task has failed."""
-    failed_at: float = NEVER
-    """When the task last failed."""
-    crashes: list[str] = field(default_factory=list)
-    """VMs that crashed while the task ran there."""
-    crash_weights: dict[str, float] = field(default_factory=dict)
-    """Evidence weight of a crash against the task, where it is below the maximum; see
-    ``evidence.py``."""
-    awaits_verdict_until: float = NEVER
-    """Time until which the task is not started, since its last crash may show that it crashes
-    VMs."""
-    ended_unseen: bool = False
-    """Whether the task is done, and no previous leader can have learnt of it."""
-    run_lost: bool = False
-    """Whether a run of the task was lost with its VM, which the task may have crashed."""
-
-    @property
-    def needs_isolation(self) -> bool:
-        """Return whether so many VMs crashed under the task that it must run isolated."""
-        return len(self.crashes) >= ISOLATE_AFTER_CRASHES
-
-    def crashed_before(self, vm: Incarnation) -> bool:
-        """Return whether an earlier incarnation of a VM crashed while the task ran there."""
-        return self.crashed_in(vm.info.entry_key, vm.name)
-
-    def crashed_in(self, entry: str, excluded_vm: str) -> bool:
-        """Return whether an entry's incarnation except ``excluded_vm`` crashed under the task."""
-        prefix = entry + INCARNATION_SEPARATOR
-        return any(name.startswith(prefix) and name != excluded_vm for name in self.crashes)
-
-    def crash_weight(self, vm: str) -> float:
-        """Return the evidence weight of the crash of a VM's incarnation against the task."""
-        return self.crash_weights.get(vm, MAX_CRASH_WEIGHT)
-
-    def evidence(self, excluded_vm: str = "") -> float:
-        """Return the total evidence weight of the crashes under the task, except ``excluded_vm``'s.
-
-        Of the crashes of one VM only the one with the largest weight counts, since a VM that
-        crashes repeatedly may be the cause itself.
-        """
-        largest_weights: dict[str, float] = {}
-        for vm in self.crashes:
-            if vm != excluded_vm:
-                entry = vm.partition(INCARNATION_SEPARATOR)[0]
-                largest_weights[entry] = max(largest_weights.get(entry, 0.0), self.crash_weight(vm))
-        return sum(largest_weights.values())
-
-    @property
-    def must_record_first(self) -> bool:
-        """Return whether the next run must be recorded before it is requested.
-
-        That is so if the task may have been started before. A crash is counted by the leader that
-        requested the start, or by a later leader that finds the run recorded. Only the first start
-        of a task may go unrecorded, so that at most one crash remains uncounted.
-        """
-        return self.run_lost or bool(self.crashes) or self.step.job.from_previous_leader
-
-
 @dataclass(slots=True)
 class CrashTable:
     """Crashes under the tasks of a job, as they are recorded."""
@@ -222,7 +124,7 @@
     """Name that its tasks share."""
     critical_path_s: float = 0.0
     """Expected seconds from the step's start to its job's end."""
-    tasks: list[TaskRow] = field(default_factory=list)
+    tasks: StepTasks = field(init=False)
     open_tasks: int = 0
     """Number of tasks that are not done."""
     waiting: int = 0
@@ -230,6 +132,8 @@
     opened_at: float = NEVER
     opened_here: bool = False
     """Whether no previous leader can have opened the step, and so have started tasks of it."""
+    ended_unseen: bool = False
+    """Whether one of its tasks is done, and no previous leader can have learnt of it."""
     advice: AdviceRow | None = None
     awaiting_tickets: dict[str, int] = field(default_factory=dict)
     """Number of tasks by VM for which capacity is reserved while tickets are requested."""
@@ -246,6 +150,7 @@
 
     def __post_init__(self) -> None:
         self.key = step_key(self.job.name, self.repetition, self.number)
+        self.tasks = StepTasks(0, self._make_task)
 
     @property
     def ready_at(self) -> float:
@@ -267,14 +172,13 @@
     def make_tasks(self) -> None:
         """Create the tasks, all of them waiting."""
         count = self.spec.count
-        name = self.job.name
-        self.tasks = [
-            TaskRow(task_key(name, self.repetition, self.number, index), self, index)
-            for index in range(count)
-        ]
+        self.tasks = StepTasks(count, self._make_task)
         self.open_tasks = count
         self.waiting = count
 
+    def _make_task(self, index: int) -> TaskRow:
+        return TaskRow(f"{self.key}.{index}", self, index)
+
 
 @dataclass(slots=True, eq=False)
 class JobRow:
@@ -291,7 +195,12 @@
     schedule: Schedule | None = None
     """What may still be opened; ``None`` once the job has ended or was withdrawn."""
     steps: dict[tuple[int, int], StepRow] = field(default_factory=dict)
+    """Steps of the repetitions that are open, by repetition and number."""
     open_steps: int = 0
+    placeable_steps: int = 0
+    """Number of its steps that are to be placed: some task waits, and the steps before are done."""
+    completed: int = 0
+    """Bit mask of the repetitions of which all tasks are done."""
     begun: bool = False
     from_previous_leader: bool = False
     """Whether a previous leader accepted the job, so that it may have runs not yet known here."""
--- a/tests/emulator/watch.py
+++ b/tests/emulator/watch.py
@@ -148,6 +148,8 @@
             return True
         value = self.newest.get(PROGRESS_PREFIX + job)
         progress = Progress(0) if value is None else decode_progress(value)
+        if int(progress.completed or "0", 16) >> int(repetition) & 1:
+            return True
         step_progress = progress.steps.get(f"{repetition}.{step}")
         if step_progress is None:
             return False
--- a/tests/jobs/test_sizes.py
+++ b/tests/jobs/test_sizes.py
@@ -64,6 +64,8 @@
     job = JobSpec("payload", (StepSpec(60, CORE),) * steps, times, 1.0, 1.0)
     rig = Rig()
     row = rig.accept("job", job)
+    for repetition in range(times):
+        rig.scheduler.state.open_repetition(row, repetition)
     assert len(row.steps) == steps * times
     for step in row.steps.values():
         for task in step.tasks[:-1]:
