--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -289,11 +289,17 @@
         if configuration.version <= state.configuration.version:
             return False
         state.configuration = configuration
+        changed = {
+            queue.terms.name
+            for queue in configuration.queues
+            if state.terms.get(queue.terms.name, queue.terms) != queue.terms
+        }
         for queue in configuration.queues:
             state.terms[queue.terms.name] = queue.terms
         for organisation in configuration.organisations:
             state.organisations[organisation.name] = organisation
         state.capacity_version += 1
+        self.lifecycle.apply_terms(changed)
         # A queue may have been sent to VMs that no advice has been requested for.
         state.vms_version += 1
         for info in list(self._vms_of_unnamed_pools.values()):
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -72,6 +72,12 @@
 SLOW_RENEWAL_S = 0.1
 """Minimum expected duration of a call for its tickets to be renewed ahead of need: capacity that
 stays idle during a shorter call is no noticeable loss."""
+MIN_REFUSED_PAUSE_S = 0.1
+MAX_REFUSED_PAUSE_S = 0.8
+"""Bounds of the pause of a step whose starts are refused for tickets that its terms do not require;
+it is doubled for each refusal after a pause. The longest is far below the 3 s for which a job may
+have nothing running while there is capacity for it."""
+MAX_COUNTED_REFUSALS = 8
 RENEW_MARGIN_S = 0.3
 """Time by which renewed tickets have to arrive early, to allow for calls that take longer than
 expected."""
@@ -85,6 +91,8 @@
     pause_until: float = NEVER
     step: StepRow | None = None
     """The step that the current call is for; ``None`` if the slot is free."""
+    advice: AdviceRow | None = None
+    """The advice that the current call is to complete."""
     overdue: bool = False
     """Whether the call was sent because the step's request was overdue."""
     vms: tuple[str, ...] = ()
@@ -132,12 +140,12 @@
 
     def _finish(self, slot: _CallSlot) -> AdviceRow | None:
         """Mark a slot's call as finished, and return the advice of its step."""
-        step = slot.step
-        slot.step = None
+        step, row = slot.step, slot.advice
+        slot.step = slot.advice = None
         self._add_demand(slot, -1)
-        if step is None or step.advice is None:
+        if step is None or row is None or step.advice is not row:
+            # The terms have changed meanwhile: the answer is for those before.
             return None
-        row = step.advice
         row.calls_in_flight -= 1
         if not row.calls_in_flight:
             row.waited_s += self._state.now - row.calls_sent_or_abandoned_at
@@ -361,6 +369,7 @@
         slot = self._slots[name]
         expected_call_s = self.expected_call_s(step, len(vms))
         slot.step = step
+        slot.advice = row
         slot.overdue = False
         slot.vms = vms
         slot.share = share
@@ -417,8 +426,24 @@
         return slot
 
     def ticket_refused(self, step: StepRow, vm: str) -> None:
-        """Record that a VM refused a step's ticket."""
+        """Record that a VM refused a step's ticket, or a start without one."""
         row: AdviceRow | None = step.advice
-        if row is not None and vm in row.tickets:
+        if row is None:
+            self._pause(step)
+        elif vm in row.tickets:
             row.tickets[vm].until = NEVER
             self._state.mark_for_placement(step)
+
+    def _pause(self, step: StepRow) -> None:
+        """Pause a step that needs no advice by the terms known here, but does by a VM's.
+
+        The configuration that says so is on its way; until it comes, each start would be refused.
+        """
+        now = self._state.now
+        if now < step.paused_until:
+            return
+        pause_s = min(MAX_REFUSED_PAUSE_S, MIN_REFUSED_PAUSE_S * 2**step.refused_tickets)
+        step.refused_tickets = min(step.refused_tickets + 1, MAX_COUNTED_REFUSALS)
+        step.paused_until = now + pause_s
+        extra = {"step": step.key, "seconds": pause_s, "version": self._state.configuration.version}
+        self._state.logger.info("ticket wanted against the terms", extra=extra)
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -1,6 +1,8 @@
 """Life cycle of a job: accepted, steps opened in order, ended, removed."""
 
-from sablemount.jobs.model import JobSpec, QueueTerms, StepSpec
+from collections.abc import Collection
+
+from sablemount.jobs.model import JobSpec, QueueTerms
 from sablemount.jobs.records import JobRecord, Progress, StepProgress
 from sablemount.jobs.schedule import Schedule
 from sablemount.jobs.state import State
@@ -15,10 +17,12 @@
     TaskRow,
     TaskState,
 )
+from sablemount.jobs.times import NEVER
 
 __all__ = ["Lifecycle", "critical_paths"]
 
 MS_PER_S = 1000.0
+UNLIMITED_ATTEMPTS = 1_000_000_000
 JOB_CLOSED = "its job has ended"
 """Why the runs of an ended job are stopped, as it is logged."""
 
@@ -54,6 +58,7 @@
         state = self._state
         critical_path = max(critical_paths(record.spec), default=0.0)
         job = JobRow(name, record, state.now, schedule=Schedule(record.spec))
+        # The objective is that of the acceptance, and so the same for each next leader.
         terms = record.terms
         job.objective_at = (
             state.now + terms.stretch * critical_path + terms.target_latency_ms / MS_PER_S
@@ -161,7 +166,7 @@
         remaining = critical_paths(spec)
         for number, step in enumerate(spec.steps):
             row = StepRow(job, repetition, number, step, spec.payload, remaining[number])
-            if job.record.terms.advice is not None:
+            if self._state.terms_of(job).advice is not None:
                 row.advice = AdviceRow()
             row.make_tasks()
             job.steps[(repetition, number)] = row
@@ -198,6 +203,43 @@
         rows = [steps.get((step.repetition, number)) for number in numbers]
         return [row for row in rows if row is not None and step.number in row.spec.after]
 
+    # -- Terms -------------------------------------------------------------------------------
+
+    def apply_terms(self, changed: Collection[str]) -> None:
+        """Let the terms in force of some queues decide for the jobs that are open.
+
+        Whether starts need advice and how often a task may fail are matters of the next start, not
+        of the acceptance.
+        """
+        jobs = [job for job in self._state.open_jobs.values() if job.queue in changed]
+        for job in jobs:
+            for step in job.steps.values():
+                self._apply_advice(step)
+            self._apply_max_attempts(job)
+
+    def _apply_advice(self, step: StepRow) -> None:
+        needs_advice = self._state.terms_of(step.job).advice is not None
+        step.paused_until = NEVER
+        step.refused_tickets = 0
+        if needs_advice is (step.advice is not None):
+            return
+        step.advice = AdviceRow() if needs_advice else None
+        self._state.release_ticket_reservations(step)
+        if step.key in self._state.open_steps:
+            self._state.mark_for_placement(step)
+
+    def _apply_max_attempts(self, job: JobRow) -> None:
+        """Fail a job of which a task has failed as often as the terms in force allow."""
+        for step in list(job.steps.values()):
+            most = self.max_attempts(step)
+            for task in step.tasks.rows():
+                if task.state is not TaskState.DONE and len(task.failed_runs) >= most:
+                    extra = {"job": job.name, "task": task.key, "max_attempts": most}
+                    extra["why"] = "attempts used up by the terms in force"
+                    self._state.logger.info("job failed", extra=extra)
+                    self.end(job, JobState.FAILED)
+                    return
+
     # -- Completion --------------------------------------------------------------------------
 
     def task_done(self, task: TaskRow) -> None:
@@ -268,9 +310,11 @@
                     state.orphan_run(run, JOB_CLOSED)
                 task.runs.clear()
 
-    def max_attempts(self, step: StepSpec, terms: QueueTerms) -> int:
-        """Return how often a task of a step may fail."""
-        return 1_000_000_000 if step.lasting else max(1, terms.max_attempts)
+    def max_attempts(self, step: StepRow) -> int:
+        """Return how often a task of a step may fail, by the terms in force."""
+        if step.spec.lasting:
+            return UNLIMITED_ATTEMPTS
+        return max(1, self._state.terms_of(step.job).max_attempts)
 
     # -- Progress ----------------------------------------------------------------------------
 
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -168,7 +168,7 @@
     def is_ready(self, step: StepRow) -> bool:
         """Return whether a step may be started at all."""
         job = step.job
-        if not job.durable or _gang_may_run(step):
+        if not job.durable or _gang_may_run(step) or self._state.now < step.paused_until:
             return False
         if not job.from_previous_leader or step.opened_here:
             return True
--- a/src/sablemount/jobs/systems/reconcile.py
+++ b/src/sablemount/jobs/systems/reconcile.py
@@ -230,7 +230,7 @@
         for member in step.tasks if step.spec.gang else [task]:
             member.failed_runs.add(number)
         self._state.mark_dirty(job)
-        max_attempts = self._lifecycle.max_attempts(step.spec, job.record.terms)
+        max_attempts = self._lifecycle.max_attempts(step)
         if len(task.failed_runs) >= max_attempts:
             extra = {
                 "job": job.name,
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -143,6 +143,10 @@
     """Since when the organisation's cap keeps some of the tasks waiting."""
     capped_s: float = 0.0
     """Seconds for which the cap kept tasks waiting in earlier periods."""
+    paused_until: float = NEVER
+    """Time until which it is not started, as a VM wants a ticket that its terms do not require."""
+    refused_tickets: int = 0
+    """How often that was so under these terms."""
     requeued_at: float = NEVER
     """When one of the tasks last returned to waiting for a start."""
     tried_at_capacity_version: int = -1
@@ -218,6 +222,11 @@
     """Crashes under its tasks, once it has ended: their runs may be there until they are
     stopped."""
 
+    @property
+    def queue(self) -> str:
+        """Return the name of its queue."""
+        return self.record.terms.name
+
     @property
     def organisation(self) -> str:
         """Return the organisation that owns the job; empty if unknown or none."""
