--- a/src/sablemount/control/caller_route.py
+++ b/src/sablemount/control/caller_route.py
@@ -40,6 +40,7 @@
 REFUSED_OUTCOMES = (Outcome.NOT_TAKEN, Outcome.NO_QUEUE, Outcome.NO_KEY, Outcome.NAME_TAKEN)
 """Outcomes that would be wrong if an earlier attempt took effect."""
 
+DEADLINE_PASSED = "the caller's deadline has passed"
 UNCONFIRMED = "the configuration is not confirmed here"
 
 
@@ -114,6 +115,9 @@
         admitted = self._feed.gate.admit(call, digest)
         if isinstance(admitted, CallerReply):
             return self._refusal(admitted)
+        if timeout <= 0 and call.operation is Operation.SUBMIT:
+            # The process stood still meanwhile: the caller has gone elsewhere.
+            return not_taken_reply(DEADLINE_PASSED)
         if self._settings.fail_closed and self._feed.age > self._settings.revoke_after:
             return not_taken_reply(UNCONFIRMED)
         reply = await self._ask_leader(admitted, timeout)
--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -33,6 +33,7 @@
 """Longest part of a caller's label that is logged, in characters."""
 STORE_SILENT = "the store has not answered"
 NO_JOB = "no such job"
+CANCELLED_BEFORE = "its cancelling was acknowledged before it came"
 NO_MEMORY = "the accepted jobs hold all memory"
 
 _logger = logging.getLogger("sablemount.control.callers")
@@ -91,7 +92,7 @@
         if self._is_hidden(name, queue, call):
             return self._no_job()
         if call.operation is Operation.CANCEL:
-            return await self._cancel(name)
+            return await self._cancel(name, call.organisation)
         return self._state(name)
 
     def _is_hidden(self, name: str, queue: Queue, call: CallerCall) -> bool:
@@ -141,9 +142,14 @@
         if unserved is not None:
             self._log_unserved(name, queue, spec, unserved)
             return unserved_reply(unserved.path, unserved.reason)
-        if self._scheduler.submit(name, queue, spec, call.organisation) is Submission.KNOWN:
+        submission = self._scheduler.submit(name, queue, spec, call.organisation)
+        if submission is Submission.KNOWN:
             self._log("job known", name, queue)
             return CallerReply(Outcome.DONE, state="known")
+        if submission is Submission.CANCELLED:
+            self._log("job cancelled before it came", name, queue)
+            expires_in = self._scheduler.cancellations.expires_in_s(name)
+            return not_taken_reply(CANCELLED_BEFORE, retry_after=max(1.0, expires_in))
         self._wake()
         return await self._wait_for_acceptance(name, queue)
 
@@ -206,11 +212,11 @@
 
     # -- Cancellations -----------------------------------------------------------------------
 
-    async def _cancel(self, name: str) -> CallerReply:
+    async def _cancel(self, name: str, organisation: str) -> CallerReply:
         self._scheduler.update_time()
         job = self._scheduler.cancel(name)
         if job is None:
-            return self._no_job()
+            return await self._cancel_unknown(name, organisation)
         self._wake()
         if job.visible_state is not JobState.CANCELLED and not job.visible_state.is_final:
             await asyncio.wait([self._commits.when_recorded()], timeout=ACCEPT_TIMEOUT_S)
@@ -219,9 +225,33 @@
         _logger.info("job cancelled", extra={"job": name, "state": job.visible_state.name.lower()})
         return CallerReply(Outcome.DONE, state=job.visible_state.name.lower())
 
+    async def _cancel_unknown(self, name: str, organisation: str) -> CallerReply:
+        """Cancel a job that is not known: its submission may still be on its way.
+
+        The answer waits until the store holds the cancellation, which the next leader must know.
+        """
+        reply = self._no_job()
+        if reply.outcome is not Outcome.NO_JOB or not _is_name(name):
+            return reply
+        if not self._scheduler.cancellations.add(name, organisation):
+            return not_taken_reply("too many cancellations of unknown jobs")
+        self._wake()
+        recorded = self._commits.when_recorded()
+        await asyncio.wait([recorded], timeout=ACCEPT_TIMEOUT_S)
+        if not recorded.done() or recorded.cancelled():
+            return self._unknown_outcome()
+        extra = {"job": name, "epoch": self._scheduler.state.epoch}
+        _logger.info("unknown job cancelled", extra=extra)
+        return reply
+
+
+def _is_name(name: str) -> bool:
+    """Return whether a job may have this name."""
+    return 0 < len(name) <= MAX_NAME_LENGTH and name.isascii() and name.isalnum()
+
 
 def _spec_error(name: str, spec: JobSpec | None) -> SpecError | None:
-    if not (0 < len(name) <= MAX_NAME_LENGTH and name.isascii() and name.isalnum()):
+    if not _is_name(name):
         return SpecError("$.id", "not a name of a job")
     return None if spec is None else check_spec(spec)
 
--- a/src/sablemount/jobs/journal.py
+++ b/src/sablemount/jobs/journal.py
@@ -61,6 +61,8 @@
         self._vms: dict[str, VmRow] = {}
         """VMs whose record is to be written, or dropped if they are no longer in use."""
         self._dropped: deque[Record] = deque()
+        self._added: deque[Record] = deque()
+        """Records that concern nothing else in memory."""
         self._recording: list[RunRow] = []
 
     def add_acceptance(self, job: JobRow) -> None:
@@ -106,12 +108,20 @@
 
     def forget_job(self, name: str) -> None:
         """Drop the record of an ended job."""
-        self._dropped.append(Record(PROGRESS_PREFIX + name))
+        self.drop_record(PROGRESS_PREFIX + name)
+
+    def drop_record(self, key: str) -> None:
+        """Drop the record of a key with one of the next batches."""
+        self._dropped.append(Record(key))
+
+    def add_record(self, record: Record) -> None:
+        """Add a record to the next batch."""
+        self._added.append(record)
 
     def has_pending(self) -> bool:
         """Return whether there is something to append."""
         state = self._state
-        if self._accepting or self._vms or state.dirty_jobs or self._recording:
+        if self._accepting or self._added or self._vms or state.dirty_jobs or self._recording:
             return True
         return any(
             row.last_seen_completion > row.last_batched_completion for row in state.vms.values()
@@ -124,7 +134,8 @@
         """
         builder = _BatchBuilder(self._state)
         self._add_vms(builder, restricting=False)
-        self._add_dropped(builder)
+        _add_all(builder, self._dropped)
+        _add_all(builder, self._added)
         self._add_accepted(builder)
         self._add_progress(builder)
         if not self._state.dirty_jobs:
@@ -196,10 +207,6 @@
         task = run.owner
         return task is not None and (task.run_lost or bool(task.crashes))
 
-    def _add_dropped(self, builder: "_BatchBuilder") -> None:
-        while self._dropped and builder.accepts([self._dropped[0]]):
-            builder.add([self._dropped.popleft()])
-
     def _add_accepted(self, builder: "_BatchBuilder") -> None:
         while self._accepting:
             name, job = next(iter(self._accepting.items()))
@@ -264,6 +271,11 @@
             job.drop_payload()
 
 
+def _add_all(builder: "_BatchBuilder", records: deque[Record]) -> None:
+    while records and builder.accepts([records[0]]):
+        builder.add([records.popleft()])
+
+
 def _sealed_tasks(row: VmRow) -> tuple[str, ...]:
     """Return the tasks that may run on a VM on which nothing more is started."""
     tasks = {run.task for run in row.runs.values()}
--- a/src/sablemount/jobs/records.py
+++ b/src/sablemount/jobs/records.py
@@ -1,8 +1,9 @@
 """Persistent state of jobs: records under the keys of a keyed topic; the newest of each key counts.
 
 ``j/JOB`` holds the accepted job and never changes; ``p/JOB`` holds its progress and is replaced
-with each recorded completion; ``w/VM`` names an incarnation of a VM that may run something. A
-record without a value deletes its key.
+with each recorded completion; ``w/VM`` names an incarnation of a VM that may run something;
+``c/JOB`` holds the cancellation of a job that was not known. A record without a value deletes its
+key.
 """
 
 import msgspec
@@ -10,6 +11,8 @@
 from sablemount.jobs.model import JobSpec, QueueTerms
 
 __all__ = [
+    "CANCELLATION_PREFIX",
+    "Cancellation",
     "JOB_PREFIX",
     "PROGRESS_PREFIX",
     "VM_PREFIX",
@@ -18,6 +21,7 @@
     "Record",
     "StepProgress",
     "VmRecord",
+    "decode_cancellation",
     "decode_job",
     "decode_progress",
     "decode_vm",
@@ -27,6 +31,7 @@
 JOB_PREFIX = "j/"
 PROGRESS_PREFIX = "p/"
 VM_PREFIX = "w/"
+CANCELLATION_PREFIX = "c/"
 
 
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -97,6 +102,15 @@
     sealed_tasks: tuple[str, ...] = ()
 
 
+class Cancellation(msgspec.Struct, frozen=True):
+    """A cancellation of a job that was not known."""
+
+    at_ms: float
+    """Time of day in ms since 1970."""
+    organisations: tuple[str, ...]
+    """Organisations whose callers have cancelled it; an empty name stands for callers of none."""
+
+
 class Record(msgspec.Struct, frozen=True):
     """A key with its new value; an empty value deletes the key."""
 
@@ -107,10 +121,11 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _JOB_DECODER = msgspec.msgpack.Decoder(JobRecord)
 _PROGRESS_DECODER = msgspec.msgpack.Decoder(Progress)
+_CANCELLATION_DECODER = msgspec.msgpack.Decoder(Cancellation)
 _VM_DECODER = msgspec.msgpack.Decoder(VmRecord)
 
 
-def encode(value: JobRecord | Progress | VmRecord) -> bytes:
+def encode(value: JobRecord | Progress | VmRecord | Cancellation) -> bytes:
     """Encode a record's value."""
     return _ENCODER.encode(value)
 
@@ -125,6 +140,11 @@
     return _PROGRESS_DECODER.decode(value)
 
 
+def decode_cancellation(value: bytes) -> Cancellation:
+    """Decode a cancellation; raises ``msgspec.DecodeError``."""
+    return _CANCELLATION_DECODER.decode(value)
+
+
 def decode_vm(value: bytes) -> VmRecord:
     """Decode a VM's record; raises ``msgspec.DecodeError``."""
     return _VM_DECODER.decode(value)
--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -14,12 +14,14 @@
 from sablemount.jobs.journal import Batch, Journal
 from sablemount.jobs.model import Configuration, JobSpec, Queue, Shape, SpecError, VmInfo
 from sablemount.jobs.records import (
+    CANCELLATION_PREFIX,
     JOB_PREFIX,
     PROGRESS_PREFIX,
     VM_PREFIX,
     JobRecord,
     Progress,
     Record,
+    decode_cancellation,
     decode_job,
     decode_progress,
     decode_vm,
@@ -30,6 +32,7 @@
 from sablemount.jobs.state import State
 from sablemount.jobs.systems.acks import Acks
 from sablemount.jobs.systems.advice import Advice
+from sablemount.jobs.systems.cancellations import Cancellations
 from sablemount.jobs.systems.caps import Caps
 from sablemount.jobs.systems.crashes import Crashes
 from sablemount.jobs.systems.evacuation import Evacuation
@@ -83,6 +86,8 @@
 
     KNOWN = "known"
     """The job is in the store already."""
+    CANCELLED = "cancelled"
+    """Its cancelling was acknowledged before it came; it is not taken."""
     PENDING = "pending"
     """The job is accepted once the next batch is in the store."""
 
@@ -120,6 +125,7 @@
         self.gang_reservations = GangReservations(self.state)
         self.caps = Caps(self.state)
         self.journal = Journal(self.state, self.lifecycle)
+        self.cancellations = Cancellations(self.state, self.journal, self.lifecycle.admission)
         self.seals = Seals(self.state, self.journal, self.leases)
         self.crashes = Crashes(self.state, self.lifecycle, self.journal.update_vm_record)
         self.vms.on_crash = self.crashes.vm_crashed
@@ -210,6 +216,7 @@
         self.reconcile.find_partial_gangs()
         for job in self.lifecycle.remove_old():
             self.journal.forget_job(job.name)
+        self.cancellations.remove_old()
 
     # -- Recovery ----------------------------------------------------------------------------
 
@@ -259,6 +266,8 @@
             progress[name] = decode_progress(record.value)
         elif kind == VM_PREFIX:
             self._load_vm(name, record.value)
+        elif kind == CANCELLATION_PREFIX:
+            self.cancellations.restore(name, decode_cancellation(record.value))
 
     def _load_vm(self, name: str, value: bytes) -> None:
         stored = decode_vm(value)
@@ -379,6 +388,8 @@
         known = self.state.jobs.get(name)
         if known is not None:
             return Submission.KNOWN if known.durable else Submission.PENDING
+        if self.cancellations.holds_for(name, organisation):
+            return Submission.CANCELLED
         job = self.lifecycle.create(name, self._job_record(queue, spec, organisation))
         self.journal.add_acceptance(job)
         return Submission.PENDING
--- a/src/sablemount/platform/front.py
+++ b/src/sablemount/platform/front.py
@@ -4,6 +4,7 @@
 import logging
 import math
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import msgspec
@@ -17,6 +18,8 @@
     max_connections,
 )
 from sablemount.adapters.ending_server import GracefulServer, final_response
+from sablemount.adapters.socket_age import is_closed_by_peer, seconds_since_received
+from sablemount.control.clock import monotonic
 from sablemount.control.gate import key_digest
 from sablemount.control.member import Member
 from sablemount.control.memory_budget import MemoryBudget
@@ -55,6 +58,9 @@
     ".shape.accelerators": ".gpu",
 }
 """The platform's names of fields of a job, by the product's path of the field."""
+TOO_LATE = "the request waited for too long"
+MIN_LATE_S = 0.25
+"""Seconds that a request has to wait unread before it is checked whether its caller has left."""
 RETRY_AFTER_S = 1
 """Seconds after which a caller that is refused for load may come back."""
 MAX_SMALL_BODY_BYTES = 4 * 1024
@@ -139,6 +145,27 @@
 Respond = Callable[[httputil.HTTPServerRequest, HTTPStatus, bytes, dict[str, str]], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """When a request arrived at this machine, whenever it was read."""
+
+    at: float
+    """Local time."""
+    is_abandoned: bool
+    """Whether it waited, and its caller has closed the connection meanwhile."""
+
+    @classmethod
+    def of(cls, request: httputil.HTTPServerRequest) -> "_Arrival":
+        """Return the arrival of a request that has just been read completely."""
+        stream = getattr(request.connection, "stream", None)
+        if stream is None:
+            return cls(monotonic(), False)
+        waited = seconds_since_received(stream)
+        # A caller that closes only its sending direction, and at once, still wants its answer.
+        is_late = stream.closed() or waited > MIN_LATE_S
+        return cls(monotonic() - waited, is_late and is_closed_by_peer(stream))
+
+
 STOPPING = CallerReply(Outcome.NOT_TAKEN, reason="the process stops", retry_after=1.0)
 UNFINISHED = CallerReply(Outcome.UNKNOWN, reason="the process ends before the answer is there")
 
@@ -245,7 +272,12 @@
         if operation is None:
             return CallerReply(Outcome.INVALID, reason="no such method")
         spec = None
+        timeout = _timeout(request)
         if operation is Operation.SUBMIT:
+            arrival = _Arrival.of(request)
+            timeout -= monotonic() - arrival.at
+            if timeout <= 0 or arrival.is_abandoned:
+                return self._refuse_late(request, arrival)
             if (refusal := self._refusal_of_size(request)) is not None:
                 return refusal
             try:
@@ -255,9 +287,19 @@
                 return CallerReply(Outcome.INVALID, path=path.strip("`") or "$", reason=reason)
         host = request.host.partition(":")[0]
         call = CallerCall(operation, host, request.path, spec)
-        return await self._member.serve(
-            call, _timeout(request), request_key_digest(request.headers)
-        )
+        return await self._member.serve(call, timeout, request_key_digest(request.headers))
+
+    def _refuse_late(self, request: httputil.HTTPServerRequest, arrival: "_Arrival") -> CallerReply:
+        """Refuse a job that has waited unread for so long that its caller has gone elsewhere."""
+        extra = {
+            "request": request.path.rpartition("/")[2],
+            "waited": round(monotonic() - arrival.at, 3),
+            "deadline": round(_timeout(request), 3),
+            "caller_left": arrival.is_abandoned,
+        }
+        _logger.info("late request refused", extra=extra)
+        self._member.metrics.count("refused", TOO_LATE)
+        return CallerReply(Outcome.NOT_TAKEN, reason=TOO_LATE, retry_after=RETRY_AFTER_S)
 
     def _refusal_of_size(self, request: httputil.HTTPServerRequest) -> CallerReply | None:
         """Return the reply to a job for whose decoding there is no memory, or ``None``."""
