--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -16,7 +16,7 @@
 from sablemount.jobs.systems.placement import Placement
 from sablemount.jobs.systems.reconcile import Reconcile
 from sablemount.jobs.systems.urgency import Urgency
-from sablemount.jobs.tables import StepRow
+from sablemount.jobs.tables import StepRow, TaskRow
 from sablemount.jobs.times import NEVER
 from sablemount.jobs.vm_row import VmRow
 
@@ -88,6 +88,9 @@
         self._expected: dict[str, Shape] = {}
         """What more urgent steps will use of the capacity soon free, by VM, in this round."""
 
+        self._stoppable: dict[str, list[tuple[int, RunRow, TaskRow]]] = {}
+        """Runs that may be stopped for some step, with their priorities, by VM, in this round."""
+
     def run(self) -> None:
         """Free capacity for the most urgent waiting steps."""
         now = self._state.now
@@ -95,6 +98,7 @@
             return
         self._release_reservations()
         self._expected.clear()
+        self._stoppable.clear()
         usable: list[VmRow] | None = None
         evaluated = 0
         for step in self._placement.steps_by_urgency():
@@ -230,15 +234,27 @@
         """Return the runs of a VM that may be stopped, each with the core seconds lost."""
         priority = self._state.terms_of(step.job).priority
         found = []
-        for run, task in self._state.running_on(row):
-            spec = task.step.spec
-            if spec.gang or spec.lasting or run.percent > 100 * NEARLY_DONE_SHARE:
-                continue
-            if self._state.terms_of(task.step.job).priority <= priority:
+        for run_priority, run, task in self._stoppable_runs(row):
+            if run_priority <= priority or run.state is not RunState.RUNNING:
                 continue
             if not self._state.may_be_stopped(task):
                 continue
-            found.append((self._loss(run, spec.saves), run))
+            found.append((self._loss(run, task.step.spec.saves), run))
+        return found
+
+    def _stoppable_runs(self, row: VmRow) -> list[tuple[int, RunRow, TaskRow]]:
+        """Return the runs of a VM that may be stopped for some step, with their priorities.
+
+        They are looked up once a round: there may be thousands of steps that seek capacity.
+        """
+        found = self._stoppable.get(row.name)
+        if found is not None:
+            return found
+        found = self._stoppable[row.name] = []
+        for run, task in self._state.running_on(row):
+            spec = task.step.spec
+            if not (spec.gang or spec.lasting or run.percent > 100 * NEARLY_DONE_SHARE):
+                found.append((self._state.terms_of(task.step.job).priority, run, task))
         return found
 
     def _loss(self, run: RunRow, saves: bool) -> float:
