--- a/src/sablemount/platform/main.py
+++ b/src/sablemount/platform/main.py
@@ -59,10 +59,11 @@
         self._background = Background(error_logger(_logger))
         self._pool = UpstreamPool(MAX_CONNECTIONS_PER_ADDRESS, IDLE_TIMEOUT_S)
         self._vm_pool = UpstreamPool(MAX_CONNECTIONS_PER_ADDRESS, IDLE_TIMEOUT_S)
+        self._advice = PlatformAdvice(boot.advice, self._pool)
         ports = LeaderPorts(
             PlatformStore(boot.platform.addr, self._pool),
             PlatformWorkers(self._vm_pool),
-            PlatformAdvice(boot.advice, self._pool),
+            self._advice,
             PlatformDirectory(boot.keyed),
         )
         network = TcpNetwork(boot.limits.memory_mb)
@@ -126,8 +127,14 @@
             fault = loaded.err_value
             _logger.error("settings refused", extra={"file": fault.file, "why": fault.reason})
             return
-        self.boot = loaded.ok_value
-        _logger.info("settings reloaded", extra={"node": self.boot.node_name})
+        before, self.boot = self.boot, loaded.ok_value
+        self._advice.address = self.boot.advice
+        extra = {
+            "node": self.boot.node_name,
+            "advice": self.boot.advice,
+            "needs_restart": _changed_fields(before, self.boot, applied={"advice"}),
+        }
+        _logger.info("settings reloaded", extra=extra)
 
     async def _shut_down(self) -> None:
         """Hand over leadership, serve new calls for a while, and answer all calls in flight.
@@ -167,6 +174,12 @@
         _logger.info("stopped", extra={"in_flight": self.frontend.in_flight, "ended": closed})
 
 
+def _changed_fields(before: BootSettings, now: BootSettings, applied: set[str]) -> list[str]:
+    """Return the settings that differ and are read only as a process starts."""
+    names = set(BootSettings.__struct_fields__) - applied
+    return sorted(name for name in names if getattr(before, name) != getattr(now, name))
+
+
 async def serve(boot: BootSettings, log: structured_logs.BoundedHandler | None = None) -> int:
     """Run a process with the given settings and return its exit code."""
     return await Process(boot, log=log).run()
--- a/src/sablemount/platform/workers.py
+++ b/src/sablemount/platform/workers.py
@@ -220,12 +220,13 @@
     """Implements the product's advice port with the platform's advice service."""
 
     def __init__(self, address: str | None, pool: UpstreamPool) -> None:
-        self._address = address
+        self.address = address
+        """Address of the service, from the next call on; ``None`` without one."""
         self._pool = pool
 
     async def advise(self, step: str, workers: Sequence[str], timeout: float) -> AdviceReply:
         """Ask which of some workers are suitable for a step."""
-        if self._address is None:
+        if self.address is None:
             return AdviceReply(False)
         incarnations: dict[str, list[str]] = {}
         for incarnation in workers:
@@ -235,7 +236,7 @@
         try:
             # The service processes one call at a time and takes long for some calls.
             response = await self._pool.fetch(
-                self._address, "/api/advise", body, headers, timeout, waits=timeout
+                self.address, "/api/advise", body, headers, timeout, waits=timeout
             )
             if response.status != OK:
                 return AdviceReply(False)
