Mixes and soaks draw large jobs, changing terms and cancellations that are answered 410

The emulator's mixes draw jobs whose repetitions fall due together and wide ones (backlog), and queues that are given advice and lose it again (terms), beside faults of the store and changes of leader. All mixes, and the process soak, check that nothing of a job starts more than 3 s after its cancelling was answered with 410, not with 200 only.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,8 @@
 	$(BIN)/python -m benchmarks.job_soak --kind spread
 	$(BIN)/python -m benchmarks.job_soak --kind placement
 	$(BIN)/python -m benchmarks.job_soak --kind recuts
+	$(BIN)/python -m benchmarks.job_soak --kind backlog
+	$(BIN)/python -m benchmarks.job_soak --kind terms
 
 process-soak: $(STAMP)
 	$(BIN)/python -m benchmarks.process_soak
--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -12,6 +12,8 @@
 python -m benchmarks.job_soak --kind spread --first 0 --count 500
 python -m benchmarks.job_soak --kind placement --first 0 --count 500
 python -m benchmarks.job_soak --kind recuts --first 0 --count 500
+python -m benchmarks.job_soak --kind backlog --first 0 --count 200
+python -m benchmarks.job_soak --kind terms --first 0 --count 200
 
 With leases, steps and recuts it also prints how often a task ran twice; with leases and steps, how
 long tasks waited that were lost with their VM.
@@ -37,6 +39,7 @@
     vm_faults,
 )
 from tests.emulator import faults as kinds
+from tests.emulator.backlog_mix import run_backlog_mix, run_terms_mix
 from tests.emulator.loop import run
 from tests.emulator.mixes import (
     run_connection_mix,
@@ -77,6 +80,10 @@
     """The same beside queues that move from pool to pool, and machines that change their kind."""
     RECUTS = "recuts"
     """VMs that restart under their ids and are cut off soon after, under long tasks."""
+    BACKLOG = "backlog"
+    """Jobs whose repetitions fall due together, and wide ones."""
+    TERMS = "terms"
+    """A queue that is given advice and loses it again."""
 
 
 class MixResult(msgspec.Struct):
@@ -167,6 +174,20 @@
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
+def run_backlog_seed(seed: int) -> MixResult:
+    """Run a seed's mix of large jobs, beside faults mostly of the store."""
+    chosen = draw(seed)
+    wrong = run(run_backlog_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
+def run_terms_seed(seed: int) -> MixResult:
+    """Run a seed's mix of changing terms, beside faults mostly of the store."""
+    chosen = draw(seed)
+    wrong = run(run_terms_mix(seed, chosen, advice=seed % 2 == 0))
+    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+
+
 def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
     wrong, waits_s = run(run_measured_lease_mix(seed, chosen, advice=seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong, waits_s)
@@ -191,6 +212,8 @@
     Kind.SPREAD: run_spread_seed,
     Kind.PLACEMENT: run_placement_seed,
     Kind.RECUTS: run_recuts_seed,
+    Kind.BACKLOG: run_backlog_seed,
+    Kind.TERMS: run_terms_seed,
 }
 
 
--- a/benchmarks/job_verdicts.py
+++ b/benchmarks/job_verdicts.py
@@ -74,6 +74,14 @@
         if state == "cancelled":
             self._cancelled_at.setdefault(job, now)
 
+    def record_cancelled_unknown(self, job: str, now: float) -> None:
+        """Record that the cancellation of a job was answered that there is none.
+
+        A submission of it that was read late must not be taken afterwards.
+        """
+        if job not in self.accepted:
+            self._cancelled_at.setdefault(job, now)
+
     def late_starts(self) -> list[str]:
         """Return the tasks that started too long after the cancellation of their job."""
         found = []
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -34,6 +34,7 @@
 UNKNOWN_KEY_SHARE = 0.05
 """Share of the jobs for which a caller with an unknown key makes calls as well."""
 REFUSED = (429, 503)
+GONE = 410
 STEP_PATH = b'"path":"$.steps['
 """Names the step at fault in the reply to a submission that is refused as no VM can run it."""
 RESUBMIT_SHARE = 0.05
@@ -203,6 +204,8 @@
         if answer.code in ACCEPTED:
             state = str(json.loads(answer.body)["state"])
             self.verdicts.record_cancellation(job, state, time.monotonic())
+        elif answer.code == GONE:
+            self.verdicts.record_cancelled_unknown(job, time.monotonic())
 
     def _on_accepted(self, job: str) -> None:
         """Record an acceptance, and query the states of some of these jobs from now on."""
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -60,6 +60,8 @@
 LISTING_DELAY_S = (0.0, 0.5)
 """Range of seconds from the start of a VM until it has written its directory entry."""
 STORE_POLL_INTERVAL_S = 0.05
+CANCEL_EFFECT_S = 3.0
+"""Seconds after an acknowledged cancelling from which nothing of the job may start."""
 
 
 class System:
@@ -89,6 +91,8 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
+        self.cancelled_unknown: dict[str, float] = {}
+        """Jobs whose cancelling was answered that there is no such job, and when."""
         self.open_submissions = 0
         self.fail_closed = False
         """Whether members refuse callers while their configuration is unconfirmed."""
@@ -103,9 +107,9 @@
         """Links to the store by member; a member that is not listed has unlimited bandwidth."""
         self.stalls = Stalls(random.Random(seed + 11), self.suspend, self.resume)
         self._started_members = 0
-        self.cell.requires_ticket = advice
         self.entries = Entries(self.store, directory_entry, lambda vm: not vm.unreachable)
-        self._advice = AdviceTerms(5.0, 0.1, 2000.0) if advice else None
+        self._advice: AdviceTerms | None = None
+        self.set_advice(advice)
         self._pools = pools
         for number in range(vms):
             address = f"10.0.0.{number + 1}:8240"
@@ -117,6 +121,11 @@
 
     # -- The platform ------------------------------------------------------------------------
 
+    def set_advice(self, is_needed: bool) -> None:
+        """Have starts need a ticket from now on, or none; ``configure`` publishes this."""
+        self.cell.requires_ticket = is_needed
+        self._advice = AdviceTerms(5.0, 0.1, 2000.0) if is_needed else None
+
     def configure(
         self,
         version: int,
@@ -397,7 +406,10 @@
     async def cancel(self, name: str) -> None:
         # Without a reply it is unknown whether the job was cancelled.
         self.cancelled.add(name)
-        await self.call(CallerCall(Operation.CANCEL, HOST, self._path(name)), self._digest(name))
+        call = CallerCall(Operation.CANCEL, HOST, self._path(name))
+        reply = await self.call(call, self._digest(name))
+        if reply is not None and reply.outcome is Outcome.NO_JOB:
+            self.cancelled_unknown.setdefault(name, loop_time())
 
     async def state(self, name: str) -> CallerReply | None:
         call = CallerCall(Operation.STATE, HOST, self._path(name))
@@ -530,6 +542,7 @@
         for name in sorted(self.refused):
             if any(task.startswith(f"{name}.") for task in self.cell.starts):
                 violations.append(f"refused, but started: {name}")
+        violations += self._late_starts()
         for name in sorted(self.accepted - self.cancelled):
             if self._may_fail(name) or self._may_fail_for_crashes(name):
                 continue
@@ -538,6 +551,15 @@
                 violations.append(f"shown as done without: {missing}")
         return violations
 
+    def _late_starts(self) -> list[str]:
+        """Return the tasks that started although the cancelling of their job was acknowledged."""
+        return [
+            f"started after its cancelling was acknowledged: {task}"
+            for task, starts in self.cell.starts.items()
+            for cancelled_at in [self.cancelled_unknown.get(task.partition(".")[0])]
+            if cancelled_at is not None and max(starts) > cancelled_at + CANCEL_EFFECT_S
+        ]
+
     def _may_fail_for_crashes(self, name: str) -> bool:
         """Return whether a job may fail because it crashes VMs, and enough of them have crashed.
 
