--- a/src/sablemount/jobs/systems/openings.py
+++ b/src/sablemount/jobs/systems/openings.py
@@ -21,6 +21,8 @@
 """Steps to be placed of one job beyond which no further repetition of it is opened."""
 MAX_STEPS_PER_TICK = 128
 """Steps that are opened in one tick beyond the first of each job; opening one takes some 50 us."""
+MIN_TIMERS = 64
+"""Number of timers up to which those of closed jobs are kept."""
 MAX_JOBS_PER_TICK = 256
 """Jobs of which a repetition is opened in one tick."""
 
@@ -42,6 +44,7 @@
     def add(self, job: JobRow) -> None:
         """Have the repetitions of a job opened as they fall due."""
         if job.schedule is not None and not job.schedule.is_complete:
+            self._drop_closed()
             timer = (job.schedule.next_due_ms, next(self._numbers), job)
             heapq.heappush(self._timers, timer)
 
@@ -68,6 +71,12 @@
         schedules = [job.schedule for job in self._due.values() if job.schedule is not None]
         return sum(schedule.count_due(wall_ms) for schedule in schedules)
 
+    def _drop_closed(self) -> None:
+        """Drop the timers of closed jobs once they are the most; they may be due in years."""
+        if len(self._timers) > 2 * len(self._state.open_jobs) + MIN_TIMERS:
+            self._timers = [timer for timer in self._timers if timer[2].is_open]
+            heapq.heapify(self._timers)
+
     def _take_due(self) -> None:
         while self._timers and self._timers[0][0] <= self._state.wall_ms:
             job = heapq.heappop(self._timers)[2]
--- a/tests/jobs/test_backlog.py
+++ b/tests/jobs/test_backlog.py
@@ -8,7 +8,7 @@
 from sablemount.jobs.actions import StartRun
 from sablemount.jobs.model import JobSpec, StepSpec
 from sablemount.jobs.records import PROGRESS_PREFIX, StepProgress, decode_progress
-from sablemount.jobs.tables import JobState, StepRow, TaskRow
+from sablemount.jobs.tables import JobRow, JobState, StepRow, TaskRow
 from tests.jobs.rig import CORE, WALL_MS, Rig, queue, spec
 
 TIMES = 7_500
@@ -99,6 +99,23 @@
     assert _rows(TaskRow) - before <= 2 * PLACES
 
 
+def test_cancelled_jobs_that_are_due_in_a_year_leave_nothing_behind() -> None:
+    rig = _rig()
+    before = _rows(JobRow)
+    far = msgspec.structs.replace(
+        _timed(rig, 1, 1), first_due_ms=WALL_MS + rig.clock.time * 1000.0 + 365 * 86_400_000.0
+    )
+    for number in range(500):
+        rig.accept(f"job{number}", far, USUAL)
+        rig.scheduler.cancel(f"job{number}")
+        rig.commit()
+    rig.wait(181.0)
+    rig.wait(1.0)
+    assert not rig.scheduler.state.jobs
+    rig.accept("last", far, USUAL)
+    assert _rows(JobRow) - before <= 100
+
+
 # -- Other jobs ------------------------------------------------------------------------------
 
 
