--- a/src/sablemount/adapters/socket_age.py
+++ b/src/sablemount/adapters/socket_age.py
@@ -6,16 +6,17 @@
 
 import socket
 import struct
-import time
 
 from tornado import iostream
 
+from sablemount.boottime import monotonic
+
 __all__ = ["is_closed_by_peer", "seconds_since_received"]
 
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
 """``tcpi_last_data_recv`` of ``struct tcp_info``, in ms: the same on all 64-bit Linux machines."""
 MS_PER_S = 1000.0
-STARTED_AT = time.monotonic()
+STARTED_AT = monotonic()
 """When the process began; nothing was received before."""
 
 
@@ -35,7 +36,7 @@
     if len(info) < LAST_DATA_RECEIVED.size:
         return 0.0
     (age_ms,) = LAST_DATA_RECEIVED.unpack(info)
-    return float(min(age_ms / MS_PER_S, time.monotonic() - STARTED_AT))
+    return float(min(age_ms / MS_PER_S, monotonic() - STARTED_AT))
 
 
 def is_closed_by_peer(stream: iostream.IOStream) -> bool:
