--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -38,6 +38,9 @@
 in which the process does nothing else."""
 MAX_STARTS_PER_STEP = 1_000
 """Maximum number of tasks of a step that are matched in one round, except for a gang's."""
+MAX_SMALL_STEP = 64
+"""Number of waiting tasks up to which all of a step are matched: to make their rows takes less time
+than to count the places of all VMs."""
 EVALUATIONS_PER_START = 20
 """Number of evaluations for which a start counts in a round: it takes some 40 us."""
 RETRY_INTERVAL_S = 0.25
@@ -225,10 +228,12 @@
     ) -> _Selection:
         """Return the tasks to be matched against some VMs, at most ``places``.
 
-        Of a step with many tasks these are no more than the VMs have room for, beside those with
+        Of a wide step these are no more than the VMs have room for, beside those with
         failures or crashes, which may not start on any VM. ``made`` gets the rows made for them.
         """
-        room = _places_up_to(step, rows, step.waiting)
+        room = step.waiting
+        if room > MAX_SMALL_STEP:
+            room = _places_up_to(step, rows, room)
         if step.spec.gang and room < step.waiting:
             return _Selection([], rows, True, True)
         limit = room if step.spec.gang else min(room, MAX_STARTS_PER_STEP)
