--- a/src/sablemount/control/callers.py
+++ b/src/sablemount/control/callers.py
@@ -148,8 +148,8 @@
             return CallerReply(Outcome.DONE, state="known")
         if submission is Submission.CANCELLED:
             self._log("job cancelled before it came", name, queue)
-            expires_in = self._scheduler.cancellations.expires_in_s(name)
-            return not_taken_reply(CANCELLED_BEFORE, retry_after=max(1.0, expires_in))
+            # Its caller wants it no more: there is no time to come back at.
+            return not_taken_reply(CANCELLED_BEFORE, retry_after=0.0)
         self._wake()
         return await self._wait_for_acceptance(name, queue)
 
--- a/src/sablemount/jobs/systems/cancellations.py
+++ b/src/sablemount/jobs/systems/cancellations.py
@@ -15,7 +15,6 @@
 MAX_CANCELLATIONS = 20_000
 """Largest number of cancellations that are kept: some 8 MB. With more, they are not acknowledged
 until the oldest have expired."""
-MS_PER_S = 1000.0
 
 
 class Cancellations:
@@ -51,11 +50,6 @@
         cancellation = self._kept.get(job)
         return cancellation is not None and organisation in cancellation.organisations
 
-    def expires_in_s(self, job: str) -> float:
-        """Return the seconds after which a job's cancellation is not kept any more."""
-        cancellation = self._kept.get(job)
-        return 0.0 if cancellation is None else self._left_ms(cancellation) / MS_PER_S
-
     def remove_old(self) -> None:
         """Remove the cancellations that have been kept for long enough."""
         for job in [job for job, kept in self._kept.items() if self._left_ms(kept) <= 0]:
--- a/tests/jobs/test_cancellations.py
+++ b/tests/jobs/test_cancellations.py
@@ -88,6 +88,18 @@
     assert rig.scheduler.cancellations.add("job0", "")
 
 
+def test_who_hands_in_a_cancelled_job_is_not_asked_to_come_back() -> None:
+    """Callers that did as told came back after three minutes, and the job was run."""
+
+    async def scenario() -> None:
+        system = await _started()
+        assert (await _cancel(system, "m0")).outcome is Outcome.NO_JOB
+        reply = await _hand_in(system, "m1", CALL_TIMEOUT_S)
+        assert (reply.outcome, reply.retry_after) == (Outcome.NOT_TAKEN, 0.0)
+
+    run(scenario())
+
+
 # -- Members that stand still ----------------------------------------------------------------
 
 
