Use one check of late starts in the mixes and the process soak

The emulator had got a second copy of the check that Verdicts.late_starts makes, with its bound written a third time in test_cancellations, and soak_callers a second GONE. All use tests/emulator/late_starts.py now; the bound of 3 s and what is compared are the same.

--- a/benchmarks/job_verdicts.py
+++ b/benchmarks/job_verdicts.py
@@ -1,6 +1,7 @@
 """Checks of the replies that callers got about their jobs against what the VMs have run."""
 
 from tests.emulator.job_model import task_names
+from tests.emulator.late_starts import CANCEL_EFFECT_S, late_starts
 from tests.emulator.vms import Cell
 
 __all__ = ["ACCEPTED", "CANCEL_EFFECT_S", "GONE", "Verdicts"]
@@ -9,8 +10,6 @@
 GONE = 410
 CRASHES_UNTIL_FAILED = 2
 """Crashes of VMs under a task after which its job may be reported as failed."""
-CANCEL_EFFECT_S = 3.0
-"""Seconds after the reply to a cancellation from which no task of the job may start."""
 VISIBLE_AFTER_S = 3.0
 """Seconds after its acceptance from which every process has to know a job."""
 
@@ -84,14 +83,7 @@
 
     def late_starts(self) -> list[str]:
         """Return the tasks that started too long after the cancellation of their job."""
-        found = []
-        for job, acknowledged_at in self._cancelled_at.items():
-            last = acknowledged_at + CANCEL_EFFECT_S
-            for task, starts in self._cell.starts.items():
-                if task.startswith(f"{job}.") and max(starts) > last:
-                    after = max(starts) - acknowledged_at
-                    found.append(f"{task} started {after:.1f} s after its job was cancelled")
-        return found
+        return late_starts(self._cell.starts, self._cancelled_at)
 
     def check_reply(self, job: str, code: int, state: str, asked_at: float, node: str) -> None:
         """Check a reply to a query of a job's state."""
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -8,7 +8,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
-from benchmarks.job_verdicts import ACCEPTED, Verdicts
+from benchmarks.job_verdicts import ACCEPTED, GONE, Verdicts
 from benchmarks.node_faults import Target
 from benchmarks.node_processes import Node, Nodes
 from benchmarks.open_connections import Answer, Cut, OpenConnection
@@ -34,7 +34,6 @@
 UNKNOWN_KEY_SHARE = 0.05
 """Share of the jobs for which a caller with an unknown key makes calls as well."""
 REFUSED = (429, 503)
-GONE = 410
 STEP_PATH = b'"path":"$.steps['
 """Names the step at fault in the reply to a submission that is refused as no VM can run it."""
 RESUBMIT_SHARE = 0.05
--- a/tests/emulator/system.py
+++ b/tests/emulator/system.py
@@ -33,6 +33,7 @@
 from tests.emulator.directory import Codec, directory_entry
 from tests.emulator.entries import Entries
 from tests.emulator.job_model import JobModel, task_names
+from tests.emulator.late_starts import late_starts
 from tests.emulator.leader_view import LeaderView
 from tests.emulator.loop import OWNER, resume, suspend
 from tests.emulator.narrow import LimitedLink, LimitedLinkStore
@@ -60,8 +61,6 @@
 LISTING_DELAY_S = (0.0, 0.5)
 """Range of seconds from the start of a VM until it has written its directory entry."""
 STORE_POLL_INTERVAL_S = 0.05
-CANCEL_EFFECT_S = 3.0
-"""Seconds after an acknowledged cancelling from which nothing of the job may start."""
 
 
 class System:
@@ -542,7 +541,7 @@
         for name in sorted(self.refused):
             if any(task.startswith(f"{name}.") for task in self.cell.starts):
                 violations.append(f"refused, but started: {name}")
-        violations += self._late_starts()
+        violations += late_starts(self.cell.starts, self.cancelled_unknown)
         for name in sorted(self.accepted - self.cancelled):
             if self._may_fail(name) or self._may_fail_for_crashes(name):
                 continue
@@ -551,15 +550,6 @@
                 violations.append(f"shown as done without: {missing}")
         return violations
 
-    def _late_starts(self) -> list[str]:
-        """Return the tasks that started although the cancelling of their job was acknowledged."""
-        return [
-            f"started after its cancelling was acknowledged: {task}"
-            for task, starts in self.cell.starts.items()
-            for cancelled_at in [self.cancelled_unknown.get(task.partition(".")[0])]
-            if cancelled_at is not None and max(starts) > cancelled_at + CANCEL_EFFECT_S
-        ]
-
     def _may_fail_for_crashes(self, name: str) -> bool:
         """Return whether a job may fail because it crashes VMs, and enough of them have crashed.
 
--- a/tests/jobs/test_cancellations.py
+++ b/tests/jobs/test_cancellations.py
@@ -12,6 +12,7 @@
 from sablemount.jobs.records import CANCELLATION_PREFIX
 from sablemount.jobs.scheduler import Submission
 from sablemount.jobs.systems import cancellations
+from tests.emulator.late_starts import CANCEL_EFFECT_S
 from tests.emulator.loop import OWNER, run
 from tests.emulator.system import CALL_TIMEOUT_S, HOST, PREFIX, System
 from tests.jobs.rig import CORE, Rig, queue, spec
@@ -20,8 +21,6 @@
 JOB = spec(StepSpec(1, CORE))
 RETENTION_S = 180.0
 FROZEN_S = 3.9
-CANCEL_S = 3.0
-"""Seconds after an acknowledged cancelling from which nothing of the job may start."""
 MEMBERS = 4
 LONG_DEADLINE_S = 30.0
 """Deadline of a caller that is still waiting once its machine goes on."""
@@ -199,7 +198,7 @@
             await asyncio.wait([cancelling], timeout=CALL_TIMEOUT_S + FROZEN_S)
             reply = cancelling.result() if cancelling.done() else None
             await asyncio.sleep(0.1)
-        await asyncio.sleep(CANCEL_S)
+        await asyncio.sleep(CANCEL_EFFECT_S)
         ended = {task for task in system.cell.done if task.startswith(name + ".")}
         await asyncio.sleep(FROZEN_S + 6.0)
         await asyncio.wait([submitting], timeout=1.0)
