--- a/benchmarks/job_soak.py
+++ b/benchmarks/job_soak.py
@@ -22,8 +22,9 @@
 import enum
 import random
 import time
+from collections.abc import Callable, Coroutine, Sequence
 from multiprocessing import Pool
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 import typer
@@ -54,6 +55,8 @@
 from tests.emulator.placement_mix import run_placement_mix
 from tests.emulator.store_faults import draw
 
+MixRunner = Callable[[int, Sequence[kinds.Fault], bool], Coroutine[Any, Any, list[str]]]
+"""Runs the mix of a seed with some faults, with an advice service or without."""
 FAULTS_PER_MIX = 5
 """Number of faults in a mix of any faults."""
 WORKER_PROCESSES = 6
@@ -124,16 +127,12 @@
 
 def run_restarts_seed(seed: int) -> MixResult:
     """Run a seed's mix of frequent restarts of VMs that no task causes."""
-    chosen = life_faults.draw_restarts(seed)
-    wrong = run(run_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_mix, seed, life_faults.draw_restarts(seed))
 
 
 def run_jobs_seed(seed: int) -> MixResult:
     """Run a seed's mix of any faults, mostly of the store, with jobs of the whole job model."""
-    chosen = draw(seed)
-    wrong = run(run_job_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_job_mix, seed, draw(seed))
 
 
 def run_leases_seed(seed: int) -> MixResult:
@@ -148,44 +147,32 @@
 
 def run_connections_seed(seed: int) -> MixResult:
     """Run a seed's mix of leaders lost in series, at VMs that take few connections."""
-    chosen = connection_faults.draw(seed)
-    wrong = run(run_connection_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_connection_mix, seed, connection_faults.draw(seed))
 
 
 def run_spread_seed(seed: int) -> MixResult:
     """Run a seed's mix of steps whose spread binds."""
-    chosen = spread_faults.draw(seed)
-    wrong = run(run_spread_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_spread_mix, seed, spread_faults.draw(seed))
 
 
 def run_placement_seed(seed: int) -> MixResult:
     """Run a seed's mix of queues that move, and of machines that drain, shrink and change."""
-    chosen = placement_faults.draw(seed)
-    wrong = run(run_placement_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_placement_mix, seed, placement_faults.draw(seed))
 
 
 def run_recuts_seed(seed: int) -> MixResult:
     """Run a seed's mix of VMs that are cut off soon after they are back under their ids."""
-    chosen = recut_faults.draw(seed)
-    wrong = run(run_recut_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_recut_mix, seed, recut_faults.draw(seed))
 
 
 def run_backlog_seed(seed: int) -> MixResult:
     """Run a seed's mix of large jobs, beside faults mostly of the store."""
-    chosen = draw(seed)
-    wrong = run(run_backlog_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_backlog_mix, seed, draw(seed))
 
 
 def run_terms_seed(seed: int) -> MixResult:
     """Run a seed's mix of changing terms, beside faults mostly of the store."""
-    chosen = draw(seed)
-    wrong = run(run_terms_mix(seed, chosen, advice=seed % 2 == 0))
-    return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
+    return _run_drawn(run_terms_mix, seed, draw(seed))
 
 
 def _run_lease_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
@@ -194,8 +181,12 @@
 
 
 def _run_mix(seed: int, chosen: list[kinds.Fault]) -> MixResult:
-    mix_runner = run_mix if seed % 3 else run_organisation_mix
-    wrong = run(mix_runner(seed, chosen, advice=seed % 2 == 0))
+    return _run_drawn(run_mix if seed % 3 else run_organisation_mix, seed, chosen)
+
+
+def _run_drawn(mix_runner: MixRunner, seed: int, chosen: list[kinds.Fault]) -> MixResult:
+    """Run a mix of some faults; even seeds have an advice service."""
+    wrong = run(mix_runner(seed, chosen, seed % 2 == 0))
     return MixResult(seed, [fault.__name__ for fault in chosen], wrong)
 
 
