Compute a job's memory once at its refusal, and keep the retention with the settings

Admission computed the memory of a refused job twice, by two methods that were always called one after the other; one returns None where there is room. Cancellations depended on Admission only for the retention, which is derived from the settings; it is a property of these now. The name of a job's queue is read through JobRow.queue, but for the look-up of terms, which is made very often.

--- a/src/sablemount/jobs/scheduler.py
+++ b/src/sablemount/jobs/scheduler.py
@@ -125,7 +125,7 @@
         self.gang_reservations = GangReservations(self.state)
         self.caps = Caps(self.state)
         self.journal = Journal(self.state, self.lifecycle)
-        self.cancellations = Cancellations(self.state, self.journal, self.lifecycle.admission)
+        self.cancellations = Cancellations(self.state, self.journal)
         self.seals = Seals(self.state, self.journal, self.leases)
         self.crashes = Crashes(self.state, self.lifecycle, self.journal.update_vm_record)
         self.vms.on_crash = self.crashes.vm_crashed
@@ -405,9 +405,8 @@
         self, name: str, queue: Queue, spec: JobSpec, organisation: str
     ) -> float | None:
         """Return after how many seconds there will be memory for a job; ``None`` if there is."""
-        admission = self.lifecycle.admission
         record = self._job_record(queue, spec, organisation)
-        return None if admission.has_room(name, record) else admission.retry_after_s(name, record)
+        return self.lifecycle.admission.retry_after_s(name, record)
 
     def find_unserved_step(self, queue: Queue, spec: JobSpec) -> UnservedStep | None:
         """Return a step of a new job that certainly no VM can run; ``None`` where in doubt."""
@@ -438,7 +437,7 @@
         return sum(
             1
             for job in self.state.open_jobs.values()
-            if job.record.terms.name == queue and job.durable and not job.begun
+            if job.queue == queue and job.durable and not job.begun
         )
 
     # -- VMs' answers ------------------------------------------------------------------------
--- a/src/sablemount/jobs/settings.py
+++ b/src/sablemount/jobs/settings.py
@@ -2,7 +2,11 @@
 
 import msgspec
 
-__all__ = ["JobSettings"]
+__all__ = ["RETENTION_FACTOR", "JobSettings"]
+
+MS_PER_S = 1000.0
+RETENTION_FACTOR = 1.5
+"""Factor by which an ended job is kept longer than required, to allow for clocks that differ."""
 
 
 class JobSettings(msgspec.Struct, frozen=True):
@@ -33,3 +37,8 @@
     available any more."""
     takeover_margin_s: float = 2.5
     """How long a previous leader may continue after another one has taken over."""
+
+    @property
+    def retention_ms(self) -> float:
+        """Return for how long an ended job, or the cancellation of an unknown one, is kept."""
+        return self.state_retention_s * MS_PER_S * RETENTION_FACTOR
--- a/src/sablemount/jobs/systems/admission.py
+++ b/src/sablemount/jobs/systems/admission.py
@@ -6,7 +6,6 @@
 
 from collections import deque
 
-from sablemount.jobs.model import JobSpec
 from sablemount.jobs.records import JobRecord
 from sablemount.jobs.sizes import max_progress_size
 from sablemount.jobs.state import State
@@ -23,8 +22,6 @@
 ENDED_STEP_BYTES = 500
 """Memory of a step of a job that has ended."""
 MS_PER_S = 1000.0
-RETENTION_FACTOR = 1.5
-"""Factor by which an ended job is kept longer than required, to allow for clocks that differ."""
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 30.0
 """Bounds of the time after which a refused caller is asked to retry. The upper one holds where only
@@ -32,7 +29,7 @@
 
 
 class Admission:
-    """Counts the memory of the known jobs, and tells when there is room for another one."""
+    """Counts the memory of the known jobs, and computes when there is room for another one."""
 
     def __init__(self, state: State) -> None:
         self._state = state
@@ -66,30 +63,30 @@
         """Return the bytes that all jobs may hold together."""
         return self._state.settings.job_memory_bytes
 
-    def has_room(self, name: str, record: JobRecord) -> bool:
-        """Return whether another job may be accepted now."""
-        return self.held_bytes + open_bytes(name, record) <= self.limit
+    def retry_after_s(self, name: str, record: JobRecord) -> float | None:
+        """Return the seconds after which ended jobs will have made room for another one.
 
-    def retry_after_s(self, name: str, record: JobRecord) -> float:
-        """Return the seconds after which jobs that have ended will have made room for a job."""
+        Returns ``None`` if there is room now.
+        """
         missing = self.held_bytes + open_bytes(name, record) - self.limit
+        if missing <= 0:
+            return None
         for job in self._ended:
             missing -= job.held_bytes
             if missing <= 0:
-                left_ms = job.ended_ms + self.retention_ms - self._state.wall_ms
+                left_ms = job.ended_ms + self._retention_ms - self._state.wall_ms
                 return min(MAX_RETRY_S, max(MIN_RETRY_S, left_ms / MS_PER_S))
         return MAX_RETRY_S
 
     # -- Retention ---------------------------------------------------------------------------
 
     @property
-    def retention_ms(self) -> float:
-        """Return for how long an ended job is kept."""
-        return self._state.settings.state_retention_s * MS_PER_S * RETENTION_FACTOR
+    def _retention_ms(self) -> float:
+        return self._state.settings.retention_ms
 
     def take_old(self) -> list[JobRow]:
         """Return the ended jobs whose state no longer has to be available, and keep the others."""
-        cutoff = self._state.wall_ms - self.retention_ms
+        cutoff = self._state.wall_ms - self._retention_ms
         old = [job for job in self._ended if job.visible_state.is_final and job.ended_ms < cutoff]
         # A job that was withdrawn holds nothing any more.
         if old or any(not job.held_bytes for job in self._ended):
@@ -102,6 +99,6 @@
 
 def open_bytes(name: str, record: JobRecord) -> int:
     """Return the memory of an open job and of what is recorded of its progress."""
-    spec: JobSpec = record.spec
+    spec = record.spec
     steps = STEP_BYTES * len(spec.steps)
     return JOB_BYTES + steps + len(spec.payload.encode()) + max_progress_size(name, spec)
--- a/src/sablemount/jobs/systems/advice.py
+++ b/src/sablemount/jobs/systems/advice.py
@@ -230,11 +230,11 @@
         all_vms = len(self._state.vms)
         if self.expected_call_s(step, all_vms) >= MIN_SPLIT_CALL_S:
             return all_vms
-        share = self._good_share.get(step.job.record.terms.name, INITIAL_GOOD_SHARE)
+        share = self._good_share.get(step.job.queue, INITIAL_GOOD_SHARE)
         return max(MIN_VMS_REQUESTED, math.ceil(PLACES_PER_TASK * step.waiting / share))
 
     def _update_good_share(self, step: StepRow, good: int, asked: int) -> None:
-        queue = step.job.record.terms.name
+        queue = step.job.queue
         average = self._good_share.get(queue, INITIAL_GOOD_SHARE)
         self._good_share[queue] = max(0.05, average + GOOD_SMOOTHING * (good / asked - average))
 
--- a/src/sablemount/jobs/systems/cancellations.py
+++ b/src/sablemount/jobs/systems/cancellations.py
@@ -8,7 +8,6 @@
 from sablemount.jobs.journal import Journal
 from sablemount.jobs.records import CANCELLATION_PREFIX, Cancellation, Record, encode
 from sablemount.jobs.state import State
-from sablemount.jobs.systems.admission import Admission
 
 __all__ = ["MAX_CANCELLATIONS", "Cancellations"]
 
@@ -20,10 +19,9 @@
 class Cancellations:
     """Keeps the cancellations of unknown jobs, by job."""
 
-    def __init__(self, state: State, journal: Journal, admission: Admission) -> None:
+    def __init__(self, state: State, journal: Journal) -> None:
         self._state = state
         self._journal = journal
-        self._admission = admission
         self._kept: dict[str, Cancellation] = {}
 
     def __len__(self) -> int:
@@ -57,4 +55,4 @@
             self._journal.drop_record(CANCELLATION_PREFIX + job)
 
     def _left_ms(self, cancellation: Cancellation) -> float:
-        return cancellation.at_ms + self._admission.retention_ms - self._state.wall_ms
+        return cancellation.at_ms + self._state.settings.retention_ms - self._state.wall_ms
--- a/src/sablemount/jobs/systems/speeds.py
+++ b/src/sablemount/jobs/systems/speeds.py
@@ -141,7 +141,7 @@
         self._learn(vm, step, math.log(duration / expected))
 
     def _learn(self, vm: VmRow, step: StepRow, relative_duration: float) -> None:
-        queue = step.job.record.terms.name
+        queue = step.job.queue
         bias = self._bias.get(queue, 0.0)
         durations = self._durations.setdefault(step.key, _StepDurations())
         baseline_weight = CALLER_ESTIMATE_WEIGHT + durations.count
@@ -240,7 +240,7 @@
         left = step.job.objective_at - self._state.now
         if left < MIN_TIME_LEFT_S or step.critical_path_s <= 0:
             return None
-        bias = self._bias.get(step.job.record.terms.name, 0.0)
+        bias = self._bias.get(step.job.queue, 0.0)
         return math.log(step.critical_path_s / left) + bias + SLOWDOWN_MARGIN
 
     def costs(self, required_speed: float | None, rows: list[VmRow]) -> dict[str, float]:
--- a/tests/jobs/test_stopped_suspects.py
+++ b/tests/jobs/test_stopped_suspects.py
@@ -8,9 +8,8 @@
 from sablemount.jobs.actions import RunReport, StartRun
 from sablemount.jobs.model import StepSpec
 from sablemount.jobs.records import PROGRESS_PREFIX, Progress, decode_progress
-from sablemount.jobs.settings import JobSettings
+from sablemount.jobs.settings import RETENTION_FACTOR, JobSettings
 from sablemount.jobs.sizes import progress_record
-from sablemount.jobs.systems.admission import RETENTION_FACTOR
 from sablemount.jobs.tables import MAX_CRASH_WEIGHT, JobRow, JobState, TaskRow
 from tests.jobs.rig import CORE, Rig, spec
 
