Mark a repetition as opened where it is opened, and create the tasks of a step once

Three callers marked a repetition as opened and then opened it; opening marks it now. A step created an empty table of tasks and replaced it at once; its tasks, and their counts, come with the row. Their keys are made by task_key again, which had its format written a second time. test_structured_logs no longer calls make_tasks, which is gone.

--- a/src/sablemount/jobs/schedule.py
+++ b/src/sablemount/jobs/schedule.py
@@ -21,8 +21,8 @@
     spec: JobSpec
     next_repetition: int = 0
     """The first repetition that has not been opened."""
-    _opened_ahead: int = 0
-    """Bit mask of the repetitions from there on that have been opened or completed."""
+    _opened: int = 0
+    """Bit mask of the repetitions that have been opened or completed."""
 
     @property
     def is_complete(self) -> bool:
@@ -52,21 +52,15 @@
         """Return whether a repetition is due and has not been opened."""
         return (
             self.next_repetition <= repetition < len(self.spec.repetitions())
-            and not self._opened_ahead >> repetition & 1
+            and not self._opened >> repetition & 1
             and wall_ms >= self._due_ms(repetition)
         )
 
     def _due_ms(self, repetition: int) -> float:
         return self.spec.due_ms(repetition) + (DUE_MARGIN_MS if self.spec.times else 0.0)
 
-    def take(self) -> int:
-        """Return the number of the next repetition, which counts as opened from now on."""
-        number = self.next_repetition
-        self.take_ahead(1 << number)
-        return number
-
-    def take_ahead(self, mask: int) -> None:
+    def mark_opened(self, mask: int) -> None:
         """Count some repetitions, given as a bit mask, as opened from now on."""
-        self._opened_ahead |= mask
-        while self._opened_ahead >> self.next_repetition & 1:
+        self._opened |= mask
+        while self._opened >> self.next_repetition & 1:
             self.next_repetition += 1
--- a/src/sablemount/jobs/systems/lifecycle.py
+++ b/src/sablemount/jobs/systems/lifecycle.py
@@ -108,7 +108,7 @@
         job.begun = job.state is not JobState.PENDING
         job.completed = int(progress.completed or "0", 16)
         if job.schedule is not None:
-            job.schedule.take_ahead(job.completed)
+            job.schedule.mark_opened(job.completed)
         for key, recorded in progress.steps.items():
             repetition, _, number = key.partition(".")
             # There is none once the steps so far have completed the job.
@@ -136,10 +136,8 @@
         self, job: JobRow, schedule: Schedule, repetition: int, number: int
     ) -> StepRow | None:
         """Return a step's row, opening its repetition if necessary; ``None`` if it is complete."""
-        bit = 1 << repetition
-        if (repetition, 0) not in job.steps and not job.completed & bit:
-            schedule.take_ahead(bit)
-            self._open_repetition(job, repetition, schedule.spec)
+        if (repetition, 0) not in job.steps and not job.completed >> repetition & 1:
+            self._open_repetition(job, schedule, repetition)
         return job.steps.get((repetition, number))
 
     # -- Opening -----------------------------------------------------------------------------
@@ -150,16 +148,17 @@
 
     def _open_next(self, job: JobRow) -> None:
         if job.schedule is not None:
-            self._open_repetition(job, job.schedule.take(), job.schedule.spec)
+            self._open_repetition(job, job.schedule, job.schedule.next_repetition)
 
     def _open_if_due(self, job: JobRow, repetition: int) -> None:
         """Open a repetition that is due, whether it is the next one or not."""
         schedule = job.schedule
         if schedule is not None and schedule.may_open(repetition, self._state.wall_ms):
-            schedule.take_ahead(1 << repetition)
-            self._open_repetition(job, repetition, schedule.spec)
+            self._open_repetition(job, schedule, repetition)
 
-    def _open_repetition(self, job: JobRow, repetition: int, spec: JobSpec) -> None:
+    def _open_repetition(self, job: JobRow, schedule: Schedule, repetition: int) -> None:
+        schedule.mark_opened(1 << repetition)
+        spec = schedule.spec
         if spec.times:
             self._log_opening(job, repetition, spec)
         rows = []
@@ -168,7 +167,6 @@
             row = StepRow(job, repetition, number, step, spec.payload, remaining[number])
             if self._state.terms_of(job).advice is not None:
                 row.advice = AdviceRow()
-            row.make_tasks()
             job.steps[(repetition, number)] = row
             rows.append(row)
         job.open_steps += len(rows)
--- a/src/sablemount/jobs/tables.py
+++ b/src/sablemount/jobs/tables.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from sablemount.jobs.model import JobSpec, StepSpec, step_key
+from sablemount.jobs.model import JobSpec, StepSpec, step_key, task_key
 from sablemount.jobs.records import JobRecord
 from sablemount.jobs.run_row import RunCompletion
 from sablemount.jobs.schedule import Schedule
@@ -125,9 +125,9 @@
     critical_path_s: float = 0.0
     """Expected seconds from the step's start to its job's end."""
     tasks: StepTasks = field(init=False)
-    open_tasks: int = 0
+    open_tasks: int = field(init=False)
     """Number of tasks that are not done."""
-    waiting: int = 0
+    waiting: int = field(init=False)
     """Number of tasks that wait for a start."""
     opened_at: float = NEVER
     opened_here: bool = False
@@ -154,7 +154,8 @@
 
     def __post_init__(self) -> None:
         self.key = step_key(self.job.name, self.repetition, self.number)
-        self.tasks = StepTasks(0, self._make_task)
+        self.tasks = StepTasks(self.spec.count, self._make_task)
+        self.open_tasks = self.waiting = self.spec.count
 
     @property
     def ready_at(self) -> float:
@@ -173,15 +174,9 @@
         """Return for how many seconds the cap has kept tasks waiting so far."""
         return self.capped_s + (0.0 if self.capped_since is None else now - self.capped_since)
 
-    def make_tasks(self) -> None:
-        """Create the tasks, all of them waiting."""
-        count = self.spec.count
-        self.tasks = StepTasks(count, self._make_task)
-        self.open_tasks = count
-        self.waiting = count
-
     def _make_task(self, index: int) -> TaskRow:
-        return TaskRow(f"{self.key}.{index}", self, index)
+        key = task_key(self.job.name, self.repetition, self.number, index)
+        return TaskRow(key, self, index)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -150,7 +150,6 @@
     record = JobRecord(QueueTerms("queue", "pool"), JobSpec("", (step,)), 0.0, 1)
     job = JobRow(name, record, now)
     row = StepRow(job, 0, 0, step, "payload")
-    row.make_tasks()
     vm = VmRow(VmInfo(vm_name, "address", "pool", Shape(16_000, 64_000)))
     log_placement(logger, row, [(task, vm) for task in row.tasks], now)
     began = now + began_after
