Ask StepTasks for the waiting rows, and drop state that could be derived

Three places filtered the rows for waiting tasks, and has_rowless computed anew what the count of waiting tasks shows. _Selection carried the VMs that its caller had. The choice for a gang is made before the match. A few comments are in plainer words.

--- a/src/sablemount/adapters/socket_age.py
+++ b/src/sablemount/adapters/socket_age.py
@@ -31,7 +31,7 @@
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
     except OSError:
-        # Closed meanwhile, or the system does not tell.
+        # Closed meanwhile, or not supported by the system.
         return 0.0
     if len(info) < LAST_DATA_RECEIVED.size:
         return 0.0
--- a/src/sablemount/jobs/state.py
+++ b/src/sablemount/jobs/state.py
@@ -190,7 +190,7 @@
     def task(self, key: str) -> TaskRow | None:
         """Return a task of a job that has not ended.
 
-        A repetition that is due but not open yet is opened: VMs tell of tasks that a previous
+        A repetition that is due but not open yet is opened: VMs may report tasks that a previous
         leader has started.
         """
         parts = key.split(".")
--- a/src/sablemount/jobs/step_tasks.py
+++ b/src/sablemount/jobs/step_tasks.py
@@ -1,8 +1,8 @@
 """The tasks of a step, most of which have no row.
 
 A step may have thousands of tasks, of which few can run at a time. A task has a row while something
-is known of it that its index does not tell: a run, a failure, a saved state or a crash. Of all
-others only their number is kept, and of those that are done a bit mask.
+is known of it beside its index: a run, a failure, a saved state or a crash. Of all others only
+their number is kept, and of those that are done a bit mask.
 """
 
 from collections.abc import Callable, Iterator, Sequence
@@ -57,10 +57,9 @@
             self._is_sorted = True
         return list(self._rows.values())
 
-    def has_rowless(self) -> bool:
-        """Return whether some task that is not done has no row."""
-        self._skip_known()
-        return self._next < self._count
+    def waiting_rows(self) -> list[TaskRow]:
+        """Return the waiting tasks that have a row, by index."""
+        return [row for row in self.rows() if row.state is TaskState.WAITING]
 
     def waiting(self, made: list[TaskRow]) -> Iterator[TaskRow]:
         """Iterate over the waiting tasks by index.
--- a/src/sablemount/jobs/systems/held_back.py
+++ b/src/sablemount/jobs/systems/held_back.py
@@ -11,7 +11,7 @@
 from sablemount.jobs.systems.reservation import GangReservations
 from sablemount.jobs.systems.trials import Isolation
 from sablemount.jobs.systems.vms import Vms
-from sablemount.jobs.tables import StepRow, TaskRow, TaskState
+from sablemount.jobs.tables import StepRow, TaskRow
 from sablemount.jobs.vm_row import VmRow
 
 __all__ = ["BlockingAnalysis", "BlockingReason"]
@@ -77,8 +77,8 @@
 
         ``None`` stands for a task of which nothing is known but that it waits.
         """
-        waiting = [task for task in step.tasks.rows() if task.state is TaskState.WAITING]
         unwanted = self._state.unwanted_runs
+        waiting = step.tasks.waiting_rows()
         return min(waiting, key=lambda task: task.key in unwanted, default=None)
 
     def _reason(
--- a/src/sablemount/jobs/systems/placement.py
+++ b/src/sablemount/jobs/systems/placement.py
@@ -52,7 +52,6 @@
     """Tasks of a step that are matched against some VMs."""
 
     tasks: list[TaskRow]
-    rows: list[VmRow]
     is_partial: bool
     """Whether there are more that may be started."""
     takes_all_room: bool
@@ -207,7 +206,9 @@
         self._isolation.isolate_for(step, rows)
         available = self._gang_reservations.available_to(step, rows)
         made: list[TaskRow] = []
-        self._match(step, usable, rows, self._select(step, places, available, made))
+        selected = self._select(step, places, available, made)
+        if not step.spec.gang or selected.is_partial or len(selected.tasks) == step.waiting:
+            self._match(step, usable, rows, available, selected)
         step.tasks.release(made)
 
     def _has_startable(self, step: StepRow) -> bool:
@@ -218,7 +219,7 @@
         if step.job.from_previous_leader and not self._state.store_answers:
             # Each start has to be recorded first.
             return False
-        known = [task for task in step.tasks.rows() if task.state is TaskState.WAITING]
+        known = step.tasks.waiting_rows()
         if step.spec.gang:
             return all(map(self.is_startable, known))
         return len(known) < step.waiting or any(map(self.is_startable, known))
@@ -235,7 +236,7 @@
         if room > MAX_SMALL_STEP:
             room = _places_up_to(step, rows, room)
         if step.spec.gang and room < step.waiting:
-            return _Selection([], rows, True, True)
+            return _Selection([], True, True)
         limit = room if step.spec.gang else min(room, MAX_STARTS_PER_STEP)
         tasks: list[TaskRow] = []
         unhampered = 0
@@ -246,16 +247,19 @@
                 tasks.append(task)
                 unhampered += not (task.failed_on or task.crashes)
         is_partial = unhampered >= limit and len(tasks) < min(places, step.waiting)
-        return _Selection(tasks, rows, is_partial, room <= limit)
+        return _Selection(tasks, is_partial, room <= limit)
 
     def _match(
-        self, step: StepRow, usable: list[VmRow], rows: list[VmRow], selected: _Selection
+        self,
+        step: StepRow,
+        usable: list[VmRow],
+        rows: list[VmRow],
+        available: list[VmRow],
+        selected: _Selection,
     ) -> None:
-        """Start the selected tasks of a step on the VMs with capacity for them."""
+        """Start the selected tasks of a step on the available ones of its VMs."""
         tasks = selected.tasks
-        if step.spec.gang and len(tasks) < step.waiting and not selected.is_partial:
-            return
-        chosen = self._choice.assign(step, tasks, selected.rows)
+        chosen = self._choice.assign(step, tasks, available)
         lacks_room = len(chosen) < len(tasks) or (selected.is_partial and selected.takes_all_room)
         if lacks_room:
             self._max_free = _max_free_capacity(usable)
@@ -331,10 +335,10 @@
         """
         if not step.job.has_crashes:
             return True
-        if step.tasks.has_rowless():
+        known = step.tasks.waiting_rows()
+        if len(known) < step.waiting:
             return True
-        waiting = (task for task in step.tasks.rows() if task.state is TaskState.WAITING)
-        return any(self._isolation.may_start(task, row) for task in waiting)
+        return any(self._isolation.may_start(task, row) for task in known)
 
     def _candidates(self, step: StepRow, usable: list[VmRow]) -> list[VmRow]:
         """Return the usable VMs of a step's pool and label, computed once a round."""
--- a/src/sablemount/jobs/systems/preemption.py
+++ b/src/sablemount/jobs/systems/preemption.py
@@ -87,7 +87,6 @@
         """Steps that capacity is being freed for, and until when it is reserved."""
         self._expected: dict[str, Shape] = {}
         """What more urgent steps will use of the capacity soon free, by VM, in this round."""
-
         self._stoppable: dict[str, list[tuple[int, RunRow, TaskRow]]] = {}
         """Runs that may be stopped for some step, with their priorities, by VM, in this round."""
 
